--- /dev/null
+++ b/crates/sapphiretrack-backend/src/lib.rs
@@ -0,0 +1,10 @@
+//! Client of the backend servers: model engines and plain services.
+
+mod answer;
+mod client;
+mod error;
+pub mod wire;
+
+pub use answer::{AnswerStream, Piece};
+pub use client::{BackendClient, ChatAttempt, ServiceAttempt, ServiceReply, Settings};
+pub use error::BackendError;
--- /dev/null
+++ b/crates/sapphiretrack-backend/src/wire.rs
@@ -0,0 +1,14 @@
+//! What backend servers and routers say to each other beside the callers' own bodies.
+
+/// Carries the attempt's id to a backend server and back.
+pub const ATTEMPT_HEADER: &str = "x-attempt-id";
+/// Carries the priority; 0 is the most urgent.
+pub const PRIORITY_HEADER: &str = "x-priority";
+/// Carries the time that is left for the answer, in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Carries how many tokens the caller has already; the engine goes on after them.
+pub const RESUME_HEADER: &str = "x-resume-tokens";
+/// Carries the chat's key, under which an engine keeps its prefix.
+pub const CHAT_HEADER: &str = "x-chat-key";
+/// Set to `true` by a server that refuses a request that it did not start.
+pub const NOT_STARTED_HEADER: &str = "x-not-started";
--- /dev/null
+++ b/crates/sapphiretrack-bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Measurements of the router fleet.
+
+pub mod demo;
--- /dev/null
+++ b/crates/sapphiretrack-bench/src/main.rs
@@ -0,0 +1,30 @@
+//! Measurements of the router fleet: each subcommand is one of them.
+
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+
+const HELP: &str = "\
+sapphiretrack-bench: measurements and the demo
+
+  sapphiretrack-bench demo      the whole of it on embedded stand-ins, within a minute
+";
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let result = match arguments.subcommand() {
+        Ok(Some(name)) if name == "demo" => sapphiretrack_bench::demo::run(arguments),
+        _ => Err(String::from("a command is missing; hint: see --help")),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("sapphiretrack-bench: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-caller/src/answer.rs
@@ -0,0 +1,163 @@
+//! Answers, and how they look on the wire.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use dropshot::Body;
+use futures::StreamExt;
+use http::StatusCode;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use sapphiretrack_core::{Chunk, Outcome, Refusal, STREAM_END};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc::Receiver;
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::server::{OUTCOME_HEADER, WARM_HEADER};
+
+/// The value of the outcome header of a stream: its last event tells the outcome.
+const OUTCOME_IN_STREAM: &str = "in-stream";
+
+/// An answer to a caller.
+pub enum Answer {
+    /// The whole answer.
+    Whole(WholeAnswer),
+    /// The answer as it comes.
+    Stream {
+        /// Where the chat is warm, for the caller's next request.
+        warm: String,
+        /// The events; the last one is the end or an error.
+        events: Receiver<StreamEvent>,
+    },
+    /// No result.
+    Refused(Refusal),
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WholeAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+    /// Where the chat is warm, for the caller's next request.
+    pub warm: Option<String>,
+}
+
+/// An event of a streamed answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StreamEvent {
+    /// A part of the answer.
+    Chunk(Box<Chunk>),
+    /// The explicit end: the answer is whole.
+    End,
+    /// The explicit error: the answer is not whole.
+    Error(Refusal),
+}
+
+/// Which routers to connect to.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+pub struct EntryReply {
+    /// The addresses, the best first.
+    pub addresses: Vec<String>,
+    /// How long the reply may be kept.
+    pub ttl_ms: u64,
+}
+
+/// The JSON body of an answer without a result.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+pub struct ErrorBody {
+    /// The error.
+    pub error: ErrorDetail,
+}
+
+/// An error as callers see it.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+pub struct ErrorDetail {
+    /// One of the codes of the callers' page.
+    pub code: String,
+    /// What happened.
+    pub message: String,
+    /// What to do.
+    pub hint: String,
+    /// `not-run` or `unknown`.
+    pub outcome: String,
+    /// When to come back, where that helps.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl From<&Refusal> for ErrorBody {
+    fn from(refusal: &Refusal) -> Self {
+        Self {
+            error: ErrorDetail {
+                code: refusal.code.as_str().to_owned(),
+                message: refusal.message.clone(),
+                hint: refusal.code.hint().to_owned(),
+                outcome: refusal.outcome.as_str().to_owned(),
+                retry_after_ms: refusal.retry_after_ms,
+            },
+        }
+    }
+}
+
+/// Writes an answer as an HTTP response.
+pub(crate) fn respond(answer: Answer) -> Result<http::Response<Body>, http::Error> {
+    match answer {
+        Answer::Refused(refusal) => respond_refusal(&refusal),
+        Answer::Whole(whole) => respond_whole(whole),
+        Answer::Stream { warm, events } => {
+            let frames = ReceiverStream::new(events)
+                .map(|event| Ok::<_, Infallible>(Frame::data(encode_event(&event))));
+            http::Response::builder()
+                .status(StatusCode::OK)
+                .header(http::header::CONTENT_TYPE, "text/event-stream")
+                .header(http::header::CACHE_CONTROL, "no-store")
+                .header(OUTCOME_HEADER, OUTCOME_IN_STREAM)
+                .header(WARM_HEADER, warm)
+                .body(Body::wrap(StreamBody::new(frames)))
+        }
+    }
+}
+
+fn respond_whole(whole: WholeAnswer) -> Result<http::Response<Body>, http::Error> {
+    let mut builder = http::Response::builder()
+        .status(whole.status)
+        .header(http::header::CONTENT_TYPE, whole.content_type)
+        .header(OUTCOME_HEADER, Outcome::Complete.as_str());
+    if let Some(warm) = whole.warm {
+        builder = builder.header(WARM_HEADER, warm);
+    }
+    builder.body(Body::with_content(whole.body))
+}
+
+fn respond_refusal(refusal: &Refusal) -> Result<http::Response<Body>, http::Error> {
+    let body = serde_json::to_vec(&ErrorBody::from(refusal)).unwrap_or_default();
+    let mut builder = http::Response::builder()
+        .status(refusal.code.http_status())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(OUTCOME_HEADER, refusal.outcome.as_str());
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        let seconds = retry_after_ms.div_ceil(1_000).max(1);
+        builder = builder.header(http::header::RETRY_AFTER, seconds);
+    }
+    builder.body(Body::with_content(body))
+}
+
+fn encode_event(event: &StreamEvent) -> Bytes {
+    let text = match event {
+        StreamEvent::Chunk(chunk) => match serde_json::to_string(chunk) {
+            Ok(json) => format!("data: {json}\n\n"),
+            Err(error) => format!("event: error\ndata: \"{error}\"\n\n"),
+        },
+        StreamEvent::End => format!("data: {STREAM_END}\n\n"),
+        StreamEvent::Error(refusal) => {
+            let json = serde_json::to_string(&ErrorBody::from(refusal)).unwrap_or_default();
+            format!("event: error\ndata: {json}\n\n")
+        }
+    };
+    Bytes::from(text)
+}
--- /dev/null
+++ b/crates/sapphiretrack-caller/src/client.rs
@@ -0,0 +1,289 @@
+//! A client as callers would write one: for the command-line tool, measurements and tests.
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures::{Stream, StreamExt};
+use http_body_util::{BodyDataStream, BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use sapphiretrack_core::{Chunk, STREAM_END};
+use snafu::Snafu;
+
+use crate::answer::{EntryReply, ErrorBody};
+use crate::server::{
+    CHAT_HEADER, CLASS_HEADER, IDEMPOTENCY_HEADER, OUTCOME_HEADER, WARM_HEADER, WORKSPACE_HEADER,
+    ZONE_HEADER,
+};
+
+/// Why a request gave no answer.
+#[derive(Debug, Snafu)]
+pub enum ClientError {
+    /// No connection: the request was not run.
+    #[snafu(display("the router at {url} cannot be reached: {reason}"))]
+    Unreachable {
+        /// The router.
+        url: String,
+        /// What the transport said.
+        reason: String,
+    },
+    /// The connection broke: the request may have been run.
+    #[snafu(display("the answer from {url} broke: {reason}"))]
+    Broken {
+        /// The router.
+        url: String,
+        /// What happened.
+        reason: String,
+    },
+}
+
+/// What a request is sent with beside its body.
+#[derive(Clone, Debug, Default)]
+pub struct RequestOptions {
+    /// A key of the customer's contract.
+    pub key: String,
+    /// The workspace.
+    pub workspace: Option<String>,
+    /// The chat's id.
+    pub chat: Option<String>,
+    /// The class.
+    pub class: Option<String>,
+    /// The value of an earlier answer that tells where the chat is warm.
+    pub warm: Option<String>,
+    /// The key of a non-idempotent request.
+    pub idempotency_key: Option<String>,
+}
+
+/// An answer read to its end.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ReadAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The outcome: of the header, or of a stream's last event.
+    pub outcome: String,
+    /// Where the chat is warm.
+    pub warm: Option<String>,
+    /// When to come back, in seconds.
+    pub retry_after_s: Option<u64>,
+    /// The body, or a stream's text.
+    pub body: String,
+    /// The error, if there is one.
+    pub error: Option<ErrorBody>,
+    /// Prompt tokens, and those found in a cache, as the engine counted them.
+    pub prompt_tokens: u32,
+    /// Of them, those found in a cache.
+    pub cached_tokens: u32,
+    /// Tokens generated.
+    pub completion_tokens: u32,
+}
+
+/// Sends callers' requests.
+#[derive(Clone, Debug)]
+pub struct CallerClient {
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for CallerClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl CallerClient {
+    /// A client; it connects when first used.
+    pub fn new() -> Self {
+        // A request that the pool sends again on its own could run twice.
+        let http = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build_http();
+        Self { http }
+    }
+
+    /// Asks a router (`http://IP:PORT`) which routers to connect to.
+    pub async fn entry(&self, url: &str, zone: Option<&str>) -> Result<EntryReply, ClientError> {
+        let mut request = http::Request::get(format!("{url}/v1/entry"));
+        if let Some(zone) = zone {
+            request = request.header(ZONE_HEADER, zone);
+        }
+        let response = self.send(url, request.body(Full::default())).await?;
+        let body = read_body(url, response).await?;
+        serde_json::from_slice(&body).or_else(|error| broken(url, &error))
+    }
+
+    /// Sends a chat and reads its answer to the end; `on_text` sees each part as it comes.
+    pub async fn chat<OnText>(
+        &self,
+        url: &str,
+        body: Bytes,
+        options: &RequestOptions,
+        mut on_text: OnText,
+    ) -> Result<ReadAnswer, ClientError>
+    where
+        OnText: FnMut(&str),
+    {
+        let request = http::Request::post(format!("{url}/v1/chat/completions"));
+        let response = self
+            .send(url, with_options(request, options).body(Full::new(body)))
+            .await?;
+        let mut answer = read_head(&response);
+        let content_type = header(&response, http::header::CONTENT_TYPE.as_str());
+        if content_type.as_deref() != Some("text/event-stream") {
+            return finish_whole(url, response, answer).await;
+        }
+        answer.outcome = String::from("unknown");
+        let mut events = std::pin::pin!(stream_events(response));
+        while let Some(event) = events.next().await {
+            let event = event.or_else(|reason| BrokenSnafu { url, reason }.fail())?;
+            if event.event == "error" {
+                answer.error = serde_json::from_str(&event.data).ok();
+                if let Some(error) = &answer.error {
+                    answer.outcome = error.error.outcome.clone();
+                }
+                return Ok(answer);
+            }
+            if event.data == STREAM_END {
+                answer.outcome = String::from("complete");
+                return Ok(answer);
+            }
+            let chunk: Chunk =
+                serde_json::from_str(&event.data).or_else(|error| broken(url, &error))?;
+            if let Some(usage) = chunk.usage {
+                answer.prompt_tokens = usage.prompt_tokens;
+                answer.cached_tokens = usage.cached_tokens;
+                answer.completion_tokens = usage.completion_tokens;
+            }
+            for choice in chunk.choices {
+                let text = choice.delta.content.unwrap_or_default();
+                on_text(&text);
+                answer.body.push_str(&text);
+            }
+        }
+        BrokenSnafu {
+            url,
+            reason: "the stream was cut before its end",
+        }
+        .fail()
+    }
+
+    /// Calls a plain service.
+    pub async fn service(
+        &self,
+        url: &str,
+        method: http::Method,
+        path: &str,
+        body: Bytes,
+        options: &RequestOptions,
+    ) -> Result<ReadAnswer, ClientError> {
+        let request = http::Request::builder()
+            .method(method)
+            .uri(format!("{url}/v1/services/{path}"));
+        let response = self
+            .send(url, with_options(request, options).body(Full::new(body)))
+            .await?;
+        let answer = read_head(&response);
+        finish_whole(url, response, answer).await
+    }
+
+    async fn send(
+        &self,
+        url: &str,
+        request: Result<http::Request<Full<Bytes>>, http::Error>,
+    ) -> Result<http::Response<Incoming>, ClientError> {
+        let request = request.or_else(|error| {
+            UnreachableSnafu {
+                url,
+                reason: error.to_string(),
+            }
+            .fail()
+        })?;
+        match self.http.request(request).await {
+            Ok(response) => Ok(response),
+            Err(error) if error.is_connect() => UnreachableSnafu {
+                url,
+                reason: error.to_string(),
+            }
+            .fail(),
+            Err(error) => broken(url, &error),
+        }
+    }
+}
+
+fn with_options(
+    request: http::request::Builder,
+    options: &RequestOptions,
+) -> http::request::Builder {
+    let fields = [
+        (WORKSPACE_HEADER, &options.workspace),
+        (CHAT_HEADER, &options.chat),
+        (CLASS_HEADER, &options.class),
+        (WARM_HEADER, &options.warm),
+        (IDEMPOTENCY_HEADER, &options.idempotency_key),
+    ];
+    let request = request
+        .header(
+            http::header::AUTHORIZATION,
+            format!("Bearer {}", options.key),
+        )
+        .header(http::header::CONTENT_TYPE, "application/json");
+    fields
+        .into_iter()
+        .fold(request, |request, (name, value)| match value {
+            Some(value) => request.header(name, value),
+            None => request,
+        })
+}
+
+fn stream_events(
+    response: http::Response<Incoming>,
+) -> impl Stream<Item = Result<eventsource_stream::Event, String>> {
+    BodyDataStream::new(response.into_body())
+        .eventsource()
+        .map(|event| event.map_err(|error| error.to_string()))
+}
+
+fn header(response: &http::Response<Incoming>, name: &str) -> Option<String> {
+    Some(response.headers().get(name)?.to_str().ok()?.to_owned())
+}
+
+fn read_head(response: &http::Response<Incoming>) -> ReadAnswer {
+    ReadAnswer {
+        status: response.status().as_u16(),
+        outcome: header(response, OUTCOME_HEADER).unwrap_or_default(),
+        warm: header(response, WARM_HEADER),
+        retry_after_s: header(response, http::header::RETRY_AFTER.as_str())
+            .and_then(|text| text.parse().ok()),
+        ..ReadAnswer::default()
+    }
+}
+
+async fn finish_whole(
+    url: &str,
+    response: http::Response<Incoming>,
+    mut answer: ReadAnswer,
+) -> Result<ReadAnswer, ClientError> {
+    let body = read_body(url, response).await?;
+    answer.body = String::from_utf8_lossy(&body).into_owned();
+    if answer.status >= 400 {
+        answer.error = serde_json::from_slice(&body).ok();
+    }
+    Ok(answer)
+}
+
+async fn read_body(url: &str, response: http::Response<Incoming>) -> Result<Bytes, ClientError> {
+    match response.into_body().collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) => broken(url, &error),
+    }
+}
+
+fn broken<T, Error>(url: &str, error: &Error) -> Result<T, ClientError>
+where
+    Error: std::fmt::Display,
+{
+    BrokenSnafu {
+        url,
+        reason: error.to_string(),
+    }
+    .fail()
+}
--- /dev/null
+++ b/crates/sapphiretrack-cli/src/command.rs
@@ -0,0 +1,212 @@
+//! The command line, read and checked.
+
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+use snafu::ResultExt;
+
+use crate::error::{ArgumentsSnafu, CliError, UsageSnafu};
+
+/// What every command may need.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// Operators' address of a router.
+    pub(crate) router: String,
+    /// The operators' key.
+    pub(crate) operator_key: String,
+    /// Who the operator is.
+    pub(crate) operator: String,
+    /// Callers' address of a router.
+    pub(crate) caller_url: String,
+    /// A key of a contract.
+    pub(crate) caller_key: String,
+    /// How long `--wait` waits.
+    pub(crate) wait_limit_ms: u64,
+    /// Whether to print JSON.
+    pub(crate) json: bool,
+}
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    ContractApply(ContractApply),
+    ContractShow { customer: String },
+    ContractHistory,
+    ChangeShow { change_id: String },
+    RouterList,
+    RouterStop { name: String },
+    ServerList,
+    ServerDrain(ServerDrain),
+    Status,
+    Entry { zone: Option<String> },
+    Chat(Chat),
+}
+
+/// Applies a contract file.
+#[derive(Clone, Debug)]
+pub(crate) struct ContractApply {
+    /// The TOML file.
+    pub(crate) file: PathBuf,
+    /// The version at which the operator saw the contract; none for the current one.
+    pub(crate) seen_version: Option<u64>,
+    /// Whether to wait until it is in force on every router.
+    pub(crate) wait: bool,
+}
+
+/// Drains a backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerDrain {
+    /// The server.
+    pub(crate) server: String,
+    /// Whether to end the drain instead.
+    pub(crate) undo: bool,
+    /// Whether to wait until no router has a request in flight there.
+    pub(crate) wait: bool,
+}
+
+/// Sends one chat.
+#[derive(Clone, Debug)]
+pub(crate) struct Chat {
+    pub(crate) model: String,
+    pub(crate) workspace: Option<String>,
+    pub(crate) chat: Option<String>,
+    pub(crate) class: Option<String>,
+    pub(crate) text: String,
+}
+
+/// Reads the command line.
+pub(crate) fn parse_command(mut arguments: Arguments) -> Result<(Command, Options), CliError> {
+    let options = parse_options(&mut arguments)?;
+    let noun = arguments
+        .subcommand()
+        .context(ArgumentsSnafu)?
+        .unwrap_or_default();
+    let command = match noun.as_str() {
+        "contract" => contract(&mut arguments)?,
+        "change" => match verb(&mut arguments)?.as_str() {
+            "show" => Command::ChangeShow {
+                change_id: free(&mut arguments, "CHANGE-ID")?,
+            },
+            other => return unknown("change", other),
+        },
+        "router" => match verb(&mut arguments)?.as_str() {
+            "list" => Command::RouterList,
+            "stop" => Command::RouterStop {
+                name: free(&mut arguments, "NAME")?,
+            },
+            other => return unknown("router", other),
+        },
+        "server" => match verb(&mut arguments)?.as_str() {
+            "list" => Command::ServerList,
+            "drain" => Command::ServerDrain(ServerDrain {
+                undo: arguments.contains("--undo"),
+                wait: arguments.contains("--wait"),
+                server: free(&mut arguments, "NAME")?,
+            }),
+            other => return unknown("server", other),
+        },
+        "status" => Command::Status,
+        "entry" => Command::Entry {
+            zone: option(&mut arguments, "--zone")?,
+        },
+        "chat" => Command::Chat(Chat {
+            model: arguments
+                .value_from_str("--model")
+                .context(ArgumentsSnafu)?,
+            workspace: option(&mut arguments, "--workspace")?,
+            chat: option(&mut arguments, "--chat")?,
+            class: option(&mut arguments, "--class")?,
+            text: free(&mut arguments, "TEXT")?,
+        }),
+        other => return unknown("sapphiretrack", other),
+    };
+    match arguments.finish().first() {
+        None => Ok((command, options)),
+        Some(argument) => {
+            let problem = format!("unknown argument {argument:?}");
+            UsageSnafu { problem }.fail()
+        }
+    }
+}
+
+fn contract(arguments: &mut Arguments) -> Result<Command, CliError> {
+    match verb(arguments)?.as_str() {
+        "apply" => {
+            let new = arguments.contains("--new");
+            let seen: Option<u64> = arguments
+                .opt_value_from_str("--seen")
+                .context(ArgumentsSnafu)?;
+            Ok(Command::ContractApply(ContractApply {
+                seen_version: if new { Some(0) } else { seen },
+                wait: arguments.contains("--wait"),
+                file: PathBuf::from(free(arguments, "FILE")?),
+            }))
+        }
+        "show" => Ok(Command::ContractShow {
+            customer: free(arguments, "CUSTOMER")?,
+        }),
+        "history" => Ok(Command::ContractHistory),
+        other => unknown("contract", other),
+    }
+}
+
+fn parse_options(arguments: &mut Arguments) -> Result<Options, CliError> {
+    let wait_limit_ms: Option<u64> = arguments
+        .opt_value_from_str("--wait-limit-ms")
+        .context(ArgumentsSnafu)?;
+    Ok(Options {
+        router: setting(arguments, "--router", "http://127.0.0.1:8081")?,
+        operator_key: setting(arguments, "--operator-key", "")?,
+        operator: setting(arguments, "--operator", "operator")?,
+        caller_url: setting(arguments, "--caller-url", "http://127.0.0.1:8080")?,
+        caller_key: setting(arguments, "--caller-key", "")?,
+        wait_limit_ms: wait_limit_ms.unwrap_or(30_000),
+        json: arguments.contains("--json"),
+    })
+}
+
+/// A flag, else its environment variable, else the default.
+fn setting(
+    arguments: &mut Arguments,
+    flag: &'static str,
+    default: &str,
+) -> Result<String, CliError> {
+    let variable = format!(
+        "SAPPHIRETRACK_{}",
+        flag.trim_start_matches('-')
+            .replace('-', "_")
+            .to_uppercase()
+    );
+    let value = option(arguments, flag)?.or_else(|| std::env::var(variable).ok());
+    Ok(value.unwrap_or_else(|| default.to_owned()))
+}
+
+fn option(arguments: &mut Arguments, flag: &'static str) -> Result<Option<String>, CliError> {
+    arguments.opt_value_from_str(flag).context(ArgumentsSnafu)
+}
+
+fn verb(arguments: &mut Arguments) -> Result<String, CliError> {
+    Ok(arguments
+        .subcommand()
+        .context(ArgumentsSnafu)?
+        .unwrap_or_default())
+}
+
+fn free(arguments: &mut Arguments, name: &str) -> Result<String, CliError> {
+    let value: Option<String> = arguments.opt_free_from_str().context(ArgumentsSnafu)?;
+    match value {
+        Some(value) => Ok(value),
+        None => UsageSnafu {
+            problem: format!("{name} is missing"),
+        }
+        .fail(),
+    }
+}
+
+fn unknown<T>(noun: &str, word: &str) -> Result<T, CliError> {
+    let problem = match word {
+        "" => format!("{noun}: a command is missing"),
+        word => format!("{noun}: there is no command {word:?}"),
+    };
+    UsageSnafu { problem }.fail()
+}
--- /dev/null
+++ b/crates/sapphiretrack-cli/src/fleet.rs
@@ -0,0 +1,174 @@
+//! Commands about routers and backend servers.
+
+use std::time::{Duration, Instant};
+
+use sapphiretrack_operator::OperatorClient;
+use sapphiretrack_operator::wire::{DrainServer, Status};
+use snafu::ResultExt;
+
+use crate::command::{Options, ServerDrain};
+use crate::contracts::{accepted_text, client, new_change_id, settle};
+use crate::error::{CliError, NoSuchSnafu, RouterSnafu, WaitEndedSnafu};
+use crate::table::{json, table};
+
+/// How long one call to a router may take.
+const CALL_TIMEOUT_MS: u64 = 5_000;
+/// How often `--wait` looks.
+const WAIT_POLL: Duration = Duration::from_millis(100);
+
+/// Lists routers.
+pub(crate) async fn routers(options: &Options) -> Result<String, CliError> {
+    let status = client(options).status().await.context(RouterSnafu)?;
+    if options.json {
+        return Ok(json(&status.routers));
+    }
+    Ok(router_table(&status))
+}
+
+/// Lists backend servers.
+pub(crate) async fn servers(options: &Options) -> Result<String, CliError> {
+    let status = client(options).status().await.context(RouterSnafu)?;
+    if options.json {
+        return Ok(json(&status.servers));
+    }
+    Ok(server_table(&status))
+}
+
+/// Shows one router's view.
+pub(crate) async fn status(options: &Options) -> Result<String, CliError> {
+    let status = client(options).status().await.context(RouterSnafu)?;
+    if options.json {
+        return Ok(json(&status));
+    }
+    let platform = if status.platform_reached {
+        "reached"
+    } else {
+        "not reached"
+    };
+    Ok(format!(
+        "router {}: version {}, {} in flight, platform {platform}\n\n{}\n{}",
+        status.router,
+        status.config_version,
+        status.in_flight,
+        router_table(&status),
+        server_table(&status)
+    ))
+}
+
+/// Starts the planned stop of a router.
+pub(crate) async fn stop(options: &Options, name: &str) -> Result<String, CliError> {
+    let status = client(options).status().await.context(RouterSnafu)?;
+    let Some(router) = status.routers.iter().find(|router| router.name == name) else {
+        return NoSuchSnafu {
+            what: "router",
+            name,
+        }
+        .fail();
+    };
+    let url = format!("http://{}", router.operator_address);
+    let there = OperatorClient::new(&url, &options.operator_key, CALL_TIMEOUT_MS);
+    let reply = there.stop().await.context(RouterSnafu)?;
+    if options.json {
+        return Ok(json(&reply));
+    }
+    Ok(format!(
+        "stopping {name}: {} requests in flight\n",
+        reply.in_flight
+    ))
+}
+
+/// Starts or ends the drain of a backend server.
+pub(crate) async fn drain(options: &Options, drain: &ServerDrain) -> Result<String, CliError> {
+    let client = client(options);
+    let request = DrainServer {
+        change_id: new_change_id(),
+        operator: options.operator.clone(),
+        server: drain.server.clone(),
+        draining: !drain.undo,
+    };
+    let reply = client.drain(&request).await;
+    let version = settle(&client, reply, &request.change_id).await?;
+    let mut text = accepted_text(options, version);
+    if drain.wait {
+        text.push_str(&wait_drained(&client, options, &drain.server, version).await?);
+    }
+    Ok(text)
+}
+
+/// Waits until the drain is in force on every router and nothing runs on the server.
+async fn wait_drained(
+    client: &OperatorClient,
+    options: &Options,
+    server: &str,
+    version: u64,
+) -> Result<String, CliError> {
+    let started = Instant::now();
+    loop {
+        let status = client.status().await.context(RouterSnafu)?;
+        let behind = status
+            .routers
+            .iter()
+            .filter(|router| router.config_version < version)
+            .count();
+        let line = status.servers.iter().find(|line| line.name == server);
+        let in_flight = line.map_or(0, |line| line.in_flight);
+        if behind == 0 && in_flight == 0 {
+            return Ok(if options.json {
+                String::new()
+            } else {
+                format!("{server} is empty\n")
+            });
+        }
+        if started.elapsed().as_millis() as u64 >= options.wait_limit_ms {
+            return WaitEndedSnafu {
+                what: "not empty",
+                wait_limit_ms: options.wait_limit_ms,
+                missing: format!("{in_flight} requests in flight, {behind} routers behind"),
+            }
+            .fail();
+        }
+        tokio::time::sleep(WAIT_POLL).await;
+    }
+}
+
+fn router_table(status: &Status) -> String {
+    let rows: Vec<Vec<String>> = status
+        .routers
+        .iter()
+        .map(|router| {
+            vec![
+                router.name.clone(),
+                router.zone.clone(),
+                router.state.clone(),
+                router.config_version.to_string(),
+                router.caller_address.clone(),
+                router.operator_address.clone(),
+            ]
+        })
+        .collect();
+    table(
+        &["ROUTER", "ZONE", "STATE", "VERSION", "CALLERS", "OPERATORS"],
+        &rows,
+    )
+}
+
+fn server_table(status: &Status) -> String {
+    let rows: Vec<Vec<String>> = status
+        .servers
+        .iter()
+        .map(|server| {
+            vec![
+                server.name.clone(),
+                server.zone.clone(),
+                server.pool.clone(),
+                server.state.clone(),
+                server.in_flight.to_string(),
+                server.steward.clone(),
+            ]
+        })
+        .collect();
+    table(
+        &["SERVER", "ZONE", "POOL", "STATE", "IN FLIGHT", "STEWARD"],
+        &rows,
+    )
+}
--- /dev/null
+++ b/crates/sapphiretrack-cli/src/main.rs
@@ -0,0 +1,87 @@
+//! The operator's command-line tool.
+
+mod callers;
+mod command;
+mod contracts;
+mod error;
+mod fleet;
+mod table;
+
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+
+use crate::command::{Command, Options, parse_command};
+use crate::error::CliError;
+
+const HELP: &str = "\
+sapphiretrack: drives a fleet of routers
+
+  sapphiretrack contract apply FILE [--new | --seen VERSION] [--wait]
+  sapphiretrack contract show CUSTOMER
+  sapphiretrack contract history
+  sapphiretrack change show CHANGE-ID
+  sapphiretrack router list
+  sapphiretrack router stop NAME
+  sapphiretrack server list
+  sapphiretrack server drain NAME [--undo] [--wait]
+  sapphiretrack status
+  sapphiretrack entry [--zone ZONE]
+  sapphiretrack chat --model MODEL [--workspace W] [--chat C] [--class C] TEXT
+
+Options, each also by the environment variable behind it:
+  --router URL          operators' address of a router, http://IP:PORT (SAPPHIRETRACK_ROUTER)
+  --operator-key KEY    the operators' key (SAPPHIRETRACK_OPERATOR_KEY)
+  --operator NAME       who you are, for the history (SAPPHIRETRACK_OPERATOR)
+  --caller-url URL      callers' address of a router, for entry and chat (SAPPHIRETRACK_CALLER_URL)
+  --caller-key KEY      a key of a contract, for chat (SAPPHIRETRACK_CALLER_KEY)
+  --wait-limit-ms N     how long --wait waits [30000]
+  --json                print JSON for scripts
+  --help, --version
+
+Exit codes: 0 accepted or done, 1 refused, 2 wrong use, 3 unknown: ask again with the change id,
+4 the router cannot be reached, 5 --wait ended before the change was in force everywhere
+";
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    if arguments.contains(["-V", "--version"]) {
+        println!("sapphiretrack {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let result = match parse_command(arguments) {
+        Ok((command, options)) => run(command, &options).await,
+        Err(error) => Err(error),
+    };
+    match result {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("sapphiretrack: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn run(command: Command, options: &Options) -> Result<String, CliError> {
+    match command {
+        Command::ContractApply(apply) => contracts::apply(options, &apply).await,
+        Command::ContractShow { customer } => contracts::show(options, &customer).await,
+        Command::ContractHistory => contracts::history(options).await,
+        Command::ChangeShow { change_id } => contracts::change(options, &change_id).await,
+        Command::RouterList => fleet::routers(options).await,
+        Command::RouterStop { name } => fleet::stop(options, &name).await,
+        Command::ServerList => fleet::servers(options).await,
+        Command::ServerDrain(drain) => fleet::drain(options, &drain).await,
+        Command::Status => fleet::status(options).await,
+        Command::Entry { zone } => callers::entry(options, zone.as_deref()).await,
+        Command::Chat(chat) => callers::chat(options, &chat).await,
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-core/src/bound.rs
@@ -0,0 +1,39 @@
+//! The load bound: how many requests one backend server may hold.
+
+use serde::{Deserialize, Serialize};
+
+/// The shape of the load bound of a pool.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LoadBound {
+    /// The multiple of the mean in-flight count that no server exceeds.
+    pub load_multiple: f64,
+    /// The number of requests that a server may always hold, however low the mean is.
+    pub floor_requests: u32,
+    /// The number of requests that a server never exceeds, however high the mean is.
+    pub ceiling_requests: u32,
+}
+
+impl Default for LoadBound {
+    fn default() -> Self {
+        Self {
+            load_multiple: 1.25,
+            floor_requests: 4,
+            ceiling_requests: 64,
+        }
+    }
+}
+
+/// The number of requests that a server may hold, as its pool stands.
+///
+/// `share` is the part of the bound that a class may fill: urgent classes get 1.0, lower ones
+/// leave headroom. The request about to be placed counts as part of the load.
+pub fn server_limit(bound: &LoadBound, pool_in_flight: u32, live_servers: u32, share: f64) -> u32 {
+    let mean = f64::from(pool_in_flight.saturating_add(1)) / f64::from(live_servers.max(1));
+    let by_mean = (bound.load_multiple * mean).ceil() as u32;
+    let whole = by_mean
+        .max(bound.floor_requests)
+        .min(bound.ceiling_requests);
+    let by_class = (f64::from(whole) * share.clamp(0.0, 1.0)).floor() as u32;
+    by_class.max(1)
+}
--- /dev/null
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -0,0 +1,39 @@
+//! Every decision of the router fleet as pure functions and state machines.
+//!
+//! Nothing in this crate does I/O, reads a clock or draws global randomness: time and random
+//! numbers are passed in. The daemon and the policy measurements run the same code.
+
+mod bound;
+mod chat;
+mod claim;
+mod config;
+mod contract;
+mod ids;
+mod ledger;
+mod limits;
+mod membership;
+mod outcome;
+mod placement;
+mod rendezvous;
+mod retry;
+
+pub use bound::{LoadBound, server_limit};
+pub use chat::{Chunk, ChunkChoice, Delta, STREAM_END, Usage};
+pub use claim::{CLAIM_RETENTION_MS, Claim, ClaimDecision, ClaimState, decide_claim};
+pub use config::{FleetConfig, Refreshed, newer_config};
+pub use contract::{
+    ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, parse_contract, sha256_hex,
+};
+pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
+pub use ledger::{Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
+pub use limits::{InFlightGate, RateLimiter};
+pub use membership::{
+    Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, VmRecord, VmRole, VmState,
+    steward_of,
+};
+pub use outcome::{Outcome, Refusal, RefusalCode};
+pub use placement::{
+    Candidate, PlacementMemory, PlacementRequest, PlacementSettings, WarmHint, rank_servers,
+};
+pub use rendezvous::{rendezvous_score, top_by_rendezvous};
+pub use retry::RetryBudget;
--- /dev/null
+++ b/crates/sapphiretrack-core/src/outcome.rs
@@ -0,0 +1,201 @@
+//! What a caller is told about its request.
+
+use serde::{Deserialize, Serialize};
+
+/// What is known about the run of a request when its answer ends.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The whole answer was given.
+    Complete,
+    /// The request was not run.
+    NotRun,
+    /// The request may have been run, in part or whole.
+    Unknown,
+}
+
+impl Outcome {
+    /// The value of the `sapphiretrack-outcome` header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Why a request was refused or given up.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalCode {
+    /// No key, or one that no contract lists.
+    BadKey,
+    /// The body is not the JSON that the path asks for.
+    MalformedBody,
+    /// The body is over the size limit.
+    BodyTooLarge,
+    /// A header has a value that cannot be used.
+    BadHeader,
+    /// No such path or method.
+    UnknownPath,
+    /// No pool of the contract serves this model or service.
+    UnknownModel,
+    /// The contract has no class of this name.
+    UnknownClass,
+    /// A non-idempotent request came without an `idempotency-key` header.
+    IdempotencyKeyRequired,
+    /// The customer is over the request or token rate of its contract.
+    RateLimited,
+    /// The customer is over the in-flight limit of its contract.
+    InFlightLimited,
+    /// No backend server of the pool has room in time.
+    Overloaded,
+    /// The pool has no live backend server.
+    NoServer,
+    /// The platform could not record the claim of a non-idempotent request.
+    PlatformUnavailable,
+    /// The router has reached neither the platform nor a peer for too long.
+    Isolated,
+    /// The router is stopping.
+    Stopping,
+    /// The same idempotency key was used before and its answer is not known.
+    AlreadyClaimed,
+    /// The deadline of the request's class passed.
+    DeadlinePassed,
+    /// The backend server failed after it may have started the request.
+    ServerFailed,
+}
+
+impl RefusalCode {
+    /// All codes, in the order in which they are documented.
+    pub const ALL: [Self; 18] = [
+        Self::BadKey,
+        Self::MalformedBody,
+        Self::BodyTooLarge,
+        Self::BadHeader,
+        Self::UnknownPath,
+        Self::UnknownModel,
+        Self::UnknownClass,
+        Self::IdempotencyKeyRequired,
+        Self::RateLimited,
+        Self::InFlightLimited,
+        Self::Overloaded,
+        Self::NoServer,
+        Self::PlatformUnavailable,
+        Self::Isolated,
+        Self::Stopping,
+        Self::AlreadyClaimed,
+        Self::DeadlinePassed,
+        Self::ServerFailed,
+    ];
+
+    /// The code as it stands in answers and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BadKey => "bad_key",
+            Self::MalformedBody => "malformed_body",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BadHeader => "bad_header",
+            Self::UnknownPath => "unknown_path",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownClass => "unknown_class",
+            Self::IdempotencyKeyRequired => "idempotency_key_required",
+            Self::RateLimited => "rate_limited",
+            Self::InFlightLimited => "in_flight_limited",
+            Self::Overloaded => "overloaded",
+            Self::NoServer => "no_server",
+            Self::PlatformUnavailable => "platform_unavailable",
+            Self::Isolated => "isolated",
+            Self::Stopping => "stopping",
+            Self::AlreadyClaimed => "already_claimed",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::ServerFailed => "server_failed",
+        }
+    }
+
+    /// The HTTP status of an answer with this code.
+    pub fn http_status(self) -> u16 {
+        match self {
+            Self::BadKey => 401,
+            Self::MalformedBody | Self::BadHeader | Self::IdempotencyKeyRequired => 400,
+            Self::BodyTooLarge => 413,
+            Self::UnknownPath | Self::UnknownModel | Self::UnknownClass => 404,
+            Self::RateLimited | Self::InFlightLimited => 429,
+            Self::AlreadyClaimed => 409,
+            Self::ServerFailed => 502,
+            Self::DeadlinePassed => 504,
+            Self::Overloaded
+            | Self::NoServer
+            | Self::PlatformUnavailable
+            | Self::Isolated
+            | Self::Stopping => 503,
+        }
+    }
+
+    /// What the caller can do about it.
+    pub fn hint(self) -> &'static str {
+        match self {
+            Self::BadKey => "send `authorization: Bearer KEY` with a key of your contract",
+            Self::MalformedBody => "send a JSON body as the path's page describes it",
+            Self::BodyTooLarge => "send a smaller body",
+            Self::BadHeader => "correct the header that the message names",
+            Self::UnknownPath => "see the callers' page for the paths and methods",
+            Self::UnknownModel => "use a model or service that your contract lists",
+            Self::UnknownClass => "use a class that your contract lists, or none for the default",
+            Self::IdempotencyKeyRequired => {
+                "send an `idempotency-key` header and keep it on repeats"
+            }
+            Self::RateLimited | Self::InFlightLimited => "come back after `retry-after` seconds",
+            Self::Overloaded | Self::NoServer => "come back after `retry-after` seconds",
+            Self::PlatformUnavailable => "repeat with the same key after `retry-after` seconds",
+            Self::Isolated | Self::Stopping => "ask for an entry address and repeat there",
+            Self::AlreadyClaimed => "do not repeat under a new key before checking whether it ran",
+            Self::DeadlinePassed => "repeat if the request is idempotent, or use a slower class",
+            Self::ServerFailed => "repeat if the request is idempotent",
+        }
+    }
+}
+
+/// A final answer without the request's result.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub code: RefusalCode,
+    /// What is known about the run.
+    pub outcome: Outcome,
+    /// What happened, for a person.
+    pub message: String,
+    /// When to come back, where that helps.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// A refusal of a request that was not run.
+    pub fn not_run(code: RefusalCode, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            outcome: Outcome::NotRun,
+            message: message.into(),
+            retry_after_ms: None,
+        }
+    }
+
+    /// An answer to a request that may have run.
+    pub fn unknown(code: RefusalCode, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            outcome: Outcome::Unknown,
+            message: message.into(),
+            retry_after_ms: None,
+        }
+    }
+
+    /// The same refusal with a time to come back.
+    pub fn retry_after(self, retry_after_ms: u64) -> Self {
+        Self {
+            retry_after_ms: Some(retry_after_ms),
+            ..self
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -0,0 +1,13 @@
+//! Small stand-ins of the platform, engines and plain services, with a switch for each fault.
+//!
+//! They speak the published protocols of what they stand for. Faults are set in process, or by
+//! `POST /fake/faults` with the JSON of the stand-in's `Faults`.
+
+mod engine;
+mod http_server;
+mod platform;
+mod service;
+
+pub use engine::{EngineFaults, EngineSettings, FakeEngine};
+pub use platform::{FakePlatform, PlatformFaults, PlatformSettings};
+pub use service::{FakeService, RunCount, ServiceFaults, ServiceSettings};
--- /dev/null
+++ b/crates/sapphiretrack-fakes/src/main.rs
@@ -0,0 +1,81 @@
+//! Runs one stand-in as a process of its own, until it is ended.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+use sapphiretrack_fakes::{
+    EngineSettings, FakeEngine, FakePlatform, FakeService, PlatformSettings, ServiceSettings,
+};
+
+const HELP: &str = "\
+sapphiretrack-fakes: a stand-in, for trials and tests
+
+  sapphiretrack-fakes platform [--address IP:PORT] [--list-lag-ms N]
+  sapphiretrack-fakes engine   [--address IP:PORT] [--incarnation N] [--decode-ms N]
+  sapphiretrack-fakes service  [--address IP:PORT] [--incarnation N] [--name NAME]
+
+It prints `listening IP:PORT` and runs until it is ended. Port 0 takes a free one.
+";
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    match run(arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("sapphiretrack-fakes: {error}; hint: see --help");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn run(mut arguments: Arguments) -> Result<(), Box<dyn std::error::Error>> {
+    let kind = arguments.subcommand()?.unwrap_or_default();
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    let address = arguments.opt_value_from_str("--address")?.unwrap_or(free);
+    let incarnation = arguments.opt_value_from_str("--incarnation")?.unwrap_or(1);
+    let bound = match kind.as_str() {
+        "platform" => {
+            let list_lag_ms = arguments.opt_value_from_str("--list-lag-ms")?.unwrap_or(0);
+            let settings = PlatformSettings {
+                address,
+                list_lag_ms,
+                ..Default::default()
+            };
+            FakePlatform::start(settings).await?.address()
+        }
+        "engine" => {
+            let decode_ms = arguments.opt_value_from_str("--decode-ms")?.unwrap_or(2);
+            let settings = EngineSettings {
+                address,
+                incarnation,
+                decode_ms,
+                ..Default::default()
+            };
+            FakeEngine::start(settings).await?.address()
+        }
+        "service" => {
+            let name = arguments.opt_value_from_str("--name")?;
+            let name = name.unwrap_or_else(|| String::from("plant-1"));
+            let settings = ServiceSettings {
+                address,
+                incarnation,
+                name,
+                ..Default::default()
+            };
+            FakeService::start(settings).await?.address()
+        }
+        other => return Err(format!("there is no stand-in {other:?}").into()),
+    };
+    if let Some(argument) = arguments.finish().first() {
+        return Err(format!("unknown argument {argument:?}").into());
+    }
+    println!("listening {bound}");
+    std::future::pending::<()>().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/sapphiretrack-fakes/src/platform.rs
@@ -0,0 +1,298 @@
+//! The stand-in platform: table, objects, and a list of VMs that lags.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use sapphiretrack_core::VmRecord;
+use sapphiretrack_platform::wire::{
+    Condition, GetReply, GetRequest, Row, ScanReply, ScanRequest, TransactReply, TransactRequest,
+    VmList, Write,
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::http_server::{
+    FakeFuture, FakeResponse, cut, full, json, read_bytes, read_json, serve, with_status,
+};
+
+/// How the stand-in behaves without faults.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How old the list of VMs is.
+    pub list_lag_ms: u64,
+    /// Writes that it takes a second; more are refused with status 429.
+    pub writes_per_s: u32,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            list_lag_ms: 0,
+            writes_per_s: 500,
+        }
+    }
+}
+
+/// The faults of the platform.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFaults {
+    /// Every call is cut without effect.
+    pub down: bool,
+    /// Every call takes so much longer.
+    pub delay_ms: u64,
+    /// The replies of so many of the next transactions are lost after they took effect.
+    pub lose_replies: u32,
+    /// So many of the next transactions are cut before they take effect.
+    pub lose_requests: u32,
+}
+
+/// The stand-in platform; clones are the same one.
+#[derive(Clone)]
+pub struct FakePlatform {
+    address: SocketAddr,
+    settings: PlatformSettings,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    faults: PlatformFaults,
+    rows: BTreeMap<String, Row>,
+    objects: BTreeMap<String, Bytes>,
+    last_row_version: u64,
+    vms: VecDeque<(Instant, Vec<VmRecord>)>,
+    second_started: Option<Instant>,
+    writes_in_second: u32,
+}
+
+impl FakePlatform {
+    /// Starts the stand-in.
+    pub async fn start(settings: PlatformSettings) -> std::io::Result<Self> {
+        let mut platform = Self {
+            address: settings.address,
+            settings,
+            state: Arc::default(),
+        };
+        let handler = platform.clone();
+        platform.address = serve(platform.address, move |request| {
+            let platform = handler.clone();
+            Box::pin(async move { platform.answer(request).await }) as FakeFuture
+        })
+        .await?;
+        Ok(platform)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its URL, as routers need it.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Sets the list of VMs; routers see it after the lag.
+    pub fn set_vms(&self, vms: Vec<VmRecord>) {
+        self.lock().vms.push_back((Instant::now(), vms));
+    }
+
+    /// The rows as they stand, for checks.
+    pub fn rows(&self) -> Vec<Row> {
+        self.lock().rows.values().cloned().collect()
+    }
+
+    /// Puts the table back to rows that were read before.
+    pub fn restore_rows(&self, rows: Vec<Row>) {
+        self.lock().rows = rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> FakeResponse {
+        let path = request.uri().path().to_owned();
+        if let Some(admin) = path.strip_prefix("/fake/") {
+            return self.administer(admin, request).await;
+        }
+        let faults = self.lock().faults.clone();
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.down {
+            return cut();
+        }
+        let answered = match (request.method().as_str(), path.as_str()) {
+            ("POST", "/table/get") => self.get(request).await,
+            ("POST", "/table/scan") => self.scan(request).await,
+            ("POST", "/table/transact") => self.transact(request).await,
+            ("GET", "/vms") => Ok(json(&VmList {
+                vms: self.visible_vms(),
+            })),
+            (method @ ("GET" | "PUT"), path) => match path.strip_prefix("/objects/") {
+                Some(name) if method == "GET" => Ok(self.get_object(name)),
+                Some(name) => {
+                    let name = name.to_owned();
+                    self.put_object(name, request).await
+                }
+                None => Ok(with_status(StatusCode::NOT_FOUND, "{}")),
+            },
+            _ => Ok(with_status(StatusCode::NOT_FOUND, "{}")),
+        };
+        answered.unwrap_or_else(|response| response)
+    }
+
+    async fn administer(&self, path: &str, request: Request<Incoming>) -> FakeResponse {
+        match path {
+            "faults" => match read_json(request).await {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    json(&())
+                }
+                Err(response) => response,
+            },
+            "vms" => match read_json::<VmList>(request).await {
+                Ok(list) => {
+                    self.set_vms(list.vms);
+                    json(&())
+                }
+                Err(response) => response,
+            },
+            "rows" => json(&ScanReply { rows: self.rows() }),
+            _ => with_status(StatusCode::NOT_FOUND, "{}"),
+        }
+    }
+
+    async fn get(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
+        let get: GetRequest = read_json(request).await?;
+        let row = self.lock().rows.get(&get.key).cloned();
+        Ok(json(&GetReply { row }))
+    }
+
+    async fn scan(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
+        let scan: ScanRequest = read_json(request).await?;
+        let rows = self
+            .lock()
+            .rows
+            .range(scan.prefix.clone()..)
+            .take_while(|(key, _)| key.starts_with(&scan.prefix))
+            .filter(|(key, _)| scan.after.as_ref().is_none_or(|after| *key > after))
+            .take(scan.limit as usize)
+            .map(|(_, row)| row.clone())
+            .collect();
+        Ok(json(&ScanReply { rows }))
+    }
+
+    async fn transact(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
+        let transaction: TransactRequest = read_json(request).await?;
+        let mut state = self.lock();
+        if !state.take_write(self.settings.writes_per_s) {
+            return Err(with_status(StatusCode::TOO_MANY_REQUESTS, "{}"));
+        }
+        if state.faults.lose_requests > 0 {
+            state.faults.lose_requests -= 1;
+            return Err(cut());
+        }
+        let reply = state.transact(&transaction);
+        if state.faults.lose_replies > 0 {
+            state.faults.lose_replies -= 1;
+            return Err(cut());
+        }
+        Ok(json(&reply))
+    }
+
+    fn get_object(&self, name: &str) -> FakeResponse {
+        match self.lock().objects.get(name) {
+            Some(body) => http::Response::new(full(body.clone())),
+            None => with_status(StatusCode::NOT_FOUND, "{}"),
+        }
+    }
+
+    async fn put_object(
+        &self,
+        name: String,
+        request: Request<Incoming>,
+    ) -> Result<FakeResponse, FakeResponse> {
+        let body = read_bytes(request).await?;
+        let mut state = self.lock();
+        if !state.take_write(self.settings.writes_per_s) {
+            return Err(with_status(StatusCode::TOO_MANY_REQUESTS, "{}"));
+        }
+        state.objects.insert(name, body);
+        Ok(json(&()))
+    }
+
+    fn visible_vms(&self) -> Vec<VmRecord> {
+        let lag = Duration::from_millis(self.settings.list_lag_ms);
+        let mut state = self.lock();
+        while state.vms.len() > 1 && state.vms[1].0.elapsed() >= lag {
+            state.vms.pop_front();
+        }
+        match state.vms.front() {
+            Some((set_at, vms)) if set_at.elapsed() >= lag => vms.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn take_write(&mut self, writes_per_s: u32) -> bool {
+        let fresh = self
+            .second_started
+            .is_none_or(|at| at.elapsed() >= Duration::from_secs(1));
+        if fresh {
+            self.second_started = Some(Instant::now());
+            self.writes_in_second = 0;
+        }
+        self.writes_in_second += 1;
+        self.writes_in_second <= writes_per_s
+    }
+
+    fn transact(&mut self, transaction: &TransactRequest) -> TransactReply {
+        for condition in &transaction.conditions {
+            let (key, holds) = match condition {
+                Condition::Absent { key } => (key, !self.rows.contains_key(key)),
+                Condition::Version { key, row_version } => {
+                    let row = self.rows.get(key);
+                    (key, row.is_some_and(|row| row.row_version == *row_version))
+                }
+            };
+            if !holds {
+                return TransactReply::Conflict { key: key.clone() };
+            }
+        }
+        self.last_row_version += 1;
+        let row_version = self.last_row_version;
+        for write in &transaction.writes {
+            match write {
+                Write::Put { key, value } => {
+                    let row = Row {
+                        key: key.clone(),
+                        value: value.clone(),
+                        row_version,
+                    };
+                    self.rows.insert(key.clone(), row);
+                }
+                Write::Delete { key } => {
+                    self.rows.remove(key);
+                }
+            }
+        }
+        TransactReply::Committed { row_version }
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-operator/src/client.rs
@@ -0,0 +1,183 @@
+//! Calls the operators' interface of a router.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+
+use crate::wire::{
+    ApplyContract, ChangeReply, DrainServer, HistoryLine, ShownContract, Status, StopReply,
+};
+
+/// Why a call gave no reply.
+#[derive(Debug, Snafu)]
+pub enum OperatorError {
+    /// No connection: nothing was done.
+    #[snafu(display("the router at {url} cannot be reached: {reason}; hint: check --router"))]
+    Unreachable {
+        /// The router.
+        url: String,
+        /// What the transport said.
+        reason: String,
+    },
+    /// The reply was lost: the call may have had an effect.
+    #[snafu(display("no reply from the router at {url}: {reason}"))]
+    ReplyLost {
+        /// The router.
+        url: String,
+        /// What happened.
+        reason: String,
+    },
+    /// The router refused the call.
+    #[snafu(display("the router refused the call with status {status}: {message}"))]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// The router's message.
+        message: String,
+    },
+}
+
+/// Calls one router.
+#[derive(Clone, Debug)]
+pub struct OperatorClient {
+    url: String,
+    key: String,
+    timeout: Duration,
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl OperatorClient {
+    /// A client of the router at `url` (`http://IP:PORT`) with an operator's key.
+    pub fn new(url: &str, key: &str, timeout_ms: u64) -> Self {
+        Self {
+            url: url.trim_end_matches('/').to_owned(),
+            key: key.to_owned(),
+            timeout: Duration::from_millis(timeout_ms),
+            http: Client::builder(TokioExecutor::new())
+                .retry_canceled_requests(false)
+                .build_http(),
+        }
+    }
+
+    /// Applies a contract.
+    pub async fn apply(&self, request: &ApplyContract) -> Result<ChangeReply, OperatorError> {
+        self.post("/v1/contracts", request).await
+    }
+
+    /// Starts or ends a drain.
+    pub async fn drain(&self, request: &DrainServer) -> Result<ChangeReply, OperatorError> {
+        self.post("/v1/drains", request).await
+    }
+
+    /// What came of a change.
+    pub async fn outcome_of(&self, change_id: &str) -> Result<ChangeReply, OperatorError> {
+        self.get(&format!("/v1/changes/{change_id}")).await
+    }
+
+    /// A customer's contract.
+    pub async fn show(&self, customer: &str) -> Result<ShownContract, OperatorError> {
+        self.get(&format!("/v1/contracts/{customer}")).await
+    }
+
+    /// All changes.
+    pub async fn history(&self) -> Result<Vec<HistoryLine>, OperatorError> {
+        self.get("/v1/history").await
+    }
+
+    /// The router's view.
+    pub async fn status(&self) -> Result<Status, OperatorError> {
+        self.get("/v1/status").await
+    }
+
+    /// Starts the planned stop of the router.
+    pub async fn stop(&self) -> Result<StopReply, OperatorError> {
+        self.post("/v1/stop", &()).await
+    }
+
+    async fn get<Reply>(&self, path: &str) -> Result<Reply, OperatorError>
+    where
+        Reply: DeserializeOwned,
+    {
+        self.call(http::Method::GET, path, Bytes::new()).await
+    }
+
+    async fn post<Request, Reply>(
+        &self,
+        path: &str,
+        request: &Request,
+    ) -> Result<Reply, OperatorError>
+    where
+        Request: Serialize,
+        Reply: DeserializeOwned,
+    {
+        let body = serde_json::to_vec(request).or_else(|error| {
+            UnreachableSnafu {
+                url: self.url.as_str(),
+                reason: error.to_string(),
+            }
+            .fail()
+        })?;
+        self.call(http::Method::POST, path, Bytes::from(body)).await
+    }
+
+    async fn call<Reply>(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Reply, OperatorError>
+    where
+        Reply: DeserializeOwned,
+    {
+        let url = self.url.as_str();
+        let lost = |reason: String| ReplyLostSnafu { url, reason }.build();
+        let request = http::Request::builder()
+            .method(method)
+            .uri(format!("{url}{path}"))
+            .header(http::header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .or_else(|error| {
+                UnreachableSnafu {
+                    url,
+                    reason: error.to_string(),
+                }
+                .fail()
+            })?;
+        let sent = tokio::time::timeout(self.timeout, self.http.request(request)).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.is_connect() => {
+                return UnreachableSnafu {
+                    url,
+                    reason: error.to_string(),
+                }
+                .fail();
+            }
+            Ok(Err(error)) => return Err(lost(error.to_string())),
+            Err(_) => return Err(lost(String::from("none in time"))),
+        };
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| lost(error.to_string()))?.to_bytes();
+        if !status.is_success() {
+            let parsed: Result<serde_json::Value, _> = serde_json::from_slice(&body);
+            let message = parsed
+                .ok()
+                .and_then(|value| Some(value["message"].as_str()?.to_owned()));
+            return RefusedSnafu {
+                status: status.as_u16(),
+                message: message.unwrap_or_else(|| status.to_string()),
+            }
+            .fail();
+        }
+        serde_json::from_slice(&body).map_err(|error| lost(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-peer/src/client.rs
@@ -0,0 +1,188 @@
+//! Calls peers over connections that are kept open.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use sapphiretrack_core::{Grant, ReservationId, ReserveRequest, RouterId, ServerId};
+use snafu::{IntoError, ResultExt};
+use tarpc::client::Config;
+use tarpc::context;
+use tarpc::serde_transport::tcp;
+use tarpc::tokio_serde::formats::Bincode;
+
+use crate::error::{EncodeSnafu, NoReplySnafu, PeerError, RejectedSnafu, UnreachableSnafu};
+use crate::server::{CellRpcClient as Stub, MAX_FRAME_BYTES};
+use crate::wire::{ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, SigningKey};
+
+/// How peers are called.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How long a call may take.
+    pub call_timeout_ms: u64,
+    /// How long fetching a whole configuration may take.
+    pub fetch_timeout_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            call_timeout_ms: 400,
+            fetch_timeout_ms: 5_000,
+        }
+    }
+}
+
+/// Calls peers; clones share connections.
+#[derive(Clone)]
+pub struct PeerClient {
+    settings: Settings,
+    key: SigningKey,
+    connections: Arc<Mutex<BTreeMap<SocketAddr, Stub>>>,
+    sent_bytes: Arc<AtomicU64>,
+}
+
+impl PeerClient {
+    /// A client; it connects when first used.
+    pub fn new(settings: Settings, key: SigningKey) -> Self {
+        Self {
+            settings,
+            key,
+            connections: Arc::default(),
+            sent_bytes: Arc::default(),
+        }
+    }
+
+    /// Encoded bytes of the requests sent so far, without the transport's framing.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Tells a peer this router's state.
+    pub async fn heartbeat(
+        &self,
+        peer: SocketAddr,
+        heartbeat: Heartbeat,
+    ) -> Result<HeartbeatReply, PeerError> {
+        match self
+            .call(peer, PeerRequest::Heartbeat(Box::new(heartbeat)))
+            .await?
+        {
+            PeerReply::Heartbeat(reply) => Ok(reply),
+            _ => RejectedSnafu.fail(),
+        }
+    }
+
+    /// Asks a steward for a slot.
+    pub async fn reserve(
+        &self,
+        peer: SocketAddr,
+        request: ReserveRequest,
+    ) -> Result<Grant, PeerError> {
+        match self.call(peer, PeerRequest::Reserve(request)).await? {
+            PeerReply::Reserve(grant) => Ok(grant),
+            _ => RejectedSnafu.fail(),
+        }
+    }
+
+    /// Gives a slot back to its steward.
+    pub async fn release(
+        &self,
+        peer: SocketAddr,
+        router: RouterId,
+        server: ServerId,
+        reservation: ReservationId,
+    ) -> Result<(), PeerError> {
+        self.call(
+            peer,
+            PeerRequest::Release {
+                router,
+                server,
+                reservation,
+            },
+        )
+        .await
+        .map(drop)
+    }
+
+    /// Fetches a peer's configuration.
+    pub async fn fetch_config(&self, peer: SocketAddr) -> Result<ConfigReply, PeerError> {
+        let timeout_ms = self.settings.fetch_timeout_ms;
+        match self
+            .call_within(peer, PeerRequest::FetchConfig, timeout_ms)
+            .await?
+        {
+            PeerReply::Config(reply) => Ok(reply),
+            _ => RejectedSnafu.fail(),
+        }
+    }
+
+    async fn call(&self, peer: SocketAddr, request: PeerRequest) -> Result<PeerReply, PeerError> {
+        self.call_within(peer, request, self.settings.call_timeout_ms)
+            .await
+    }
+
+    async fn call_within(
+        &self,
+        peer: SocketAddr,
+        request: PeerRequest,
+        timeout_ms: u64,
+    ) -> Result<PeerReply, PeerError> {
+        let signed = self.key.sign(&request).context(EncodeSnafu)?;
+        self.sent_bytes
+            .fetch_add(signed.body.len() as u64, Ordering::Relaxed);
+        let timeout = Duration::from_millis(timeout_ms);
+        let called = tokio::time::timeout(timeout, async {
+            let stub = self.connection(peer).await?;
+            let mut context = context::current();
+            context.deadline = Instant::now() + timeout;
+            match stub.call(context, signed).await {
+                Ok(reply) => Ok(reply),
+                Err(error) => NoReplySnafu {
+                    reason: error.to_string(),
+                }
+                .fail(),
+            }
+        });
+        let result = match called.await {
+            Ok(result) => result,
+            Err(_) => NoReplySnafu {
+                reason: format!("none within {timeout_ms} ms"),
+            }
+            .fail(),
+        };
+        if result.is_err() {
+            self.forget(peer);
+        }
+        match result {
+            Ok(PeerReply::Rejected) => RejectedSnafu.fail(),
+            other => other,
+        }
+    }
+
+    async fn connection(&self, peer: SocketAddr) -> Result<Stub, PeerError> {
+        if let Some(stub) = self.lock().get(&peer) {
+            return Ok(stub.clone());
+        }
+        let mut connect = tcp::connect(peer, Bincode::default);
+        connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let transport = connect
+            .await
+            .map_err(|source| UnreachableSnafu.into_error(source))?;
+        let stub = Stub::new(Config::default(), transport).spawn();
+        self.lock().insert(peer, stub.clone());
+        Ok(stub)
+    }
+
+    fn forget(&self, peer: SocketAddr) {
+        self.lock().remove(&peer);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, Stub>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-platform/src/lib.rs
@@ -0,0 +1,14 @@
+//! Client of the platform: transactional table, object store and list of VMs.
+//!
+//! The messages are the platform's published protocol: JSON over HTTP.
+
+mod claims;
+mod client;
+mod configuration;
+mod error;
+pub mod wire;
+
+pub use claims::{ClaimStore, ClaimWritten};
+pub use client::{PlatformClient, Settings};
+pub use configuration::{AcceptedChange, Change, ChangeOutcome, ConfigurationStore, HistoryEntry};
+pub use error::PlatformError;
--- /dev/null
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -0,0 +1,325 @@
+//! A fleet on loopback: platform, engines, a plain service and routers as processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use sapphiretrack_core::{PoolKind, VmRecord, VmRole, VmState, sha256_hex};
+use sapphiretrack_operator::OperatorClient;
+use sapphiretrack_operator::wire::{ApplyContract, ChangeReply, Status};
+use sapphiretrack_platform::wire::VmList;
+use serde::Serialize;
+
+use crate::process::ChildProcess;
+
+/// The key of the test customer's callers.
+pub const CALLER_KEY: &str = "caller-key-of-the-tests";
+/// The operators' key.
+pub const OPERATOR_KEY: &str = "operator-key-of-the-tests";
+const CELL_KEY: &str = "cell-key-of-the-tests";
+/// How long a fleet may take until all see all.
+const SETTLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// The size of a fleet and how its parts are started.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Routers, over three availability zones.
+    pub routers: usize,
+    /// Engines of the pool `assistant`.
+    pub engines: usize,
+    /// Servers of the pool `plant`.
+    pub services: usize,
+    /// Further flags of each router.
+    pub router_flags: Vec<String>,
+    /// Further flags of each engine.
+    pub engine_flags: Vec<String>,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            routers: 3,
+            engines: 2,
+            services: 1,
+            router_flags: Vec::new(),
+            engine_flags: Vec::new(),
+        }
+    }
+}
+
+/// A process with the VM that it stands for.
+pub struct Member {
+    /// The process.
+    pub process: ChildProcess,
+    /// Its VM.
+    pub vm: VmRecord,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// The stand-in platform.
+    pub platform: ChildProcess,
+    /// The platform's address.
+    pub platform_address: SocketAddr,
+    /// Engines and plain services.
+    pub servers: Vec<Member>,
+    /// Routers.
+    pub routers: Vec<Member>,
+    settings: FleetSettings,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every router sees all of it.
+    pub async fn start(settings: FleetSettings) -> Self {
+        let (platform, platform_address) = start_fake("platform", &[]).await;
+        let mut fleet = Self {
+            platform,
+            platform_address,
+            servers: Vec::new(),
+            routers: Vec::new(),
+            settings: settings.clone(),
+        };
+        for index in 0..settings.engines {
+            fleet
+                .add_server("engine", "assistant", PoolKind::Engine, index)
+                .await;
+        }
+        for index in 0..settings.services {
+            fleet
+                .add_server("service", "plant", PoolKind::Service, index)
+                .await;
+        }
+        for index in 0..settings.routers {
+            fleet.add_router(&format!("router-{index}"), index).await;
+        }
+        fleet.publish().await;
+        fleet.wait_settled().await;
+        fleet
+    }
+
+    /// The callers' URL of a router.
+    pub fn caller_url(&self, router: usize) -> String {
+        format!("http://{}", self.routers[router].vm.address)
+    }
+
+    /// The operators' URL of a router.
+    pub fn operator_url(&self, router: usize) -> String {
+        match &self.routers[router].vm.role {
+            VmRole::Router {
+                operator_address, ..
+            } => format!("http://{operator_address}"),
+            VmRole::Server { .. } => unreachable!("routers are routers"),
+        }
+    }
+
+    /// An operators' client of a router.
+    pub fn operator(&self, router: usize) -> OperatorClient {
+        OperatorClient::new(&self.operator_url(router), OPERATOR_KEY, 10_000)
+    }
+
+    /// Applies the test customer's contract and waits until it is in force everywhere.
+    pub async fn apply_contract(&self, contract_toml: &str, seen_version: u64) -> u64 {
+        let request = ApplyContract {
+            change_id: format!("change-after-{seen_version}"),
+            operator: String::from("tester"),
+            seen_version,
+            contract_toml: contract_toml.to_owned(),
+        };
+        let reply = self
+            .operator(0)
+            .apply(&request)
+            .await
+            .expect("the router answers");
+        let ChangeReply::Accepted { version } = reply else {
+            panic!("the contract is not accepted: {reply:?}");
+        };
+        self.wait_status("the contract in force", |status| {
+            status.config_version >= version
+        })
+        .await;
+        version
+    }
+
+    /// Sets the faults of a stand-in.
+    pub async fn set_faults<Faults>(&self, address: SocketAddr, faults: &Faults)
+    where
+        Faults: Serialize,
+    {
+        post_json(&format!("http://{address}/fake/faults"), faults).await;
+    }
+
+    /// Starts another server and publishes it.
+    pub async fn add_server(&mut self, kind: &str, pool: &str, pool_kind: PoolKind, index: usize) {
+        let mut flags = vec![format!("--incarnation={}", index + 1)];
+        if kind == "engine" {
+            flags.extend(self.settings.engine_flags.clone());
+        }
+        let (process, address) = start_fake(kind, &flags).await;
+        let vm = VmRecord {
+            name: format!("{kind}-{index}"),
+            zone: zone(index),
+            address,
+            role: VmRole::Server {
+                pool: pool.to_owned(),
+                kind: pool_kind,
+            },
+            state: VmState::Live,
+        };
+        self.servers.push(Member { process, vm });
+    }
+
+    /// Starts a router under a name.
+    pub async fn add_router(&mut self, name: &str, index: usize) {
+        let mut flags = vec![
+            format!("--router-name={name}"),
+            format!("--zone={}", zone(index)),
+            String::from("--caller-address=127.0.0.1:0"),
+            String::from("--operator-address=127.0.0.1:0"),
+            String::from("--peer-address=127.0.0.1:0"),
+            format!("--platform-url=http://{}", self.platform_address),
+            format!("--cell-key={CELL_KEY}"),
+            format!("--operator-key-sha256={}", sha256_hex(OPERATOR_KEY)),
+            String::from("--entry-ttl-ms=300"),
+        ];
+        flags.extend(self.settings.router_flags.clone());
+        let process = ChildProcess::start("sapphiretrackd", &flags);
+        let line = process.wait_line("event=100").await;
+        let vm = VmRecord {
+            name: name.to_owned(),
+            zone: zone(index),
+            address: field(&line, "callers"),
+            role: VmRole::Router {
+                peer_address: field(&line, "peers"),
+                operator_address: field(&line, "operators"),
+            },
+            state: VmState::Live,
+        };
+        self.routers.push(Member { process, vm });
+    }
+
+    /// Gives the platform the list of VMs as it stands.
+    pub async fn publish(&self) {
+        let members = self.servers.iter().chain(&self.routers);
+        let list = VmList {
+            vms: members.map(|member| member.vm.clone()).collect(),
+        };
+        post_json(&format!("http://{}/fake/vms", self.platform_address), &list).await;
+    }
+
+    /// Waits until every router sees all routers and servers.
+    pub async fn wait_settled(&self) {
+        let (routers, servers) = (self.routers.len(), self.servers.len());
+        self.wait_status("the fleet seen by all", |status| {
+            let live = status
+                .servers
+                .iter()
+                .filter(|server| server.state == "live")
+                .count();
+            status.routers.len() == routers && live == servers
+        })
+        .await;
+    }
+
+    /// Waits until the status of every router satisfies a condition.
+    pub async fn wait_status<Holds>(&self, what: &str, holds: Holds)
+    where
+        Holds: Fn(&Status) -> bool,
+    {
+        let waited = tokio::time::timeout(SETTLE_LIMIT, async {
+            for router in 0..self.routers.len() {
+                loop {
+                    if self
+                        .operator(router)
+                        .status()
+                        .await
+                        .is_ok_and(|status| holds(&status))
+                    {
+                        break;
+                    }
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        });
+        assert!(waited.await.is_ok(), "{what}: not within {SETTLE_LIMIT:?}");
+    }
+}
+
+/// The contract of the test customer.
+pub fn contract_toml(requests_per_s: u32) -> String {
+    format!(
+        r#"customer = "teranga"
+caller_keys_sha256 = ["{}"]
+pools = ["assistant", "plant"]
+default_class = "floor"
+
+[limits]
+requests_per_s = {requests_per_s}
+tokens_per_s = 1000000
+in_flight = 200
+
+[classes.urgent]
+priority = 0
+deadline_ms = 20000
+
+[classes.floor]
+priority = 1
+deadline_ms = 20000
+
+[[non_idempotent]]
+pool = "plant"
+path_prefix = "/labels/print"
+"#,
+        sha256_hex(CALLER_KEY)
+    )
+}
+
+/// Posts JSON and expects success.
+pub async fn post_json<Body>(url: &str, body: &Body)
+where
+    Body: Serialize,
+{
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let text = serde_json::to_vec(body).expect("the body is JSON");
+    let request = http::Request::post(url)
+        .body(Full::new(Bytes::from(text)))
+        .expect("the request is good");
+    let response = client.request(request).await.expect("the stand-in answers");
+    let status = response.status();
+    let text = response
+        .into_body()
+        .collect()
+        .await
+        .expect("the answer is whole")
+        .to_bytes();
+    assert!(
+        status.is_success(),
+        "{url}: {status}: {}",
+        String::from_utf8_lossy(&text)
+    );
+}
+
+async fn start_fake(kind: &str, flags: &[String]) -> (ChildProcess, SocketAddr) {
+    let mut arguments = vec![kind.to_owned()];
+    arguments.extend_from_slice(flags);
+    let process = ChildProcess::start("sapphiretrack-fakes", &arguments);
+    let line = process.wait_line("listening ").await;
+    let address = line
+        .trim_start_matches("listening ")
+        .parse()
+        .expect("an address");
+    (process, address)
+}
+
+fn zone(index: usize) -> String {
+    format!("zone-{}", index % 3)
+}
+
+fn field(line: &str, name: &str) -> SocketAddr {
+    let marker = format!(" {name}=\"");
+    let start = line.find(&marker).expect("the field is there") + marker.len();
+    let end = line[start..].find('"').expect("the field ends") + start;
+    line[start..end].parse().expect("an address")
+}
--- /dev/null
+++ b/crates/sapphiretrack-tests/src/lib.rs
@@ -0,0 +1,7 @@
+//! What tests of the whole share: a fleet of separate processes on loopback.
+
+mod fleet;
+mod process;
+
+pub use fleet::{CALLER_KEY, Fleet, FleetSettings, OPERATOR_KEY, contract_toml, post_json};
+pub use process::{ChildProcess, binary};
--- /dev/null
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -0,0 +1,129 @@
+//! How other threads talk to the control thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use sapphiretrack_core::{FleetConfig, Grant, LoadReport, ReservationId, RouterId, ServerId};
+use sapphiretrack_peer::{PeerReply, PeerRequest};
+use sapphiretrack_platform::wire::VmList;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::control::Snapshot;
+
+/// A message to the control thread.
+pub(crate) enum Command {
+    /// A call of a peer.
+    Peer {
+        /// The call.
+        request: PeerRequest,
+        /// Where its reply goes.
+        reply: oneshot::Sender<PeerReply>,
+    },
+    /// A traffic thread wants a slot.
+    Begin {
+        /// On which server.
+        server: ServerId,
+        /// The part of the bound that the class may fill.
+        bound_share: f64,
+        /// Where the reply goes.
+        reply: oneshot::Sender<Begun>,
+    },
+    /// A slot, or the wish for one, has ended.
+    End {
+        /// The reservation.
+        reservation: ReservationId,
+    },
+    /// The platform's list of VMs came.
+    VmList(VmList),
+    /// A call to the platform ended.
+    Platform {
+        /// Whether a reply came.
+        reached: bool,
+    },
+    /// A configuration came, from the platform or a peer.
+    OfferConfig(Arc<FleetConfig>),
+    /// A load report came, or failed to.
+    Report {
+        /// The server.
+        server: ServerId,
+        /// The report.
+        report: Option<LoadReport>,
+    },
+    /// A peer answered a heartbeat.
+    PeerAnswered {
+        /// The peer.
+        router: RouterId,
+        /// The configuration version that it has in force.
+        config_version: u64,
+    },
+    /// The planned stop begins.
+    Stop,
+}
+
+/// The control thread's part of a reservation.
+#[derive(Debug)]
+pub(crate) struct Begun {
+    /// The reservation's id.
+    pub(crate) reservation: ReservationId,
+    /// Where the slot is decided.
+    pub(crate) place: Place,
+}
+
+/// Where a slot is decided.
+#[derive(Debug)]
+pub(crate) enum Place {
+    /// Here: this router is the server's steward.
+    Here(Grant),
+    /// At the server's steward.
+    Peer(SocketAddr),
+    /// Nowhere: no steward is known.
+    Nowhere,
+}
+
+/// Where the control thread takes its messages from.
+pub(crate) type CommandReceiver = mpsc::UnboundedReceiver<Command>;
+
+/// A handle before its control thread runs; until then it shows an empty snapshot.
+pub(crate) fn control_channel(me: RouterId) -> (ControlHandle, CommandReceiver) {
+    let (commands, receiver) = mpsc::unbounded_channel();
+    let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::empty(me)));
+    (ControlHandle { commands, snapshot }, receiver)
+}
+
+/// Talks to the control thread and reads its snapshots.
+#[derive(Clone)]
+pub(crate) struct ControlHandle {
+    pub(crate) commands: mpsc::UnboundedSender<Command>,
+    pub(crate) snapshot: Arc<ArcSwap<Snapshot>>,
+}
+
+impl ControlHandle {
+    /// The newest snapshot.
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Sends a command; when the control thread has ended there is nothing left to decide.
+    pub(crate) fn send(&self, command: Command) {
+        drop(self.commands.send(command));
+    }
+
+    /// Asks for a slot; none if the control thread has ended.
+    pub(crate) async fn begin(&self, server: ServerId, bound_share: f64) -> Option<Begun> {
+        let (reply, receiver) = oneshot::channel();
+        self.send(Command::Begin {
+            server,
+            bound_share,
+            reply,
+        });
+        receiver.await.ok()
+    }
+
+    /// Runs a call of a peer.
+    pub(crate) async fn peer(&self, request: PeerRequest) -> PeerReply {
+        let (reply, receiver) = oneshot::channel();
+        self.send(Command::Peer { request, reply });
+        receiver.await.unwrap_or(PeerReply::Rejected)
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrackd/src/control/snapshot.rs
@@ -0,0 +1,48 @@
+//! The control state as traffic threads read it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use sapphiretrack_core::{FleetConfig, PoolView, RouterId, RouterView, VmState};
+
+/// An immutable picture of the control state.
+#[derive(Clone, Debug)]
+pub(crate) struct Snapshot {
+    /// This router.
+    pub(crate) me: RouterId,
+    /// The configuration in force.
+    pub(crate) config: Arc<FleetConfig>,
+    /// All routers heard of lately, this one included.
+    pub(crate) routers: Vec<RouterView>,
+    /// The pools by name.
+    pub(crate) pools: BTreeMap<String, PoolView>,
+    /// Whether new work is refused because neither platform nor peers are heard of.
+    pub(crate) isolated: bool,
+    /// Whether this router is stopping.
+    pub(crate) stopping: bool,
+    /// Whether the platform was reached lately.
+    pub(crate) platform_reached: bool,
+}
+
+impl Snapshot {
+    /// The picture of a router that has heard nothing yet.
+    pub(crate) fn empty(me: RouterId) -> Self {
+        Self {
+            me,
+            config: Arc::default(),
+            routers: Vec::new(),
+            pools: BTreeMap::new(),
+            isolated: false,
+            stopping: false,
+            platform_reached: false,
+        }
+    }
+
+    /// How many routers take new work.
+    pub(crate) fn live_routers(&self) -> usize {
+        self.routers
+            .iter()
+            .filter(|router| router.state == VmState::Live)
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -0,0 +1,419 @@
+//! Starts a router, and stops it as planned.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dropshot::HttpServer;
+use futures::future::BoxFuture;
+use sapphiretrack_backend::BackendClient;
+use sapphiretrack_caller::CallerHandlers;
+use sapphiretrack_core::{PlacementMemory, PlacementSettings, RouterId, sha256_hex};
+use sapphiretrack_operator::OperatorHandlers;
+use sapphiretrack_operator::wire::StopReply;
+use sapphiretrack_peer::{PeerClient, PeerHandlers, SigningKey};
+use sapphiretrack_platform::{ClaimStore, ConfigurationStore, PlatformClient};
+use snafu::{ResultExt, Snafu};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{Notify, watch};
+
+use crate::clock::{Clock, wall_clock_ms};
+use crate::control::{
+    Command, CommandReceiver, ControlHandle, ControlParts, ControlState, Identity, Timing,
+    control_channel, run_control,
+};
+use crate::dispatch::Dispatcher;
+use crate::entry::entry_reply;
+use crate::events::Event;
+use crate::limits::LimitTable;
+use crate::metrics::Metrics;
+use crate::operations::Operations;
+use crate::settings::Settings;
+use crate::signals::stop_signals;
+
+/// How often a planned stop looks whether the last request has ended.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// How long a load report is passed on.
+const REPORT_STALE_AFTER_MS: u64 = 2_000;
+
+/// Why a router did not start.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// A thread or runtime cannot be had.
+    #[snafu(display("the {what} cannot start: {source}"))]
+    Thread {
+        /// Which.
+        what: &'static str,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The peers' address cannot be used.
+    #[snafu(display("peers cannot be served on {address}: {source}; hint: --peer-address"))]
+    Peers {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The callers' endpoint did not start.
+    #[snafu(display("{source}; hint: --caller-address"))]
+    Callers {
+        /// Why.
+        source: sapphiretrack_caller::StartError,
+    },
+    /// The operators' endpoint did not start.
+    #[snafu(display("{source}; hint: --operator-address"))]
+    Operators {
+        /// Why.
+        source: sapphiretrack_operator::StartError,
+    },
+}
+
+/// How a planned stop ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopReport {
+    /// Requests that were still in flight when the stop limit came; 0 for a clean stop.
+    pub cut_requests: u64,
+}
+
+/// A running router.
+pub struct Daemon {
+    settings: Settings,
+    traffic: Runtime,
+    control: ControlHandle,
+    metrics: Arc<Metrics>,
+    stop: Arc<Notify>,
+    callers: HttpServer<CallerHandlers>,
+    operators: HttpServer<OperatorHandlers>,
+    peer_address: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts all threads and endpoints.
+    pub fn start(settings: Settings) -> Result<Self, DaemonError> {
+        let traffic = Builder::new_multi_thread()
+            .worker_threads(settings.traffic_threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .context(ThreadSnafu {
+                what: "traffic runtime",
+            })?;
+        let control_runtime =
+            Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .context(ThreadSnafu {
+                    what: "control runtime",
+                })?;
+        let parts = Parts::new(&settings);
+        let key = SigningKey::new(&settings.cell_key);
+        let serving = sapphiretrack_peer::serve(settings.peer_address, key, parts.peer_handlers());
+        let (peer_address, accepting) = control_runtime.block_on(serving).context(PeersSnafu {
+            address: settings.peer_address,
+        })?;
+        let endpoints = parts.start_endpoints(&settings, &traffic)?;
+        let identity = Identity {
+            id: RouterId::from_name(&settings.router_name),
+            name: settings.router_name.clone(),
+            zone: settings.zone.clone(),
+            incarnation: wall_clock_ms(),
+            caller_address: endpoints.callers.local_addr(),
+            operator_address: endpoints.operators.local_addr(),
+            peer_address,
+        };
+        let (control, stop, metrics) = (
+            parts.control.clone(),
+            parts.stop.clone(),
+            parts.metrics.clone(),
+        );
+        let control_loop = parts.control_loop(&settings, identity);
+        std::thread::Builder::new()
+            .name(String::from("control"))
+            .spawn(move || {
+                control_runtime.block_on(async {
+                    tokio::spawn(accepting);
+                    control_loop.await;
+                });
+            })
+            .context(ThreadSnafu {
+                what: "control thread",
+            })?;
+        let Endpoints { callers, operators } = endpoints;
+        let daemon = Self {
+            settings,
+            traffic,
+            control,
+            metrics,
+            stop,
+            callers,
+            operators,
+            peer_address,
+        };
+        Event::STARTED.log(&[
+            ("router", &daemon.settings.router_name),
+            ("callers", &daemon.caller_address().to_string()),
+            ("operators", &daemon.operator_address().to_string()),
+            ("peers", &daemon.peer_address.to_string()),
+        ]);
+        Ok(daemon)
+    }
+
+    /// Where callers are served.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.local_addr()
+    }
+
+    /// Where operators are served.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operators.local_addr()
+    }
+
+    /// Where peers are served.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Asks for the planned stop, as a signal does.
+    pub fn request_stop(&self) {
+        self.stop.notify_one();
+    }
+
+    /// Serves until a signal or an operator asks for the planned stop, and until that ended.
+    pub fn run(self) -> Result<StopReport, DaemonError> {
+        let Self {
+            settings,
+            traffic,
+            control,
+            metrics,
+            stop,
+            callers,
+            operators,
+            ..
+        } = self;
+        let report = traffic.block_on(async {
+            let mut signals = stop_signals().context(ThreadSnafu { what: "signals" })?;
+            tokio::select! {
+                () = stop.notified() => {}
+                _ = signals.recv() => {}
+            }
+            tokio::spawn(async move {
+                while signals.recv().await.is_some() {
+                    Event::SIGNAL_IGNORED.log(&[]);
+                }
+            });
+            Event::STOPPING.log(&[("router", &settings.router_name)]);
+            control.send(Command::Stop);
+            Ok(finish_requests(&settings, &metrics).await)
+        })?;
+        if report.cut_requests == 0 {
+            // Closing waits for answers on the wire.
+            let close = async {
+                drop(callers.close().await);
+                drop(operators.close().await);
+            };
+            let limit = Duration::from_millis(settings.stop_limit_ms);
+            drop(traffic.block_on(async { tokio::time::timeout(limit, close).await }));
+            Event::STOPPED.log(&[("router", &settings.router_name)]);
+        }
+        traffic.shutdown_background();
+        Ok(report)
+    }
+}
+
+/// Serves through the lookups' time to live and to the last request's end.
+async fn finish_requests(settings: &Settings, metrics: &Metrics) -> StopReport {
+    let started = tokio::time::Instant::now();
+    let limit = Duration::from_millis(settings.stop_limit_ms);
+    let keep_serving = Duration::from_millis(settings.entry_ttl_ms).min(limit);
+    tokio::time::sleep(keep_serving).await;
+    loop {
+        let in_flight = metrics.in_flight.get().max(0) as u64;
+        if in_flight == 0 {
+            return StopReport { cut_requests: 0 };
+        }
+        if started.elapsed() >= limit {
+            Event::STOP_LIMIT.log(&[("in_flight", &in_flight.to_string())]);
+            return StopReport {
+                cut_requests: in_flight,
+            };
+        }
+        tokio::time::sleep(STOP_POLL).await;
+    }
+}
+
+/// The endpoints on the traffic threads.
+struct Endpoints {
+    callers: HttpServer<CallerHandlers>,
+    operators: HttpServer<OperatorHandlers>,
+}
+
+/// What the threads of a router share while it starts.
+struct Parts {
+    clock: Clock,
+    control: ControlHandle,
+    commands: CommandReceiver,
+    platform: PlatformClient,
+    peers: PeerClient,
+    backend: BackendClient,
+    metrics: Arc<Metrics>,
+    stop: Arc<Notify>,
+    read_config: watch::Sender<u64>,
+}
+
+impl Parts {
+    fn new(settings: &Settings) -> Self {
+        let (control, commands) = control_channel(RouterId::from_name(&settings.router_name));
+        let key = SigningKey::new(&settings.cell_key);
+        Self {
+            clock: Clock::start(),
+            control,
+            commands,
+            platform: PlatformClient::new(sapphiretrack_platform::Settings {
+                url: settings.platform_url.clone(),
+                timeout_ms: settings.platform_timeout_ms,
+            }),
+            peers: PeerClient::new(sapphiretrack_peer::Settings::default(), key),
+            backend: BackendClient::new(sapphiretrack_backend::Settings::default()),
+            metrics: Arc::new(Metrics::new()),
+            stop: Arc::new(Notify::new()),
+            read_config: watch::Sender::new(0),
+        }
+    }
+
+    fn peer_handlers(&self) -> PeerHandlers {
+        let control = self.control.clone();
+        let metrics = self.metrics.clone();
+        PeerHandlers {
+            handle: Arc::new(move |request| {
+                let control = control.clone();
+                Box::pin(async move { control.peer(request).await })
+            }),
+            rejected: Arc::new(move || {
+                metrics.rejected_peer_messages.inc();
+                Event::PEER_REJECTED.log(&[]);
+            }),
+        }
+    }
+
+    fn start_endpoints(
+        &self,
+        settings: &Settings,
+        traffic: &Runtime,
+    ) -> Result<Endpoints, DaemonError> {
+        let _guard = traffic.enter();
+        let callers = sapphiretrack_caller::start(
+            settings.caller_address,
+            settings.max_body_bytes,
+            tls_files(settings),
+            self.caller_handlers(settings),
+        )
+        .context(CallersSnafu)?;
+        let operators = sapphiretrack_operator::start(
+            settings.operator_address,
+            tls_files(settings),
+            self.operator_handlers(settings),
+        )
+        .context(OperatorsSnafu)?;
+        Ok(Endpoints { callers, operators })
+    }
+
+    fn caller_handlers(&self, settings: &Settings) -> CallerHandlers {
+        let dispatcher = Arc::new(Dispatcher {
+            clock: self.clock,
+            control: self.control.clone(),
+            peers: self.peers.clone(),
+            backend: self.backend.clone(),
+            claims: ClaimStore::new(self.platform.clone()),
+            metrics: self.metrics.clone(),
+            limits: LimitTable::default(),
+            placement: PlacementSettings::default(),
+            memory: Mutex::new(PlacementMemory::new(settings.placement_memory_chats)),
+            retries: Mutex::new(Dispatcher::retry_budget()),
+        });
+        let for_keys = self.control.clone();
+        let for_entry = self.control.clone();
+        let entry_ttl_ms = settings.entry_ttl_ms;
+        let metrics = self.metrics.clone();
+        CallerHandlers {
+            authenticate: Arc::new(move |key| {
+                for_keys.snapshot().config.contract_of_key(key).cloned()
+            }),
+            entry: Arc::new(move |zone| {
+                entry_reply(&for_entry.snapshot(), zone, entry_ttl_ms, rand::random())
+            }),
+            run: Arc::new(move |request| dispatcher.run(request)),
+            refused: Arc::new(move |refusal| metrics.refused(refusal.code)),
+        }
+    }
+
+    fn operator_handlers(&self, settings: &Settings) -> OperatorHandlers {
+        let operations = Operations {
+            router_name: settings.router_name.clone(),
+            store: ConfigurationStore::new(self.platform.clone()),
+            control: self.control.clone(),
+            metrics: self.metrics.clone(),
+            read_config: self.read_config.clone(),
+        };
+        let digest = settings.operator_key_sha256.to_lowercase();
+        let stop = self.stop.clone();
+        let metrics = self.metrics.clone();
+        let stop_metrics = self.metrics.clone();
+        let [apply, drain, outcome_of, show, history] = std::array::from_fn(|_| operations.clone());
+        OperatorHandlers {
+            authenticate: Arc::new(move |key| !digest.is_empty() && sha256_hex(key) == digest),
+            apply: Arc::new(move |request| {
+                let operations = apply.clone();
+                Box::pin(async move { operations.apply(request).await })
+            }),
+            drain: Arc::new(move |request| {
+                let operations = drain.clone();
+                Box::pin(async move { operations.drain(request).await })
+            }),
+            outcome_of: Arc::new(move |change_id| {
+                let operations = outcome_of.clone();
+                Box::pin(async move { operations.outcome_of(change_id).await })
+            }),
+            show: Arc::new(move |customer| {
+                let operations = show.clone();
+                Box::pin(async move { operations.show(&customer).await })
+            }),
+            history: Arc::new(move |()| {
+                let operations = history.clone();
+                Box::pin(async move { operations.history().await })
+            }),
+            status: Arc::new(move || operations.status()),
+            stop: Arc::new(move || {
+                stop.notify_one();
+                StopReply {
+                    in_flight: stop_metrics.in_flight.get().max(0) as u64,
+                }
+            }),
+            metrics: Arc::new(move || metrics.encode()),
+        }
+    }
+
+    fn control_loop(self, settings: &Settings, identity: Identity) -> BoxFuture<'static, ()> {
+        let timing = Timing {
+            dead_after_ms: settings.dead_after_ms,
+            isolated_after_ms: settings.isolated_after_ms,
+            report_stale_after_ms: REPORT_STALE_AFTER_MS,
+        };
+        let parts = ControlParts {
+            clock: self.clock,
+            state: ControlState::new(identity, timing, settings.load_bound),
+            platform: self.platform,
+            peers: self.peers,
+            backend: self.backend,
+            metrics: self.metrics,
+            heartbeat_ms: settings.heartbeat_ms,
+            read_config: self.read_config.subscribe(),
+        };
+        run_control(parts, self.control, self.commands)
+    }
+}
+
+fn tls_files(settings: &Settings) -> Option<(PathBuf, PathBuf)> {
+    settings.tls_cert.clone().zip(settings.tls_key.clone())
+}
--- /dev/null
+++ b/crates/sapphiretrackd/src/events.rs
@@ -0,0 +1,105 @@
+//! The numbered events of the log; `docs/events.md` lists them.
+
+use log::Level;
+
+/// An event of the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Its number; it never changes its meaning.
+    pub number: u16,
+    /// How bad it is.
+    pub level: Level,
+    /// What happened.
+    pub text: &'static str,
+}
+
+impl Event {
+    /// The daemon serves.
+    pub const STARTED: Self = Self::new(100, Level::Info, "router started");
+    /// A planned stop began.
+    pub const STOPPING: Self = Self::new(101, Level::Info, "planned stop began");
+    /// The planned stop ended.
+    pub const STOPPED: Self = Self::new(102, Level::Info, "planned stop ended");
+    /// The stop limit came before the last request's end.
+    pub const STOP_LIMIT: Self = Self::new(103, Level::Error, "stop limit reached");
+    /// A second signal came during a planned stop.
+    pub const SIGNAL_IGNORED: Self = Self::new(
+        104,
+        Level::Warn,
+        "signal ignored, a planned stop is under way",
+    );
+    /// A configuration came into force.
+    pub const CONFIG_IN_FORCE: Self = Self::new(200, Level::Info, "configuration in force");
+    /// An older configuration was offered and dropped.
+    pub const CONFIG_OLDER: Self = Self::new(201, Level::Warn, "older configuration dropped");
+    /// The platform cannot be reached.
+    pub const PLATFORM_LOST: Self = Self::new(210, Level::Warn, "platform cannot be reached");
+    /// The platform can be reached again.
+    pub const PLATFORM_BACK: Self = Self::new(211, Level::Info, "platform reached again");
+    /// Neither platform nor peers were heard of for too long.
+    pub const ISOLATED: Self = Self::new(212, Level::Error, "isolated, new work is refused");
+    /// The isolation ended.
+    pub const REJOINED: Self = Self::new(213, Level::Info, "isolation ended");
+    /// A peer was heard of for the first time.
+    pub const PEER_JOINED: Self = Self::new(300, Level::Info, "peer joined");
+    /// A peer is leaving.
+    pub const PEER_LEAVING: Self = Self::new(301, Level::Info, "peer is leaving");
+    /// A peer was not heard of for too long.
+    pub const PEER_LOST: Self = Self::new(302, Level::Warn, "peer lost");
+    /// A peer message was foreign or malformed.
+    pub const PEER_REJECTED: Self = Self::new(303, Level::Warn, "peer message rejected");
+    /// A backend server was listed for the first time.
+    pub const SERVER_JOINED: Self = Self::new(400, Level::Info, "backend server joined");
+    /// A backend server is leaving.
+    pub const SERVER_LEAVING: Self = Self::new(401, Level::Info, "backend server is leaving");
+    /// A backend server is gone from the list or does not report.
+    pub const SERVER_LOST: Self = Self::new(402, Level::Warn, "backend server lost");
+    /// An attempt failed.
+    pub const ATTEMPT_FAILED: Self = Self::new(500, Level::Warn, "attempt failed");
+    /// A late or crossed reply was dropped.
+    pub const CROSSED_REPLY: Self = Self::new(501, Level::Error, "crossed reply dropped");
+    /// The answer of a non-idempotent request could not be recorded.
+    pub const RECORD_FAILED: Self = Self::new(502, Level::Warn, "answer was not recorded");
+
+    /// All events, by number.
+    pub const ALL: [Self; 21] = [
+        Self::STARTED,
+        Self::STOPPING,
+        Self::STOPPED,
+        Self::STOP_LIMIT,
+        Self::SIGNAL_IGNORED,
+        Self::CONFIG_IN_FORCE,
+        Self::CONFIG_OLDER,
+        Self::PLATFORM_LOST,
+        Self::PLATFORM_BACK,
+        Self::ISOLATED,
+        Self::REJOINED,
+        Self::PEER_JOINED,
+        Self::PEER_LEAVING,
+        Self::PEER_LOST,
+        Self::PEER_REJECTED,
+        Self::SERVER_JOINED,
+        Self::SERVER_LEAVING,
+        Self::SERVER_LOST,
+        Self::ATTEMPT_FAILED,
+        Self::CROSSED_REPLY,
+        Self::RECORD_FAILED,
+    ];
+
+    const fn new(number: u16, level: Level, text: &'static str) -> Self {
+        Self {
+            number,
+            level,
+            text,
+        }
+    }
+
+    /// Logs the event with its fields, `key=value` each.
+    pub(crate) fn log(self, fields: &[(&str, &str)]) {
+        let mut line = format!("event={} text={:?}", self.number, self.text);
+        for (key, value) in fields {
+            line.push_str(&format!(" {key}={value:?}"));
+        }
+        log::log!(target: "sapphiretrackd", self.level, "{line}");
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrackd/src/lib.rs
@@ -0,0 +1,19 @@
+//! The router daemon: the control thread, the dispatch of requests and the endpoints.
+
+mod clock;
+mod control;
+mod daemon;
+mod dispatch;
+mod entry;
+mod events;
+mod limits;
+mod logging;
+mod metrics;
+mod operations;
+mod settings;
+mod signals;
+
+pub use daemon::{Daemon, DaemonError, StopReport};
+pub use events::Event;
+pub use logging::{LogFormat, start_logging};
+pub use settings::{Flag, Settings, SettingsError, flags, help_text, parse_settings};
--- /dev/null
+++ b/crates/sapphiretrackd/src/metrics.rs
@@ -0,0 +1,216 @@
+//! Metrics by `prometheus-client`.
+//!
+//! Labels are customers and classes, never workspaces or chats, so that their number is bounded
+//! by the contracts; beyond [`MAX_LABEL_SETS`] further customers share the label `other`.
+
+use std::collections::BTreeSet;
+use std::sync::{Mutex, PoisonError};
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use sapphiretrack_core::RefusalCode;
+
+/// The most customer and class pairs with labels of their own.
+const MAX_LABEL_SETS: usize = 512;
+/// The label of all others.
+const OTHER_LABEL: &str = "other";
+
+/// A customer's class.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(crate) struct ClassLabels {
+    customer: String,
+    class: String,
+}
+
+/// A refusal's code.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CodeLabels {
+    code: &'static str,
+}
+
+/// A kind of control traffic.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct KindLabels {
+    kind: &'static str,
+}
+
+/// All metrics of a router.
+pub(crate) struct Metrics {
+    registry: Registry,
+    label_sets: Mutex<BTreeSet<ClassLabels>>,
+    first_token_s: Family<ClassLabels, Histogram>,
+    whole_time_s: Family<ClassLabels, Histogram>,
+    answers: Family<ClassLabels, Counter>,
+    refusals: Family<CodeLabels, Counter>,
+    control_bytes: Family<KindLabels, Counter>,
+    /// Attempts beyond a request's first.
+    pub(crate) retries: Counter,
+    /// Late or crossed replies that were dropped.
+    pub(crate) crossed_replies: Counter,
+    /// Foreign or malformed peer messages.
+    pub(crate) rejected_peer_messages: Counter,
+    /// Prompt tokens of answered requests.
+    pub(crate) prompt_tokens: Counter,
+    /// Of them, those that an engine found in its cache.
+    pub(crate) cached_tokens: Counter,
+    /// Callers' requests in flight.
+    pub(crate) in_flight: Gauge,
+    /// The configuration version in force.
+    pub(crate) config_version: Gauge,
+}
+
+impl Metrics {
+    /// All metrics, registered.
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("sapphiretrack");
+        let histogram: fn() -> Histogram = || Histogram::new(exponential_buckets(0.005, 2.0, 16));
+        let first_token_s = Family::new_with_constructor(histogram);
+        let whole_time_s = Family::new_with_constructor(histogram);
+        let answers = Family::default();
+        let refusals = Family::default();
+        let control_bytes = Family::default();
+        registry.register(
+            "first_token_seconds",
+            "Time to the first token by customer and class",
+            first_token_s.clone(),
+        );
+        registry.register(
+            "whole_time_seconds",
+            "Time to the whole answer by customer and class",
+            whole_time_s.clone(),
+        );
+        registry.register(
+            "answers",
+            "Whole answers by customer and class",
+            answers.clone(),
+        );
+        registry.register(
+            "refusals",
+            "Answers without a result by code",
+            refusals.clone(),
+        );
+        registry.register(
+            "control_bytes",
+            "Control bytes by kind",
+            control_bytes.clone(),
+        );
+        let mut metrics = Self {
+            registry,
+            label_sets: Mutex::default(),
+            first_token_s,
+            whole_time_s,
+            answers,
+            refusals,
+            control_bytes,
+            retries: Counter::default(),
+            crossed_replies: Counter::default(),
+            rejected_peer_messages: Counter::default(),
+            prompt_tokens: Counter::default(),
+            cached_tokens: Counter::default(),
+            in_flight: Gauge::default(),
+            config_version: Gauge::default(),
+        };
+        metrics.register_plain();
+        metrics
+    }
+
+    /// The labels of a customer's class; their number is bounded.
+    pub(crate) fn labels(&self, customer: &str, class: &str) -> ClassLabels {
+        let labels = ClassLabels {
+            customer: customer.to_owned(),
+            class: class.to_owned(),
+        };
+        let mut known = self
+            .label_sets
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if known.contains(&labels) || known.len() < MAX_LABEL_SETS {
+            known.insert(labels.clone());
+            return labels;
+        }
+        ClassLabels {
+            customer: OTHER_LABEL.to_owned(),
+            class: OTHER_LABEL.to_owned(),
+        }
+    }
+
+    /// Notes the time to a first token.
+    pub(crate) fn first_token(&self, labels: &ClassLabels, seconds: f64) {
+        self.first_token_s.get_or_create(labels).observe(seconds);
+    }
+
+    /// Notes a whole answer.
+    pub(crate) fn whole_answer(&self, labels: &ClassLabels, seconds: f64) {
+        self.whole_time_s.get_or_create(labels).observe(seconds);
+        self.answers.get_or_create(labels).inc();
+    }
+
+    /// Notes an answer without a result.
+    pub(crate) fn refused(&self, code: RefusalCode) {
+        self.refusals
+            .get_or_create(&CodeLabels {
+                code: code.as_str(),
+            })
+            .inc();
+    }
+
+    /// Sets a control byte counter to a total kept elsewhere.
+    pub(crate) fn control_bytes_total(&self, kind: &'static str, total: u64) {
+        let counter = self.control_bytes.get_or_create(&KindLabels { kind });
+        counter.inc_by(total.saturating_sub(counter.get()));
+    }
+
+    /// The metrics as text.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# {error}\n# EOF\n"),
+        }
+    }
+
+    fn register_plain(&mut self) {
+        let counters = [
+            (
+                "retries",
+                "Attempts beyond a request's first",
+                &self.retries,
+            ),
+            (
+                "crossed_replies",
+                "Late or crossed replies dropped",
+                &self.crossed_replies,
+            ),
+            (
+                "rejected_peer_messages",
+                "Foreign or malformed peer messages",
+                &self.rejected_peer_messages,
+            ),
+            (
+                "prompt_tokens",
+                "Prompt tokens of answered requests",
+                &self.prompt_tokens,
+            ),
+            (
+                "cached_tokens",
+                "Prompt tokens found in a cache",
+                &self.cached_tokens,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            self.registry.register(name, help, counter.clone());
+        }
+        self.registry
+            .register("in_flight", "Requests in flight", self.in_flight.clone());
+        self.registry.register(
+            "config_version",
+            "Configuration version in force",
+            self.config_version.clone(),
+        );
+    }
+}
