--- a/crates/sapphiretrack-cli/src/contracts.rs
+++ b/crates/sapphiretrack-cli/src/contracts.rs
@@ -46,11 +46,13 @@
     };
     let reply = client.apply(&request).await;
     let version = settle(&client, reply, &request.change_id).await?;
-    let mut text = accepted_text(options, version);
-    if apply.wait {
-        text.push_str(&wait_in_force(&client, options, version).await?);
+    let accepted = accepted_text(options, version);
+    if !apply.wait {
+        return Ok(accepted);
     }
-    Ok(text)
+    // Accepted holds whatever the wait brings, so it is told first.
+    print!("{accepted}");
+    wait_in_force(&client, options, version).await
 }
 
 /// Shows a contract.
--- a/crates/sapphiretrack-cli/src/fleet.rs
+++ b/crates/sapphiretrack-cli/src/fleet.rs
@@ -88,11 +88,13 @@
     };
     let reply = client.drain(&request).await;
     let version = settle(&client, reply, &request.change_id).await?;
-    let mut text = accepted_text(options, version);
-    if drain.wait {
-        text.push_str(&wait_drained(&client, options, &drain.server, version).await?);
+    let accepted = accepted_text(options, version);
+    if !drain.wait {
+        return Ok(accepted);
     }
-    Ok(text)
+    // Accepted holds whatever the wait brings, so it is told first.
+    print!("{accepted}");
+    wait_drained(&client, options, &drain.server, version).await
 }
 
 /// Waits until the drain is in force on every router and nothing runs on the server.
--- a/crates/sapphiretrack-operator/src/server.rs
+++ b/crates/sapphiretrack-operator/src/server.rs
@@ -167,8 +167,9 @@
         Ok(Some(contract)) => Ok(HttpResponseOk(contract)),
         Ok(None) => {
             let message = format!("there is no contract of customer {customer:?}");
-            Err(HttpError::for_not_found(
+            Err(HttpError::for_client_error(
                 Some(String::from("no_contract")),
+                dropshot::ClientErrorStatusCode::NOT_FOUND,
                 message,
             ))
         }
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -186,7 +186,7 @@
         ];
         flags.extend(self.settings.router_flags.clone());
         let process = ChildProcess::start("sapphiretrackd", &flags);
-        let line = process.wait_line("event=100").await;
+        let line = process.wait_line("event=\"100\"").await;
         let vm = VmRecord {
             name: name.to_owned(),
             zone: zone(index),
--- a/crates/sapphiretrack-tests/src/process.rs
+++ b/crates/sapphiretrack-tests/src/process.rs
@@ -7,6 +7,7 @@
 
 use tokio::io::{AsyncBufReadExt, AsyncRead, BufReader};
 use tokio::process::{Child, Command};
+use tokio::task::JoinHandle;
 
 /// How long a process may take to say where it listens.
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -34,6 +35,7 @@
 pub struct ChildProcess {
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
+    readers: Vec<JoinHandle<()>>,
 }
 
 impl ChildProcess {
@@ -49,9 +51,15 @@
             .spawn()
             .expect("the program starts");
         let lines = Arc::new(Mutex::new(Vec::new()));
-        keep_lines(child.stdout.take().expect("piped"), lines.clone());
-        keep_lines(child.stderr.take().expect("piped"), lines.clone());
-        Self { child, lines }
+        let readers = vec![
+            keep_lines(child.stdout.take().expect("piped"), lines.clone()),
+            keep_lines(child.stderr.take().expect("piped"), lines.clone()),
+        ];
+        Self {
+            child,
+            lines,
+            readers,
+        }
     }
 
     /// The process id.
@@ -83,6 +91,14 @@
             .code()
     }
 
+    /// All output lines of a process that has ended.
+    pub async fn wait_lines(&mut self) -> Vec<String> {
+        for reader in self.readers.drain(..) {
+            reader.await.expect("the reader ends");
+        }
+        self.lines()
+    }
+
     /// All output lines so far.
     pub fn lines(&self) -> Vec<String> {
         self.lines
@@ -111,7 +127,7 @@
     }
 }
 
-fn keep_lines<Output>(output: Output, lines: Arc<Mutex<Vec<String>>>)
+fn keep_lines<Output>(output: Output, lines: Arc<Mutex<Vec<String>>>) -> JoinHandle<()>
 where
     Output: AsyncRead + Send + Unpin + 'static,
 {
@@ -123,5 +139,5 @@
                 .unwrap_or_else(PoisonError::into_inner)
                 .push(line);
         }
-    });
+    })
 }
--- a/crates/sapphiretrackd/src/events.rs
+++ b/crates/sapphiretrackd/src/events.rs
@@ -2,6 +2,11 @@
 
 use log::Level;
 
+/// The target of all events; other records come from libraries.
+pub(crate) const LOG_TARGET: &str = "sapphiretrackd";
+/// The field that carries an event's number.
+const NUMBER_FIELD: &str = "event";
+
 /// An event of the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Event {
@@ -94,12 +99,21 @@
         }
     }
 
-    /// Logs the event with its fields, `key=value` each.
+    /// Logs the event with its fields.
     pub(crate) fn log(self, fields: &[(&str, &str)]) {
-        let mut line = format!("event={} text={:?}", self.number, self.text);
-        for (key, value) in fields {
-            line.push_str(&format!(" {key}={value:?}"));
-        }
-        log::log!(target: "sapphiretrackd", self.level, "{line}");
+        let mut all = vec![(NUMBER_FIELD, self.number.to_string())];
+        all.extend(
+            fields
+                .iter()
+                .map(|(key, value)| (*key, (*value).to_owned())),
+        );
+        log::logger().log(
+            &log::Record::builder()
+                .level(self.level)
+                .target(LOG_TARGET)
+                .args(format_args!("{}", self.text))
+                .key_values(&all.as_slice())
+                .build(),
+        );
     }
 }
--- a/crates/sapphiretrackd/src/lib.rs
+++ b/crates/sapphiretrackd/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use daemon::{Daemon, DaemonError, StopReport};
 pub use events::Event;
-pub use logging::{LogFormat, start_logging};
+pub use logging::{LogFormat, log_line, start_logging};
 pub use settings::{Flag, Settings, SettingsError, flags, help_text, parse_settings};
--- a/crates/sapphiretrackd/src/logging.rs
+++ b/crates/sapphiretrackd/src/logging.rs
@@ -1,14 +1,18 @@
 //! The log: one line an event, to standard error.
 
+use std::collections::BTreeMap;
 use std::time::SystemTime;
 
 use fern::Dispatch;
-use log::LevelFilter;
+use log::kv::{Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+
+use crate::events::LOG_TARGET;
 
 /// How a log line looks.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum LogFormat {
-    /// `TIME LEVEL event=N text="…" key="value"`.
+    /// `TIME LEVEL TEXT event="N" key="value"`.
     #[default]
     Text,
     /// One JSON object.
@@ -19,24 +23,52 @@
 pub fn start_logging(format: LogFormat, level: LevelFilter) -> Result<(), log::SetLoggerError> {
     Dispatch::new()
         .level(LevelFilter::Warn)
-        .level_for("sapphiretrackd", level)
-        .format(move |out, message, record| {
+        .level_for(LOG_TARGET, level)
+        .format(move |out, _, record| {
             let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
             let time_ms = since.map_or(0, |since| since.as_millis() as u64);
-            match format {
-                LogFormat::Text => {
-                    out.finish(format_args!("{time_ms} {} {message}", record.level()));
-                }
-                LogFormat::Json => {
-                    let line = serde_json::json!({
-                        "time_ms": time_ms,
-                        "level": record.level().as_str(),
-                        "message": message.to_string(),
-                    });
-                    out.finish(format_args!("{line}"));
-                }
-            }
+            out.finish(format_args!("{}", log_line(format, time_ms, record)));
         })
         .chain(std::io::stderr())
         .apply()
 }
+
+/// One line of the log.
+pub fn log_line(format: LogFormat, time_ms: u64, record: &Record<'_>) -> String {
+    let mut fields = Fields::default();
+    // Collecting strings cannot fail.
+    drop(record.key_values().visit(&mut fields));
+    match format {
+        LogFormat::Text => {
+            let fields = fields
+                .in_order
+                .iter()
+                .map(|(key, value)| format!(" {key}={value:?}"));
+            let fields: String = fields.collect();
+            format!("{time_ms} {} {}{fields}", record.level(), record.args())
+        }
+        LogFormat::Json => {
+            let fields: BTreeMap<_, _> = fields.in_order.into_iter().collect();
+            serde_json::json!({
+                "time_ms": time_ms,
+                "level": record.level().as_str(),
+                "text": record.args().to_string(),
+                "fields": fields,
+            })
+            .to_string()
+        }
+    }
+}
+
+/// The fields of a record.
+#[derive(Default)]
+struct Fields {
+    in_order: Vec<(String, String)>,
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.in_order.push((key.to_string(), value.to_string()));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrackd/tests/events.rs
@@ -0,0 +1,60 @@
+//! The catalogue of events and the form of log lines.
+
+use std::collections::BTreeSet;
+
+use log::{Level, Record};
+use sapphiretrackd::{Event, LogFormat, log_line};
+
+const CATALOGUE: &str = include_str!("../../../docs/events.md");
+
+#[test]
+fn the_catalogue_lists_exactly_the_events_of_the_code() {
+    let mut documented = BTreeSet::new();
+    for line in CATALOGUE.lines() {
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let Some(number) = cells.get(1).and_then(|cell| cell.parse::<u16>().ok()) else {
+            continue;
+        };
+        documented.insert((number, cells[2].to_owned(), cells[3].to_owned()));
+    }
+    let coded: BTreeSet<_> = Event::ALL
+        .iter()
+        .map(|event| (event.number, event.level.to_string(), event.text.to_owned()))
+        .collect();
+    assert_eq!(
+        coded.len(),
+        Event::ALL.len(),
+        "two events share number, level and text"
+    );
+    assert_eq!(documented, coded);
+}
+
+#[test]
+fn numbers_are_unique() {
+    let numbers: BTreeSet<u16> = Event::ALL.iter().map(|event| event.number).collect();
+    assert_eq!(numbers.len(), Event::ALL.len());
+}
+
+#[test]
+fn a_line_carries_number_and_fields_in_both_forms() {
+    let fields = [("event", "400"), ("server", "engine \"1\"")];
+    let record = |format| {
+        log_line(
+            format,
+            17,
+            &Record::builder()
+                .level(Level::Info)
+                .args(format_args!("backend server joined"))
+                .key_values(&fields.as_slice())
+                .build(),
+        )
+    };
+    assert_eq!(
+        record(LogFormat::Text),
+        r#"17 INFO backend server joined event="400" server="engine \"1\"""#
+    );
+    assert_eq!(
+        record(LogFormat::Json),
+        r#"{"fields":{"event":"400","server":"engine \"1\""},"level":"INFO","text":"backend server joined","time_ms":17}"#
+    );
+}
