--- a/crates/sapphiretrack-backend/src/client.rs
+++ b/crates/sapphiretrack-backend/src/client.rs
@@ -12,10 +12,12 @@
 use sapphiretrack_core::{AttemptId, ChatKey, LoadReport};
 
 use crate::answer::AnswerStream;
-use crate::error::{BackendError, BrokenSnafu, CrossedSnafu, NotStartedSnafu, UnreachableSnafu};
+use crate::error::{
+    BackendError, BrokenSnafu, CrossedSnafu, LeavingSnafu, NotStartedSnafu, UnreachableSnafu,
+};
 use crate::wire::{
-    ATTEMPT_HEADER, CHAT_HEADER, DEADLINE_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER,
-    RESUME_HEADER,
+    ATTEMPT_HEADER, CHAT_HEADER, DEADLINE_HEADER, LEAVING_HEADER, NOT_STARTED_HEADER,
+    PRIORITY_HEADER, RESUME_HEADER,
 };
 
 /// How backend servers are reached.
@@ -226,6 +228,9 @@
 
 fn started(response: http::Response<Incoming>) -> Result<http::Response<Incoming>, BackendError> {
     if header(&response, NOT_STARTED_HEADER) == "true" {
+        if header(&response, LEAVING_HEADER) == "true" {
+            return LeavingSnafu.fail();
+        }
         return NotStartedSnafu {
             status: response.status().as_u16(),
         }
--- a/crates/sapphiretrack-backend/src/error.rs
+++ b/crates/sapphiretrack-backend/src/error.rs
@@ -32,11 +32,17 @@
         /// The id that came.
         found: String,
     },
+    /// The server says that it did not start the request because it is leaving.
+    #[snafu(display("the backend server is leaving and did not start the request"))]
+    Leaving,
 }
 
 impl BackendError {
     /// Whether the request was certainly not run.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Unreachable { .. } | Self::NotStarted { .. })
+        matches!(
+            self,
+            Self::Unreachable { .. } | Self::NotStarted { .. } | Self::Leaving
+        )
     }
 }
--- a/crates/sapphiretrack-backend/src/wire.rs
+++ b/crates/sapphiretrack-backend/src/wire.rs
@@ -12,3 +12,5 @@
 pub const CHAT_HEADER: &str = "x-chat-key";
 /// Set to `true` by a server that refuses a request that it did not start.
 pub const NOT_STARTED_HEADER: &str = "x-not-started";
+/// Set to `true`, beside [`NOT_STARTED_HEADER`], by a server that refuses because it is leaving.
+pub const LEAVING_HEADER: &str = "x-leaving";
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -4,27 +4,38 @@
 //! numbers are passed in. The daemon and the policy measurements run the same code.
 
 mod bound;
+mod cell;
 mod chat;
 mod claim;
 mod config;
 mod contract;
+mod entry;
+mod flap;
 mod ids;
+mod isolation;
 mod ledger;
 mod limits;
 mod membership;
 mod outcome;
+mod pause;
+mod peer_roster;
 mod placement;
 mod rendezvous;
 mod retry;
+mod server_roster;
 
 pub use bound::{LoadBound, server_limit};
+pub use cell::{Cell, CellId, cell_of_chat, cells_of_workspace, routers_of_workspace};
 pub use chat::{Chunk, ChunkChoice, Delta, STREAM_END, Usage};
 pub use claim::{CLAIM_RETENTION_MS, Claim, ClaimDecision, ClaimState, decide_claim};
 pub use config::{FleetConfig, Refreshed, newer_config};
 pub use contract::{
     ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, parse_contract, sha256_hex,
 };
+pub use entry::{EntryCandidate, entry_addresses};
+pub use flap::{Damping, Flaps};
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
+pub use isolation::Hearing;
 pub use ledger::{Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
 pub use limits::{InFlightGate, RateLimiter};
 pub use membership::{
@@ -32,8 +43,15 @@
     steward_of,
 };
 pub use outcome::{Outcome, Refusal, RefusalCode};
+pub use pause::{MAX_TURN_GAP_MS, PauseWatch};
+pub use peer_roster::{
+    BeatTaken, ListedRouter, PeerBeat, PeerRoster, PeerRosterSettings, RosterPeer, RouterProfile,
+};
 pub use placement::{
     Candidate, PlacementMemory, PlacementRequest, PlacementSettings, WarmHint, rank_servers,
 };
 pub use rendezvous::{rendezvous_score, top_by_rendezvous};
 pub use retry::RetryBudget;
+pub use server_roster::{
+    RosterChange, RosterServer, ServerRoster, ServerRosterSettings, ServerSighting,
+};
--- /dev/null
+++ b/crates/sapphiretrack-core/src/peer_roster.rs
@@ -0,0 +1,396 @@
+//! Which routers there are in the cell, merged from heartbeats and the platform's list.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Damping, Flaps, Incarnation, RosterChange, RouterId, VmRecord, VmRole, VmState};
+
+/// Routers whose last heartbeat is remembered after they are gone, so that a replay of it does
+/// not bring them back.
+const MAX_REMEMBERED: usize = 1_024;
+
+/// Times that rule the roster.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerRosterSettings {
+    /// A peer that is silent for so long is dead.
+    pub dead_after_ms: u64,
+    /// How long a returning peer is held back from stewardship.
+    pub damping: Damping,
+}
+
+/// What seldom changes about a router; it travels only to peers that do not have it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RouterProfile {
+    /// Its name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Where peers reach it.
+    pub peer_address: SocketAddr,
+    /// Where operators reach it.
+    pub operator_address: SocketAddr,
+}
+
+/// What a heartbeat says about its sender.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerBeat {
+    /// Who.
+    pub router: RouterId,
+    /// Which run of it.
+    pub incarnation: Incarnation,
+    /// Rises with each heartbeat of an incarnation.
+    pub sequence: u64,
+    /// Whether it takes new work.
+    pub state: VmState,
+    /// The configuration version that it has in force.
+    pub config_version: u64,
+    /// Its profile, if it was sent along.
+    pub profile: Option<RouterProfile>,
+}
+
+/// What came of a heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BeatTaken {
+    /// It was taken in.
+    Taken {
+        /// What is worth an event.
+        change: Option<RosterChange>,
+    },
+    /// It is older than one that was taken in before: replayed, late, or of an earlier run.
+    Stale,
+    /// The sender's profile is not known: it has to send it along.
+    NeedsProfile,
+}
+
+/// A peer that is heard of.
+#[derive(Clone, Debug)]
+pub struct RosterPeer {
+    /// Its profile.
+    pub profile: RouterProfile,
+    /// The configuration version that it had in force, as last heard.
+    pub config_version: u64,
+    heard_ms: u64,
+    /// When it last answered a call of this router, or was first heard.
+    answered_ms: u64,
+    state: VmState,
+}
+
+/// What is remembered of a router, heard of or gone.
+#[derive(Clone, Copy, Debug, Default)]
+struct Trace {
+    incarnation: Incarnation,
+    sequence: u64,
+    /// The newest incarnation that is leaving.
+    left: Option<Incarnation>,
+    flaps: Flaps,
+    seen_ms: u64,
+}
+
+/// All peers of one router.
+#[derive(Debug)]
+pub struct PeerRoster {
+    settings: PeerRosterSettings,
+    me: RouterId,
+    peers: BTreeMap<RouterId, RosterPeer>,
+    traces: BTreeMap<RouterId, Trace>,
+    listed: BTreeMap<RouterId, ListedRouter>,
+    heard_ms: u64,
+}
+
+/// A router as the platform lists it.
+#[derive(Clone, Debug)]
+pub struct ListedRouter {
+    /// Its line of the list.
+    pub record: VmRecord,
+    /// Where its peers reach it.
+    pub peer_address: SocketAddr,
+    since_ms: u64,
+    refused: bool,
+}
+
+impl PeerRoster {
+    /// An empty roster of the router `me`.
+    pub fn new(me: RouterId, settings: PeerRosterSettings) -> Self {
+        Self {
+            settings,
+            me,
+            peers: BTreeMap::new(),
+            traces: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            heard_ms: 0,
+        }
+    }
+
+    /// Takes in a heartbeat.
+    pub fn take_beat(&mut self, beat: &PeerBeat, now_ms: u64) -> BeatTaken {
+        if beat.router == self.me {
+            return BeatTaken::Stale;
+        }
+        let trace = self.traces.entry(beat.router).or_default();
+        if (beat.incarnation, beat.sequence) <= (trace.incarnation, trace.sequence) {
+            return BeatTaken::Stale;
+        }
+        let known = self.peers.get(&beat.router);
+        let restarted = beat.incarnation != trace.incarnation;
+        let Some(profile) = beat.profile.clone().or_else(|| {
+            known
+                .filter(|_| !restarted)
+                .map(|peer| peer.profile.clone())
+        }) else {
+            return BeatTaken::NeedsProfile;
+        };
+        if restarted && known.is_some() {
+            trace.flaps.note(false, &self.settings.damping, now_ms);
+        }
+        trace.flaps.note(true, &self.settings.damping, now_ms);
+        trace.incarnation = beat.incarnation;
+        trace.sequence = beat.sequence;
+        trace.seen_ms = now_ms;
+        let listed_leaving = self
+            .listed
+            .get(&beat.router)
+            .is_some_and(|listed| listed.record.state == VmState::Leaving);
+        if beat.state == VmState::Leaving || (listed_leaving && known.is_none()) {
+            trace.left = Some(beat.incarnation);
+        }
+        let state = if trace.left == Some(beat.incarnation) {
+            VmState::Leaving
+        } else {
+            VmState::Live
+        };
+        let change = match known {
+            None => Some(RosterChange::Joined(profile.name.clone())),
+            Some(peer) if peer.state == VmState::Live && state == VmState::Leaving => {
+                Some(RosterChange::Leaving(profile.name.clone()))
+            }
+            Some(_) => None,
+        };
+        let answered_ms = known.filter(|_| !restarted).map(|peer| peer.answered_ms);
+        self.heard_ms = now_ms;
+        let peer = RosterPeer {
+            profile,
+            config_version: beat.config_version,
+            heard_ms: now_ms,
+            answered_ms: answered_ms.unwrap_or(now_ms),
+            state,
+        };
+        self.peers.insert(beat.router, peer);
+        self.bound_traces();
+        BeatTaken::Taken { change }
+    }
+
+    /// Takes in the platform's list: whom to send heartbeats, and who is leaving.
+    pub fn take_list(&mut self, list: &[VmRecord], now_ms: u64) -> Vec<RosterChange> {
+        let mut changes = Vec::new();
+        let mut listed = BTreeMap::new();
+        for record in list {
+            let VmRole::Router { peer_address, .. } = &record.role else {
+                continue;
+            };
+            let router = RouterId::from_name(&record.name);
+            let before = self.listed.get(&router);
+            let was_leaving = before.is_some_and(|line| line.record.state == VmState::Leaving);
+            let line = ListedRouter {
+                record: record.clone(),
+                peer_address: *peer_address,
+                since_ms: before.map_or(now_ms, |line| line.since_ms),
+                refused: before.is_some_and(|line| line.refused),
+            };
+            listed.insert(router, line);
+            if record.state == VmState::Leaving && !was_leaving {
+                changes.extend(self.mark_left(router));
+            }
+        }
+        // A list without any router says that the platform lost it, not that all are gone.
+        if !listed.is_empty() {
+            self.listed = listed;
+        }
+        changes
+    }
+
+    fn mark_left(&mut self, router: RouterId) -> Option<RosterChange> {
+        let peer = self.peers.get_mut(&router)?;
+        let trace = self.traces.get_mut(&router)?;
+        trace.left = Some(trace.incarnation);
+        let was = std::mem::replace(&mut peer.state, VmState::Leaving);
+        (was == VmState::Live).then(|| RosterChange::Leaving(peer.profile.name.clone()))
+    }
+
+    /// Notes that a peer answered a call of this router.
+    pub fn note_answer(&mut self, router: RouterId, now_ms: u64) {
+        if let Some(peer) = self.peers.get_mut(&router) {
+            peer.answered_ms = now_ms;
+        }
+    }
+
+    /// Drops a peer whose address refuses connections: its process has ended.
+    pub fn note_refused(&mut self, router: RouterId, now_ms: u64) -> Option<RosterChange> {
+        if let Some(line) = self.listed.get_mut(&router) {
+            line.refused = true;
+        }
+        self.drop_peer(router, now_ms)
+    }
+
+    fn drop_peer(&mut self, router: RouterId, now_ms: u64) -> Option<RosterChange> {
+        let peer = self.peers.remove(&router)?;
+        let damping = self.settings.damping;
+        if let Some(trace) = self.traces.get_mut(&router) {
+            trace.flaps.note(false, &damping, now_ms);
+        }
+        Some(RosterChange::Lost(peer.profile.name))
+    }
+
+    /// Drops peers that are silent for too long.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<RosterChange> {
+        let dead_after_ms = self.settings.dead_after_ms;
+        let silent: Vec<RouterId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now_ms.saturating_sub(peer.heard_ms) >= dead_after_ms)
+            .map(|(router, _)| *router)
+            .collect();
+        let mut changes = Vec::new();
+        for router in silent {
+            changes.extend(self.drop_peer(router, now_ms));
+        }
+        changes
+    }
+
+    /// Gives every peer its full time again: this router stood still, not they.
+    pub fn forgive_silence(&mut self, now_ms: u64) {
+        self.heard_ms = now_ms;
+        for peer in self.peers.values_mut() {
+            peer.heard_ms = now_ms;
+            peer.answered_ms = now_ms;
+        }
+    }
+
+    /// The routers that may count slots, this one among them unless it is leaving.
+    ///
+    /// Left out are peers that leave, that are held back for flapping, and that are heard but do
+    /// not answer. A router with nobody else stays its own steward.
+    pub fn steward_candidates(&self, leaving: bool, now_ms: u64) -> Vec<RouterId> {
+        let mut candidates: Vec<RouterId> = self
+            .peers
+            .iter()
+            .filter(|(router, peer)| self.may_count(**router, peer, now_ms))
+            .map(|(router, _)| *router)
+            .collect();
+        if !leaving || candidates.is_empty() {
+            candidates.push(self.me);
+        }
+        candidates
+    }
+
+    /// The routers that may hold slots: this one, all that are heard, and those of the list that
+    /// had no time yet to be heard.
+    pub fn holders(&self, now_ms: u64) -> Vec<RouterId> {
+        let awaited = self.listed.iter().filter(|(router, line)| {
+            let young = now_ms.saturating_sub(line.since_ms) < self.settings.dead_after_ms;
+            young && !line.refused && !self.peers.contains_key(router) && **router != self.me
+        });
+        let awaited = awaited.map(|(router, _)| *router);
+        self.peers
+            .keys()
+            .copied()
+            .chain(awaited)
+            .chain([self.me])
+            .collect()
+    }
+
+    /// Whether a router of the list, other than this one, may be out there.
+    pub fn expects_others(&self) -> bool {
+        self.listed.keys().any(|router| *router != self.me)
+    }
+
+    /// Whether the list says that this router is leaving.
+    pub fn is_listed_leaving(&self) -> bool {
+        self.listed
+            .get(&self.me)
+            .is_some_and(|line| line.record.state == VmState::Leaving)
+    }
+
+    /// The routers of the list that are not leaving, without this one.
+    pub fn listed_others(&self) -> impl Iterator<Item = &VmRecord> {
+        self.listed
+            .iter()
+            .filter(|(router, line)| **router != self.me && line.record.state == VmState::Live)
+            .map(|(_, line)| &line.record)
+    }
+
+    /// The newest sequence number heard of a router; 0 for none.
+    pub fn heard_sequence(&self, router: RouterId) -> u64 {
+        self.traces.get(&router).map_or(0, |trace| trace.sequence)
+    }
+
+    /// When any peer was last heard.
+    pub fn heard_ms(&self) -> u64 {
+        self.heard_ms
+    }
+
+    /// Whom to send heartbeats: peers that are heard, and routers of the list.
+    pub fn targets(&self) -> BTreeMap<RouterId, SocketAddr> {
+        let listed = self
+            .listed
+            .iter()
+            .filter(|(router, _)| **router != self.me)
+            .map(|(router, line)| (*router, line.peer_address));
+        let heard = self
+            .peers
+            .iter()
+            .map(|(router, peer)| (*router, peer.profile.peer_address));
+        listed.chain(heard).collect()
+    }
+
+    /// All peers that are heard of.
+    pub fn iter(&self) -> impl Iterator<Item = (RouterId, &RosterPeer)> {
+        self.peers.iter().map(|(router, peer)| (*router, peer))
+    }
+
+    /// The peer of this id, if it is heard of.
+    pub fn get(&self, router: RouterId) -> Option<&RosterPeer> {
+        self.peers.get(&router)
+    }
+
+    /// The newest incarnation of a router that was ever heard; 0 for none.
+    pub fn known_incarnation(&self, router: RouterId) -> Incarnation {
+        self.traces
+            .get(&router)
+            .map_or(0, |trace| trace.incarnation)
+    }
+
+    fn may_count(&self, router: RouterId, peer: &RosterPeer, now_ms: u64) -> bool {
+        let answers = now_ms.saturating_sub(peer.answered_ms) < self.settings.dead_after_ms;
+        let steady = self
+            .traces
+            .get(&router)
+            .is_none_or(|trace| trace.flaps.is_usable(&self.settings.damping, now_ms));
+        peer.state == VmState::Live && answers && steady
+    }
+
+    fn bound_traces(&mut self) {
+        if self.traces.len() <= MAX_REMEMBERED {
+            return;
+        }
+        let oldest = self
+            .traces
+            .iter()
+            .filter(|(router, _)| !self.peers.contains_key(router))
+            .min_by_key(|(_, trace)| trace.seen_ms)
+            .map(|(router, _)| *router);
+        if let Some(router) = oldest {
+            self.traces.remove(&router);
+        }
+    }
+}
+
+impl RosterPeer {
+    /// Whether it takes new work; leaving outranks live for its incarnation.
+    pub fn state(&self) -> VmState {
+        self.state
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-core/tests/peer_roster.rs
@@ -0,0 +1,260 @@
+//! The merged view of routers: restarts, replays, one-way cuts, flapping, the list.
+
+use sapphiretrack_core::{
+    BeatTaken, Damping, EntryCandidate, Hearing, PauseWatch, PeerBeat, PeerRoster,
+    PeerRosterSettings, RosterChange, RouterId, RouterProfile, VmRecord, VmRole, VmState,
+    entry_addresses,
+};
+
+fn profile(name: &str) -> RouterProfile {
+    let address = "127.0.0.1:9000".parse().expect("an address");
+    RouterProfile {
+        name: name.to_owned(),
+        zone: String::from("zone-1"),
+        caller_address: address,
+        peer_address: address,
+        operator_address: address,
+    }
+}
+
+fn id(name: &str) -> RouterId {
+    RouterId::from_name(name)
+}
+
+fn beat(name: &str, incarnation: u64, sequence: u64) -> PeerBeat {
+    PeerBeat {
+        router: id(name),
+        incarnation,
+        sequence,
+        state: VmState::Live,
+        config_version: 1,
+        profile: Some(profile(name)),
+    }
+}
+
+fn roster() -> PeerRoster {
+    let settings = PeerRosterSettings {
+        dead_after_ms: 2_500,
+        damping: Damping::default(),
+    };
+    PeerRoster::new(id("me"), settings)
+}
+
+fn record(name: &str, state: VmState) -> VmRecord {
+    let address = "127.0.0.1:9000".parse().expect("an address");
+    VmRecord {
+        name: name.to_owned(),
+        zone: String::from("zone-1"),
+        address,
+        role: VmRole::Router {
+            peer_address: address,
+            operator_address: address,
+        },
+        state,
+    }
+}
+
+/// `name` is heard and answers at a time.
+fn alive(roster: &mut PeerRoster, name: &str, sequence: u64, now_ms: u64) {
+    roster.take_beat(&beat(name, 1, sequence), now_ms);
+    roster.note_answer(id(name), now_ms);
+}
+
+#[test]
+fn a_replayed_heartbeat_brings_no_dead_or_leaving_router_back() {
+    let mut roster = roster();
+    let first = beat("a", 5, 1);
+    assert!(matches!(
+        roster.take_beat(&first, 0),
+        BeatTaken::Taken { .. }
+    ));
+    let leaving = PeerBeat {
+        state: VmState::Leaving,
+        ..beat("a", 5, 2)
+    };
+    roster.take_beat(&leaving, 100);
+    let gone = roster.tick(2_600);
+    assert_eq!(gone, [RosterChange::Lost(String::from("a"))]);
+    for replayed in [&first, &leaving] {
+        assert_eq!(roster.take_beat(replayed, 3_000), BeatTaken::Stale);
+    }
+    assert!(roster.get(id("a")).is_none());
+    // The same incarnation may come back to finish its requests, but never as live.
+    roster.take_beat(&beat("a", 5, 3), 3_100);
+    assert_eq!(
+        roster.get(id("a")).map(|peer| peer.state()),
+        Some(VmState::Leaving)
+    );
+    roster.take_beat(&beat("a", 6, 4), 3_200);
+    assert_eq!(
+        roster.get(id("a")).map(|peer| peer.state()),
+        Some(VmState::Live)
+    );
+}
+
+#[test]
+fn leaving_by_the_list_holds_though_the_router_and_a_later_list_say_live() {
+    let mut roster = roster();
+    alive(&mut roster, "a", 1, 0);
+    roster.take_list(&[record("a", VmState::Live)], 0);
+    let changes = roster.take_list(&[record("a", VmState::Leaving)], 100);
+    assert_eq!(changes, [RosterChange::Leaving(String::from("a"))]);
+    roster.take_list(&[record("a", VmState::Live)], 200);
+    alive(&mut roster, "a", 2, 300);
+    assert_eq!(
+        roster.get(id("a")).map(|peer| peer.state()),
+        Some(VmState::Leaving)
+    );
+    assert_eq!(roster.steward_candidates(false, 300), [id("me")]);
+}
+
+#[test]
+fn a_peer_that_is_heard_but_does_not_answer_counts_no_slots() {
+    let mut roster = roster();
+    for half_second in 0..10 {
+        roster.take_beat(&beat("a", 1, half_second + 1), half_second * 500);
+    }
+    assert!(roster.get(id("a")).is_some());
+    assert_eq!(roster.steward_candidates(false, 4_500), [id("me")]);
+    roster.note_answer(id("a"), 4_600);
+    assert_eq!(roster.steward_candidates(false, 4_600).len(), 2);
+}
+
+#[test]
+fn a_router_that_restarts_again_and_again_is_held_back_from_stewardship() {
+    let mut roster = roster();
+    let is_candidate =
+        |roster: &PeerRoster, now_ms| roster.steward_candidates(false, now_ms).contains(&id("a"));
+    for incarnation in 1..=4 {
+        let now_ms = incarnation * 1_000;
+        roster.take_beat(&beat("a", incarnation, incarnation), now_ms);
+        roster.note_answer(id("a"), now_ms);
+        // One restart costs nothing beyond itself.
+        assert_eq!(
+            is_candidate(&roster, now_ms),
+            incarnation <= 2,
+            "{incarnation}"
+        );
+        if incarnation < 4 {
+            roster.note_refused(id("a"), now_ms + 500);
+        }
+    }
+    for sequence in 5..20 {
+        roster.take_beat(&beat("a", 4, sequence), 4_000 + sequence * 500);
+        roster.note_answer(id("a"), 4_000 + sequence * 500);
+    }
+    assert!(is_candidate(&roster, 13_500));
+}
+
+#[test]
+fn a_starting_router_waits_for_the_listed_ones_before_it_counts_alone() {
+    let mut roster = roster();
+    roster.take_list(&[record("a", VmState::Live), record("b", VmState::Live)], 0);
+    let awaits = |roster: &PeerRoster, now_ms| roster.holders(now_ms).len() - 1;
+    assert_eq!(awaits(&roster, 100), 2);
+    roster.note_refused(id("a"), 200);
+    assert_eq!(awaits(&roster, 200), 1);
+    assert_eq!(awaits(&roster, 2_500), 0);
+}
+
+#[test]
+fn the_profile_is_asked_for_when_it_is_not_known() {
+    let mut roster = roster();
+    let bare = PeerBeat {
+        profile: None,
+        ..beat("a", 1, 1)
+    };
+    assert_eq!(roster.take_beat(&bare, 0), BeatTaken::NeedsProfile);
+    roster.take_beat(&beat("a", 1, 2), 0);
+    let bare = PeerBeat {
+        sequence: 3,
+        ..bare
+    };
+    assert_eq!(
+        roster.take_beat(&bare, 0),
+        BeatTaken::Taken { change: None }
+    );
+    // Another run may have moved.
+    let restarted = PeerBeat {
+        incarnation: 2,
+        sequence: 4,
+        ..bare
+    };
+    assert_eq!(roster.take_beat(&restarted, 0), BeatTaken::NeedsProfile);
+}
+
+#[test]
+fn a_list_without_routers_makes_nobody_the_only_router() {
+    let mut roster = roster();
+    roster.take_list(&[record("a", VmState::Live)], 0);
+    roster.take_list(&[], 1_000);
+    assert!(roster.expects_others());
+    assert_eq!(roster.targets().len(), 1);
+}
+
+#[test]
+fn a_woken_router_takes_its_peers_for_alive_until_their_full_time_has_passed() {
+    let mut watch = PauseWatch::default();
+    assert_eq!(watch.turn(0), None);
+    assert_eq!(watch.turn(100), None);
+    assert_eq!(watch.turn(30_100), Some(30_000));
+    let mut roster = roster();
+    alive(&mut roster, "a", 1, 100);
+    roster.forgive_silence(30_100);
+    assert_eq!(roster.tick(30_100), []);
+    assert_eq!(roster.holders(30_100).len(), 2);
+    assert_eq!(roster.tick(32_600).len(), 1);
+}
+
+#[test]
+fn isolation_needs_the_loss_of_platform_and_peers_and_the_only_router_never_is() {
+    let hearing = Hearing {
+        expects_others: true,
+        peer_heard_ms: 1_000,
+        platform_reached_ms: Some(2_000),
+    };
+    assert!(!hearing.is_isolated(10_000, 11_999));
+    assert!(hearing.is_isolated(10_000, 12_000));
+    let alone = Hearing {
+        expects_others: false,
+        ..hearing
+    };
+    assert!(!alone.is_isolated(10_000, 60_000));
+}
+
+#[test]
+fn lookups_are_spread_near_and_without_leaving_routers() {
+    let names: Vec<String> = (0..9).map(|index| format!("router-{index}")).collect();
+    let zones = ["zone-0", "zone-1", "zone-2"];
+    let candidates: Vec<EntryCandidate<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(index, name)| EntryCandidate {
+            id: id(name),
+            zone: zones[index % 3],
+            address: ([127, 0, 0, 1], 9_000 + index as u16).into(),
+            state: if index == 4 {
+                VmState::Leaving
+            } else {
+                VmState::Live
+            },
+        })
+        .collect();
+    let mut firsts = [0_u32; 9];
+    for spread in 0..3_000 {
+        let addresses = entry_addresses(&candidates, Some("zone-1"), spread);
+        assert_eq!(addresses.len(), 3);
+        let ports: Vec<usize> = addresses
+            .iter()
+            .map(|a| usize::from(a.port()) - 9_000)
+            .collect();
+        assert!(!ports.contains(&4));
+        assert!(
+            [1, 7].contains(&ports[0]) && [1, 7].contains(&ports[1]),
+            "{ports:?}"
+        );
+        firsts[ports[0]] += 1;
+    }
+    assert!(firsts[1].abs_diff(firsts[7]) < 300, "{firsts:?}");
+    assert!(entry_addresses(&[], Some("zone-1"), 1).is_empty());
+}
--- /dev/null
+++ b/crates/sapphiretrack-core/tests/server_roster.rs
@@ -0,0 +1,207 @@
+//! The merged view of backend servers: lists that lag and flap, reports, refusals.
+
+use sapphiretrack_core::{
+    LoadReport, PoolKind, RosterChange, ServerId, ServerRoster, ServerSighting, VmRecord, VmRole,
+    VmState,
+};
+
+fn record(name: &str, state: VmState) -> VmRecord {
+    VmRecord {
+        name: name.to_owned(),
+        zone: String::from("zone-1"),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        role: VmRole::Server {
+            pool: String::from("assistant"),
+            kind: PoolKind::Engine,
+        },
+        state,
+    }
+}
+
+fn list(names: &[&str]) -> Vec<VmRecord> {
+    names
+        .iter()
+        .map(|name| record(name, VmState::Live))
+        .collect()
+}
+
+fn report(incarnation: u64) -> LoadReport {
+    LoadReport {
+        incarnation,
+        ..LoadReport::default()
+    }
+}
+
+fn id(name: &str) -> ServerId {
+    ServerId::from_name(name)
+}
+
+/// A roster with `a` and `b`, both of incarnation 1.
+fn roster() -> ServerRoster {
+    let mut roster = ServerRoster::default();
+    roster.take_list(&list(&["a", "b"]), 0);
+    for name in ["a", "b"] {
+        roster.take_report(id(name), Some(report(1)), 0);
+    }
+    roster
+}
+
+#[test]
+fn an_empty_list_after_a_platform_restart_empties_no_pool() {
+    let mut roster = roster();
+    for second in 1..600 {
+        let now_ms = second * 1_000;
+        roster.take_list(&[], now_ms);
+        roster.take_report(id("a"), Some(report(1)), now_ms);
+        assert_eq!(roster.tick(now_ms), []);
+    }
+    assert_eq!(roster.state(id("a"), 599_000), Some(VmState::Live));
+}
+
+#[test]
+fn a_list_that_flaps_or_lags_drops_no_server_that_answers() {
+    let mut roster = roster();
+    for second in 1..100 {
+        let now_ms = second * 1_000;
+        let names: &[&str] = if second % 4 == 0 { &["a", "b"] } else { &["b"] };
+        roster.take_list(&list(names), now_ms);
+        roster.take_report(id("a"), Some(report(1)), now_ms);
+        assert_eq!(roster.tick(now_ms), []);
+        assert_eq!(roster.state(id("a"), now_ms), Some(VmState::Live));
+    }
+}
+
+#[test]
+fn a_server_gone_from_the_list_and_silent_is_dropped_after_the_grace() {
+    let mut roster = roster();
+    for now_ms in (250..5_000).step_by(250) {
+        roster.take_list(&list(&["b"]), now_ms);
+        roster.take_report(id("a"), None, now_ms);
+        assert_eq!(roster.tick(now_ms), []);
+    }
+    assert_eq!(roster.state(id("a"), 4_750), Some(VmState::Leaving));
+    assert_eq!(roster.tick(5_000), [RosterChange::Lost(String::from("a"))]);
+    assert_eq!(roster.state(id("a"), 5_000), None);
+}
+
+#[test]
+fn a_server_gone_from_the_list_for_long_is_dropped_though_something_answers() {
+    let mut roster = roster();
+    for second in 1..=61 {
+        roster.take_list(&list(&["b"]), second * 1_000);
+        roster.take_report(id("a"), Some(report(1)), second * 1_000);
+    }
+    assert_eq!(roster.tick(60_999), []);
+    assert_eq!(roster.tick(61_000), [RosterChange::Lost(String::from("a"))]);
+}
+
+#[test]
+fn leaving_outranks_live_for_an_incarnation_whichever_signal_came_first() {
+    type Signal = fn(&mut ServerRoster, u64);
+    let signals: [(&str, Signal); 4] = [
+        ("list", |roster, now_ms| {
+            roster.take_list(&[record("a", VmState::Leaving)], now_ms);
+        }),
+        ("report", |roster, now_ms| {
+            let leaving = LoadReport {
+                leaving: true,
+                ..report(1)
+            };
+            roster.take_report(id("a"), Some(leaving), now_ms);
+        }),
+        ("peer", |roster, now_ms| {
+            let sighting = ServerSighting {
+                server: id("a"),
+                state: VmState::Leaving,
+                reachable: true,
+                report: report(1),
+            };
+            roster.take_sighting(&sighting, now_ms);
+        }),
+        ("refusal", |roster, now_ms| {
+            roster.note_leaving(id("a"), 1, now_ms);
+        }),
+    ];
+    for (name, signal) in signals {
+        let mut roster = roster();
+        signal(&mut roster, 1_000);
+        assert_eq!(
+            roster.state(id("a"), 1_000),
+            Some(VmState::Leaving),
+            "{name}"
+        );
+        assert_eq!(roster.new_marks(1_000), [(id("a"), 1)], "{name}");
+        // All others go on saying live: the lagging list, reports, a peer that knows no better.
+        for now_ms in (1_250..20_000).step_by(250) {
+            roster.take_list(&list(&["a", "b"]), now_ms);
+            roster.take_report(id("a"), Some(report(1)), now_ms);
+            let sighting = ServerSighting {
+                server: id("a"),
+                state: VmState::Live,
+                reachable: true,
+                report: report(1),
+            };
+            roster.take_sighting(&sighting, now_ms);
+            assert_eq!(
+                roster.state(id("a"), now_ms),
+                Some(VmState::Leaving),
+                "{name}"
+            );
+        }
+        // A restart under the same name is another incarnation and takes work again.
+        roster.take_report(id("a"), Some(report(2)), 20_000);
+        assert_eq!(roster.state(id("a"), 20_000), Some(VmState::Live), "{name}");
+        // A late word of the old incarnation does not bring it back.
+        let late = ServerSighting {
+            server: id("a"),
+            state: VmState::Leaving,
+            reachable: true,
+            report: report(1),
+        };
+        roster.take_sighting(&late, 20_100);
+        assert_eq!(roster.state(id("a"), 20_100), Some(VmState::Live), "{name}");
+    }
+}
+
+#[test]
+fn a_list_that_says_leaving_before_the_first_report_marks_the_incarnation_that_reports() {
+    let mut roster = ServerRoster::default();
+    roster.take_list(&[record("a", VmState::Leaving)], 0);
+    roster.take_report(id("a"), Some(report(7)), 100);
+    roster.take_list(&list(&["a"]), 1_000);
+    assert_eq!(roster.state(id("a"), 1_000), Some(VmState::Leaving));
+    roster.take_report(id("a"), Some(report(8)), 1_100);
+    assert_eq!(roster.state(id("a"), 1_100), Some(VmState::Live));
+}
+
+#[test]
+fn a_leaving_mark_that_comes_before_the_list_is_kept() {
+    let mut roster = ServerRoster::default();
+    roster.note_leaving(id("a"), 1, 0);
+    roster.take_list(&list(&["a"]), 100);
+    roster.take_report(id("a"), Some(report(1)), 200);
+    assert_eq!(roster.state(id("a"), 200), Some(VmState::Leaving));
+}
+
+#[test]
+fn a_flapping_engine_is_held_back_longer_each_time_and_a_single_failure_costs_nothing_more() {
+    let mut roster = roster();
+    let mut now_ms = 0;
+    let mut held_ms = Vec::new();
+    for _ in 0..5 {
+        for _ in 0..3 {
+            now_ms += 250;
+            roster.take_report(id("a"), None, now_ms);
+        }
+        assert_eq!(roster.state(id("a"), now_ms), Some(VmState::Leaving));
+        let back_ms = now_ms + 250;
+        now_ms = back_ms;
+        roster.take_report(id("a"), Some(report(1)), now_ms);
+        while roster.state(id("a"), now_ms) != Some(VmState::Live) {
+            now_ms += 250;
+            roster.take_report(id("a"), Some(report(1)), now_ms);
+        }
+        held_ms.push(now_ms - back_ms);
+    }
+    assert_eq!(held_ms, [0, 2_000, 4_000, 8_000, 16_000]);
+}
--- a/crates/sapphiretrack-fakes/src/engine.rs
+++ b/crates/sapphiretrack-fakes/src/engine.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use sapphiretrack_backend::wire::{
-    ATTEMPT_HEADER, CHAT_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER, RESUME_HEADER,
+    ATTEMPT_HEADER, CHAT_HEADER, LEAVING_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER, RESUME_HEADER,
 };
 use sapphiretrack_core::{
     Chunk, ChunkChoice, Delta, Incarnation, LoadReport, STREAM_END, Usage, hash_parts,
@@ -77,6 +77,8 @@
     pub frozen: bool,
     /// The engine says that it is leaving.
     pub leaving: bool,
+    /// The engine refuses new requests because it is leaving, without its reports saying so.
+    pub refuse_as_leaving: bool,
 }
 
 /// The stand-in engine; clones are the same one.
@@ -188,6 +190,9 @@
         if !self.shared.take_in() {
             let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, "{}");
             let yes = http::HeaderValue::from_static("true");
+            if self.shared.lock().faults.refuse_as_leaving {
+                response.headers_mut().insert(LEAVING_HEADER, yes.clone());
+            }
             response.headers_mut().insert(NOT_STARTED_HEADER, yes);
             return Err(response);
         }
@@ -221,6 +226,9 @@
     /// Whether a request is started, or waits for its start.
     fn take_in(&self) -> bool {
         let mut state = self.lock();
+        if state.faults.refuse_as_leaving {
+            return false;
+        }
         if state.faults.refuse > 0 {
             state.faults.refuse -= 1;
             return false;
--- a/crates/sapphiretrack-peer/src/client.rs
+++ b/crates/sapphiretrack-peer/src/client.rs
@@ -8,14 +8,17 @@
 
 use sapphiretrack_core::{Grant, ReservationId, ReserveRequest, RouterId, ServerId};
 use snafu::{IntoError, ResultExt};
-use tarpc::client::Config;
+use tarpc::client::{Config, RpcError};
 use tarpc::context;
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
 
-use crate::error::{EncodeSnafu, NoReplySnafu, PeerError, RejectedSnafu, UnreachableSnafu};
+use crate::error::{
+    ConnectionLostSnafu, EncodeSnafu, NoReplySnafu, PeerError, RejectedSnafu, UnreachableSnafu,
+};
 use crate::server::{CellRpcClient as Stub, MAX_FRAME_BYTES};
-use crate::wire::{ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, SigningKey};
+use crate::signing::SigningKey;
+use crate::wire::{ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, VmListReply};
 
 /// How peers are called.
 #[derive(Clone, Copy, Debug)]
@@ -66,10 +69,13 @@
         peer: SocketAddr,
         heartbeat: Heartbeat,
     ) -> Result<HeartbeatReply, PeerError> {
-        match self
-            .call(peer, PeerRequest::Heartbeat(Box::new(heartbeat)))
-            .await?
-        {
+        let request = PeerRequest::Heartbeat(Box::new(heartbeat));
+        let mut reply = self.call(peer, &request).await;
+        if matches!(reply, Err(PeerError::ConnectionLost { .. })) {
+            // A new connection tells at once whether the peer's process has ended.
+            reply = self.call(peer, &request).await;
+        }
+        match reply? {
             PeerReply::Heartbeat(reply) => Ok(reply),
             _ => RejectedSnafu.fail(),
         }
@@ -81,7 +87,7 @@
         peer: SocketAddr,
         request: ReserveRequest,
     ) -> Result<Grant, PeerError> {
-        match self.call(peer, PeerRequest::Reserve(request)).await? {
+        match self.call(peer, &PeerRequest::Reserve(request)).await? {
             PeerReply::Reserve(grant) => Ok(grant),
             _ => RejectedSnafu.fail(),
         }
@@ -97,7 +103,7 @@
     ) -> Result<(), PeerError> {
         self.call(
             peer,
-            PeerRequest::Release {
+            &PeerRequest::Release {
                 router,
                 server,
                 reservation,
@@ -111,7 +117,7 @@
     pub async fn fetch_config(&self, peer: SocketAddr) -> Result<ConfigReply, PeerError> {
         let timeout_ms = self.settings.fetch_timeout_ms;
         match self
-            .call_within(peer, PeerRequest::FetchConfig, timeout_ms)
+            .call_within(peer, &PeerRequest::FetchConfig, timeout_ms)
             .await?
         {
             PeerReply::Config(reply) => Ok(reply),
@@ -119,7 +125,19 @@
         }
     }
 
-    async fn call(&self, peer: SocketAddr, request: PeerRequest) -> Result<PeerReply, PeerError> {
+    /// Fetches a peer's list of VMs.
+    pub async fn fetch_vm_list(&self, peer: SocketAddr) -> Result<VmListReply, PeerError> {
+        let timeout_ms = self.settings.fetch_timeout_ms;
+        match self
+            .call_within(peer, &PeerRequest::FetchVmList, timeout_ms)
+            .await?
+        {
+            PeerReply::VmList(reply) => Ok(reply),
+            _ => RejectedSnafu.fail(),
+        }
+    }
+
+    async fn call(&self, peer: SocketAddr, request: &PeerRequest) -> Result<PeerReply, PeerError> {
         self.call_within(peer, request, self.settings.call_timeout_ms)
             .await
     }
@@ -127,10 +145,10 @@
     async fn call_within(
         &self,
         peer: SocketAddr,
-        request: PeerRequest,
+        request: &PeerRequest,
         timeout_ms: u64,
     ) -> Result<PeerReply, PeerError> {
-        let signed = self.key.sign(&request).context(EncodeSnafu)?;
+        let signed = self.key.sign(request).context(EncodeSnafu)?;
         self.sent_bytes
             .fetch_add(signed.body.len() as u64, Ordering::Relaxed);
         let timeout = Duration::from_millis(timeout_ms);
@@ -138,9 +156,10 @@
             let stub = self.connection(peer).await?;
             let mut context = context::current();
             context.deadline = Instant::now() + timeout;
-            match stub.call(context, signed).await {
+            match stub.call(context, signed.clone()).await {
                 Ok(reply) => Ok(reply),
-                Err(error) => NoReplySnafu {
+                Err(RpcError::DeadlineExceeded) => no_reply(timeout_ms),
+                Err(error) => ConnectionLostSnafu {
                     reason: error.to_string(),
                 }
                 .fail(),
@@ -148,17 +167,14 @@
         });
         let result = match called.await {
             Ok(result) => result,
-            Err(_) => NoReplySnafu {
-                reason: format!("none within {timeout_ms} ms"),
-            }
-            .fail(),
+            Err(_) => no_reply(timeout_ms),
         };
         if result.is_err() {
             self.forget(peer);
         }
-        match result {
-            Ok(PeerReply::Rejected) => RejectedSnafu.fail(),
-            other => other,
+        match self.key.open_reply(&signed, &result?) {
+            None | Some(PeerReply::Rejected | PeerReply::Unsupported) => RejectedSnafu.fail(),
+            Some(reply) => Ok(reply),
         }
     }
 
@@ -186,3 +202,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn no_reply<Reply>(timeout_ms: u64) -> Result<Reply, PeerError> {
+    NoReplySnafu {
+        reason: format!("none within {timeout_ms} ms"),
+    }
+    .fail()
+}
--- a/crates/sapphiretrack-peer/src/error.rs
+++ b/crates/sapphiretrack-peer/src/error.rs
@@ -12,7 +12,7 @@
         /// What the transport said.
         source: std::io::Error,
     },
-    /// No reply in time, or the connection broke.
+    /// No reply in time.
     #[snafu(display("no reply from the peer: {reason}"))]
     NoReply {
         /// What happened.
@@ -27,4 +27,18 @@
         /// Why.
         source: bincode::Error,
     },
+    /// The connection ended before the reply.
+    #[snafu(display("the connection to the peer ended: {reason}"))]
+    ConnectionLost {
+        /// What happened.
+        reason: String,
+    },
+}
+
+impl PeerError {
+    /// Whether nothing listens at the peer's address: its process has ended.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Unreachable { source }
+            if source.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
 }
--- a/crates/sapphiretrack-peer/src/lib.rs
+++ b/crates/sapphiretrack-peer/src/lib.rs
@@ -3,12 +3,14 @@
 mod client;
 mod error;
 mod server;
+mod signing;
 mod wire;
 
 pub use client::{PeerClient, Settings};
 pub use error::PeerError;
 pub use server::{PeerHandlers, serve};
+pub use signing::{Opened, Signed, SigningKey};
 pub use wire::{
-    ConfigReply, Heartbeat, HeartbeatReply, PROTOCOL_VERSION, PeerReply, PeerRequest, ServerState,
-    Signed, SigningKey,
+    ConfigReply, Heartbeat, HeartbeatReply, InFlight, OLDEST_PROTOCOL_VERSION, PROTOCOL_VERSION,
+    PeerReply, PeerRequest, Section, ServerState, VmListReply,
 };
--- a/crates/sapphiretrack-peer/src/server.rs
+++ b/crates/sapphiretrack-peer/src/server.rs
@@ -1,22 +1,32 @@
 //! Serves calls of peers.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::StreamExt;
 use futures::future::BoxFuture;
+use tarpc::ChannelError;
 use tarpc::context::Context;
 use tarpc::serde_transport::tcp;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::time::timeout;
 
-use crate::wire::{PeerReply, PeerRequest, Signed, SigningKey};
+use crate::signing::{Opened, Signed, SigningKey};
+use crate::wire::{PeerReply, PeerRequest};
+
+/// A connection on which no call comes for so long is closed: the other end of it may be gone
+/// without a word.
+const MAX_SILENCE: Duration = Duration::from_secs(30);
 
 /// The one remote procedure; requests differ by their body.
 #[tarpc::service]
 pub(crate) trait CellRpc {
     /// Runs a signed request.
-    async fn call(request: Signed) -> PeerReply;
+    async fn call(request: Signed) -> Signed;
 }
 
 /// What the daemon does with calls of peers.
@@ -43,12 +53,20 @@
             let Ok(transport) = connection else { continue };
             let server = server.clone();
             tokio::spawn(async move {
-                BaseChannel::with_defaults(transport)
-                    .execute(server.serve())
-                    .for_each(|response| async {
-                        tokio::spawn(response);
-                    })
-                    .await;
+                let mut requests = pin!(BaseChannel::with_defaults(transport).requests());
+                while let Ok(Some(request)) = timeout(MAX_SILENCE, requests.next()).await {
+                    match request {
+                        Ok(request) => {
+                            tokio::spawn(request.execute(server.clone().serve()));
+                        }
+                        Err(error) => {
+                            if is_malformed(&error) {
+                                (server.handlers.rejected)();
+                            }
+                            return;
+                        }
+                    }
+                }
             });
         }
     };
@@ -65,11 +83,28 @@
 }
 
 impl CellRpc for PeerServer {
-    async fn call(self, _: Context, request: Signed) -> PeerReply {
-        let Some(request) = self.key.open(&request) else {
-            (self.handlers.rejected)();
-            return PeerReply::Rejected;
+    async fn call(self, _: Context, request: Signed) -> Signed {
+        let reply = match self.key.open(&request) {
+            Opened::Request(call) => (self.handlers.handle)(call).await,
+            Opened::Later => PeerReply::Unsupported,
+            Opened::Foreign => {
+                (self.handlers.rejected)();
+                PeerReply::Rejected
+            }
         };
-        (self.handlers.handle)(request).await
+        // A reply that cannot be encoded is answered like no reply: the caller rejects it.
+        self.key.sign_reply(&request, &reply).unwrap_or(request)
     }
 }
+
+/// Whether a connection ended because of what came, and not because it broke.
+fn is_malformed(error: &ChannelError<std::io::Error>) -> bool {
+    let ChannelError::Read(error) = error else {
+        return false;
+    };
+    // The transport wraps the error of its codec.
+    let inner = error
+        .get_ref()
+        .and_then(|inner| inner.downcast_ref::<std::io::Error>());
+    inner.unwrap_or(error).kind() == ErrorKind::InvalidData
+}
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -1,50 +1,67 @@
 //! The messages between routers.
+//!
+//! Two releases run side by side: enums grow at their end only, and a heartbeat grows by new
+//! kinds of [`Section`], which an older release passes over. A change that an older release
+//! cannot pass over raises [`OLDEST_PROTOCOL_VERSION`] one release after it was last sent.
 
-use std::net::SocketAddr;
-
-use hmac::{Hmac, Mac};
 use sapphiretrack_core::{
-    Grant, HeldSlots, Incarnation, LoadReport, ReservationId, ReserveRequest, RouterId, ServerId,
-    VmState,
+    Grant, HeldSlots, Incarnation, LoadReport, ReservationId, ReserveRequest, RouterId,
+    RouterProfile, ServerId, VmState,
 };
 use serde::{Deserialize, Serialize};
-use sha2::Sha256;
-
-/// Bytes of the HMAC-SHA-256 that travel with a message.
-const SIGNATURE_BYTES: usize = 16;
 
-/// The version of the messages; routers of another version are not understood.
-pub const PROTOCOL_VERSION: u16 = 1;
+/// The version of the messages that this release sends.
+pub const PROTOCOL_VERSION: u16 = 2;
+/// The oldest version that this release understands.
+pub const OLDEST_PROTOCOL_VERSION: u16 = 2;
 
 /// What a router tells each peer of its cell, again and again.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
     /// Who.
     pub router: RouterId,
-    /// Its name.
-    pub name: String,
-    /// Its availability zone.
-    pub zone: String,
     /// Which run of it.
     pub incarnation: Incarnation,
-    /// Rises with each heartbeat of an incarnation.
+    /// Rises with each heartbeat, and over restarts too.
     pub sequence: u64,
+    /// The newest sequence number of the receiver that the sender has taken in; 0 for none.
+    pub heard_sequence: u64,
     /// Whether it takes new work.
     pub state: VmState,
-    /// Where callers reach it.
-    pub caller_address: SocketAddr,
-    /// Where peers reach it.
-    pub peer_address: SocketAddr,
-    /// Where operators reach it.
-    pub operator_address: SocketAddr,
     /// The configuration version that it has in force.
     pub config_version: u64,
-    /// Its own requests in flight on each server that has any.
-    pub in_flight: Vec<(ServerId, u16)>,
+    /// Who it is, for a receiver that may not know.
+    pub profile: Option<Box<RouterProfile>>,
+    /// Its own requests in flight.
+    pub in_flight: InFlight,
     /// What it knows first-hand of the servers that it watches.
     pub servers: Vec<ServerState>,
     /// What it holds on the servers whose steward the receiver is.
     pub held: HeldSlots,
+    /// Incarnations of servers that are newly known to be leaving, from whichever signal.
+    pub left_servers: Vec<(ServerId, Incarnation)>,
+    /// Tells two lists of VMs apart; 0 before the first list.
+    pub list_digest: u64,
+    /// What later releases add.
+    pub sections: Vec<Section>,
+}
+
+/// A router's own requests in flight by server.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct InFlight {
+    /// Whether servers that are not named have none; else they are as in the heartbeat before.
+    pub whole: bool,
+    /// The counts.
+    pub counts: Vec<(ServerId, u16)>,
+}
+
+/// A part of a heartbeat that releases before its kind pass over.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Section {
+    /// What it is.
+    pub kind: u16,
+    /// Its encoded content.
+    pub body: Vec<u8>,
 }
 
 /// What a router knows first-hand of a backend server that it watches.
@@ -61,10 +78,14 @@
 }
 
 /// The answer to a heartbeat.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct HeartbeatReply {
     /// The configuration version that the receiver has in force.
     pub config_version: u64,
+    /// The receiver lacks the profile or the heartbeats before: the next one has to be whole.
+    pub wants_whole: bool,
+    /// The newest incarnation of the sender that the receiver ever heard.
+    pub known_incarnation: Incarnation,
 }
 
 /// A configuration, as JSON text, since its form may grow.
@@ -74,6 +95,13 @@
     pub config_json: String,
 }
 
+/// A list of VMs, as JSON text, since its form may grow.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct VmListReply {
+    /// The VM records.
+    pub vms_json: String,
+}
+
 /// A call from one router to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerRequest {
@@ -92,6 +120,8 @@
     },
     /// Asks for the receiver's configuration.
     FetchConfig,
+    /// Asks for the receiver's list of VMs, for a router that cannot reach the platform.
+    FetchVmList,
 }
 
 /// The reply to a call.
@@ -105,54 +135,10 @@
     Released,
     /// To a request for the configuration.
     Config(ConfigReply),
-    /// The call was not understood or not signed by the cell's key.
+    /// The call was not signed by the cell's key, or is malformed.
     Rejected,
-}
-
-/// A request with the proof that its sender has the cell's key.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Signed {
-    /// The protocol version of the sender.
-    pub version: u16,
-    /// The first bytes of the HMAC-SHA-256 of the body under the cell's key.
-    pub signature: [u8; SIGNATURE_BYTES],
-    /// The encoded [`PeerRequest`].
-    pub body: Vec<u8>,
-}
-
-/// The key that the routers of a cell share.
-#[derive(Clone)]
-pub struct SigningKey {
-    mac: Hmac<Sha256>,
-}
-
-impl SigningKey {
-    /// A key; all routers of a cell need the same text.
-    pub fn new(secret: &str) -> Self {
-        let mac = Hmac::new_from_slice(secret.as_bytes()).expect("HMAC takes keys of any length");
-        Self { mac }
-    }
-
-    /// Encodes and signs a request.
-    pub fn sign(&self, request: &PeerRequest) -> Result<Signed, bincode::Error> {
-        let body = bincode::serialize(request)?;
-        let whole = self.mac.clone().chain_update(&body).finalize().into_bytes();
-        let mut signature = [0; SIGNATURE_BYTES];
-        signature.copy_from_slice(&whole[..SIGNATURE_BYTES]);
-        Ok(Signed {
-            version: PROTOCOL_VERSION,
-            signature,
-            body,
-        })
-    }
-
-    /// Checks and decodes a request; none if it is foreign or malformed.
-    pub fn open(&self, signed: &Signed) -> Option<PeerRequest> {
-        if signed.version != PROTOCOL_VERSION {
-            return None;
-        }
-        let mac = self.mac.clone().chain_update(&signed.body);
-        mac.verify_truncated_left(&signed.signature).ok()?;
-        bincode::deserialize(&signed.body).ok()
-    }
+    /// To a request for the list of VMs.
+    VmList(VmListReply),
+    /// The call is of a later release than the receiver.
+    Unsupported,
 }
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use sapphiretrack_core::{FleetConfig, Grant, LoadReport, ReservationId, RouterId, ServerId};
-use sapphiretrack_peer::{PeerReply, PeerRequest};
+use sapphiretrack_core::{
+    FleetConfig, Grant, Incarnation, LoadReport, ReservationId, RouterId, ServerId,
+};
+use sapphiretrack_peer::{HeartbeatReply, PeerReply, PeerRequest};
 use sapphiretrack_platform::wire::VmList;
 use tokio::sync::{mpsc, oneshot};
 
@@ -52,13 +54,29 @@
     },
     /// A peer answered a heartbeat.
     PeerAnswered {
-        /// The peer.
-        router: RouterId,
-        /// The configuration version that it has in force.
-        config_version: u64,
+        /// The peer; none for an address of the settings.
+        router: Option<RouterId>,
+        /// Where it was called.
+        address: SocketAddr,
+        /// The heartbeat's sequence number.
+        sequence: u64,
+        /// Its answer.
+        answer: HeartbeatReply,
     },
     /// The planned stop begins.
     Stop,
+    /// Nothing listens at a peer's address.
+    PeerRefused {
+        /// The peer.
+        router: RouterId,
+    },
+    /// A request met a server that says that it is leaving.
+    ServerLeaving {
+        /// The server.
+        server: ServerId,
+        /// The incarnation to which the request was sent.
+        incarnation: Incarnation,
+    },
 }
 
 /// The control thread's part of a reservation.
--- a/crates/sapphiretrackd/src/control/mod.rs
+++ b/crates/sapphiretrackd/src/control/mod.rs
@@ -4,10 +4,13 @@
 //! reports) runs in tasks beside the loop and comes back as a [`Command`].
 
 mod handle;
+mod heartbeats;
 mod polling;
+mod slots;
 mod snapshot;
 mod state;
 mod thread;
+mod views;
 
 pub(crate) use handle::{Begun, Command, CommandReceiver, ControlHandle, Place, control_channel};
 pub(crate) use snapshot::Snapshot;
--- a/crates/sapphiretrackd/src/control/polling.rs
+++ b/crates/sapphiretrackd/src/control/polling.rs
@@ -7,18 +7,26 @@
 use sapphiretrack_backend::BackendClient;
 use sapphiretrack_core::{FleetConfig, ServerId};
 use sapphiretrack_peer::PeerClient;
+use sapphiretrack_platform::wire::VmList;
 use sapphiretrack_platform::{ConfigurationStore, PlatformClient};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::control::handle::{Command, ControlHandle};
 
-/// How often the platform's list of VMs is read.
+/// How often one router of the cell reads the platform's list of VMs.
 const VM_LIST_PERIOD: Duration = Duration::from_millis(1_000);
 /// How often one router of the cell reads the configuration version.
 const CONFIG_PERIOD: Duration = Duration::from_millis(1_000);
 
 /// Reads the list of VMs again and again.
-pub(crate) async fn poll_vm_list(platform: PlatformClient, control: ControlHandle) {
+///
+/// The routers of a cell share one read a second. `now` asks for a read because a peer has
+/// another list; even then a router reads once a period at most.
+pub(crate) async fn poll_vm_list(
+    platform: PlatformClient,
+    control: ControlHandle,
+    now: Arc<Notify>,
+) {
     loop {
         let list = platform.vms().await;
         control.send(Command::Platform {
@@ -27,7 +35,22 @@
         if let Ok(list) = list {
             control.send(Command::VmList(list));
         }
+        let routers = control.snapshot().live_routers().max(1) as u32;
         tokio::time::sleep(VM_LIST_PERIOD).await;
+        tokio::select! {
+            () = tokio::time::sleep(VM_LIST_PERIOD * (routers - 1)) => {}
+            () = now.notified() => {}
+        }
+    }
+}
+
+/// Fetches the list of VMs from a peer, for a router that cannot reach the platform.
+pub(crate) async fn fetch_vm_list(peers: PeerClient, address: SocketAddr, control: ControlHandle) {
+    let Ok(reply) = peers.fetch_vm_list(address).await else {
+        return;
+    };
+    if let Ok(vms) = serde_json::from_str(&reply.vms_json) {
+        control.send(Command::VmList(VmList { vms }));
     }
 }
 
--- a/crates/sapphiretrackd/src/control/snapshot.rs
+++ b/crates/sapphiretrackd/src/control/snapshot.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use sapphiretrack_core::{FleetConfig, PoolView, RouterId, RouterView, VmState};
+use sapphiretrack_core::{FleetConfig, PoolView, RouterId, RouterView, VmRecord, VmState};
 
 /// An immutable picture of the control state.
 #[derive(Clone, Debug)]
@@ -22,6 +22,8 @@
     pub(crate) stopping: bool,
     /// Whether the platform was reached lately.
     pub(crate) platform_reached: bool,
+    /// Other routers that the platform's last list shows as live.
+    pub(crate) listed_routers: Vec<VmRecord>,
 }
 
 impl Snapshot {
@@ -35,6 +37,7 @@
             isolated: false,
             stopping: false,
             platform_reached: false,
+            listed_routers: Vec::new(),
         }
     }
 
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -1,33 +1,28 @@
 //! The control state and how messages change it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    FleetConfig, Grant, HeldSlots, Incarnation, Ledger, LedgerSettings, LoadBound, LoadReport,
-    PoolKind, PoolView, Refreshed, ReservationId, ReserveRequest, RouterId, RouterView, ServerId,
-    ServerView, VmRecord, VmRole, VmState, newer_config, steward_of,
-};
-use sapphiretrack_peer::{
-    ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, ServerState,
+    FleetConfig, Hearing, Incarnation, Ledger, LedgerSettings, LoadBound, LoadReport, PauseWatch,
+    PeerRoster, PeerRosterSettings, Refreshed, ReservationId, RosterChange, RouterId,
+    RouterProfile, ServerId, ServerRoster, ServerRosterSettings, VmRecord, VmState, hash_parts,
+    newer_config,
 };
+use sapphiretrack_peer::{ConfigReply, PeerReply, PeerRequest, VmListReply};
 use sapphiretrack_platform::wire::VmList;
 
-use crate::control::Snapshot;
-use crate::control::handle::{Begun, Place};
+use crate::control::heartbeats::HeartbeatBook;
+use crate::control::slots::Held;
 use crate::events::Event;
 
 /// Who this router is.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
     pub(crate) id: RouterId,
-    pub(crate) name: String,
-    pub(crate) zone: String,
     pub(crate) incarnation: Incarnation,
-    pub(crate) caller_address: SocketAddr,
-    pub(crate) operator_address: SocketAddr,
-    pub(crate) peer_address: SocketAddr,
+    pub(crate) profile: RouterProfile,
 }
 
 /// Times that rule the control state.
@@ -40,69 +35,72 @@
 
 /// All control state; only the control thread has it.
 pub(crate) struct ControlState {
-    identity: Identity,
-    timing: Timing,
-    bound: LoadBound,
-    config: Arc<FleetConfig>,
-    listed: Vec<VmRecord>,
-    peers: BTreeMap<RouterId, Peer>,
-    servers: BTreeMap<ServerId, Server>,
-    ledger: Ledger,
-    held: BTreeMap<ReservationId, Held>,
-    next_reservation: u32,
-    heartbeat_sequence: u64,
+    pub(super) identity: Identity,
+    pub(super) timing: Timing,
+    pub(super) bound: LoadBound,
+    pub(super) config: Arc<FleetConfig>,
+    pub(super) list: Vec<VmRecord>,
+    pub(super) list_digest: u64,
+    pub(super) peers: PeerRoster,
+    pub(super) servers: ServerRoster,
+    pub(super) ledger: Ledger,
+    pub(super) held: BTreeMap<ReservationId, Held>,
+    pub(super) next_reservation: u32,
+    pub(super) book: HeartbeatBook,
+    pub(super) stopping: bool,
+    /// The list says that this router is leaving, and others were there to take over.
+    told_to_leave: bool,
+    pub(super) isolated: bool,
+    pub(super) stewards: Vec<RouterId>,
+    /// Whether traffic threads need a new snapshot.
+    pub(super) changed: bool,
+    /// Whether peers need a heartbeat at once.
+    pub(super) urgent: bool,
+    seeds: Vec<SocketAddr>,
+    pause: PauseWatch,
     platform_reached_ms: Option<u64>,
-    peer_heard_ms: u64,
-    stopping: bool,
-    isolated: bool,
-}
-
-/// A peer as it was last heard.
-struct Peer {
-    heartbeat: Heartbeat,
-    heard_ms: u64,
-    left: bool,
-}
-
-/// A backend server as it was last heard of.
-#[derive(Clone, Debug, Default)]
-struct Server {
-    report: LoadReport,
-    reported_ms: u64,
-    failed_reports: u32,
-    /// The incarnation that is leaving; it outranks live for that incarnation.
-    leaving: Option<Incarnation>,
-}
-
-/// A slot that this router holds or has asked for.
-struct Held {
-    server: ServerId,
-    steward: Option<SocketAddr>,
+    platform_was_reached: bool,
 }
 
-/// Reports that may fail in a row before a server gets no new work.
-const MAX_FAILED_REPORTS: u32 = 3;
-
 impl ControlState {
     /// The state of a router that has heard nothing yet.
-    pub(crate) fn new(identity: Identity, timing: Timing, bound: LoadBound) -> Self {
-        let ledger = Ledger::new(identity.id, LedgerSettings::default());
+    pub(crate) fn new(
+        identity: Identity,
+        timing: Timing,
+        bound: LoadBound,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        let peer_settings = PeerRosterSettings {
+            dead_after_ms: timing.dead_after_ms,
+            damping: Default::default(),
+        };
+        let server_settings = ServerRosterSettings {
+            report_stale_after_ms: timing.report_stale_after_ms,
+            ..Default::default()
+        };
         Self {
+            ledger: Ledger::new(identity.id, LedgerSettings::default()),
+            peers: PeerRoster::new(identity.id, peer_settings),
+            servers: ServerRoster::new(server_settings),
+            book: HeartbeatBook::new(identity.incarnation),
             identity,
             timing,
             bound,
             config: Arc::default(),
-            listed: Vec::new(),
-            peers: BTreeMap::new(),
-            servers: BTreeMap::new(),
-            ledger,
+            list: Vec::new(),
+            list_digest: 0,
             held: BTreeMap::new(),
             next_reservation: 0,
-            heartbeat_sequence: 0,
-            platform_reached_ms: None,
-            peer_heard_ms: 0,
             stopping: false,
+            told_to_leave: false,
             isolated: false,
+            stewards: Vec::new(),
+            changed: true,
+            urgent: false,
+            seeds,
+            pause: PauseWatch::default(),
+            platform_reached_ms: None,
+            platform_was_reached: false,
         }
     }
 
@@ -116,29 +114,31 @@
         self.config.version
     }
 
-    /// Takes in the platform's list.
-    pub(crate) fn take_vm_list(&mut self, list: VmList) {
-        for record in &list.vms {
-            if matches!(record.role, VmRole::Server { .. })
-                && !self.listed.iter().any(|known| known.name == record.name)
-            {
-                Event::SERVER_JOINED.log(&[("server", &record.name)]);
-            }
+    /// Takes in the platform's list, read by this router or by a peer.
+    pub(crate) fn take_vm_list(&mut self, mut list: VmList, now_ms: u64) {
+        list.vms.sort_by(|a, b| a.name.cmp(&b.name));
+        let peers = self.peers.take_list(&list.vms, now_ms);
+        let servers = self.servers.take_list(&list.vms, now_ms);
+        self.note_peer_changes(&peers);
+        self.note_server_changes(&servers);
+        let mut others = self.peers.iter();
+        let others_live = others.any(|(_, peer)| peer.state() == VmState::Live);
+        if self.peers.is_listed_leaving() && others_live && !self.told_to_leave {
+            self.told_to_leave = true;
+            self.changed = true;
+            self.urgent = true;
         }
-        for record in &self.listed {
-            if matches!(record.role, VmRole::Server { .. })
-                && !list.vms.iter().any(|known| known.name == record.name)
-            {
-                Event::SERVER_LOST.log(&[("server", &record.name)]);
-            }
+        if list.vms != self.list {
+            let text = serde_json::to_vec(&list.vms).unwrap_or_default();
+            self.list_digest = hash_parts(&[&text]);
+            self.list = list.vms;
+            self.changed = true;
         }
-        self.listed = list.vms;
-        let names: BTreeSet<ServerId> = self
-            .listed
-            .iter()
-            .map(|record| ServerId::from_name(&record.name))
-            .collect();
-        self.servers.retain(|server, _| names.contains(server));
+    }
+
+    /// Whether this router never got a list and has to ask a peer.
+    pub(crate) fn lacks_list(&self) -> bool {
+        self.list_digest == 0
     }
 
     /// Notes whether the platform was reached.
@@ -153,7 +153,10 @@
         let version = offered.version.to_string();
         let older = offered.version < self.config.version;
         match newer_config(&mut self.config, offered) {
-            Refreshed::InForce => Event::CONFIG_IN_FORCE.log(&[("version", &version)]),
+            Refreshed::InForce => {
+                self.changed = true;
+                Event::CONFIG_IN_FORCE.log(&[("version", &version)]);
+            }
             Refreshed::Kept if older => Event::CONFIG_OLDER.log(&[("version", &version)]),
             Refreshed::Kept => {}
         }
@@ -166,40 +169,49 @@
         report: Option<LoadReport>,
         now_ms: u64,
     ) {
-        let entry = self.servers.entry(server).or_default();
-        match report {
-            Some(report) => {
-                entry.failed_reports = 0;
-                entry.reported_ms = now_ms;
-                entry.report = report;
-                if report.leaving {
-                    entry.leaving = Some(report.incarnation);
-                }
-            }
-            None => entry.failed_reports = entry.failed_reports.saturating_add(1),
-        }
+        let before = self.seen_of(server, now_ms);
+        let change = self.servers.take_report(server, report, now_ms);
+        self.note_server_changes(change.as_slice());
+        self.changed |= self.seen_of(server, now_ms) != before;
+    }
+
+    /// Marks a server's incarnation as leaving: a request met its refusal.
+    pub(crate) fn note_server_leaving(
+        &mut self,
+        server: ServerId,
+        incarnation: Incarnation,
+        now_ms: u64,
+    ) {
+        let change = self.servers.note_leaving(server, incarnation, now_ms);
+        self.note_server_changes(change.as_slice());
+    }
+
+    /// Notes that nothing listens at a peer's address.
+    pub(crate) fn note_peer_refused(&mut self, router: RouterId, now_ms: u64) {
+        let change = self.peers.note_refused(router, now_ms);
+        self.note_peer_changes(change.as_slice());
     }
 
     /// Begins the planned stop.
     pub(crate) fn stop(&mut self) {
         self.stopping = true;
+        self.changed = true;
+        self.urgent = true;
     }
 
     /// Runs a call of a peer.
     pub(crate) fn handle_peer(&mut self, request: PeerRequest, now_ms: u64) -> PeerReply {
         match request {
             PeerRequest::Heartbeat(heartbeat) => {
-                self.take_heartbeat(*heartbeat, now_ms);
-                PeerReply::Heartbeat(HeartbeatReply {
-                    config_version: self.config.version,
-                })
+                PeerReply::Heartbeat(self.take_heartbeat(*heartbeat, now_ms))
             }
-            PeerRequest::Reserve(request) => PeerReply::Reserve(self.reserve(&request)),
+            PeerRequest::Reserve(request) => PeerReply::Reserve(self.reserve(&request, now_ms)),
             PeerRequest::Release {
                 router,
                 server,
                 reservation,
             } => {
+                self.changed = true;
                 self.ledger.release(router, server, reservation);
                 PeerReply::Released
             }
@@ -207,409 +219,146 @@
                 Ok(config_json) => PeerReply::Config(ConfigReply { config_json }),
                 Err(_) => PeerReply::Rejected,
             },
-        }
-    }
-
-    /// Starts a reservation on a server.
-    pub(crate) fn begin(&mut self, server: ServerId, bound_share: f64) -> Begun {
-        let reservation = ReservationId(self.next_reservation);
-        self.next_reservation = self.next_reservation.wrapping_add(1);
-        let steward = self.steward(server);
-        let place = match steward {
-            Some(steward) if steward == self.identity.id => {
-                let router = self.identity.id;
-                let request = ReserveRequest {
-                    router,
-                    reservation,
-                    server,
-                    bound_share,
-                };
-                Place::Here(self.reserve(&request))
-            }
-            Some(steward) => match self.peers.get(&steward) {
-                Some(peer) => Place::Peer(peer.heartbeat.peer_address),
-                None => Place::Nowhere,
+            PeerRequest::FetchVmList => match serde_json::to_string(&self.list) {
+                Ok(vms_json) => PeerReply::VmList(VmListReply { vms_json }),
+                Err(_) => PeerReply::Rejected,
             },
-            None => Place::Nowhere,
-        };
-        let granted_or_open = matches!(place, Place::Here(Grant::Granted) | Place::Peer(_));
-        if granted_or_open {
-            let steward = match place {
-                Place::Peer(address) => Some(address),
-                _ => None,
-            };
-            self.held.insert(reservation, Held { server, steward });
         }
-        Begun { reservation, place }
     }
 
-    /// Ends a reservation; returns the steward that has to be told, with the server.
-    pub(crate) fn end(&mut self, reservation: ReservationId) -> Option<(SocketAddr, ServerId)> {
-        let held = self.held.remove(&reservation)?;
-        self.ledger
-            .release(self.identity.id, held.server, reservation);
-        held.steward.map(|steward| (steward, held.server))
+    /// Has to be called at each turn of the control loop, before anything is granted.
+    ///
+    /// After a pause this router no longer knows who counts which slots: it grants nothing until
+    /// its peers have heard of it again and said anew what they hold.
+    pub(crate) fn turn(&mut self, now_ms: u64) {
+        let Some(gap_ms) = self.pause.turn(now_ms) else {
+            return;
+        };
+        Event::PAUSED.log(&[("gap_ms", &gap_ms.to_string())]);
+        self.peers.forgive_silence(now_ms);
+        self.ledger = Ledger::new(self.identity.id, LedgerSettings::default());
+        self.book.distrust_earlier();
+        self.urgent = true;
+        self.tick(now_ms);
     }
 
     /// Settles all that time alone changes. Call it often.
     pub(crate) fn tick(&mut self, now_ms: u64) {
-        self.note_lost_peers(now_ms);
-        let stewards = self.steward_candidates();
-        let stewarded: Vec<ServerId> = self
-            .listed_servers()
-            .map(|(server, _, _, _)| server)
-            .filter(|server| steward_of(*server, &stewards) == Some(self.identity.id))
-            .collect();
-        let mut holders: Vec<RouterId> = self.peers.keys().copied().collect();
-        holders.push(self.identity.id);
-        self.ledger.set_view(&stewarded, &holders, now_ms);
-        self.note_isolation(now_ms);
-    }
-
-    /// The heartbeat for each peer, with where it goes.
-    pub(crate) fn heartbeats(&mut self, now_ms: u64) -> Vec<(RouterId, SocketAddr, Heartbeat)> {
-        self.heartbeat_sequence += 1;
-        let stewards = self.steward_candidates();
-        let mut targets: BTreeMap<RouterId, SocketAddr> = self
-            .peers
-            .iter()
-            .map(|(router, peer)| (*router, peer.heartbeat.peer_address))
-            .collect();
-        for record in &self.listed {
-            let VmRole::Router { peer_address, .. } = &record.role else {
-                continue;
-            };
-            let router = RouterId::from_name(&record.name);
-            if router != self.identity.id {
-                targets.entry(router).or_insert(*peer_address);
-            }
-        }
-        targets
-            .into_iter()
-            .map(|(router, address)| {
-                let heartbeat = self.heartbeat_for(router, &stewards, now_ms);
-                (router, address, heartbeat)
-            })
-            .collect()
-    }
-
-    /// The servers whose load reports this router fetches: those that it is steward of.
-    pub(crate) fn watched_servers(&self) -> Vec<(ServerId, SocketAddr)> {
-        let stewards = self.steward_candidates();
-        self.listed_servers()
-            .filter(|(server, ..)| steward_of(*server, &stewards) == Some(self.identity.id))
-            .map(|(server, record, ..)| (server, record.address))
-            .collect()
-    }
-
-    /// A peer that has a newer configuration than this router, by its id.
-    pub(crate) fn peer_address(&self, router: RouterId) -> Option<SocketAddr> {
-        self.peers
-            .get(&router)
-            .map(|peer| peer.heartbeat.peer_address)
-    }
-
-    /// A picture for the traffic threads.
-    pub(crate) fn snapshot(&self, now_ms: u64) -> Snapshot {
-        let mut pools: BTreeMap<String, PoolView> = BTreeMap::new();
-        let in_flight = self.in_flight_by_server();
-        let stewards = self.steward_candidates();
-        for (server, record, pool, kind) in self.listed_servers() {
-            let known = self.servers.get(&server).cloned().unwrap_or_default();
-            let state = self.server_state(server, record, &known);
-            let view = ServerView {
-                id: server,
-                name: record.name.clone(),
-                zone: record.zone.clone(),
-                address: record.address,
-                state,
-                in_flight: in_flight.get(&server).copied().unwrap_or(0),
-                report: known.report,
-                steward: steward_of(server, &stewards).unwrap_or(self.identity.id),
-            };
-            let pool = pools.entry(pool.to_owned()).or_insert_with(|| PoolView {
-                name: pool.to_owned(),
-                kind,
-                servers: Vec::new(),
-            });
-            pool.servers.push(view);
-        }
-        Snapshot {
-            me: self.identity.id,
-            config: self.config.clone(),
-            routers: self.router_views(),
-            pools,
-            isolated: self.isolated,
-            stopping: self.stopping,
-            platform_reached: self.platform_reached(now_ms),
-        }
-    }
-
-    fn take_heartbeat(&mut self, heartbeat: Heartbeat, now_ms: u64) {
-        let router = heartbeat.router;
-        if router == self.identity.id {
-            return;
-        }
-        let newer = self.peers.get(&router).is_none_or(|known| {
-            let known = &known.heartbeat;
-            (heartbeat.incarnation, heartbeat.sequence) > (known.incarnation, known.sequence)
-        });
-        if !newer {
-            return;
-        }
-        self.peer_heard_ms = now_ms;
-        self.ledger.reconcile(router, &heartbeat.held);
-        for state in &heartbeat.servers {
-            self.take_server_state(state, now_ms);
-        }
-        let left = heartbeat.state == VmState::Leaving;
-        match self.peers.get(&router) {
-            None => Event::PEER_JOINED.log(&[("router", &heartbeat.name)]),
-            Some(known) if left && !known.left => {
-                Event::PEER_LEAVING.log(&[("router", &heartbeat.name)]);
-            }
-            Some(_) => {}
+        let lost_peers = self.peers.tick(now_ms);
+        self.note_peer_changes(&lost_peers);
+        let lost_servers = self.servers.tick(now_ms);
+        self.note_server_changes(&lost_servers);
+        let leaving = self.own_state() == VmState::Leaving;
+        let stewards = self.peers.steward_candidates(leaving, now_ms);
+        if stewards != self.stewards {
+            self.stewards = stewards;
+            self.changed = true;
+            self.urgent = true;
         }
-        self.peers.insert(
-            router,
-            Peer {
-                heartbeat,
-                heard_ms: now_ms,
-                left,
-            },
-        );
+        self.settle_ledger(now_ms);
+        self.note_reach(now_ms);
     }
 
-    fn take_server_state(&mut self, state: &ServerState, now_ms: u64) {
-        let entry = self.servers.entry(state.server).or_default();
-        if state.state == VmState::Leaving && entry.leaving != Some(state.report.incarnation) {
-            entry.leaving = Some(state.report.incarnation);
-        }
-        entry.report = state.report;
-        entry.reported_ms = now_ms;
-        entry.failed_reports = if state.reachable {
-            0
-        } else {
-            MAX_FAILED_REPORTS
-        };
+    /// Whether a heartbeat has to go out at once.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.urgent
     }
 
-    fn reserve(&mut self, request: &ReserveRequest) -> Grant {
-        let Some((_, _, pool, _)) = self
-            .listed_servers()
-            .find(|(server, ..)| *server == request.server)
-        else {
-            return Grant::NotSteward;
-        };
-        let in_flight = self.in_flight_by_server();
-        let mut pool_in_flight = 0;
-        let mut live_servers = 0;
-        for (server, record, other, _) in self.listed_servers() {
-            if other != pool {
-                continue;
-            }
-            pool_in_flight += in_flight.get(&server).copied().unwrap_or(0);
-            let known = self.servers.get(&server).cloned().unwrap_or_default();
-            let live = self.server_state(server, record, &known) == VmState::Live;
-            if server == request.server && !live {
-                return Grant::Full;
-            }
-            live_servers += u32::from(live);
-        }
-        let bound = self.bound;
-        self.ledger
-            .reserve(request, &bound, pool_in_flight, live_servers)
+    /// Whether a new snapshot is needed.
+    pub(crate) fn is_changed(&self) -> bool {
+        self.changed
     }
 
-    fn steward(&self, server: ServerId) -> Option<RouterId> {
-        steward_of(server, &self.steward_candidates())
+    /// A heartbeat goes out now.
+    pub(crate) fn clear_urgent(&mut self) {
+        self.urgent = false;
     }
 
-    /// Routers that may be stewards: those heard of and not leaving, or this one alone.
-    fn steward_candidates(&self) -> Vec<RouterId> {
-        let mut candidates: Vec<RouterId> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| !peer.left)
-            .map(|(router, _)| *router)
-            .collect();
-        if !self.stopping || candidates.is_empty() {
-            candidates.push(self.identity.id);
-        }
-        candidates
+    /// A new snapshot is taken now.
+    pub(crate) fn clear_changed(&mut self) {
+        self.changed = false;
     }
 
-    fn listed_servers(&self) -> impl Iterator<Item = (ServerId, &VmRecord, &str, PoolKind)> {
-        self.listed.iter().filter_map(|record| match &record.role {
-            VmRole::Server { pool, kind } => Some((
-                ServerId::from_name(&record.name),
-                record,
-                pool.as_str(),
-                *kind,
-            )),
-            VmRole::Router { .. } => None,
-        })
+    /// Addresses to try while no peer is known.
+    pub(super) fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
     }
 
-    fn server_state(&self, server: ServerId, record: &VmRecord, known: &Server) -> VmState {
-        let closed = is_leaving(record, known)
-            || self.config.is_draining(server)
-            || known.failed_reports >= MAX_FAILED_REPORTS;
-        if closed {
+    /// Whether this router takes new work; once leaving, it is so to its end.
+    pub(super) fn own_state(&self) -> VmState {
+        if self.stopping || self.told_to_leave {
             VmState::Leaving
         } else {
             VmState::Live
         }
     }
 
-    fn in_flight_by_server(&self) -> BTreeMap<ServerId, u32> {
-        let mut counts: BTreeMap<ServerId, u32> = BTreeMap::new();
-        for held in self.held.values() {
-            *counts.entry(held.server).or_default() += 1;
-        }
-        for peer in self.peers.values() {
-            for (server, count) in &peer.heartbeat.in_flight {
-                *counts.entry(*server).or_default() += u32::from(*count);
-            }
-        }
-        for (server, count) in &mut counts {
-            if let Some(exact) = self.ledger.held(*server) {
-                *count = exact;
-            }
-        }
-        counts
+    pub(super) fn platform_reached(&self, now_ms: u64) -> bool {
+        let within_ms = self.timing.isolated_after_ms;
+        self.hearing().platform_reached(within_ms, now_ms)
     }
 
-    fn heartbeat_for(&self, peer: RouterId, stewards: &[RouterId], now_ms: u64) -> Heartbeat {
-        let mut in_flight: BTreeMap<ServerId, u16> = BTreeMap::new();
-        let mut by_server: BTreeMap<ServerId, Vec<ReservationId>> = BTreeMap::new();
-        for (server, ..) in self.listed_servers() {
-            if steward_of(server, stewards) == Some(peer) {
-                by_server.insert(server, Vec::new());
-            }
-        }
-        for (reservation, held) in &self.held {
-            let count = in_flight.entry(held.server).or_default();
-            *count = count.saturating_add(1);
-            if let Some(reservations) = by_server.get_mut(&held.server) {
-                reservations.push(*reservation);
-            }
-        }
-        let servers = self
-            .listed_servers()
-            .filter(|(server, ..)| steward_of(*server, stewards) == Some(self.identity.id))
-            .filter_map(|(server, record, ..)| {
-                let known = self.servers.get(&server)?;
-                let fresh =
-                    now_ms.saturating_sub(known.reported_ms) <= self.timing.report_stale_after_ms;
-                let leaving = is_leaving(record, known);
-                let state = if leaving {
-                    VmState::Leaving
-                } else {
-                    VmState::Live
-                };
-                let reachable = known.failed_reports < MAX_FAILED_REPORTS;
-                let known_well = fresh || !reachable;
-                known_well.then_some(ServerState {
-                    server,
-                    state,
-                    reachable,
-                    report: known.report,
-                })
-            })
-            .collect();
-        Heartbeat {
-            router: self.identity.id,
-            name: self.identity.name.clone(),
-            zone: self.identity.zone.clone(),
-            incarnation: self.identity.incarnation,
-            sequence: self.heartbeat_sequence,
-            state: self.own_state(),
-            caller_address: self.identity.caller_address,
-            peer_address: self.identity.peer_address,
-            operator_address: self.identity.operator_address,
-            config_version: self.config.version,
-            in_flight: in_flight.into_iter().collect(),
-            servers,
-            held: HeldSlots {
-                next_reservation: self.next_reservation,
-                by_server: by_server.into_iter().collect(),
-            },
-        }
+    /// What traffic threads see of a server, to notice whether it changed.
+    pub(super) fn seen_of(
+        &self,
+        server: ServerId,
+        now_ms: u64,
+    ) -> Option<(LoadReport, Option<VmState>)> {
+        let known = self.servers.get(server)?;
+        Some((known.report, self.servers.state(server, now_ms)))
     }
 
-    fn own_state(&self) -> VmState {
-        if self.stopping {
-            VmState::Leaving
-        } else {
-            VmState::Live
+    pub(super) fn note_peer_changes(&mut self, changes: &[RosterChange]) {
+        for change in changes {
+            self.changed = true;
+            self.urgent = true;
+            match change {
+                RosterChange::Joined(name) => Event::PEER_JOINED.log(&[("router", name)]),
+                RosterChange::Leaving(name) => Event::PEER_LEAVING.log(&[("router", name)]),
+                RosterChange::Lost(name) => Event::PEER_LOST.log(&[("router", name)]),
+            }
         }
     }
 
-    fn router_views(&self) -> Vec<RouterView> {
-        let own = RouterView {
-            id: self.identity.id,
-            name: self.identity.name.clone(),
-            zone: self.identity.zone.clone(),
-            caller_address: self.identity.caller_address,
-            peer_address: self.identity.peer_address,
-            operator_address: self.identity.operator_address,
-            state: self.own_state(),
-            config_version: self.config.version,
-        };
-        let peers = self.peers.iter().map(|(router, peer)| RouterView {
-            id: *router,
-            name: peer.heartbeat.name.clone(),
-            zone: peer.heartbeat.zone.clone(),
-            caller_address: peer.heartbeat.caller_address,
-            peer_address: peer.heartbeat.peer_address,
-            operator_address: peer.heartbeat.operator_address,
-            state: peer.heartbeat.state,
-            config_version: peer.heartbeat.config_version,
-        });
-        std::iter::once(own).chain(peers).collect()
-    }
-
-    fn note_lost_peers(&mut self, now_ms: u64) {
-        let dead_after_ms = self.timing.dead_after_ms;
-        self.peers.retain(|_, peer| {
-            let alive = now_ms.saturating_sub(peer.heard_ms) < dead_after_ms;
-            if !alive && !peer.left {
-                Event::PEER_LOST.log(&[("router", &peer.heartbeat.name)]);
+    pub(super) fn note_server_changes(&mut self, changes: &[RosterChange]) {
+        for change in changes {
+            self.changed = true;
+            match change {
+                RosterChange::Joined(name) => Event::SERVER_JOINED.log(&[("server", name)]),
+                RosterChange::Leaving(name) => {
+                    self.urgent = true;
+                    Event::SERVER_LEAVING.log(&[("server", name)]);
+                }
+                RosterChange::Lost(name) => Event::SERVER_LOST.log(&[("server", name)]),
             }
-            alive
-        });
+        }
     }
 
-    fn platform_reached(&self, now_ms: u64) -> bool {
-        self.platform_reached_ms
-            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < self.timing.isolated_after_ms)
+    fn hearing(&self) -> Hearing {
+        Hearing {
+            expects_others: self.peers.expects_others() || !self.seeds.is_empty(),
+            peer_heard_ms: self.peers.heard_ms(),
+            platform_reached_ms: self.platform_reached_ms,
+        }
     }
 
-    fn note_isolation(&mut self, now_ms: u64) {
-        let me = self.identity.id;
-        let alone = !self.listed.iter().any(|record| {
-            matches!(record.role, VmRole::Router { .. }) && RouterId::from_name(&record.name) != me
-        });
-        let peers_silent =
-            now_ms.saturating_sub(self.peer_heard_ms) >= self.timing.isolated_after_ms;
-        let isolated = !alone && peers_silent && !self.platform_reached(now_ms);
+    fn note_reach(&mut self, now_ms: u64) {
+        let hearing = self.hearing();
+        let reached = hearing.platform_reached(self.timing.isolated_after_ms, now_ms);
+        if reached != self.platform_was_reached {
+            self.platform_was_reached = reached;
+            self.changed = true;
+        }
+        let isolated = hearing.is_isolated(self.timing.isolated_after_ms, now_ms);
         if isolated != self.isolated {
             let event = if isolated {
                 Event::ISOLATED
             } else {
                 Event::REJOINED
             };
-            event.log(&[("router", &self.identity.name)]);
+            event.log(&[("router", &self.identity.profile.name)]);
             self.isolated = isolated;
+            self.changed = true;
         }
     }
 }
-
-/// Whether a server itself, or the platform, says that this incarnation is leaving.
-fn is_leaving(record: &VmRecord, known: &Server) -> bool {
-    record.state == VmState::Leaving
-        || known
-            .leaving
-            .is_some_and(|incarnation| incarnation == known.report.incarnation)
-}
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -1,22 +1,29 @@
 //! The control loop on its own thread.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
-use sapphiretrack_peer::PeerClient;
+use sapphiretrack_core::RouterId;
+use sapphiretrack_peer::{HeartbeatReply, PeerClient};
 use sapphiretrack_platform::{ConfigurationStore, PlatformClient};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::Clock;
 use crate::control::handle::{Command, CommandReceiver, ControlHandle};
+use crate::control::heartbeats::Outgoing;
 use crate::control::{ControlState, polling};
 use crate::metrics::Metrics;
 
-/// How often the state is settled and a changed snapshot published.
-const TICK: Duration = Duration::from_millis(20);
+/// How often all that time alone changes is settled.
+const TICK: Duration = Duration::from_millis(100);
+/// The least time between two snapshots.
+const PUBLISH_PERIOD: Duration = Duration::from_millis(20);
+/// The least time between two rounds of heartbeats.
+const URGENT_PERIOD: Duration = Duration::from_millis(20);
 /// How often load reports are fetched.
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
 
@@ -31,6 +38,8 @@
     pub(crate) heartbeat_ms: u64,
     /// Bumped when the configuration shall be read at once.
     pub(crate) read_config: watch::Receiver<u64>,
+    /// Asks for a read of the list of VMs.
+    pub(crate) read_list: Arc<Notify>,
 }
 
 /// The control loop: the future that has to run on the control thread.
@@ -46,6 +55,7 @@
     tokio::spawn(polling::poll_vm_list(
         parts.platform.clone(),
         handle.clone(),
+        parts.read_list.clone(),
     ));
     tokio::spawn(polling::poll_configuration(
         ConfigurationStore::new(parts.platform.clone()),
@@ -53,15 +63,20 @@
         parts.read_config.clone(),
     ));
     let mut tick = interval(TICK);
+    let mut publish = interval(PUBLISH_PERIOD);
+    let mut urgent = interval(URGENT_PERIOD);
     let mut heartbeat = interval(Duration::from_millis(parts.heartbeat_ms));
     let mut reports = interval(REPORT_PERIOD);
     loop {
         tokio::select! {
             command = commands.recv() => {
                 let Some(command) = command else { return };
+                parts.state.turn(parts.clock.now_ms());
                 parts.run_command(command, &handle);
             }
-            _ = tick.tick() => parts.tick(&handle),
+            _ = tick.tick() => parts.tick(),
+            _ = publish.tick(), if parts.state.is_changed() => parts.publish(&handle),
+            _ = urgent.tick(), if parts.state.is_urgent() => parts.send_urgent(&handle),
             _ = heartbeat.tick() => parts.send_heartbeats(&handle),
             _ = reports.tick() => parts.fetch_reports(&handle),
         }
@@ -86,14 +101,14 @@
                 bound_share,
                 reply,
             } => {
-                let begun = self.state.begin(server, bound_share);
+                let begun = self.state.begin(server, bound_share, now_ms);
                 let reservation = begun.reservation;
                 if reply.send(begun).is_err() {
                     self.end(reservation);
                 }
             }
             Command::End { reservation } => self.end(reservation),
-            Command::VmList(list) => self.state.take_vm_list(list),
+            Command::VmList(list) => self.state.take_vm_list(list, now_ms),
             Command::Platform { reached } => self.state.note_platform(reached, now_ms),
             Command::OfferConfig(config) => {
                 self.state.offer_config(config);
@@ -104,20 +119,46 @@
             Command::Report { server, report } => self.state.take_report(server, report, now_ms),
             Command::PeerAnswered {
                 router,
-                config_version,
-            } => {
-                if config_version > self.state.config_version()
-                    && let Some(address) = self.state.peer_address(router)
-                {
-                    let fetch = polling::fetch_config(self.peers.clone(), address, handle.clone());
-                    tokio::spawn(fetch);
-                }
-            }
+                address,
+                sequence,
+                answer,
+            } => self.take_answer(router, address, sequence, &answer, handle),
             Command::Stop => {
                 self.state.stop();
-                self.tick(handle);
-                self.send_heartbeats(handle);
+                self.send_urgent(handle);
+                self.publish(handle);
+            }
+            Command::PeerRefused { router } => {
+                self.state.note_peer_refused(router, now_ms);
+                self.state.tick(now_ms);
             }
+            Command::ServerLeaving {
+                server,
+                incarnation,
+            } => self.state.note_server_leaving(server, incarnation, now_ms),
+        }
+    }
+
+    fn take_answer(
+        &mut self,
+        router: Option<RouterId>,
+        address: SocketAddr,
+        sequence: u64,
+        answer: &HeartbeatReply,
+        handle: &ControlHandle,
+    ) {
+        let now_ms = self.clock.now_ms();
+        let newer = match router {
+            Some(router) => self.state.take_answer(router, sequence, answer, now_ms),
+            None => answer.config_version > self.state.config_version(),
+        };
+        if newer {
+            let fetch = polling::fetch_config(self.peers.clone(), address, handle.clone());
+            tokio::spawn(fetch);
+        }
+        if self.state.lacks_list() {
+            let fetch = polling::fetch_vm_list(self.peers.clone(), address, handle.clone());
+            tokio::spawn(fetch);
         }
     }
 
@@ -133,27 +174,39 @@
         });
     }
 
-    fn tick(&mut self, handle: &ControlHandle) {
+    fn tick(&mut self) {
         let now_ms = self.clock.now_ms();
+        self.state.turn(now_ms);
         self.state.tick(now_ms);
-        handle.snapshot.store(Arc::new(self.state.snapshot(now_ms)));
+        if self.state.lists_differ() {
+            self.read_list.notify_one();
+        }
         self.metrics
             .control_bytes_total("peer_requests", self.peers.sent_bytes());
     }
 
+    /// Publishes a snapshot, after all that follows from the change is settled.
+    fn publish(&mut self, handle: &ControlHandle) {
+        let now_ms = self.clock.now_ms();
+        self.state.turn(now_ms);
+        self.state.tick(now_ms);
+        self.state.clear_changed();
+        let snapshot = self.state.snapshot(now_ms);
+        handle.snapshot.store(Arc::new(snapshot));
+    }
+
+    /// Settles a changed view and tells the peers at once.
+    fn send_urgent(&mut self, handle: &ControlHandle) {
+        self.state.turn(self.clock.now_ms());
+        self.state.tick(self.clock.now_ms());
+        self.state.clear_urgent();
+        self.send_heartbeats(handle);
+    }
+
     fn send_heartbeats(&mut self, handle: &ControlHandle) {
-        for (router, address, heartbeat) in self.state.heartbeats(self.clock.now_ms()) {
-            let peers = self.peers.clone();
-            let handle = handle.clone();
-            tokio::spawn(async move {
-                if let Ok(reply) = peers.heartbeat(address, heartbeat).await {
-                    let config_version = reply.config_version;
-                    handle.send(Command::PeerAnswered {
-                        router,
-                        config_version,
-                    });
-                }
-            });
+        self.state.turn(self.clock.now_ms());
+        for outgoing in self.state.heartbeats(self.clock.now_ms()) {
+            tokio::spawn(send_heartbeat(self.peers.clone(), handle.clone(), outgoing));
         }
     }
 
@@ -169,3 +222,24 @@
         }
     }
 }
+
+async fn send_heartbeat(peers: PeerClient, handle: ControlHandle, outgoing: Outgoing) {
+    let Outgoing {
+        router,
+        address,
+        heartbeat,
+    } = outgoing;
+    let sequence = heartbeat.sequence;
+    match (peers.heartbeat(address, heartbeat).await, router) {
+        (Ok(answer), _) => handle.send(Command::PeerAnswered {
+            router,
+            address,
+            sequence,
+            answer,
+        }),
+        (Err(error), Some(router)) if error.is_refused() => {
+            handle.send(Command::PeerRefused { router });
+        }
+        (Err(_), _) => {}
+    }
+}
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -9,7 +9,7 @@
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
 use sapphiretrack_caller::CallerHandlers;
-use sapphiretrack_core::{PlacementMemory, PlacementSettings, RouterId, sha256_hex};
+use sapphiretrack_core::{PlacementMemory, PlacementSettings, RouterId, RouterProfile, sha256_hex};
 use sapphiretrack_operator::OperatorHandlers;
 use sapphiretrack_operator::wire::StopReply;
 use sapphiretrack_peer::{PeerClient, PeerHandlers, SigningKey};
@@ -116,12 +116,14 @@
         let endpoints = parts.start_endpoints(&settings, &traffic)?;
         let identity = Identity {
             id: RouterId::from_name(&settings.router_name),
-            name: settings.router_name.clone(),
-            zone: settings.zone.clone(),
             incarnation: wall_clock_ms(),
-            caller_address: endpoints.callers.local_addr(),
-            operator_address: endpoints.operators.local_addr(),
-            peer_address,
+            profile: RouterProfile {
+                name: settings.router_name.clone(),
+                zone: settings.zone.clone(),
+                caller_address: endpoints.callers.local_addr(),
+                operator_address: endpoints.operators.local_addr(),
+                peer_address,
+            },
         };
         let (control, stop, metrics) = (
             parts.control.clone(),
@@ -402,13 +404,19 @@
         };
         let parts = ControlParts {
             clock: self.clock,
-            state: ControlState::new(identity, timing, settings.load_bound),
+            state: ControlState::new(
+                identity,
+                timing,
+                settings.load_bound,
+                settings.peer_seeds.0.clone(),
+            ),
             platform: self.platform,
             peers: self.peers,
             backend: self.backend,
             metrics: self.metrics,
             heartbeat_ms: settings.heartbeat_ms,
             read_config: self.read_config.subscribe(),
+            read_list: Arc::new(Notify::new()),
         };
         run_control(parts, self.control, self.commands)
     }
--- a/crates/sapphiretrackd/src/dispatch/chat.rs
+++ b/crates/sapphiretrackd/src/dispatch/chat.rs
@@ -152,6 +152,7 @@
 
     /// Decides whether another attempt follows.
     fn after_failure(&mut self, slot: &Slot, error: &BackendError) -> Result<(), Refusal> {
+        self.dispatcher.note_leaving(slot, error);
         let name = format!("{:016x}", slot.server.0);
         Event::ATTEMPT_FAILED.log(&[("server", &name), ("reason", &error.to_string())]);
         if matches!(error, BackendError::Crossed { .. }) {
--- a/crates/sapphiretrackd/src/dispatch/mod.rs
+++ b/crates/sapphiretrackd/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Runs callers' requests: limits, placement, attempts, retries.
 
 mod chat;
+mod leaving;
 mod once;
 mod service;
 mod slots;
--- a/crates/sapphiretrackd/src/dispatch/service.rs
+++ b/crates/sapphiretrackd/src/dispatch/service.rs
@@ -103,6 +103,7 @@
             }),
         };
         if let Err(error) = &result {
+            self.note_leaving(slot, error);
             let name = format!("{:016x}", slot.server.0);
             Event::ATTEMPT_FAILED.log(&[("server", &name), ("reason", &error.to_string())]);
             if matches!(error, BackendError::Crossed { .. }) {
--- a/crates/sapphiretrackd/src/entry.rs
+++ b/crates/sapphiretrackd/src/entry.rs
@@ -1,36 +1,41 @@
 //! Which routers a caller connects to.
 
 use sapphiretrack_caller::EntryReply;
-use sapphiretrack_core::{VmState, rendezvous_score};
+use sapphiretrack_core::{EntryCandidate, RouterId, VmRecord, entry_addresses};
 
 use crate::control::Snapshot;
 
-/// The most addresses of a lookup.
-const MAX_ADDRESSES: usize = 3;
-
-/// The routers for a caller: those of its availability zone first, spread by `spread`.
+/// Answers a lookup. A router that is cut off hears of no peer and refuses work itself: it names
+/// those of the last list instead, one of which may still be in reach of the caller.
 pub(crate) fn entry_reply(
     snapshot: &Snapshot,
     zone: Option<&str>,
     ttl_ms: u64,
     spread: u64,
 ) -> EntryReply {
-    let mut routers: Vec<_> = snapshot
-        .routers
-        .iter()
-        .filter(|router| router.state == VmState::Live)
-        .collect();
-    routers.sort_by(|a, b| {
-        let a_near = zone == Some(a.zone.as_str());
-        let b_near = zone == Some(b.zone.as_str());
-        b_near.cmp(&a_near).then_with(|| {
-            rendezvous_score(spread, b.id.0, 1.0).total_cmp(&rendezvous_score(spread, a.id.0, 1.0))
-        })
-    });
-    let addresses = routers
+    let candidates: Vec<EntryCandidate<'_>> = if snapshot.isolated {
+        snapshot.listed_routers.iter().map(listed).collect()
+    } else {
+        let heard = snapshot.routers.iter().map(|router| EntryCandidate {
+            id: router.id,
+            zone: &router.zone,
+            address: router.caller_address,
+            state: router.state,
+        });
+        heard.collect()
+    };
+    let addresses = entry_addresses(&candidates, zone, spread)
         .iter()
-        .take(MAX_ADDRESSES)
-        .map(|router| router.caller_address.to_string())
+        .map(ToString::to_string)
         .collect();
     EntryReply { addresses, ttl_ms }
 }
+
+fn listed(record: &VmRecord) -> EntryCandidate<'_> {
+    EntryCandidate {
+        id: RouterId::from_name(&record.name),
+        zone: &record.zone,
+        address: record.address,
+        state: record.state,
+    }
+}
--- a/crates/sapphiretrackd/src/events.rs
+++ b/crates/sapphiretrackd/src/events.rs
@@ -65,9 +65,11 @@
     pub const CROSSED_REPLY: Self = Self::new(501, Level::Error, "crossed reply dropped");
     /// The answer of a non-idempotent request could not be recorded.
     pub const RECORD_FAILED: Self = Self::new(502, Level::Warn, "answer was not recorded");
+    /// The control thread stood still; nothing is granted on what it knew before.
+    pub const PAUSED: Self = Self::new(220, Level::Warn, "control thread stood still");
 
     /// All events, by number.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::STARTED,
         Self::STOPPING,
         Self::STOPPED,
@@ -89,6 +91,7 @@
         Self::ATTEMPT_FAILED,
         Self::CROSSED_REPLY,
         Self::RECORD_FAILED,
+        Self::PAUSED,
     ];
 
     const fn new(number: u16, level: Level, text: &'static str) -> Self {
--- a/crates/sapphiretrackd/src/settings.rs
+++ b/crates/sapphiretrackd/src/settings.rs
@@ -60,6 +60,31 @@
     pub log_level: LevelFilter,
     /// Only check the settings.
     pub check_settings: bool,
+    /// Peers to try while the platform names none.
+    pub peer_seeds: AddressList,
+    /// Whether any peer is believed, without a key.
+    pub open_cell: bool,
+}
+
+/// Addresses, separated by commas.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AddressList(pub Vec<SocketAddr>);
+
+impl FromStr for AddressList {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parts = text.split(',').map(str::trim);
+        let parts = parts.filter(|part| !part.is_empty());
+        parts.map(str::parse).collect::<Result<_, _>>().map(Self)
+    }
+}
+
+impl std::fmt::Display for AddressList {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let parts: Vec<String> = self.0.iter().map(ToString::to_string).collect();
+        formatter.write_str(&parts.join(","))
+    }
 }
 
 impl Default for Settings {
@@ -89,6 +114,8 @@
             log_format: LogFormat::Text,
             log_level: LevelFilter::Info,
             check_settings: false,
+            peer_seeds: AddressList::default(),
+            open_cell: false,
         }
     }
 }
@@ -355,6 +382,18 @@
             "which log lines are written: off, error, warn, info, debug",
             "use one of them"
         ),
+        flag!(
+            "peer-seeds",
+            peer_seeds,
+            "peers to try while the platform names none",
+            "use IP:PORT,IP:PORT"
+        ),
+        flag!(
+            "open-cell",
+            open_cell,
+            "believe any peer, without a key: true or false",
+            "use it for trials only, without --cell-key"
+        ),
     ]
 }
 
@@ -443,7 +482,7 @@
     let bound = &settings.load_bound;
     let digest = &settings.operator_key_sha256;
     let is_digest = digest.len() == 64 && digest.chars().all(|c| c.is_ascii_hexdigit());
-    let checks: [(&str, bool, &str); 17] = [
+    let checks: [(&str, bool, &str); 18] = [
         (
             "--router-name",
             !settings.router_name.is_empty(),
@@ -457,9 +496,14 @@
         ),
         (
             "--cell-key",
-            settings.cell_key.len() >= MIN_CELL_KEY_BYTES,
+            settings.open_cell || settings.cell_key.len() >= MIN_CELL_KEY_BYTES,
             "it is too short",
         ),
+        (
+            "--open-cell",
+            !settings.open_cell || settings.cell_key.is_empty(),
+            "there is a --cell-key too",
+        ),
         (
             "--operator-key-sha256",
             digest.is_empty() || is_digest,
