Leases with rising fencing numbers, and orders to engines as desired state

Cause: what one router must do alone had no lease; engines took no orders.

What changed: core holds the lease's decisions (counted from before the question by the holder, from when the row was first seen by a contender; a lapsed lease is taken anew under a new number) and the orders' (the whole desired state under the number; an engine is compared with it each round; the budget for weights starts empty at each new holder; for engines that ignore the number a new holder first waits until late orders have arrived). The platform crate has the lease's row with lost replies read back, and the goals. Routers that joined by different peers are introduced to each other: two routers that came while the platform was down never met before (seen failing in the process test).

No test that existed before was changed.

--- a/crates/sapphiretrack-backend/src/lib.rs
+++ b/crates/sapphiretrack-backend/src/lib.rs
@@ -3,8 +3,10 @@
 mod answer;
 mod client;
 mod error;
+mod orders;
 pub mod wire;
 
 pub use answer::{AnswerStream, Piece};
 pub use client::{BackendClient, ChatAttempt, ServiceAttempt, ServiceReply, Settings};
 pub use error::BackendError;
+pub use orders::{OrderClient, OrderTaken};
--- a/crates/sapphiretrack-cli/src/command.rs
+++ b/crates/sapphiretrack-cli/src/command.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use pico_args::Arguments;
+use sapphiretrack_operator::wire::{SetFencing, SetGoal};
 use snafu::ResultExt;
 
 use crate::error::{ArgumentsSnafu, CliError, UsageSnafu};
@@ -40,6 +41,8 @@
     Status,
     Entry { zone: Option<String> },
     Chat(Chat),
+    ServerSet(SetGoal),
+    PoolFencing(SetFencing),
 }
 
 /// Applies a contract file.
@@ -62,6 +65,8 @@
     pub(crate) undo: bool,
     /// Whether to wait until no router has a request in flight there.
     pub(crate) wait: bool,
+    /// Whether to order it to stop once it is empty.
+    pub(crate) stop: bool,
 }
 
 /// Sends one chat.
@@ -101,10 +106,16 @@
             "drain" => Command::ServerDrain(ServerDrain {
                 undo: arguments.contains("--undo"),
                 wait: arguments.contains("--wait"),
+                stop: arguments.contains("--stop"),
                 server: free(&mut arguments, "NAME")?,
             }),
+            "set" => Command::ServerSet(server_set(&mut arguments)?),
             other => return unknown("server", other),
         },
+        "pool" => match verb(&mut arguments)?.as_str() {
+            "fencing" => Command::PoolFencing(pool_fencing(&mut arguments)?),
+            other => return unknown("pool", other),
+        },
         "status" => Command::Status,
         "entry" => Command::Entry {
             zone: option(&mut arguments, "--zone")?,
@@ -129,6 +140,34 @@
     }
 }
 
+fn server_set(arguments: &mut Arguments) -> Result<SetGoal, CliError> {
+    let adapters = option(arguments, "--adapters")?;
+    Ok(SetGoal {
+        model: option(arguments, "--model")?,
+        version: option(arguments, "--model-version")?,
+        adapters: adapters.map(|names| {
+            let names = names.split(',').filter(|name| !name.is_empty());
+            names.map(str::to_owned).collect()
+        }),
+        role: option(arguments, "--role")?,
+        stopped: arguments.contains("--stopped"),
+        server: free(arguments, "NAME")?,
+    })
+}
+
+fn pool_fencing(arguments: &mut Arguments) -> Result<SetFencing, CliError> {
+    let checks = arguments.contains("--checks");
+    let ignores = arguments.contains("--ignores");
+    if checks == ignores {
+        let problem = "one of --checks and --ignores is needed";
+        return UsageSnafu { problem }.fail();
+    }
+    Ok(SetFencing {
+        pool: free(arguments, "POOL")?,
+        checks,
+    })
+}
+
 fn contract(arguments: &mut Arguments) -> Result<Command, CliError> {
     match verb(arguments)?.as_str() {
         "apply" => {
--- a/crates/sapphiretrack-cli/src/fleet.rs
+++ b/crates/sapphiretrack-cli/src/fleet.rs
@@ -3,12 +3,13 @@
 use std::time::{Duration, Instant};
 
 use sapphiretrack_operator::OperatorClient;
-use sapphiretrack_operator::wire::{DrainServer, Status};
+use sapphiretrack_operator::wire::{DrainServer, SetGoal, Status};
 use snafu::ResultExt;
 
 use crate::command::{Options, ServerDrain};
 use crate::contracts::{accepted_text, client, new_change_id, settle};
 use crate::error::{CliError, NoSuchSnafu, RouterSnafu, WaitEndedSnafu};
+use crate::goals::set_goal;
 use crate::table::{json, table};
 
 /// How long one call to a router may take.
@@ -89,12 +90,25 @@
     let reply = client.drain(&request).await;
     let version = settle(&client, reply, &request.change_id).await?;
     let accepted = accepted_text(options, version);
-    if !drain.wait {
+    // A server is ordered to stop only after it is empty.
+    if !drain.wait && !drain.stop {
         return Ok(accepted);
     }
     // Accepted holds whatever the wait brings, so it is told first.
     print!("{accepted}");
-    wait_drained(&client, options, &drain.server, version).await
+    let mut text = wait_drained(&client, options, &drain.server, version).await?;
+    if drain.stop && !drain.undo {
+        let goal = SetGoal {
+            server: drain.server.clone(),
+            model: None,
+            version: None,
+            adapters: None,
+            role: None,
+            stopped: true,
+        };
+        text.push_str(&set_goal(options, &goal).await?);
+    }
+    Ok(text)
 }
 
 /// Waits until the drain is in force on every router and nothing runs on the server.
--- a/crates/sapphiretrack-cli/src/main.rs
+++ b/crates/sapphiretrack-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod contracts;
 mod error;
 mod fleet;
+mod goals;
 mod table;
 
 use std::process::ExitCode;
@@ -24,7 +25,10 @@
   sapphiretrack router list
   sapphiretrack router stop NAME
   sapphiretrack server list
-  sapphiretrack server drain NAME [--undo] [--wait]
+  sapphiretrack server drain NAME [--undo] [--wait] [--stop]
+  sapphiretrack server set NAME [--model M] [--model-version V] [--adapters A,B]
+                           [--role mixed|prefill|decode] [--stopped]
+  sapphiretrack pool fencing POOL --checks|--ignores
   sapphiretrack status
   sapphiretrack entry [--zone ZONE]
   sapphiretrack chat --model MODEL [--workspace W] [--chat C] [--class C] TEXT
@@ -82,6 +86,8 @@
         Command::ServerDrain(drain) => fleet::drain(options, &drain).await,
         Command::Status => fleet::status(options).await,
         Command::Entry { zone } => callers::entry(options, zone.as_deref()).await,
+        Command::ServerSet(goal) => goals::set_goal(options, &goal).await,
+        Command::PoolFencing(fencing) => goals::set_fencing(options, &fencing).await,
         Command::Chat(chat) => callers::chat(options, &chat).await,
     }
 }
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -13,9 +13,11 @@
 mod flap;
 mod ids;
 mod isolation;
+mod lease;
 mod ledger;
 mod limits;
 mod membership;
+mod orders;
 mod outcome;
 mod pause;
 mod peer_roster;
@@ -36,12 +38,17 @@
 pub use flap::{Damping, Flaps};
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
 pub use isolation::Hearing;
+pub use lease::{Fencing, HeldLease, LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms};
 pub use ledger::{Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
 pub use limits::{InFlightGate, RateLimiter};
 pub use membership::{
     Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, VmRecord, VmRole, VmState,
     steward_of,
 };
+pub use orders::{
+    EngineGoal, EngineOrder, EngineRole, EngineState, FencingCheck, MAX_ORDER_DELAY_MS,
+    WeightBudget, first_order_ms, next_order,
+};
 pub use outcome::{Outcome, Refusal, RefusalCode};
 pub use pause::{MAX_TURN_GAP_MS, PauseWatch};
 pub use peer_roster::{
--- a/crates/sapphiretrack-core/src/peer_roster.rs
+++ b/crates/sapphiretrack-core/src/peer_roster.rs
@@ -98,6 +98,8 @@
     peers: BTreeMap<RouterId, RosterPeer>,
     traces: BTreeMap<RouterId, Trace>,
     listed: BTreeMap<RouterId, ListedRouter>,
+    /// Routers that a peer told of and that are not heard yet.
+    introduced: BTreeMap<RouterId, SocketAddr>,
     heard_ms: u64,
 }
 
@@ -121,6 +123,7 @@
             peers: BTreeMap::new(),
             traces: BTreeMap::new(),
             listed: BTreeMap::new(),
+            introduced: BTreeMap::new(),
             heard_ms: 0,
         }
     }
@@ -179,6 +182,7 @@
             state,
         };
         self.peers.insert(beat.router, peer);
+        self.introduced.remove(&beat.router);
         self.bound_traces();
         BeatTaken::Taken { change }
     }
@@ -220,6 +224,17 @@
         (was == VmState::Live).then(|| RosterChange::Leaving(peer.profile.name.clone()))
     }
 
+    /// Takes in where a peer says that others are reached, so that routers that joined by
+    /// different ones meet though no list names them.
+    pub fn introduce(&mut self, others: &[(RouterId, SocketAddr)]) {
+        for (router, address) in others {
+            let known = *router == self.me || self.peers.contains_key(router);
+            if !known && self.introduced.len() < MAX_REMEMBERED {
+                self.introduced.insert(*router, *address);
+            }
+        }
+    }
+
     /// Notes that a peer answered a call of this router.
     pub fn note_answer(&mut self, router: RouterId, now_ms: u64) {
         if let Some(peer) = self.peers.get_mut(&router) {
@@ -232,6 +247,7 @@
         if let Some(line) = self.listed.get_mut(&router) {
             line.refused = true;
         }
+        self.introduced.remove(&router);
         self.drop_peer(router, now_ms)
     }
 
@@ -332,7 +348,7 @@
         self.heard_ms
     }
 
-    /// Whom to send heartbeats: peers that are heard, and routers of the list.
+    /// Whom to send heartbeats: peers that are heard, routers of the list, and those introduced.
     pub fn targets(&self) -> BTreeMap<RouterId, SocketAddr> {
         let listed = self
             .listed
@@ -343,7 +359,9 @@
             .peers
             .iter()
             .map(|(router, peer)| (*router, peer.profile.peer_address));
-        listed.chain(heard).collect()
+        let introduced = self.introduced.iter();
+        let introduced = introduced.map(|(router, address)| (*router, *address));
+        listed.chain(introduced).chain(heard).collect()
     }
 
     /// All peers that are heard of.
--- a/crates/sapphiretrack-core/tests/peer_roster.rs
+++ b/crates/sapphiretrack-core/tests/peer_roster.rs
@@ -183,6 +183,23 @@
     assert_eq!(roster.take_beat(&restarted, 0), BeatTaken::NeedsProfile);
 }
 
+#[test]
+fn routers_that_joined_by_different_ones_are_introduced_until_heard_or_refused() {
+    let mut roster = roster();
+    let address = "127.0.0.1:9001".parse().expect("an address");
+    roster.introduce(&[(id("a"), address), (id("b"), address), (id("me"), address)]);
+    assert_eq!(roster.targets().into_keys().count(), 2);
+    roster.note_refused(id("b"), 0);
+    assert_eq!(roster.targets(), [(id("a"), address)].into());
+    alive(&mut roster, "a", 1, 0);
+    roster.introduce(&[(id("a"), address)]);
+    assert_eq!(
+        roster.targets()[&id("a")],
+        profile("a").peer_address,
+        "its own word counts"
+    );
+}
+
 #[test]
 fn a_list_without_routers_makes_nobody_the_only_router() {
     let mut roster = roster();
--- a/crates/sapphiretrack-fakes/src/engine.rs
+++ b/crates/sapphiretrack-fakes/src/engine.rs
@@ -13,7 +13,7 @@
     ATTEMPT_HEADER, CHAT_HEADER, LEAVING_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER, RESUME_HEADER,
 };
 use sapphiretrack_core::{
-    Chunk, ChunkChoice, Delta, Incarnation, LoadReport, STREAM_END, Usage, hash_parts,
+    Chunk, ChunkChoice, Delta, FencingCheck, Incarnation, LoadReport, STREAM_END, Usage, hash_parts,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc};
@@ -22,6 +22,7 @@
 use crate::http_server::{
     FakeFuture, FakeResponse, json, read_bytes, read_json, serve, with_status,
 };
+use crate::orders::{ArrivedOrder, OrderBook, answer_order};
 
 /// Bytes of text that make about one token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -45,6 +46,10 @@
     pub decode_ms: u64,
     /// Chats whose prefix the cache holds.
     pub cached_chats: usize,
+    /// Whether it refuses orders with an old fencing number.
+    pub fencing_check: FencingCheck,
+    /// How long weights take to load.
+    pub load_ms: u64,
 }
 
 impl Default for EngineSettings {
@@ -57,6 +62,8 @@
             prefill_us_per_token: 50,
             decode_ms: 2,
             cached_chats: 1_000,
+            fencing_check: FencingCheck::Checks,
+            load_ms: 50,
         }
     }
 }
@@ -91,6 +98,7 @@
 struct Shared {
     settings: EngineSettings,
     state: Mutex<State>,
+    orders: Mutex<OrderBook>,
     slot_freed: Notify,
 }
 
@@ -122,9 +130,15 @@
     /// Starts the stand-in.
     pub async fn start(settings: EngineSettings) -> std::io::Result<Self> {
         let address = settings.address;
+        let orders = OrderBook::new(
+            settings.fencing_check,
+            settings.incarnation,
+            settings.load_ms,
+        );
         let shared = Arc::new(Shared {
             settings,
             state: Mutex::default(),
+            orders: Mutex::new(orders),
             slot_freed: Notify::new(),
         });
         let mut engine = Self { address, shared };
@@ -152,6 +166,11 @@
         self.shared.lock().started_requests
     }
 
+    /// All orders as they arrived.
+    pub fn arrived_orders(&self) -> Vec<ArrivedOrder> {
+        self.shared.lock_orders().arrived().to_vec()
+    }
+
     /// The load as it stands.
     pub fn load(&self) -> LoadReport {
         let state = self.shared.lock();
@@ -173,6 +192,15 @@
                 }
                 Err(response) => response,
             },
+            "/fake/orders" => json(&self.arrived_orders()),
+            "/state" => {
+                self.shared.wait_unfrozen().await;
+                json(&self.shared.lock_orders().state())
+            }
+            "/orders" => {
+                self.shared.wait_unfrozen().await;
+                answer_order(request, |order| self.shared.lock_orders().take(order)).await
+            }
             "/fake/started" => json(&self.started_requests()),
             "/load" => {
                 self.shared.wait_unfrozen().await;
@@ -335,6 +363,10 @@
         }
     }
 
+    fn lock_orders(&self) -> MutexGuard<'_, OrderBook> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sapphiretrack-fakes/src/lib.rs
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -5,9 +5,11 @@
 
 mod engine;
 mod http_server;
+mod orders;
 mod platform;
 mod service;
 
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
+pub use orders::ArrivedOrder;
 pub use platform::{FakePlatform, PlatformFaults, PlatformSettings};
 pub use service::{FakeService, RunCount, ServiceFaults, ServiceSettings};
--- a/crates/sapphiretrack-fakes/src/main.rs
+++ b/crates/sapphiretrack-fakes/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
+use sapphiretrack_core::FencingCheck;
 use sapphiretrack_fakes::{
     EngineSettings, FakeEngine, FakePlatform, FakeService, PlatformSettings, ServiceSettings,
 };
@@ -12,7 +13,7 @@
 sapphiretrack-fakes: a stand-in, for trials and tests
 
   sapphiretrack-fakes platform [--address IP:PORT] [--list-lag-ms N]
-  sapphiretrack-fakes engine   [--address IP:PORT] [--incarnation N] [--decode-ms N]
+  sapphiretrack-fakes engine   [--address IP:PORT] [--incarnation N] [--decode-ms N] [--ignore-fencing]
   sapphiretrack-fakes service  [--address IP:PORT] [--incarnation N] [--name NAME]
 
 It prints `listening IP:PORT` and runs until it is ended. Port 0 takes a free one.
@@ -51,8 +52,14 @@
         }
         "engine" => {
             let decode_ms = arguments.opt_value_from_str("--decode-ms")?.unwrap_or(2);
+            let fencing_check = if arguments.contains("--ignore-fencing") {
+                FencingCheck::Ignores
+            } else {
+                FencingCheck::Checks
+            };
             let settings = EngineSettings {
                 address,
+                fencing_check,
                 incarnation,
                 decode_ms,
                 ..Default::default()
--- a/crates/sapphiretrack-operator/src/client.rs
+++ b/crates/sapphiretrack-operator/src/client.rs
@@ -12,7 +12,8 @@
 use snafu::Snafu;
 
 use crate::wire::{
-    ApplyContract, ChangeReply, DrainServer, HistoryLine, ShownContract, Status, StopReply,
+    ApplyContract, ChangeReply, DrainServer, GoalReply, HistoryLine, SetFencing, SetGoal,
+    ShownContract, Status, StopReply,
 };
 
 /// Why a call gave no reply.
@@ -101,6 +102,16 @@
         self.post("/v1/stop", &()).await
     }
 
+    /// Sets the desired state of a backend server.
+    pub async fn set_goal(&self, request: &SetGoal) -> Result<GoalReply, OperatorError> {
+        self.post("/v1/goals", request).await
+    }
+
+    /// Says whether a pool's engines check fencing numbers.
+    pub async fn set_fencing(&self, request: &SetFencing) -> Result<GoalReply, OperatorError> {
+        self.post("/v1/fencing", request).await
+    }
+
     async fn get<Reply>(&self, path: &str) -> Result<Reply, OperatorError>
     where
         Reply: DeserializeOwned,
--- a/crates/sapphiretrack-operator/src/server.rs
+++ b/crates/sapphiretrack-operator/src/server.rs
@@ -14,7 +14,8 @@
 use snafu::Snafu;
 
 use crate::wire::{
-    ApplyContract, ChangeReply, DrainServer, HistoryLine, ShownContract, Status, StopReply,
+    ApplyContract, ChangeReply, DrainServer, GoalReply, HistoryLine, SetFencing, SetGoal,
+    ShownContract, Status, StopReply,
 };
 
 /// The largest body that operators may send.
@@ -44,6 +45,10 @@
     pub stop: Arc<dyn Fn() -> StopReply + Send + Sync>,
     /// The metrics as text.
     pub metrics: Arc<dyn Fn() -> String + Send + Sync>,
+    /// Sets the desired state of a backend server.
+    pub set_goal: Handler<SetGoal, GoalReply>,
+    /// Says whether a pool's engines check fencing numbers.
+    pub set_fencing: Handler<SetFencing, GoalReply>,
 }
 
 /// Why the endpoint did not start.
@@ -80,7 +85,9 @@
         .and_then(|()| api.register(history))
         .and_then(|()| api.register(status))
         .and_then(|()| api.register(stop))
-        .and_then(|()| api.register(metrics));
+        .and_then(|()| api.register(metrics))
+        .and_then(|()| api.register(set_goal))
+        .and_then(|()| api.register(set_fencing));
     registered.map_err(|source| StartError::Describe { source })?;
     let config = ConfigDropshot {
         bind_address: address,
@@ -143,6 +150,30 @@
     ))
 }
 
+/// Sets the desired state of a backend server.
+#[endpoint { method = POST, path = "/v1/goals" }]
+async fn set_goal(
+    context: Context,
+    body: TypedBody<SetGoal>,
+) -> Result<HttpResponseOk<GoalReply>, HttpError> {
+    check_key(&context)?;
+    Ok(HttpResponseOk(
+        (context.context().set_goal)(body.into_inner()).await,
+    ))
+}
+
+/// Says whether a pool's engines check fencing numbers.
+#[endpoint { method = POST, path = "/v1/fencing" }]
+async fn set_fencing(
+    context: Context,
+    body: TypedBody<SetFencing>,
+) -> Result<HttpResponseOk<GoalReply>, HttpError> {
+    check_key(&context)?;
+    Ok(HttpResponseOk(
+        (context.context().set_fencing)(body.into_inner()).await,
+    ))
+}
+
 /// Tells what came of a change.
 #[endpoint { method = GET, path = "/v1/changes/{change_id}" }]
 async fn outcome_of(
--- a/crates/sapphiretrack-operator/src/wire.rs
+++ b/crates/sapphiretrack-operator/src/wire.rs
@@ -137,3 +137,36 @@
     /// Callers' requests that the router still has to end.
     pub in_flight: u64,
 }
+
+/// Sets the desired state of a backend server: `POST /v1/goals`.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+pub struct SetGoal {
+    /// The server's name.
+    pub server: String,
+    /// The model that it shall serve.
+    pub model: Option<String>,
+    /// The version of the model.
+    pub version: Option<String>,
+    /// The adapters that it shall have loaded.
+    pub adapters: Option<Vec<String>>,
+    /// `mixed`, `prefill` or `decode`.
+    pub role: Option<String>,
+    /// Whether it shall stop.
+    pub stopped: bool,
+}
+
+/// Says whether a pool's engines check fencing numbers: `POST /v1/fencing`.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+pub struct SetFencing {
+    /// The pool.
+    pub pool: String,
+    /// Whether its engines refuse an order with an old number.
+    pub checks: bool,
+}
+
+/// What came of setting a goal or a pool's fencing; both may be repeated.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+pub struct GoalReply {
+    /// Why it is not set, or may not be; none if it is.
+    pub problem: Option<String>,
+}
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -4,6 +4,8 @@
 //! kinds of [`Section`], which an older release passes over. A change that an older release
 //! cannot pass over raises [`OLDEST_PROTOCOL_VERSION`] one release after it was last sent.
 
+use std::net::SocketAddr;
+
 use sapphiretrack_core::{
     Grant, HeldSlots, Incarnation, LoadReport, ReservationId, ReserveRequest, RouterId,
     RouterProfile, ServerId, VmState,
@@ -78,7 +80,7 @@
 }
 
 /// The answer to a heartbeat.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct HeartbeatReply {
     /// The configuration version that the receiver has in force.
     pub config_version: u64,
@@ -86,6 +88,8 @@
     pub wants_whole: bool,
     /// The newest incarnation of the sender that the receiver ever heard.
     pub known_incarnation: Incarnation,
+    /// To a sender that brought its profile: where the receiver's other peers are reached.
+    pub introduced: Vec<(RouterId, SocketAddr)>,
 }
 
 /// A configuration, as JSON text, since its form may grow.
--- a/crates/sapphiretrack-platform/src/lib.rs
+++ b/crates/sapphiretrack-platform/src/lib.rs
@@ -6,9 +6,13 @@
 mod client;
 mod configuration;
 mod error;
+mod goals;
+mod leases;
 pub mod wire;
 
 pub use claims::{ClaimStore, ClaimWritten};
 pub use client::{PlatformClient, Settings};
 pub use configuration::{AcceptedChange, Change, ChangeOutcome, ConfigurationStore, HistoryEntry};
 pub use error::PlatformError;
+pub use goals::{EngineGoals, GoalStore};
+pub use leases::{LeaseStore, LeaseWritten, StoredLease};
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -12,6 +12,7 @@
 use sapphiretrack_operator::wire::{ApplyContract, ChangeReply, Status};
 use sapphiretrack_platform::wire::VmList;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::process::ChildProcess;
 
@@ -173,6 +174,11 @@
 
     /// Starts a router under a name.
     pub async fn add_router(&mut self, name: &str, index: usize) {
+        self.add_router_with(name, index, &[]).await;
+    }
+
+    /// Starts a router under a name, with further flags of its own.
+    pub async fn add_router_with(&mut self, name: &str, index: usize, more: &[String]) {
         let mut flags = vec![
             format!("--router-name={name}"),
             format!("--zone={}", zone(index)),
@@ -185,6 +191,7 @@
             String::from("--entry-ttl-ms=300"),
         ];
         flags.extend(self.settings.router_flags.clone());
+        flags.extend_from_slice(more);
         let process = ChildProcess::start("sapphiretrackd", &flags);
         let line = process.wait_line("event=\"100\"").await;
         let vm = VmRecord {
@@ -223,6 +230,21 @@
         .await;
     }
 
+    /// Waits until every router sees all members, and `others` routers that are no members.
+    pub async fn wait_settled_with(&self, others: usize) {
+        let routers = self.routers.len() + others;
+        let servers = self.servers.len();
+        self.wait_status("the fleet and others seen by all", |status| {
+            let live = status
+                .servers
+                .iter()
+                .filter(|server| server.state == "live")
+                .count();
+            status.routers.len() == routers && live == servers
+        })
+        .await;
+    }
+
     /// Waits until the status of every router satisfies a condition.
     pub async fn wait_status<Holds>(&self, what: &str, holds: Holds)
     where
@@ -301,6 +323,21 @@
     );
 }
 
+/// Gets JSON.
+pub async fn get_json<Body>(url: &str) -> Body
+where
+    Body: DeserializeOwned,
+{
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = http::Request::get(url)
+        .body(Full::default())
+        .expect("the request is good");
+    let response = client.request(request).await.expect("the stand-in answers");
+    let body = response.into_body().collect().await;
+    let text = body.expect("the answer is whole").to_bytes();
+    serde_json::from_slice(&text).expect("the answer is JSON")
+}
+
 async fn start_fake(kind: &str, flags: &[String]) -> (ChildProcess, SocketAddr) {
     let mut arguments = vec![kind.to_owned()];
     arguments.extend_from_slice(flags);
--- a/crates/sapphiretrackd/src/control/heartbeats.rs
+++ b/crates/sapphiretrackd/src/control/heartbeats.rs
@@ -164,6 +164,11 @@
             config_version: self.config.version,
             wants_whole: taken == BeatTaken::NeedsProfile,
             known_incarnation: self.peers.known_incarnation(router),
+            introduced: if heartbeat.profile.is_some() {
+                self.introductions(router)
+            } else {
+                Vec::new()
+            },
         }
     }
 
@@ -176,6 +181,7 @@
         now_ms: u64,
     ) -> bool {
         self.peers.note_answer(router, now_ms);
+        self.peers.introduce(&reply.introduced);
         if let Some(sent) = self.book.sent.get_mut(&router) {
             if reply.wants_whole {
                 *sent = Sent::default();
@@ -193,6 +199,11 @@
         reply.config_version > self.config.version
     }
 
+    /// Takes in whom a router at an address of the settings knows.
+    pub(crate) fn introduce(&mut self, reply: &HeartbeatReply) {
+        self.peers.introduce(&reply.introduced);
+    }
+
     /// Whether a peer has another list of VMs than this router.
     pub(crate) fn lists_differ(&self) -> bool {
         self.peers.iter().any(|(router, _)| {
@@ -201,6 +212,14 @@
         })
     }
 
+    /// Where the peers other than `router` are reached.
+    fn introductions(&self, router: RouterId) -> Vec<(RouterId, SocketAddr)> {
+        let others = self.peers.iter().filter(|(peer, _)| *peer != router);
+        others
+            .map(|(peer, known)| (peer, known.profile.peer_address))
+            .collect()
+    }
+
     fn take_news(&mut self, heartbeat: &Heartbeat, now_ms: u64) {
         let router = heartbeat.router;
         if heartbeat.heard_sequence >= self.book.trusted_from {
--- a/crates/sapphiretrackd/src/control/mod.rs
+++ b/crates/sapphiretrackd/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod handle;
 mod heartbeats;
+mod orders;
 mod polling;
 mod slots;
 mod snapshot;
@@ -13,6 +14,7 @@
 mod views;
 
 pub(crate) use handle::{Begun, Command, CommandReceiver, ControlHandle, Place, control_channel};
+pub(crate) use orders::OrderKeeper;
 pub(crate) use snapshot::Snapshot;
 pub(crate) use state::{ControlState, Identity, Timing};
 pub(crate) use thread::{ControlParts, run_control};
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -109,6 +109,11 @@
         self.identity.id
     }
 
+    /// Which run of this router.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.identity.incarnation
+    }
+
     /// The configuration version in force.
     pub(crate) fn config_version(&self) -> u64 {
         self.config.version
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -15,7 +15,7 @@
 use crate::clock::Clock;
 use crate::control::handle::{Command, CommandReceiver, ControlHandle};
 use crate::control::heartbeats::Outgoing;
-use crate::control::{ControlState, polling};
+use crate::control::{ControlState, OrderKeeper, polling};
 use crate::metrics::Metrics;
 
 /// How often all that time alone changes is settled.
@@ -62,6 +62,14 @@
         handle.clone(),
         parts.read_config.clone(),
     ));
+    let keeper = OrderKeeper::new(
+        parts.clock,
+        handle.clone(),
+        &parts.platform,
+        parts.state.id(),
+        parts.state.incarnation(),
+    );
+    tokio::spawn(keeper.run());
     let mut tick = interval(TICK);
     let mut publish = interval(PUBLISH_PERIOD);
     let mut urgent = interval(URGENT_PERIOD);
@@ -150,7 +158,10 @@
         let now_ms = self.clock.now_ms();
         let newer = match router {
             Some(router) => self.state.take_answer(router, sequence, answer, now_ms),
-            None => answer.config_version > self.state.config_version(),
+            None => {
+                self.state.introduce(answer);
+                answer.config_version > self.state.config_version()
+            }
         };
         if newer {
             let fetch = polling::fetch_config(self.peers.clone(), address, handle.clone());
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -13,7 +13,7 @@
 use sapphiretrack_operator::OperatorHandlers;
 use sapphiretrack_operator::wire::StopReply;
 use sapphiretrack_peer::{PeerClient, PeerHandlers, SigningKey};
-use sapphiretrack_platform::{ClaimStore, ConfigurationStore, PlatformClient};
+use sapphiretrack_platform::{ClaimStore, ConfigurationStore, GoalStore, PlatformClient};
 use snafu::{ResultExt, Snafu};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{Notify, watch};
@@ -26,6 +26,7 @@
 use crate::dispatch::Dispatcher;
 use crate::entry::entry_reply;
 use crate::events::Event;
+use crate::goals::GoalOperations;
 use crate::limits::LimitTable;
 use crate::metrics::Metrics;
 use crate::operations::Operations;
@@ -358,6 +359,11 @@
             metrics: self.metrics.clone(),
             read_config: self.read_config.clone(),
         };
+        let goals = GoalOperations {
+            store: GoalStore::new(self.platform.clone()),
+            control: self.control.clone(),
+        };
+        let goals_for_fencing = goals.clone();
         let digest = settings.operator_key_sha256.to_lowercase();
         let stop = self.stop.clone();
         let metrics = self.metrics.clone();
@@ -393,6 +399,14 @@
                 }
             }),
             metrics: Arc::new(move || metrics.encode()),
+            set_goal: Arc::new(move |request| {
+                let goals = goals.clone();
+                Box::pin(async move { goals.set_goal(request).await })
+            }),
+            set_fencing: Arc::new(move |request| {
+                let goals = goals_for_fencing.clone();
+                Box::pin(async move { goals.set_fencing(request).await })
+            }),
         }
     }
 
--- a/crates/sapphiretrackd/src/events.rs
+++ b/crates/sapphiretrackd/src/events.rs
@@ -67,9 +67,17 @@
     pub const RECORD_FAILED: Self = Self::new(502, Level::Warn, "answer was not recorded");
     /// The control thread stood still; nothing is granted on what it knew before.
     pub const PAUSED: Self = Self::new(220, Level::Warn, "control thread stood still");
+    /// This router took the lease for orders to engines.
+    pub const LEASE_TAKEN: Self = Self::new(410, Level::Info, "order lease taken");
+    /// An engine took an order.
+    pub const ORDER_TAKEN: Self = Self::new(411, Level::Info, "order taken");
+    /// An engine refused an order: its fencing number is old, or the engine restarted.
+    pub const ORDER_REFUSED: Self = Self::new(412, Level::Warn, "order refused");
+    /// No reply came to an order; the engine's state tells what became of it.
+    pub const ORDER_LOST: Self = Self::new(413, Level::Warn, "no reply to an order");
 
     /// All events, by number.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 26] = [
         Self::STARTED,
         Self::STOPPING,
         Self::STOPPED,
@@ -92,6 +100,10 @@
         Self::CROSSED_REPLY,
         Self::RECORD_FAILED,
         Self::PAUSED,
+        Self::LEASE_TAKEN,
+        Self::ORDER_TAKEN,
+        Self::ORDER_REFUSED,
+        Self::ORDER_LOST,
     ];
 
     const fn new(number: u16, level: Level, text: &'static str) -> Self {
--- a/crates/sapphiretrackd/src/lib.rs
+++ b/crates/sapphiretrackd/src/lib.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod entry;
 mod events;
+mod goals;
 mod limits;
 mod logging;
 mod metrics;
