--- a/crates/sapphiretrack-core/src/peer_roster.rs
+++ b/crates/sapphiretrack-core/src/peer_roster.rs
@@ -10,6 +10,8 @@
 /// Routers whose last heartbeat is remembered after they are gone, so that a replay of it does
 /// not bring them back.
 const MAX_REMEMBERED: usize = 1_024;
+/// How long a lost router is told to peers.
+const TELL_LOST_MS: u64 = 1_000;
 
 /// Times that rule the roster.
 #[derive(Clone, Copy, Debug)]
@@ -86,6 +88,8 @@
     sequence: u64,
     /// The newest incarnation that is leaving.
     left: Option<Incarnation>,
+    /// When it was last lost.
+    lost_ms: Option<u64>,
     flaps: Flaps,
     seen_ms: u64,
 }
@@ -256,6 +260,7 @@
         let damping = self.settings.damping;
         if let Some(trace) = self.traces.get_mut(&router) {
             trace.flaps.note(false, &damping, now_ms);
+            trace.lost_ms = Some(now_ms);
         }
         Some(RosterChange::Lost(peer.profile.name))
     }
@@ -338,6 +343,17 @@
             .map(|(_, line)| &line.record)
     }
 
+    /// Routers lost so short a time ago that peers may not know yet.
+    pub fn lately_lost(&self, now_ms: u64) -> Vec<RouterId> {
+        let traces = self.traces.iter().filter(|(router, trace)| {
+            let lately = trace
+                .lost_ms
+                .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < TELL_LOST_MS);
+            lately && !self.peers.contains_key(router)
+        });
+        traces.map(|(router, _)| *router).collect()
+    }
+
     /// The newest sequence number heard of a router; 0 for none.
     pub fn heard_sequence(&self, router: RouterId) -> u64 {
         self.traces.get(&router).map_or(0, |trace| trace.sequence)
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -44,6 +44,8 @@
     pub left_servers: Vec<(ServerId, Incarnation)>,
     /// Tells two lists of VMs apart; 0 before the first list.
     pub list_digest: u64,
+    /// Routers that the sender lost a moment ago: the receiver looks after them at once.
+    pub suspects: Vec<RouterId>,
     /// What later releases add.
     pub sections: Vec<Section>,
 }
--- a/crates/sapphiretrack-peer/tests/wire.rs
+++ b/crates/sapphiretrack-peer/tests/wire.rs
@@ -25,6 +25,7 @@
         held: HeldSlots::default(),
         left_servers: Vec::new(),
         list_digest: 0,
+        suspects: Vec::new(),
         sections: Vec::new(),
     }
 }
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -70,6 +70,11 @@
         /// The peer.
         router: RouterId,
     },
+    /// Nothing listens at the address of a steward.
+    AddressRefused {
+        /// Its peers' address.
+        address: SocketAddr,
+    },
     /// A request met a server that says that it is leaving.
     ServerLeaving {
         /// The server.
--- a/crates/sapphiretrackd/src/control/heartbeats.rs
+++ b/crates/sapphiretrackd/src/control/heartbeats.rs
@@ -10,6 +10,7 @@
 use sapphiretrack_peer::{Heartbeat, HeartbeatReply, InFlight, ServerState};
 
 use crate::control::ControlState;
+use crate::control::state::URGENT_ROUNDS;
 
 /// Requests in flight by server.
 type Counts = BTreeMap<ServerId, u16>;
@@ -157,6 +158,10 @@
         let taken = self.peers.take_beat(&beat, now_ms);
         if let BeatTaken::Taken { change } = &taken {
             self.note_peer_changes(change.as_slice());
+            if change.is_some() {
+                // A heartbeat that makes this router a steward says what its sender holds there.
+                self.tick(now_ms);
+            }
             self.changed |= version_before != Some(heartbeat.config_version);
             self.take_news(&heartbeat, now_ms);
         }
@@ -194,7 +199,7 @@
             // This VM's clock was set back: peers take its heartbeats only as a later run's.
             self.identity.incarnation = reply.known_incarnation + 1;
             self.book.sequence = self.book.sequence.max(self.identity.incarnation);
-            self.urgent = true;
+            self.urgent_rounds = URGENT_ROUNDS;
         }
         reply.config_version > self.config.version
     }
@@ -241,6 +246,13 @@
             self.note_server_changes(change.as_slice());
             self.changed |= self.seen_of(state.server, now_ms) != before;
         }
+        // Heartbeats at once: whoever is gone refuses the connection.
+        self.urgent_rounds = self.urgent_rounds.max(u8::from(
+            heartbeat
+                .suspects
+                .iter()
+                .any(|suspect| self.peers.get(*suspect).is_some()),
+        ));
         for (server, incarnation) in &heartbeat.left_servers {
             self.note_server_leaving(*server, *incarnation, now_ms);
         }
@@ -260,6 +272,7 @@
             held: HeldSlots::default(),
             left_servers: self.servers.new_marks(now_ms),
             list_digest: self.list_digest,
+            suspects: self.peers.lately_lost(now_ms),
             sections: Vec::new(),
         }
     }
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -17,6 +17,10 @@
 use crate::control::slots::Held;
 use crate::events::Event;
 
+/// Rounds of heartbeats after a change. What a peer holds counts only once the new steward knows
+/// that it is one, which may be just after the first round.
+pub(super) const URGENT_ROUNDS: u8 = 3;
+
 /// Who this router is.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
@@ -54,8 +58,8 @@
     pub(super) stewards: Vec<RouterId>,
     /// Whether traffic threads need a new snapshot.
     pub(super) changed: bool,
-    /// Whether peers need a heartbeat at once.
-    pub(super) urgent: bool,
+    /// How many rounds of heartbeats have to go out at once.
+    pub(super) urgent_rounds: u8,
     seeds: Vec<SocketAddr>,
     pause: PauseWatch,
     platform_reached_ms: Option<u64>,
@@ -96,7 +100,7 @@
             isolated: false,
             stewards: Vec::new(),
             changed: true,
-            urgent: false,
+            urgent_rounds: 0,
             seeds,
             pause: PauseWatch::default(),
             platform_reached_ms: None,
@@ -131,7 +135,7 @@
         if self.peers.is_listed_leaving() && others_live && !self.told_to_leave {
             self.told_to_leave = true;
             self.changed = true;
-            self.urgent = true;
+            self.urgent_rounds = URGENT_ROUNDS;
         }
         if list.vms != self.list {
             let text = serde_json::to_vec(&list.vms).unwrap_or_default();
@@ -197,11 +201,22 @@
         self.note_peer_changes(change.as_slice());
     }
 
+    /// Notes that nothing listens at a steward's address.
+    pub(crate) fn note_address_refused(&mut self, address: SocketAddr, now_ms: u64) {
+        let found = self
+            .peers
+            .iter()
+            .find(|(_, peer)| peer.profile.peer_address == address);
+        if let Some(router) = found.map(|(router, _)| router) {
+            self.note_peer_refused(router, now_ms);
+        }
+    }
+
     /// Begins the planned stop.
     pub(crate) fn stop(&mut self) {
         self.stopping = true;
         self.changed = true;
-        self.urgent = true;
+        self.urgent_rounds = URGENT_ROUNDS;
     }
 
     /// Runs a call of a peer.
@@ -243,7 +258,7 @@
         self.peers.forgive_silence(now_ms);
         self.ledger = Ledger::new(self.identity.id, LedgerSettings::default());
         self.book.distrust_earlier();
-        self.urgent = true;
+        self.urgent_rounds = URGENT_ROUNDS;
         self.tick(now_ms);
     }
 
@@ -258,7 +273,7 @@
         if stewards != self.stewards {
             self.stewards = stewards;
             self.changed = true;
-            self.urgent = true;
+            self.urgent_rounds = URGENT_ROUNDS;
         }
         self.settle_ledger(now_ms);
         self.note_reach(now_ms);
@@ -266,7 +281,7 @@
 
     /// Whether a heartbeat has to go out at once.
     pub(crate) fn is_urgent(&self) -> bool {
-        self.urgent
+        self.urgent_rounds > 0
     }
 
     /// Whether a new snapshot is needed.
@@ -274,9 +289,9 @@
         self.changed
     }
 
-    /// A heartbeat goes out now.
+    /// A round of heartbeats goes out now.
     pub(crate) fn clear_urgent(&mut self) {
-        self.urgent = false;
+        self.urgent_rounds = self.urgent_rounds.saturating_sub(1);
     }
 
     /// A new snapshot is taken now.
@@ -316,7 +331,7 @@
     pub(super) fn note_peer_changes(&mut self, changes: &[RosterChange]) {
         for change in changes {
             self.changed = true;
-            self.urgent = true;
+            self.urgent_rounds = URGENT_ROUNDS;
             match change {
                 RosterChange::Joined(name) => Event::PEER_JOINED.log(&[("router", name)]),
                 RosterChange::Leaving(name) => Event::PEER_LEAVING.log(&[("router", name)]),
@@ -331,7 +346,7 @@
             match change {
                 RosterChange::Joined(name) => Event::SERVER_JOINED.log(&[("server", name)]),
                 RosterChange::Leaving(name) => {
-                    self.urgent = true;
+                    self.urgent_rounds = URGENT_ROUNDS;
                     Event::SERVER_LEAVING.log(&[("server", name)]);
                 }
                 RosterChange::Lost(name) => Event::SERVER_LOST.log(&[("server", name)]),
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -140,6 +140,10 @@
                 self.state.note_peer_refused(router, now_ms);
                 self.state.tick(now_ms);
             }
+            Command::AddressRefused { address } => {
+                self.state.note_address_refused(address, now_ms);
+                self.state.tick(now_ms);
+            }
             Command::ServerLeaving {
                 server,
                 incarnation,
--- a/crates/sapphiretrackd/src/dispatch/slots.rs
+++ b/crates/sapphiretrackd/src/dispatch/slots.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use sapphiretrack_core::{Candidate, Grant, Incarnation, ReservationId, ReserveRequest, ServerId};
+use sapphiretrack_peer::PeerError;
 
 use crate::control::{Begun, Command, ControlHandle, Place, Snapshot};
 use crate::dispatch::Dispatcher;
@@ -93,10 +94,11 @@
                     server,
                     bound_share,
                 };
-                self.peers
-                    .reserve(address, request)
-                    .await
-                    .unwrap_or(Grant::NotSteward)
+                let reply = self.peers.reserve(address, request).await;
+                if reply.as_ref().is_err_and(PeerError::is_refused) {
+                    self.control.send(Command::AddressRefused { address });
+                }
+                reply.unwrap_or(Grant::NotSteward)
             }
         };
         (grant == Grant::Granted).then_some(reservation)
