The demo and the overhead measurement on an embedded site

Cause: the main job could not be shown with one command, and the router's added time was unknown. Ruled out: one request stream at a time for the loaded part; 200 streams start at once. Found: requests are refused as overloaded while the load ramps up fast, since the bound follows a mean that stewards learn late.

--- /dev/null
+++ b/crates/sapphiretrack-bench/src/demo/mod.rs
@@ -0,0 +1,126 @@
+//! The demo: the whole of it in one process on embedded stand-ins, within a minute.
+
+mod callers;
+mod sample;
+mod tally;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use pico_args::Arguments;
+use sapphiretrack_fakes::EngineFaults;
+
+use crate::demo::callers::{CallerPlan, run_callers};
+use crate::demo::sample::Sampler;
+use crate::demo::tally::Tally;
+use crate::site::{Site, SiteSettings};
+
+/// The seed if none is given.
+const DEFAULT_SEED: u64 = 1;
+/// How long after it says so a leaving engine may still get new work.
+const LEAVING_GRACE: Duration = Duration::from_secs(3);
+
+/// When things happen, from the start.
+const JOIN_AT: Duration = Duration::from_secs(4);
+const SURGE_AT: Duration = Duration::from_secs(8);
+const LEAVE_AT: Duration = Duration::from_secs(13);
+const STOP_AT: Duration = Duration::from_secs(18);
+const END_AT: Duration = Duration::from_secs(25);
+
+/// Runs the demo; an error says which promises did not hold.
+pub fn run(mut arguments: Arguments) -> Result<(), String> {
+    let seed: Option<u64> = arguments
+        .opt_value_from_str("--seed")
+        .map_err(|error| error.to_string())?;
+    if let Some(argument) = arguments.finish().first() {
+        return Err(format!("unknown argument {argument:?}; hint: see --help"));
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .map_err(|error| error.to_string())?;
+    runtime.block_on(show(seed.unwrap_or(DEFAULT_SEED)))
+}
+
+async fn show(seed: u64) -> Result<(), String> {
+    eprintln!("seed {seed}");
+    let mut site = Site::start(SiteSettings::default()).await?;
+    let tally = Arc::new(Tally::default());
+    let in_force = site.apply_contract().await?;
+    eprintln!(
+        "contract in force on all {} routers after {in_force:?}",
+        site.router_count()
+    );
+    let sampler = Sampler::start(site.engines());
+    let plan = CallerPlan {
+        seed,
+        entries: site.caller_urls(),
+        surge: SURGE_AT..LEAVE_AT,
+        end: END_AT,
+    };
+    let started = Instant::now();
+    let callers = tokio::spawn(run_callers(plan, started, tally.clone()));
+
+    sleep_until(started, JOIN_AT).await;
+    eprintln!(
+        "{:>5.1} s  an engine joins",
+        started.elapsed().as_secs_f64()
+    );
+    site.add_engine().await?;
+    sampler.set_engines(site.engines());
+    sleep_until(started, SURGE_AT).await;
+    eprintln!(
+        "{:>5.1} s  a workspace surges",
+        started.elapsed().as_secs_f64()
+    );
+    sleep_until(started, LEAVE_AT).await;
+    eprintln!(
+        "{:>5.1} s  an engine leaves",
+        started.elapsed().as_secs_f64()
+    );
+    let leaving = site.engines()[0].clone();
+    leaving.set_faults(EngineFaults {
+        leaving: true,
+        ..EngineFaults::default()
+    });
+    sampler.set_engines(site.engines()[1..].to_vec());
+    tokio::time::sleep(LEAVING_GRACE).await;
+    let started_after_grace = leaving.started_requests();
+    sleep_until(started, STOP_AT).await;
+    eprintln!(
+        "{:>5.1} s  a router stops as planned",
+        started.elapsed().as_secs_f64()
+    );
+    let cut_requests = site.stop_router().await?;
+    callers.await.map_err(|error| error.to_string())?;
+    eprintln!(
+        "{:>5.1} s  all callers are served",
+        started.elapsed().as_secs_f64()
+    );
+
+    let late_starts = leaving.started_requests() - started_after_grace;
+    let control_bytes_per_s = site.control_bytes_per_s().await?;
+    let mut broken = tally.broken_promises(&site.service().runs());
+    if late_starts > 0 {
+        broken.push(format!(
+            "{late_starts} requests reached an engine that had left"
+        ));
+    }
+    if cut_requests > 0 {
+        broken.push(format!("the planned stop cut {cut_requests} requests"));
+    }
+    print!(
+        "{}",
+        tally.table(&sampler.skew(), &control_bytes_per_s, in_force)
+    );
+    site.stop_all().await?;
+    match broken.is_empty() {
+        true => Ok(()),
+        false => Err(format!("broken promises: {}", broken.join("; "))),
+    }
+}
+
+async fn sleep_until(started: Instant, at: Duration) {
+    tokio::time::sleep_until(tokio::time::Instant::from_std(started + at)).await;
+}
--- a/crates/sapphiretrack-bench/src/main.rs
+++ b/crates/sapphiretrack-bench/src/main.rs
@@ -3,11 +3,13 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
+use sapphiretrackd::{LogFormat, start_logging};
 
 const HELP: &str = "\
 sapphiretrack-bench: measurements and the demo
 
-  sapphiretrack-bench demo      the whole of it on embedded stand-ins, within a minute
+  sapphiretrack-bench demo [--seed N]     the whole of it on embedded stand-ins, within a minute
+  sapphiretrack-bench overhead [--json]   what a router adds to a chat
 ";
 
 fn main() -> ExitCode {
@@ -16,9 +18,14 @@
         print!("{HELP}");
         return ExitCode::SUCCESS;
     }
-    let result = match arguments.subcommand() {
-        Ok(Some(name)) if name == "demo" => sapphiretrack_bench::demo::run(arguments),
-        _ => Err(String::from("a command is missing; hint: see --help")),
+    if let Err(error) = start_logging(LogFormat::Text, log::LevelFilter::Warn) {
+        eprintln!("sapphiretrack-bench: the log cannot start: {error}");
+    }
+    let name = arguments.subcommand().ok().flatten().unwrap_or_default();
+    let result = match name.as_str() {
+        "demo" => sapphiretrack_bench::demo::run(arguments),
+        "overhead" => sapphiretrack_bench::overhead::run(arguments),
+        other => Err(format!("there is no command {other:?}; hint: see --help")),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/sapphiretrack-bench/src/overhead.rs
@@ -0,0 +1,199 @@
+//! What a router adds to a chat: through a router against straight to the engine, in one run.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use pico_args::Arguments;
+use sapphiretrack_caller::{CallerClient, RequestOptions};
+use sapphiretrack_core::LoadBound;
+
+use crate::site::{CALLER_KEY, Site, SiteSettings};
+
+/// Requests sent one after another, each way.
+const UNLOADED_REQUESTS: usize = 300;
+/// Streams at a time, each way, under load.
+const LOADED_STREAMS: usize = 200;
+/// Requests of each such stream.
+const REQUESTS_PER_STREAM: usize = 10;
+/// Tokens of an answer.
+const ANSWER_TOKENS: u32 = 20;
+
+/// Times of one way.
+struct Times {
+    first_token_us: Histogram<u64>,
+    whole_us: Histogram<u64>,
+}
+
+/// One way to an engine.
+#[derive(Clone)]
+struct Way {
+    name: &'static str,
+    url: String,
+    http: CallerClient,
+}
+
+/// Runs the measurement and prints its table, or a JSON object a line with `--json`.
+pub fn run(mut arguments: Arguments) -> Result<(), String> {
+    let json = arguments.contains("--json");
+    if let Some(argument) = arguments.finish().first() {
+        return Err(format!("unknown argument {argument:?}; hint: see --help"));
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .map_err(|error| error.to_string())?;
+    runtime.block_on(measure(json))
+}
+
+async fn measure(json: bool) -> Result<(), String> {
+    // All streams start at once here: the measurement is of the path, not of the load bound.
+    let load_bound = LoadBound {
+        floor_requests: 128,
+        ceiling_requests: 256,
+        ..LoadBound::default()
+    };
+    let mut site = Site::start(SiteSettings {
+        load_bound,
+        decode_ms: 1,
+        batch_slots: 256,
+    })
+    .await?;
+    site.apply_contract().await?;
+    let router_urls = site.caller_urls();
+    let direct = Way {
+        name: "direct",
+        url: format!("http://{}", site.engines()[0].address()),
+        http: CallerClient::new(),
+    };
+    let router = Way {
+        name: "router",
+        url: router_urls[0].clone(),
+        http: CallerClient::new(),
+    };
+    if !json {
+        println!("load       way     first token p50   p99      whole p50   p99 (ms)");
+    }
+    let mut unloaded = [Times::new()?, Times::new()?];
+    for number in 0..UNLOADED_REQUESTS {
+        for (way, times) in [&direct, &router].into_iter().zip(&mut unloaded) {
+            times.add(way.send(&format!("chat-{number}")).await?);
+        }
+    }
+    print_pair("unloaded", [&direct, &router], &unloaded, json);
+    let loaded = [under_load(&direct).await?, under_load(&router).await?];
+    print_pair("200 streams", [&direct, &router], &loaded, json);
+    site.stop_all().await
+}
+
+async fn under_load(way: &Way) -> Result<Times, String> {
+    let mut tasks = tokio::task::JoinSet::new();
+    for stream in 0..LOADED_STREAMS {
+        let way = way.clone();
+        tasks.spawn(async move {
+            let mut times = Vec::new();
+            for _ in 0..REQUESTS_PER_STREAM {
+                times.push(way.send(&format!("stream-{stream}")).await?);
+            }
+            Ok::<_, String>(times)
+        });
+    }
+    let mut all = Times::new()?;
+    while let Some(joined) = tasks.join_next().await {
+        for times in joined.map_err(|error| error.to_string())?? {
+            all.add(times);
+        }
+    }
+    Ok(all)
+}
+
+impl Way {
+    async fn send(&self, chat: &str) -> Result<(Duration, Duration), String> {
+        let body = serde_json::json!({
+            "model": "assistant",
+            "stream": true,
+            "max_tokens": ANSWER_TOKENS,
+            "messages": [{ "role": "user", "content": "is the line clear" }],
+        });
+        let options = RequestOptions {
+            key: CALLER_KEY.to_owned(),
+            chat: Some(chat.to_owned()),
+            ..RequestOptions::default()
+        };
+        let started = Instant::now();
+        let mut first_token = None;
+        let body = Bytes::from(body.to_string());
+        let answer = self
+            .http
+            .chat(&self.url, body, &options, |_| {
+                first_token.get_or_insert_with(|| started.elapsed());
+            })
+            .await
+            .map_err(|error| error.to_string())?;
+        if answer.outcome != "complete" {
+            return Err(format!(
+                "{}: the answer is not whole: {answer:?}",
+                self.name
+            ));
+        }
+        Ok((first_token.unwrap_or_default(), started.elapsed()))
+    }
+}
+
+impl Times {
+    fn new() -> Result<Self, String> {
+        const SIGNIFICANT_DIGITS: u8 = 3;
+        let histogram = || {
+            let mut histogram =
+                Histogram::new(SIGNIFICANT_DIGITS).map_err(|error| error.to_string())?;
+            histogram.auto(true);
+            Ok::<_, String>(histogram)
+        };
+        Ok(Self {
+            first_token_us: histogram()?,
+            whole_us: histogram()?,
+        })
+    }
+
+    fn add(&mut self, (first_token, whole): (Duration, Duration)) {
+        self.first_token_us += first_token.as_micros() as u64;
+        self.whole_us += whole.as_micros() as u64;
+    }
+}
+
+fn print_pair(load: &str, ways: [&Way; 2], times: &[Times; 2], json: bool) {
+    let ms = |histogram: &Histogram<u64>, quantile: f64| {
+        histogram.value_at_quantile(quantile) as f64 / 1_000.0
+    };
+    for (way, times) in ways.iter().zip(times) {
+        let first = [0.5, 0.99].map(|quantile| ms(&times.first_token_us, quantile));
+        let whole = [0.5, 0.99].map(|quantile| ms(&times.whole_us, quantile));
+        if json {
+            let line = serde_json::json!({
+                "bench": "overhead",
+                "load": load,
+                "way": way.name,
+                "first_token_p50_ms": first[0],
+                "first_token_p99_ms": first[1],
+                "whole_p50_ms": whole[0],
+                "whole_p99_ms": whole[1],
+            });
+            println!("{line}");
+            continue;
+        }
+        println!(
+            "{load:<12}{:<8}{:>15.2}{:>8.2}{:>12.2}{:>8.2}",
+            way.name, first[0], first[1], whole[0], whole[1]
+        );
+    }
+    if !json {
+        let [direct, router] = times;
+        let ratio = |quantile| ms(&router.whole_us, quantile) / ms(&direct.whole_us, quantile);
+        println!(
+            "{load:<12}ratio of the whole time: p50 {:.3}, p99 {:.3}",
+            ratio(0.5),
+            ratio(0.99)
+        );
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-bench/src/site.rs
@@ -0,0 +1,295 @@
+//! A whole site in one process: three routers, a platform, engines and a plain service.
+
+use std::time::{Duration, Instant};
+
+use sapphiretrack_core::{LoadBound, PoolKind, VmRecord, VmRole, VmState, sha256_hex};
+use sapphiretrack_fakes::{
+    EngineSettings, FakeEngine, FakePlatform, FakeService, PlatformSettings, ServiceSettings,
+};
+use sapphiretrack_operator::OperatorClient;
+use sapphiretrack_operator::wire::{ApplyContract, ChangeReply};
+use sapphiretrackd::{Daemon, Settings, StopReport};
+
+/// The key of the site's customer.
+pub(crate) const CALLER_KEY: &str = "caller-key-of-the-site";
+const OPERATOR_KEY: &str = "operator-key-of-the-site";
+const CONTRACT: &str = include_str!("contract.toml");
+const ROUTERS: usize = 3;
+const ENGINES: usize = 4;
+const CALL_TIMEOUT_MS: u64 = 5_000;
+const SETTLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// How a site is started.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SiteSettings {
+    /// The load bound of the routers.
+    pub(crate) load_bound: LoadBound,
+    /// The engines' time between two tokens.
+    pub(crate) decode_ms: u64,
+    /// The engines' requests in a batch.
+    pub(crate) batch_slots: u32,
+}
+
+impl Default for SiteSettings {
+    fn default() -> Self {
+        Self {
+            load_bound: LoadBound::default(),
+            decode_ms: 10,
+            batch_slots: 16,
+        }
+    }
+}
+
+/// Everything that runs.
+pub(crate) struct Site {
+    settings: SiteSettings,
+    platform: FakePlatform,
+    engines: Vec<FakeEngine>,
+    service: FakeService,
+    vms: Vec<VmRecord>,
+    routers: Vec<Router>,
+    started: Instant,
+}
+
+/// One embedded router.
+struct Router {
+    caller_url: String,
+    operator: OperatorClient,
+    thread: std::thread::JoinHandle<Result<StopReport, String>>,
+}
+
+impl Site {
+    /// Starts everything and waits until each router sees all of it.
+    pub(crate) async fn start(settings: SiteSettings) -> Result<Self, String> {
+        let platform = FakePlatform::start(PlatformSettings::default())
+            .await
+            .map_err(text)?;
+        let service = FakeService::start(ServiceSettings::default())
+            .await
+            .map_err(text)?;
+        let load_bound = settings.load_bound;
+        let mut site = Self {
+            settings,
+            platform,
+            engines: Vec::new(),
+            service,
+            vms: Vec::new(),
+            routers: Vec::new(),
+            started: Instant::now(),
+        };
+        let kind = PoolKind::Service;
+        site.vms
+            .push(server("plant-0", site.service.address(), "plant", kind, 0));
+        for _ in 0..ENGINES {
+            site.add_engine().await?;
+        }
+        for index in 0..ROUTERS {
+            site.add_router(index, load_bound).await?;
+        }
+        site.platform.set_vms(site.vms.clone());
+        let engines = site.engines.len();
+        site.wait(|status| {
+            let live = status
+                .servers
+                .iter()
+                .filter(|line| line.state == "live")
+                .count();
+            status.routers.len() == ROUTERS && live == engines + 1
+        })
+        .await?;
+        Ok(site)
+    }
+
+    /// Applies the site's contract; returns how long until it is in force everywhere.
+    pub(crate) async fn apply_contract(&self) -> Result<Duration, String> {
+        let request = ApplyContract {
+            change_id: String::from("first-contract"),
+            operator: String::from("bench"),
+            seen_version: 0,
+            contract_toml: CONTRACT.replace("CALLER_KEY_SHA256", &sha256_hex(CALLER_KEY)),
+        };
+        let reply = self.routers[0]
+            .operator
+            .apply(&request)
+            .await
+            .map_err(text)?;
+        let accepted = Instant::now();
+        let ChangeReply::Accepted { version } = reply else {
+            return Err(format!("the contract is not accepted: {reply:?}"));
+        };
+        self.wait(|status| status.config_version >= version).await?;
+        Ok(accepted.elapsed())
+    }
+
+    /// Starts another engine and lists it.
+    pub(crate) async fn add_engine(&mut self) -> Result<(), String> {
+        let index = self.engines.len();
+        let settings = EngineSettings {
+            incarnation: index as u64 + 1,
+            batch_slots: self.settings.batch_slots,
+            prefill_us_per_token: 100,
+            decode_ms: self.settings.decode_ms,
+            ..EngineSettings::default()
+        };
+        let engine = FakeEngine::start(settings).await.map_err(text)?;
+        let name = format!("engine-{index}");
+        let kind = PoolKind::Engine;
+        self.vms
+            .push(server(&name, engine.address(), "assistant", kind, index));
+        self.engines.push(engine);
+        self.platform.set_vms(self.vms.clone());
+        Ok(())
+    }
+
+    /// The engines.
+    pub(crate) fn engines(&self) -> &[FakeEngine] {
+        &self.engines
+    }
+
+    /// The plain service.
+    pub(crate) fn service(&self) -> &FakeService {
+        &self.service
+    }
+
+    /// How many routers there are.
+    pub(crate) fn router_count(&self) -> usize {
+        self.routers.len()
+    }
+
+    /// Where callers may ask first.
+    pub(crate) fn caller_urls(&self) -> Vec<String> {
+        self.routers
+            .iter()
+            .map(|router| router.caller_url.clone())
+            .collect()
+    }
+
+    /// Stops the last router as planned; returns how many requests that cut.
+    pub(crate) async fn stop_router(&mut self) -> Result<u64, String> {
+        let Some(router) = self.routers.pop() else {
+            return Ok(0);
+        };
+        router.stop().await
+    }
+
+    /// Stops all routers.
+    pub(crate) async fn stop_all(&mut self) -> Result<(), String> {
+        for router in self.routers.drain(..) {
+            router.stop().await?;
+        }
+        Ok(())
+    }
+
+    /// Control bytes that each router sent a second.
+    pub(crate) async fn control_bytes_per_s(&self) -> Result<Vec<f64>, String> {
+        let elapsed_s = self.started.elapsed().as_secs_f64();
+        let mut rates = Vec::new();
+        for router in &self.routers {
+            let metrics = router.operator.metrics().await.map_err(text)?;
+            let total: f64 = metrics
+                .lines()
+                .filter(|line| line.starts_with("sapphiretrack_control_bytes_total"))
+                .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+                .sum();
+            rates.push(total / elapsed_s);
+        }
+        Ok(rates)
+    }
+
+    async fn add_router(&mut self, index: usize, load_bound: LoadBound) -> Result<(), String> {
+        let free = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = Settings {
+            router_name: format!("router-{index}"),
+            zone: format!("zone-{index}"),
+            caller_address: free,
+            operator_address: free,
+            peer_address: free,
+            platform_url: self.platform.url(),
+            cell_key: String::from("cell-key-of-the-site"),
+            operator_key_sha256: sha256_hex(OPERATOR_KEY),
+            entry_ttl_ms: 1_000,
+            load_bound,
+            ..Settings::default()
+        };
+        let zone = settings.zone.clone();
+        // A router has runtimes of its own, which may not be started inside another.
+        let starting = tokio::task::spawn_blocking(|| Daemon::start(settings));
+        let daemon = starting.await.map_err(text)?.map_err(text)?;
+        let operator_address = daemon.operator_address();
+        self.vms.push(VmRecord {
+            name: format!("router-{index}"),
+            zone,
+            address: daemon.caller_address(),
+            role: VmRole::Router {
+                peer_address: daemon.peer_address(),
+                operator_address,
+            },
+            state: VmState::Live,
+        });
+        let operator_url = format!("http://{operator_address}");
+        self.routers.push(Router {
+            caller_url: format!("http://{}", daemon.caller_address()),
+            operator: OperatorClient::new(&operator_url, OPERATOR_KEY, CALL_TIMEOUT_MS),
+            thread: std::thread::spawn(move || daemon.run().map_err(text)),
+        });
+        Ok(())
+    }
+
+    async fn wait<Holds>(&self, holds: Holds) -> Result<(), String>
+    where
+        Holds: Fn(&sapphiretrack_operator::wire::Status) -> bool,
+    {
+        let waited = tokio::time::timeout(SETTLE_LIMIT, async {
+            for router in &self.routers {
+                while !router
+                    .operator
+                    .status()
+                    .await
+                    .is_ok_and(|status| holds(&status))
+                {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        });
+        waited
+            .await
+            .map_err(|_| format!("the routers did not settle within {SETTLE_LIMIT:?}"))
+    }
+}
+
+impl Router {
+    async fn stop(self) -> Result<u64, String> {
+        self.operator.stop().await.map_err(text)?;
+        let joined = tokio::task::spawn_blocking(move || self.thread.join());
+        let report = joined.await.map_err(text)?;
+        report
+            .map_err(|_| String::from("the router panicked"))?
+            .map(|report| report.cut_requests)
+    }
+}
+
+fn server(
+    name: &str,
+    address: std::net::SocketAddr,
+    pool: &str,
+    kind: PoolKind,
+    index: usize,
+) -> VmRecord {
+    VmRecord {
+        name: name.to_owned(),
+        zone: format!("zone-{}", index % ROUTERS),
+        address,
+        role: VmRole::Server {
+            pool: pool.to_owned(),
+            kind,
+        },
+        state: VmState::Live,
+    }
+}
+
+fn text<Error>(error: Error) -> String
+where
+    Error: std::fmt::Display,
+{
+    error.to_string()
+}
--- a/crates/sapphiretrack-fakes/src/engine.rs
+++ b/crates/sapphiretrack-fakes/src/engine.rs
@@ -12,13 +12,12 @@
 use sapphiretrack_backend::wire::{
     ATTEMPT_HEADER, CHAT_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER, RESUME_HEADER,
 };
-use sapphiretrack_core::{
-    Chunk, ChunkChoice, Delta, Incarnation, LoadReport, STREAM_END, Usage, hash_parts,
-};
+use sapphiretrack_core::{Chunk, ChunkChoice, Delta, Incarnation, LoadReport, STREAM_END, Usage};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc};
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::answer::{answer_tag, token_text};
 use crate::http_server::{
     FakeFuture, FakeResponse, json, read_bytes, read_json, serve, with_status,
 };
@@ -113,7 +112,7 @@
     model: String,
     prompt_tokens: u32,
     answer_tokens: u32,
-    answer_tag: u64,
+    answer_tag: u16,
 }
 
 impl FakeEngine {
@@ -259,7 +258,7 @@
                 return;
             }
             tokio::time::sleep(Duration::from_millis(self.settings.decode_ms)).await;
-            let text = format!("{:04x}-{index} ", chat.answer_tag & 0xffff);
+            let text = token_text(chat.answer_tag, index);
             let chunk = chunk(attempt, chat, Some(text), None);
             if !send_event(&frames, &chunk).await {
                 return;
@@ -389,7 +388,6 @@
     let body = read_bytes(request).await?;
     let value: serde_json::Value = serde_json::from_slice(&body)
         .map_err(|error| with_status(StatusCode::BAD_REQUEST, error.to_string()))?;
-    let messages = value["messages"].to_string();
     let text_bytes: usize = value["messages"].as_array().map_or(0, |messages| {
         messages
             .iter()
@@ -405,7 +403,7 @@
         model: value["model"].as_str().unwrap_or_default().to_owned(),
         prompt_tokens: text_bytes.div_ceil(BYTES_PER_TOKEN) as u32,
         answer_tokens: max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
-        answer_tag: hash_parts(&[messages.as_bytes()]),
+        answer_tag: answer_tag(&value["messages"]),
     })
 }
 
--- a/crates/sapphiretrack-fakes/src/lib.rs
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -3,11 +3,13 @@
 //! They speak the published protocols of what they stand for. Faults are set in process, or by
 //! `POST /fake/faults` with the JSON of the stand-in's `Faults`.
 
+mod answer;
 mod engine;
 mod http_server;
 mod platform;
 mod service;
 
+pub use answer::{answer_tag, expected_answer, token_text};
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
 pub use platform::{FakePlatform, PlatformFaults, PlatformSettings};
 pub use service::{FakeService, RunCount, ServiceFaults, ServiceSettings};
--- a/crates/sapphiretrack-operator/src/client.rs
+++ b/crates/sapphiretrack-operator/src/client.rs
@@ -101,6 +101,14 @@
         self.post("/v1/stop", &()).await
     }
 
+    /// The router's metrics as text.
+    pub async fn metrics(&self) -> Result<String, OperatorError> {
+        let body = self
+            .call_bytes(http::Method::GET, "/metrics", Bytes::new())
+            .await?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
     async fn get<Reply>(&self, path: &str) -> Result<Reply, OperatorError>
     where
         Reply: DeserializeOwned,
@@ -136,6 +144,22 @@
     where
         Reply: DeserializeOwned,
     {
+        let body = self.call_bytes(method, path, body).await?;
+        serde_json::from_slice(&body).or_else(|error| {
+            ReplyLostSnafu {
+                url: self.url.as_str(),
+                reason: error.to_string(),
+            }
+            .fail()
+        })
+    }
+
+    async fn call_bytes(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, OperatorError> {
         let url = self.url.as_str();
         let lost = |reason: String| ReplyLostSnafu { url, reason }.build();
         let request = http::Request::builder()
@@ -178,6 +202,6 @@
             }
             .fail();
         }
-        serde_json::from_slice(&body).map_err(|error| lost(error.to_string()))
+        Ok(body)
     }
 }
