--- a/crates/sapphiretrack-bench/src/site.rs
+++ b/crates/sapphiretrack-bench/src/site.rs
@@ -15,6 +15,8 @@
 const OPERATOR_KEY: &str = "operator-key-of-the-site";
 const CONTRACT: &str = include_str!("contract.toml");
 const ROUTERS: usize = 3;
+/// Requests that may wait on an engine; more than the routers ever send.
+const QUEUE_REQUESTS: u32 = 512;
 const ENGINES: usize = 4;
 const CALL_TIMEOUT_MS: u64 = 5_000;
 const SETTLE_LIMIT: Duration = Duration::from_secs(20);
@@ -127,6 +129,7 @@
         let settings = EngineSettings {
             incarnation: index as u64 + 1,
             batch_slots: self.settings.batch_slots,
+            queue_requests: QUEUE_REQUESTS,
             prefill_us_per_token: 100,
             decode_ms: self.settings.decode_ms,
             ..EngineSettings::default()
