A history recorder with a linearizability checker from a library

Ruled out: stateright (the registry does not give it), a checker of our own. Choice: todc-utils 0.1 (WGL algorithm). Operations of unknown outcome respond last. The test holds histories that no order explains, so a checker that accepts all would fail it.

--- a/crates/sapphiretrack-tests/src/lib.rs
+++ b/crates/sapphiretrack-tests/src/lib.rs
@@ -1,7 +1,9 @@
 //! What tests of the whole share: a fleet of separate processes on loopback.
 
 mod fleet;
+mod history;
 mod process;
 
 pub use fleet::{CALLER_KEY, Fleet, FleetSettings, OPERATOR_KEY, contract_toml, post_json};
+pub use history::{HistoryRecorder, OpenCall};
 pub use process::{ChildProcess, binary};
