--- a/crates/sapphiretrack-caller/src/server.rs
+++ b/crates/sapphiretrack-caller/src/server.rs
@@ -40,7 +40,7 @@
 pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
 /// Finds the contract that lists a key.
-pub type Authenticate = Arc<dyn Fn(&str) -> Option<Arc<Contract>> + Send + Sync>;
+pub type Authenticate = Arc<dyn Fn(&str) -> Result<Arc<Contract>, Refusal> + Send + Sync>;
 /// Answers a lookup from an availability zone.
 pub type LookUp = Arc<dyn Fn(Option<&str>) -> EntryReply + Send + Sync>;
 /// Runs a request.
@@ -49,7 +49,7 @@
 /// What the daemon does for callers.
 #[derive(Clone)]
 pub struct CallerHandlers {
-    /// The contract that lists a key.
+    /// The contract that lists a key, or why there is none.
     pub authenticate: Authenticate,
     /// Which routers a caller of an availability zone connects to.
     pub entry: LookUp,
@@ -265,8 +265,11 @@
 fn authenticate(handlers: &CallerHandlers, headers: &HeaderMap) -> Result<Arc<Contract>, Refusal> {
     let value = header(headers, http::header::AUTHORIZATION.as_str())?;
     let key = value.and_then(|value| value.strip_prefix("Bearer "));
-    let contract = key.and_then(|key| (handlers.authenticate)(key));
-    contract.ok_or_else(|| Refusal::not_run(RefusalCode::BadKey, "no contract lists the key"))
+    let Some(key) = key else {
+        let message = "there is no key";
+        return Err(Refusal::not_run(RefusalCode::BadKey, message));
+    };
+    (handlers.authenticate)(key)
 }
 
 fn class_of(
--- a/crates/sapphiretrack-cli/src/command.rs
+++ b/crates/sapphiretrack-cli/src/command.rs
@@ -30,7 +30,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Command {
     ContractApply(ContractApply),
-    ContractShow { customer: String },
+    ContractShow(ContractShow),
     ContractHistory,
     ChangeShow { change_id: String },
     RouterList,
@@ -53,6 +53,14 @@
     pub(crate) wait: bool,
 }
 
+/// Shows a contract.
+#[derive(Clone, Debug)]
+pub(crate) struct ContractShow {
+    pub(crate) customer: String,
+    /// As it stood at this version; none for now.
+    pub(crate) version: Option<u64>,
+}
+
 /// Drains a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerDrain {
@@ -142,9 +150,12 @@
                 file: PathBuf::from(free(arguments, "FILE")?),
             }))
         }
-        "show" => Ok(Command::ContractShow {
+        "show" => Ok(Command::ContractShow(ContractShow {
+            version: arguments
+                .opt_value_from_str("--version")
+                .context(ArgumentsSnafu)?,
             customer: free(arguments, "CUSTOMER")?,
-        }),
+        })),
         "history" => Ok(Command::ContractHistory),
         other => unknown("contract", other),
     }
--- a/crates/sapphiretrack-cli/src/contracts.rs
+++ b/crates/sapphiretrack-cli/src/contracts.rs
@@ -7,7 +7,7 @@
 use sapphiretrack_operator::wire::{ApplyContract, ChangeReply, Status};
 use snafu::ResultExt;
 
-use crate::command::{ContractApply, Options};
+use crate::command::{ContractApply, ContractShow, Options};
 use crate::error::{
     CliError, ContractSnafu, ReadFileSnafu, RefusedSnafu, RouterSnafu, UnknownSnafu, WaitEndedSnafu,
 };
@@ -56,8 +56,13 @@
 }
 
 /// Shows a contract.
-pub(crate) async fn show(options: &Options, customer: &str) -> Result<String, CliError> {
-    let shown = client(options).show(customer).await.context(RouterSnafu)?;
+pub(crate) async fn show(options: &Options, show: &ContractShow) -> Result<String, CliError> {
+    let client = client(options);
+    let shown = match show.version {
+        Some(version) => client.show_at(&show.customer, version).await,
+        None => client.show(&show.customer).await,
+    };
+    let shown = shown.context(RouterSnafu)?;
     if options.json {
         return Ok(json(&shown));
     }
@@ -116,7 +121,15 @@
     };
     match reply {
         ChangeReply::Accepted { version } => Ok(version),
-        ChangeReply::Refused { reason, .. } => RefusedSnafu { reason }.fail(),
+        ChangeReply::Refused {
+            reason,
+            differences,
+            ..
+        } => {
+            let lines = differences.iter().map(|line| format!("\n  {line}"));
+            let reason = reason + &lines.collect::<String>();
+            RefusedSnafu { reason }.fail()
+        }
         ChangeReply::Unknown { change_id, reason } => UnknownSnafu { change_id, reason }.fail(),
     }
 }
--- a/crates/sapphiretrack-cli/src/main.rs
+++ b/crates/sapphiretrack-cli/src/main.rs
@@ -18,7 +18,7 @@
 sapphiretrack: drives a fleet of routers
 
   sapphiretrack contract apply FILE [--new | --seen VERSION] [--wait]
-  sapphiretrack contract show CUSTOMER
+  sapphiretrack contract show CUSTOMER [--version VERSION]
   sapphiretrack contract history
   sapphiretrack change show CHANGE-ID
   sapphiretrack router list
@@ -50,7 +50,8 @@
         print!("{HELP}");
         return ExitCode::SUCCESS;
     }
-    if arguments.contains(["-V", "--version"]) {
+    let only_version = std::env::args_os().len() == 2;
+    if only_version && arguments.contains(["-V", "--version"]) {
         println!("sapphiretrack {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
@@ -73,7 +74,7 @@
 async fn run(command: Command, options: &Options) -> Result<String, CliError> {
     match command {
         Command::ContractApply(apply) => contracts::apply(options, &apply).await,
-        Command::ContractShow { customer } => contracts::show(options, &customer).await,
+        Command::ContractShow(show) => contracts::show(options, &show).await,
         Command::ContractHistory => contracts::history(options).await,
         Command::ChangeShow { change_id } => contracts::change(options, &change_id).await,
         Command::RouterList => fleet::routers(options).await,
--- a/crates/sapphiretrack-core/src/contract.rs
+++ b/crates/sapphiretrack-core/src/contract.rs
@@ -6,6 +6,8 @@
 use sha2::{Digest, Sha256};
 use snafu::{ResultExt, Snafu, ensure};
 
+use crate::change::is_plain_name;
+
 /// The contract of one customer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -90,7 +92,9 @@
 #[derive(Debug, Snafu)]
 pub enum ContractError {
     /// The text is not TOML, or has an unknown or ill-typed key; the source names the line.
-    #[snafu(display("the contract cannot be read: {source}; hint: see docs/examples"))]
+    #[snafu(display(
+        "the contract cannot be read: {source}; hint: see docs/operators/contracts.md"
+    ))]
     Syntax {
         /// Where and what.
         source: toml::de::Error,
@@ -124,20 +128,45 @@
         .collect()
 }
 
-fn check_names(contract: &Contract) -> Result<(), ContractError> {
-    let plain = |text: &str| {
-        !text.is_empty()
-            && text.len() <= 64
-            && text
-                .chars()
-                .all(|c| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.')
+/// What differs between two contracts: a line for each field, as `field: old -> new`.
+pub fn contract_differences(old: &Contract, new: &Contract) -> Vec<String> {
+    let mut differences = Vec::new();
+    let table = |contract| toml::Value::try_from(contract).ok();
+    if let (Some(old), Some(new)) = (table(old), table(new)) {
+        compare_values("", &old, &new, &mut differences);
+    }
+    differences
+}
+
+fn compare_values(path: &str, old: &toml::Value, new: &toml::Value, lines: &mut Vec<String>) {
+    let (toml::Value::Table(old), toml::Value::Table(new)) = (old, new) else {
+        if old != new {
+            lines.push(format!("{path}: {old} -> {new}"));
+        }
+        return;
     };
+    let fields: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    for field in fields {
+        let path = match path {
+            "" => field.clone(),
+            path => format!("{path}.{field}"),
+        };
+        match (old.get(field), new.get(field)) {
+            (Some(old), Some(new)) => compare_values(&path, old, new, lines),
+            (None, Some(new)) => lines.push(format!("{path}: none -> {new}")),
+            (Some(old), None) => lines.push(format!("{path}: {old} -> none")),
+            (None, None) => {}
+        }
+    }
+}
+
+fn check_names(contract: &Contract) -> Result<(), ContractError> {
     let names = std::iter::once(("customer", &contract.customer))
         .chain(contract.pools.iter().map(|name| ("pools", name)))
         .chain(contract.classes.keys().map(|name| ("classes", name)));
     for (field, name) in names {
         ensure!(
-            plain(name),
+            is_plain_name(name),
             ValueSnafu {
                 field,
                 problem: format!("has the name {name:?}"),
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! numbers are passed in. The daemon and the policy measurements run the same code.
 
 mod bound;
+mod change;
 mod chat;
 mod claim;
 mod config;
@@ -18,11 +19,13 @@
 mod retry;
 
 pub use bound::{LoadBound, server_limit};
+pub use change::{Change, HistoryEntry, NameError, check_change_id, check_server_name};
 pub use chat::{Chunk, ChunkChoice, Delta, STREAM_END, Usage};
 pub use claim::{CLAIM_RETENTION_MS, Claim, ClaimDecision, ClaimState, decide_claim};
-pub use config::{FleetConfig, Refreshed, newer_config};
+pub use config::{FleetConfig, KeyIndex, REPUBLISH_STEP, Refreshed, newer_config};
 pub use contract::{
-    ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, parse_contract, sha256_hex,
+    ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, contract_differences,
+    parse_contract, sha256_hex,
 };
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
 pub use ledger::{Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
--- a/crates/sapphiretrack-fakes/src/platform.rs
+++ b/crates/sapphiretrack-fakes/src/platform.rs
@@ -29,6 +29,8 @@
     pub list_lag_ms: u64,
     /// Writes that it takes a second; more are refused with status 429.
     pub writes_per_s: u32,
+    /// Reads that it takes a second; more are refused with status 429.
+    pub reads_per_s: u32,
 }
 
 impl Default for PlatformSettings {
@@ -37,6 +39,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             list_lag_ms: 0,
             writes_per_s: 500,
+            reads_per_s: 2_000,
         }
     }
 }
@@ -53,6 +56,10 @@
     pub lose_replies: u32,
     /// So many of the next transactions are cut before they take effect.
     pub lose_requests: u32,
+    /// Reads of the table answer as it stood when this was set.
+    pub older_reads: bool,
+    /// Reads of the table give values that are no values of the fleet.
+    pub wrong_reads: bool,
 }
 
 /// The stand-in platform; clones are the same one.
@@ -67,11 +74,18 @@
 struct State {
     faults: PlatformFaults,
     rows: BTreeMap<String, Row>,
+    /// What reads answer from while they are older.
+    older_rows: Option<BTreeMap<String, Row>>,
+    /// What a restore goes back to.
+    saved_rows: BTreeMap<String, Row>,
     objects: BTreeMap<String, Bytes>,
     last_row_version: u64,
     vms: VecDeque<(Instant, Vec<VmRecord>)>,
     second_started: Option<Instant>,
     writes_in_second: u32,
+    reads_in_second: u32,
+    reads: u64,
+    writes: u64,
 }
 
 impl FakePlatform {
@@ -103,7 +117,31 @@
 
     /// Sets the faults.
     pub fn set_faults(&self, faults: PlatformFaults) {
-        self.lock().faults = faults;
+        let mut state = self.lock();
+        if !faults.older_reads {
+            state.older_rows = None;
+        } else if state.older_rows.is_none() {
+            state.older_rows = Some(state.rows.clone());
+        }
+        state.faults = faults;
+    }
+
+    /// Reads and writes of table and objects that were taken so far.
+    pub fn calls(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.reads, state.writes)
+    }
+
+    /// Remembers the table as it stands, for a later restore.
+    pub fn save(&self) {
+        let mut state = self.lock();
+        state.saved_rows = state.rows.clone();
+    }
+
+    /// Puts the table back to what was saved; row versions go on rising.
+    pub fn restore(&self) {
+        let mut state = self.lock();
+        state.rows = state.saved_rows.clone();
     }
 
     /// Sets the list of VMs; routers see it after the lag.
@@ -141,7 +179,7 @@
                 vms: self.visible_vms(),
             })),
             (method @ ("GET" | "PUT"), path) => match path.strip_prefix("/objects/") {
-                Some(name) if method == "GET" => Ok(self.get_object(name)),
+                Some(name) if method == "GET" => self.get_object(name),
                 Some(name) => {
                     let name = name.to_owned();
                     self.put_object(name, request).await
@@ -169,6 +207,15 @@
                 }
                 Err(response) => response,
             },
+            "save" => {
+                self.save();
+                json(&())
+            }
+            "restore" => {
+                self.restore();
+                json(&())
+            }
+            "calls" => json(&self.calls()),
             "rows" => json(&ScanReply { rows: self.rows() }),
             _ => with_status(StatusCode::NOT_FOUND, "{}"),
         }
@@ -176,20 +223,24 @@
 
     async fn get(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let get: GetRequest = read_json(request).await?;
-        let row = self.lock().rows.get(&get.key).cloned();
+        let mut state = self.lock();
+        state.take_read(self.settings.reads_per_s)?;
+        let row = state.readable_rows().get(&get.key).cloned();
+        let row = row.map(|row| state.as_read(row));
         Ok(json(&GetReply { row }))
     }
 
     async fn scan(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let scan: ScanRequest = read_json(request).await?;
-        let rows = self
-            .lock()
-            .rows
+        let mut state = self.lock();
+        state.take_read(self.settings.reads_per_s)?;
+        let rows = state
+            .readable_rows()
             .range(scan.prefix.clone()..)
             .take_while(|(key, _)| key.starts_with(&scan.prefix))
             .filter(|(key, _)| scan.after.as_ref().is_none_or(|after| *key > after))
             .take(scan.limit as usize)
-            .map(|(_, row)| row.clone())
+            .map(|(_, row)| state.as_read(row.clone()))
             .collect();
         Ok(json(&ScanReply { rows }))
     }
@@ -212,10 +263,12 @@
         Ok(json(&reply))
     }
 
-    fn get_object(&self, name: &str) -> FakeResponse {
-        match self.lock().objects.get(name) {
-            Some(body) => http::Response::new(full(body.clone())),
-            None => with_status(StatusCode::NOT_FOUND, "{}"),
+    fn get_object(&self, name: &str) -> Result<FakeResponse, FakeResponse> {
+        let mut state = self.lock();
+        state.take_read(self.settings.reads_per_s)?;
+        match state.objects.get(name) {
+            Some(body) => Ok(http::Response::new(full(body.clone()))),
+            None => Ok(with_status(StatusCode::NOT_FOUND, "{}")),
         }
     }
 
@@ -251,14 +304,42 @@
 }
 
 impl State {
-    fn take_write(&mut self, writes_per_s: u32) -> bool {
+    fn begin_second(&mut self) {
         let fresh = self
             .second_started
             .is_none_or(|at| at.elapsed() >= Duration::from_secs(1));
         if fresh {
             self.second_started = Some(Instant::now());
             self.writes_in_second = 0;
+            self.reads_in_second = 0;
+        }
+    }
+
+    fn take_read(&mut self, reads_per_s: u32) -> Result<(), FakeResponse> {
+        self.begin_second();
+        self.reads_in_second += 1;
+        if self.reads_in_second > reads_per_s {
+            return Err(with_status(StatusCode::TOO_MANY_REQUESTS, "{}"));
+        }
+        self.reads += 1;
+        Ok(())
+    }
+
+    fn readable_rows(&self) -> &BTreeMap<String, Row> {
+        self.older_rows.as_ref().unwrap_or(&self.rows)
+    }
+
+    fn as_read(&self, row: Row) -> Row {
+        if !self.faults.wrong_reads {
+            return row;
         }
+        let value = String::from("{\"something\":\"else\"}");
+        Row { value, ..row }
+    }
+
+    fn take_write(&mut self, writes_per_s: u32) -> bool {
+        self.begin_second();
+        self.writes += 1;
         self.writes_in_second += 1;
         self.writes_in_second <= writes_per_s
     }
--- a/crates/sapphiretrack-operator/src/client.rs
+++ b/crates/sapphiretrack-operator/src/client.rs
@@ -86,6 +86,16 @@
         self.get(&format!("/v1/contracts/{customer}")).await
     }
 
+    /// A customer's contract as it stood at a configuration version.
+    pub async fn show_at(
+        &self,
+        customer: &str,
+        version: u64,
+    ) -> Result<ShownContract, OperatorError> {
+        self.get(&format!("/v1/contracts/{customer}?version={version}"))
+            .await
+    }
+
     /// All changes.
     pub async fn history(&self) -> Result<Vec<HistoryLine>, OperatorError> {
         self.get("/v1/history").await
--- a/crates/sapphiretrack-operator/src/server.rs
+++ b/crates/sapphiretrack-operator/src/server.rs
@@ -6,7 +6,7 @@
 
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, Body, ConfigDropshot, ConfigTls, HttpError,
-    HttpResponseOk, HttpServer, Path, RequestContext, ServerBuilder, TypedBody, endpoint,
+    HttpResponseOk, HttpServer, Path, Query, RequestContext, ServerBuilder, TypedBody, endpoint,
 };
 use futures::future::BoxFuture;
 use schemars::JsonSchema;
@@ -14,7 +14,8 @@
 use snafu::Snafu;
 
 use crate::wire::{
-    ApplyContract, ChangeReply, DrainServer, HistoryLine, ShownContract, Status, StopReply,
+    ApplyContract, ChangeReply, DrainServer, HistoryLine, ShowContract, ShownContract, Status,
+    StopReply,
 };
 
 /// The largest body that operators may send.
@@ -35,7 +36,7 @@
     /// What came of the change of an id.
     pub outcome_of: Handler<String, ChangeReply>,
     /// A customer's contract.
-    pub show: Handler<String, Result<Option<ShownContract>, String>>,
+    pub show: Handler<ShowContract, Result<Option<ShownContract>, String>>,
     /// All changes.
     pub history: Handler<(), Result<Vec<HistoryLine>, String>>,
     /// The router's view.
@@ -119,6 +120,12 @@
     customer: String,
 }
 
+/// Which version of a contract is asked for.
+#[derive(Deserialize, JsonSchema)]
+struct VersionQuery {
+    version: Option<u64>,
+}
+
 /// Applies a contract.
 #[endpoint { method = POST, path = "/v1/contracts" }]
 async fn apply(
@@ -160,10 +167,15 @@
 async fn show(
     context: Context,
     path: Path<CustomerPath>,
+    query: Query<VersionQuery>,
 ) -> Result<HttpResponseOk<ShownContract>, HttpError> {
     check_key(&context)?;
     let customer = path.into_inner().customer;
-    match (context.context().show)(customer.clone()).await {
+    let show = ShowContract {
+        customer: customer.clone(),
+        version: query.into_inner().version,
+    };
+    match (context.context().show)(show).await {
         Ok(Some(contract)) => Ok(HttpResponseOk(contract)),
         Ok(None) => {
             let message = format!("there is no contract of customer {customer:?}");
--- a/crates/sapphiretrack-operator/src/wire.rs
+++ b/crates/sapphiretrack-operator/src/wire.rs
@@ -44,6 +44,9 @@
         reason: String,
         /// The version at which the contract stands, if another change came first.
         current_version: Option<u64>,
+        /// What differs from the contract that the operator saw, a field each.
+        #[serde(default)]
+        differences: Vec<String>,
     },
     /// It may or may not hold: ask `GET /v1/changes/{change_id}`.
     Unknown {
@@ -54,7 +57,16 @@
     },
 }
 
-/// A contract: `GET /v1/contracts/{customer}`.
+/// Asks for a contract.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShowContract {
+    /// The customer.
+    pub customer: String,
+    /// As it stood at this configuration version; none for now.
+    pub version: Option<u64>,
+}
+
+/// A contract: `GET /v1/contracts/{customer}`, with `?version=N` as it stood then.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 pub struct ShownContract {
     /// The version at which it last changed.
--- a/crates/sapphiretrack-peer/src/client.rs
+++ b/crates/sapphiretrack-peer/src/client.rs
@@ -15,7 +15,7 @@
 
 use crate::error::{EncodeSnafu, NoReplySnafu, PeerError, RejectedSnafu, UnreachableSnafu};
 use crate::server::{CellRpcClient as Stub, MAX_FRAME_BYTES};
-use crate::wire::{ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, SigningKey};
+use crate::wire::{ConfigUpdate, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, SigningKey};
 
 /// How peers are called.
 #[derive(Clone, Copy, Debug)]
@@ -107,14 +107,21 @@
         .map(drop)
     }
 
-    /// Fetches a peer's configuration.
-    pub async fn fetch_config(&self, peer: SocketAddr) -> Result<ConfigReply, PeerError> {
+    /// Fetches what a peer's configuration has more than the version of this change.
+    pub async fn fetch_config_since(
+        &self,
+        peer: SocketAddr,
+        version: u64,
+        change_id: &str,
+    ) -> Result<ConfigUpdate, PeerError> {
         let timeout_ms = self.settings.fetch_timeout_ms;
-        match self
-            .call_within(peer, PeerRequest::FetchConfig, timeout_ms)
-            .await?
-        {
-            PeerReply::Config(reply) => Ok(reply),
+        let request = PeerRequest::FetchConfigSince {
+            version,
+            change_id: change_id.to_owned(),
+        };
+        match self.call_within(peer, request, timeout_ms).await? {
+            PeerReply::Config(reply) => Ok(ConfigUpdate::Whole(reply.config_json)),
+            PeerReply::ConfigChanges(changes_json) => Ok(ConfigUpdate::Changes(changes_json)),
             _ => RejectedSnafu.fail(),
         }
     }
--- a/crates/sapphiretrack-peer/src/lib.rs
+++ b/crates/sapphiretrack-peer/src/lib.rs
@@ -9,6 +9,6 @@
 pub use error::PeerError;
 pub use server::{PeerHandlers, serve};
 pub use wire::{
-    ConfigReply, Heartbeat, HeartbeatReply, PROTOCOL_VERSION, PeerReply, PeerRequest, ServerState,
-    Signed, SigningKey,
+    ConfigReply, ConfigUpdate, Heartbeat, HeartbeatReply, PROTOCOL_VERSION, PeerReply, PeerRequest,
+    ServerState, Signed, SigningKey,
 };
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -74,6 +74,15 @@
     pub config_json: String,
 }
 
+/// What brings an older configuration up to date.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ConfigUpdate {
+    /// The whole `FleetConfig`, as JSON text.
+    Whole(String),
+    /// The changes since, a list of `HistoryEntry`, as JSON text.
+    Changes(String),
+}
+
 /// A call from one router to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerRequest {
@@ -92,6 +101,13 @@
     },
     /// Asks for the receiver's configuration.
     FetchConfig,
+    /// Asks for what is newer than the sender's configuration.
+    FetchConfigSince {
+        /// The version that the sender has.
+        version: u64,
+        /// The change that made it, since a restored platform may give a number twice.
+        change_id: String,
+    },
 }
 
 /// The reply to a call.
@@ -107,6 +123,8 @@
     Config(ConfigReply),
     /// The call was not understood or not signed by the cell's key.
     Rejected,
+    /// To a request for what is newer: a list of `HistoryEntry` as JSON text.
+    ConfigChanges(String),
 }
 
 /// A request with the proof that its sender has the cell's key.
--- a/crates/sapphiretrack-platform/src/client.rs
+++ b/crates/sapphiretrack-platform/src/client.rs
@@ -91,14 +91,27 @@
 
     /// Reads all rows whose keys start with `prefix`.
     pub async fn scan(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
+        self.scan_pages(prefix, None).await
+    }
+
+    /// Reads the rows whose keys start with `prefix` and come after a key.
+    pub async fn scan_after(&self, prefix: &str, after: &str) -> Result<Vec<Row>, PlatformError> {
+        self.scan_pages(prefix, Some(after)).await
+    }
+
+    async fn scan_pages(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<Vec<Row>, PlatformError> {
         const PAGE_ROWS: u32 = 1_000;
         let mut rows: Vec<Row> = Vec::new();
         loop {
             self.counts.reads.fetch_add(1, Ordering::Relaxed);
-            let after = rows.last().map(|row| row.key.clone());
+            let after = rows.last().map(|row| row.key.as_str()).or(after);
             let request = ScanRequest {
                 prefix: prefix.to_owned(),
-                after,
+                after: after.map(str::to_owned),
                 limit: PAGE_ROWS,
             };
             let reply: ScanReply = self.post("/table/scan", &request).await?;
--- a/crates/sapphiretrack-platform/src/configuration.rs
+++ b/crates/sapphiretrack-platform/src/configuration.rs
@@ -2,43 +2,30 @@
 
 use std::sync::Arc;
 
-use sapphiretrack_core::{Contract, FleetConfig};
+use sapphiretrack_core::{Change, Contract, FleetConfig, HistoryEntry, contract_differences};
 use serde::{Deserialize, Serialize};
-use snafu::ResultExt;
+use snafu::{ResultExt, ensure};
 
 use crate::PlatformClient;
-use crate::error::{ChangedWhileReadSnafu, PlatformError, UnreadableSnafu};
-use crate::wire::{Condition, Row, TransactReply, TransactRequest, Write};
+use crate::error::{
+    ApplyError, ChangedWhileReadSnafu, NotAppliedSnafu, OlderStateSnafu, PlatformError,
+    UnreadableSnafu,
+};
+use crate::snapshot::{decode_snapshot, encode_snapshot};
+use crate::transaction::{change_transaction, republish_transaction};
+use crate::wire::{Row, TransactReply};
 
-const HEAD_KEY: &str = "config/head";
-const CONTRACT_PREFIX: &str = "config/contract/";
-const DRAIN_PREFIX: &str = "config/drain/";
-const CHANGE_PREFIX: &str = "config/change/";
+pub(crate) const HEAD_KEY: &str = "config/head";
+pub(crate) const CONTRACT_PREFIX: &str = "config/contract/";
+pub(crate) const DRAIN_PREFIX: &str = "config/drain/";
+pub(crate) const CHANGE_PREFIX: &str = "config/change/";
 const HISTORY_PREFIX: &str = "config/history/";
+const SNAPSHOT_OBJECT: &str = "config-snapshot";
 
 /// How often a read or a write is tried again when another operator is faster.
 const ATTEMPTS: usize = 8;
-
-/// What an operator changes.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Change {
-    /// Sets a customer's contract, if its version is still the one that the operator saw.
-    Contract {
-        /// The contract.
-        contract: Box<Contract>,
-        /// The configuration version at which the operator saw the contract change last; 0 for
-        /// a new one.
-        seen_version: u64,
-    },
-    /// Starts or ends the drain of a backend server.
-    Drain {
-        /// The server's name.
-        server: String,
-        /// Whether it drains.
-        draining: bool,
-    },
-}
+/// Every so many versions the router that made the change writes the snapshot.
+const SNAPSHOT_EVERY: u64 = 32;
 
 /// An accepted change, as recorded under its id.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -48,50 +35,47 @@
 }
 
 /// What came of a change.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Clone, Debug, PartialEq)]
 pub enum ChangeOutcome {
     /// It holds, from this version on.
     Accepted {
         /// The version.
         version: u64,
+        /// The configuration at that version, if this call made it.
+        config: Option<Arc<FleetConfig>>,
     },
     /// It was not applied: another operator changed the contract since.
     Refused {
-        /// The version at which the contract stands.
+        /// The version at which the contract stands; 0 if there is none.
         current_version: u64,
         /// Who made that change.
         changed_by: String,
+        /// What differs from the contract that the operator saw, a field each.
+        differences: Vec<String>,
     },
 }
 
-/// A line of the history of changes.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct HistoryEntry {
-    /// The configuration version that the change made.
-    pub version: u64,
-    /// The change's id.
-    pub change_id: String,
-    /// Which operator made it.
-    pub operator: String,
-    /// When, by the wall clock of the router that wrote it.
-    pub at_ms: u64,
-    /// What it changed.
-    pub change: Change,
+/// What a caller of [`ConfigurationStore::apply`] knows of the fleet.
+#[derive(Clone, Debug)]
+pub struct KnownConfig {
+    /// The configuration in force here.
+    pub config: Arc<FleetConfig>,
+    /// The newest version that any router is known to have in force.
+    pub newest_version: u64,
 }
 
 /// A contract row.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct ContractRow {
-    version: u64,
-    operator: String,
-    contract: Arc<Contract>,
+pub(crate) struct ContractRow {
+    pub(crate) version: u64,
+    pub(crate) operator: String,
+    pub(crate) contract: Arc<Contract>,
 }
 
 /// The head row.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
-struct Head {
-    version: u64,
+pub(crate) struct Head {
+    pub(crate) version: u64,
 }
 
 /// Reads and changes the configuration.
@@ -111,69 +95,94 @@
         Ok(self.head().await?.1.version)
     }
 
-    /// The whole configuration, as it stood at one moment.
+    /// The whole configuration: the snapshot and what came since, or else all rows.
     pub async fn load(&self) -> Result<FleetConfig, PlatformError> {
-        for _ in 0..ATTEMPTS {
-            let (_, before) = self.head().await?;
-            let contracts = self.platform.scan(CONTRACT_PREFIX).await?;
-            let draining = self.platform.scan(DRAIN_PREFIX).await?;
-            let (_, after) = self.head().await?;
-            if before.version != after.version {
-                continue;
-            }
-            let mut config = FleetConfig {
-                version: after.version,
-                ..FleetConfig::default()
-            };
-            for row in &contracts {
-                let parsed: ContractRow = read_row(row)?;
-                config
-                    .contracts
-                    .insert(parsed.contract.customer.clone(), parsed.contract);
-            }
-            config.draining = draining
-                .iter()
-                .map(|row| row.key[DRAIN_PREFIX.len()..].to_owned())
-                .collect();
+        let head = self.head().await?.1;
+        if let Ok(Some(snapshot)) = self.load_snapshot().await
+            && snapshot.version <= head.version
+            && let Some(config) = self.replay(&snapshot, head.version).await?
+        {
             return Ok(config);
         }
-        ChangedWhileReadSnafu.fail()
+        self.load_rows().await
+    }
+
+    /// A configuration brought up to the head: one more read if it is only some changes behind.
+    pub async fn load_since(&self, held: &FleetConfig) -> Result<FleetConfig, PlatformError> {
+        let head = self.head().await?.1;
+        if head.version <= held.version {
+            return Ok(held.clone());
+        }
+        if held.version > 0
+            && let Some(config) = self.replay(held, head.version).await?
+        {
+            return Ok(config);
+        }
+        self.load().await
     }
 
     /// Applies a change at most once; the same id gives the same outcome.
-    ///
-    /// After [`PlatformError::ReplyLost`] the change may hold: ask [`Self::outcome_of`].
     pub async fn apply(
         &self,
         change_id: &str,
         operator: &str,
         change: &Change,
         now_ms: u64,
-    ) -> Result<ChangeOutcome, PlatformError> {
+        known: &KnownConfig,
+    ) -> Result<ChangeOutcome, ApplyError> {
+        let mut base = known.config.as_ref().clone();
         for _ in 0..ATTEMPTS {
-            if let Some(accepted) = self.outcome_of(change_id).await? {
-                return Ok(ChangeOutcome::Accepted {
-                    version: accepted.version,
-                });
+            if let Some(AcceptedChange { version }) =
+                self.outcome_of(change_id).await.context(NotAppliedSnafu)?
+            {
+                let config = None;
+                return Ok(ChangeOutcome::Accepted { version, config });
+            }
+            // The head is read before the rows below: if one of them changes in between, the
+            // condition on the head fails.
+            let (head_row, head) = self.head().await.context(NotAppliedSnafu)?;
+            check_not_older(head.version, known.newest_version).context(NotAppliedSnafu)?;
+            base = self.load_since(&base).await.context(NotAppliedSnafu)?;
+            if base.version != head.version {
+                continue;
             }
-            let (head_row, head) = self.head().await?;
-            if let Some(refused) = self.check_seen_version(change).await? {
+            if let Some(refused) = self
+                .check_seen_version(change)
+                .await
+                .context(NotAppliedSnafu)?
+            {
                 return Ok(refused);
             }
-            let version = head.version + 1;
-            let entry = HistoryEntry {
-                version,
+            let entry = Arc::new(HistoryEntry {
+                version: head.version + 1,
                 change_id: change_id.to_owned(),
                 operator: operator.to_owned(),
                 at_ms: now_ms,
                 change: change.clone(),
+            });
+            let Some(next) = base.after(&entry) else {
+                continue;
+            };
+            let request = change_transaction(head_row.as_ref(), &entry).context(NotAppliedSnafu)?;
+            let committed = match self.platform.transact(&request).await {
+                Ok(reply) => matches!(reply, TransactReply::Committed { .. }),
+                Err(source) if source.is_without_effect() => {
+                    return Err(ApplyError::NotApplied { source });
+                }
+                Err(source) => match self.outcome_of(change_id).await {
+                    Ok(Some(accepted)) if accepted.version == entry.version => true,
+                    // Absence proves nothing: the write may still be on its way.
+                    _ => return Err(ApplyError::Unknown { source }),
+                },
             };
-            let request = change_transaction(head_row.as_ref(), &entry)?;
-            if let TransactReply::Committed { .. } = self.platform.transact(&request).await? {
-                return Ok(ChangeOutcome::Accepted { version });
+            if committed {
+                return Ok(ChangeOutcome::Accepted {
+                    version: entry.version,
+                    config: Some(Arc::new(next)),
+                });
             }
         }
-        ChangedWhileReadSnafu.fail()
+        ChangedWhileReadSnafu.fail().context(NotAppliedSnafu)
     }
 
     /// What came of the change of this id: none if it was not accepted.
@@ -188,20 +197,82 @@
         row.as_ref().map(read_row).transpose()
     }
 
+    /// Like [`Self::outcome_of`], but refuses to call a change absent by an older state.
+    pub async fn settled_outcome_of(
+        &self,
+        change_id: &str,
+        newest_version: u64,
+    ) -> Result<Option<AcceptedChange>, PlatformError> {
+        let found = self.outcome_of(change_id).await?;
+        if found.is_none() {
+            check_not_older(self.head().await?.1.version, newest_version)?;
+        }
+        Ok(found)
+    }
+
+    /// Writes back what a router holds if the platform has gone back to an older state.
+    ///
+    /// Returns the configuration under its new version, or none if there is nothing to write back
+    /// or another router was faster. A read that is only late does no harm: the condition on the
+    /// head row fails then.
+    pub async fn republish(
+        &self,
+        held: &FleetConfig,
+        router: &str,
+        now_ms: u64,
+    ) -> Result<Option<FleetConfig>, PlatformError> {
+        let (head_row, head) = self.head().await?;
+        if head.version >= held.version {
+            return Ok(None);
+        }
+        let contracts = self.platform.scan(CONTRACT_PREFIX).await?;
+        let drains = self.platform.scan(DRAIN_PREFIX).await?;
+        let (next, request) =
+            republish_transaction(head_row.as_ref(), &contracts, &drains, held, router, now_ms)?;
+        match self.platform.transact(&request).await? {
+            TransactReply::Committed { .. } => Ok(Some(next)),
+            TransactReply::Conflict { .. } => Ok(None),
+        }
+    }
+
+    /// Writes the snapshot, if one is due at this version.
+    pub async fn keep_snapshot(&self, config: &FleetConfig) -> Result<(), PlatformError> {
+        if !config.version.is_multiple_of(SNAPSHOT_EVERY) {
+            return Ok(());
+        }
+        self.write_snapshot(config).await
+    }
+
+    /// Writes the snapshot.
+    pub async fn write_snapshot(&self, config: &FleetConfig) -> Result<(), PlatformError> {
+        let body = encode_snapshot(config)?;
+        self.platform.put_object(SNAPSHOT_OBJECT, body).await
+    }
+
     /// A customer's contract with the version that last changed it.
     pub async fn contract(
         &self,
         customer: &str,
     ) -> Result<Option<(u64, Arc<Contract>)>, PlatformError> {
-        let Some(row) = self
-            .platform
-            .get(&format!("{CONTRACT_PREFIX}{customer}"))
-            .await?
-        else {
-            return Ok(None);
-        };
-        let parsed: ContractRow = read_row(&row)?;
-        Ok(Some((parsed.version, parsed.contract)))
+        let row = self.contract_row(customer).await?;
+        Ok(row.map(|row| (row.version, row.contract)))
+    }
+
+    /// A customer's contract as it stood at a version, with the version that had set it.
+    pub async fn contract_at(
+        &self,
+        customer: &str,
+        version: u64,
+    ) -> Result<Option<(u64, Arc<Contract>)>, PlatformError> {
+        let history = self.history().await?;
+        let found = history.into_iter().rev().find_map(|entry| {
+            let Change::Contract { contract, .. } = entry.change else {
+                return None;
+            };
+            let fits = entry.version <= version && contract.customer == customer;
+            fits.then(|| (entry.version, Arc::new(*contract)))
+        });
+        Ok(found)
     }
 
     /// All changes, the oldest first.
@@ -220,6 +291,75 @@
         Ok((row, head))
     }
 
+    async fn load_snapshot(&self) -> Result<Option<FleetConfig>, PlatformError> {
+        let object = self.platform.get_object(SNAPSHOT_OBJECT).await?;
+        object.as_deref().map(decode_snapshot).transpose()
+    }
+
+    /// Brings a configuration up to at least a version by the history; none if that has a gap.
+    async fn replay(
+        &self,
+        from: &FleetConfig,
+        version: u64,
+    ) -> Result<Option<FleetConfig>, PlatformError> {
+        let Some(last) = from.recent.back() else {
+            return Ok(None);
+        };
+        let before = history_key(from.version.saturating_sub(1));
+        let rows = self.platform.scan_after(HISTORY_PREFIX, &before).await?;
+        let mut entries = Vec::with_capacity(rows.len());
+        for row in &rows {
+            entries.push(Arc::new(read_row::<HistoryEntry>(row)?));
+        }
+        // A restored platform may have given this version to another change.
+        let Some((first, newer)) = entries.split_first() else {
+            return Ok(None);
+        };
+        if first.version != from.version || first.change_id != last.change_id {
+            return Ok(None);
+        }
+        let config = from.after_all(newer);
+        Ok(config.filter(|config| config.version >= version))
+    }
+
+    /// All rows, as they stood at one moment.
+    async fn load_rows(&self) -> Result<FleetConfig, PlatformError> {
+        for _ in 0..ATTEMPTS {
+            let before = self.head().await?.1;
+            let contracts = self.platform.scan(CONTRACT_PREFIX).await?;
+            let draining = self.platform.scan(DRAIN_PREFIX).await?;
+            let after = self.head().await?.1;
+            if before.version != after.version {
+                continue;
+            }
+            let mut config = FleetConfig {
+                version: after.version,
+                ..FleetConfig::default()
+            };
+            for row in &contracts {
+                let parsed: ContractRow = read_row(row)?;
+                let customer = parsed.contract.customer.clone();
+                config.contracts.insert(customer, parsed.contract);
+            }
+            let last = self.platform.get(&history_key(after.version)).await?;
+            if let Some(row) = &last {
+                config.recent.push_back(Arc::new(read_row(row)?));
+            }
+            let names = draining.iter();
+            config.draining = names
+                .map(|row| row.key[DRAIN_PREFIX.len()..].to_owned())
+                .collect();
+            return Ok(config);
+        }
+        ChangedWhileReadSnafu.fail()
+    }
+
+    async fn contract_row(&self, customer: &str) -> Result<Option<ContractRow>, PlatformError> {
+        let key = format!("{CONTRACT_PREFIX}{customer}");
+        let row = self.platform.get(&key).await?;
+        row.as_ref().map(read_row).transpose()
+    }
+
     async fn check_seen_version(
         &self,
         change: &Change,
@@ -231,92 +371,55 @@
         else {
             return Ok(None);
         };
-        let row = self
-            .platform
-            .get(&format!("{CONTRACT_PREFIX}{}", contract.customer))
-            .await?;
-        let current: Option<ContractRow> = row.as_ref().map(read_row).transpose()?;
+        let current = self.contract_row(&contract.customer).await?;
         let current_version = current.as_ref().map_or(0, |row| row.version);
         if current_version == *seen_version {
             return Ok(None);
         }
-        let changed_by = current.map_or_else(String::new, |row| row.operator);
+        let Some(current) = current else {
+            return Ok(Some(ChangeOutcome::Refused {
+                current_version,
+                changed_by: String::new(),
+                differences: Vec::new(),
+            }));
+        };
+        let row = self.platform.get(&history_key(*seen_version)).await?;
+        let seen: Option<HistoryEntry> = row.as_ref().map(read_row).transpose()?;
+        let differences = match seen.map(|entry| entry.change) {
+            Some(Change::Contract { contract, .. })
+                if contract.customer == current.contract.customer =>
+            {
+                contract_differences(&contract, &current.contract)
+            }
+            _ => Vec::new(),
+        };
         Ok(Some(ChangeOutcome::Refused {
             current_version,
-            changed_by,
+            changed_by: current.operator,
+            differences,
         }))
     }
 }
 
-fn change_transaction(
-    head_row: Option<&Row>,
-    entry: &HistoryEntry,
-) -> Result<TransactRequest, PlatformError> {
-    let head_condition = match head_row {
-        Some(row) => Condition::Version {
-            key: HEAD_KEY.to_owned(),
-            row_version: row.row_version,
-        },
-        None => Condition::Absent {
-            key: HEAD_KEY.to_owned(),
-        },
-    };
-    let change_key = format!("{CHANGE_PREFIX}{}", entry.change_id);
-    let body = match &entry.change {
-        Change::Contract { contract, .. } => put(
-            format!("{CONTRACT_PREFIX}{}", contract.customer),
-            &ContractRow {
-                version: entry.version,
-                operator: entry.operator.clone(),
-                contract: Arc::new(contract.as_ref().clone()),
-            },
-        )?,
-        Change::Drain {
-            server,
-            draining: true,
-        } => put(format!("{DRAIN_PREFIX}{server}"), &entry.version)?,
-        Change::Drain {
-            server,
-            draining: false,
-        } => Write::Delete {
-            key: format!("{DRAIN_PREFIX}{server}"),
-        },
-    };
-    Ok(TransactRequest {
-        conditions: vec![
-            head_condition,
-            Condition::Absent {
-                key: change_key.clone(),
-            },
-        ],
-        writes: vec![
-            put(
-                HEAD_KEY.to_owned(),
-                &Head {
-                    version: entry.version,
-                },
-            )?,
-            put(
-                change_key,
-                &AcceptedChange {
-                    version: entry.version,
-                },
-            )?,
-            put(format!("{HISTORY_PREFIX}{:020}", entry.version), entry)?,
-            body,
-        ],
-    })
+/// Refuses to work on a platform that has gone back behind what routers hold.
+fn check_not_older(head_version: u64, newest_version: u64) -> Result<(), PlatformError> {
+    ensure!(
+        head_version >= newest_version,
+        OlderStateSnafu {
+            head_version,
+            newest_version,
+        }
+    );
+    Ok(())
 }
 
-fn put<Value>(key: String, value: &Value) -> Result<Write, PlatformError>
-where
-    Value: Serialize,
-{
-    let value = serde_json::to_string(value).context(UnreadableSnafu { what: "a row" })?;
-    Ok(Write::Put { key, value })
+/// The key of a line of the history.
+pub(crate) fn history_key(version: u64) -> String {
+    format!("{HISTORY_PREFIX}{version:020}")
 }
 
-fn read_row<Value>(row: &Row) -> Result<Value, PlatformError>
+/// Reads a row's value.
+pub(crate) fn read_row<Value>(row: &Row) -> Result<Value, PlatformError>
 where
     Value: for<'a> Deserialize<'a>,
 {
--- a/crates/sapphiretrack-platform/src/error.rs
+++ b/crates/sapphiretrack-platform/src/error.rs
@@ -39,11 +39,48 @@
     /// The rows kept changing while they were read.
     #[snafu(display("the configuration changed while it was read; hint: read again"))]
     ChangedWhileRead,
+    /// The platform has gone back behind what routers hold; they write it back.
+    #[snafu(display(
+        "the platform stands at version {head_version}, older than version {newest_version} which routers hold; they are writing it back; hint: repeat in some seconds"
+    ))]
+    OlderState {
+        /// The platform's version.
+        head_version: u64,
+        /// The newest version that is known.
+        newest_version: u64,
+    },
+    /// The snapshot of the configuration is damaged.
+    #[snafu(display("the snapshot of the configuration cannot be used: {problem}"))]
+    BadSnapshot {
+        /// What is wrong with it.
+        problem: &'static str,
+    },
+}
+
+/// Why it is not known that a change holds.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ApplyError {
+    /// This call changed nothing.
+    #[snafu(display("{source}; this call changed nothing"))]
+    NotApplied {
+        /// Why.
+        source: PlatformError,
+    },
+    /// The change may hold: ask with its id.
+    #[snafu(display("{source}"))]
+    Unknown {
+        /// Why.
+        source: PlatformError,
+    },
 }
 
 impl PlatformError {
     /// Whether the call certainly took no effect.
     pub fn is_without_effect(&self) -> bool {
-        matches!(self, Self::Unreachable { .. } | Self::Refused { .. })
+        matches!(
+            self,
+            Self::Unreachable { .. } | Self::Refused { .. } | Self::OlderState { .. }
+        )
     }
 }
--- a/crates/sapphiretrack-platform/src/lib.rs
+++ b/crates/sapphiretrack-platform/src/lib.rs
@@ -6,9 +6,11 @@
 mod client;
 mod configuration;
 mod error;
+mod snapshot;
+mod transaction;
 pub mod wire;
 
 pub use claims::{ClaimStore, ClaimWritten};
 pub use client::{PlatformClient, Settings};
-pub use configuration::{AcceptedChange, Change, ChangeOutcome, ConfigurationStore, HistoryEntry};
-pub use error::PlatformError;
+pub use configuration::{AcceptedChange, ChangeOutcome, ConfigurationStore, KnownConfig};
+pub use error::{ApplyError, PlatformError};
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -41,7 +41,7 @@
         /// Whether a reply came.
         reached: bool,
     },
-    /// A configuration came, from the platform or a peer.
+    /// A configuration came from the platform or an operator.
     OfferConfig(Arc<FleetConfig>),
     /// A load report came, or failed to.
     Report {
@@ -59,6 +59,8 @@
     },
     /// The planned stop begins.
     Stop,
+    /// A configuration came from a peer, which tells the others by itself.
+    PeerConfig(Arc<FleetConfig>),
 }
 
 /// The control thread's part of a reservation.
--- a/crates/sapphiretrackd/src/control/polling.rs
+++ b/crates/sapphiretrackd/src/control/polling.rs
@@ -5,17 +5,24 @@
 use std::time::Duration;
 
 use sapphiretrack_backend::BackendClient;
-use sapphiretrack_core::{FleetConfig, ServerId};
-use sapphiretrack_peer::PeerClient;
+use sapphiretrack_core::{FleetConfig, HistoryEntry, ServerId};
+use sapphiretrack_peer::{ConfigUpdate, PeerClient};
 use sapphiretrack_platform::{ConfigurationStore, PlatformClient};
-use tokio::sync::watch;
 
+use crate::clock::wall_clock_ms;
 use crate::control::handle::{Command, ControlHandle};
+use crate::events::Event;
 
 /// How often the platform's list of VMs is read.
 const VM_LIST_PERIOD: Duration = Duration::from_millis(1_000);
 /// How often one router of the cell reads the configuration version.
 const CONFIG_PERIOD: Duration = Duration::from_millis(1_000);
+/// How long a router that starts waits for its peers' configuration.
+const PEERS_FIRST: Duration = Duration::from_millis(1_200);
+const PEERS_FIRST_POLL: Duration = Duration::from_millis(20);
+/// How often in a row the platform has to stand behind this router until that writes back what it
+/// holds; in between, a peer that holds more is heard of.
+const REPUBLISH_AFTER_READS: u32 = 2;
 
 /// Reads the list of VMs again and again.
 pub(crate) async fn poll_vm_list(platform: PlatformClient, control: ControlHandle) {
@@ -34,29 +41,78 @@
 /// Reads the configuration version again and again, and the configuration when it is newer.
 ///
 /// The routers of a cell share one read a second: each waits as many periods as there are
-/// routers. What one finds, the others learn by heartbeat. `now` asks for a read at once.
+/// routers. What one finds, the others learn by heartbeat.
 pub(crate) async fn poll_configuration(
     store: ConfigurationStore,
     control: ControlHandle,
-    mut now: watch::Receiver<u64>,
+    router_name: String,
 ) {
+    wait_for_peers(&control).await;
+    let mut behind_reads = 0;
     loop {
         let version = store.head_version().await;
         control.send(Command::Platform {
             reached: version.is_ok(),
         });
         let snapshot = control.snapshot();
-        if version.is_ok_and(|version| version > snapshot.config.version)
-            && let Ok(config) = store.load().await
-        {
-            control.send(Command::OfferConfig(Arc::new(config)));
+        if let Ok(version) = version {
+            let held = snapshot.config.as_ref();
+            let news = match version.cmp(&held.version) {
+                // A platform behind a peer has gone back: that peer's configuration is on its way.
+                std::cmp::Ordering::Greater if version < snapshot.newest_version() => None,
+                std::cmp::Ordering::Greater => store.load_since(held).await.ok(),
+                // The platform says that there is none yet.
+                std::cmp::Ordering::Equal => (version == 0).then(FleetConfig::default),
+                std::cmp::Ordering::Less => {
+                    behind_reads += 1;
+                    let newest = held.version == snapshot.newest_version();
+                    let certain = newest && behind_reads >= REPUBLISH_AFTER_READS;
+                    republish(&store, held, certain, &router_name).await
+                }
+            };
+            if version >= held.version {
+                behind_reads = 0;
+            }
+            if let Some(config) = news {
+                control.send(Command::OfferConfig(Arc::new(config)));
+            }
         }
         let routers = snapshot.live_routers().max(1) as u32;
-        tokio::select! {
-            () = tokio::time::sleep(CONFIG_PERIOD * routers) => {}
-            changed = now.changed() => if changed.is_err() { return },
+        tokio::time::sleep(CONFIG_PERIOD * routers).await;
+    }
+}
+
+/// Gives peers the time to tell their configuration before the platform is asked: a platform that
+/// has gone back must not put an older one in force on a router that starts.
+async fn wait_for_peers(control: &ControlHandle) {
+    let started = tokio::time::Instant::now();
+    while started.elapsed() < PEERS_FIRST {
+        let snapshot = control.snapshot();
+        let others_heard = snapshot.routers.len() > 1;
+        let alone = snapshot.listed_routers == Some(1);
+        if alone || (others_heard && snapshot.newest_version() <= snapshot.config.version) {
+            return;
         }
+        tokio::time::sleep(PEERS_FIRST_POLL).await;
+    }
+}
+
+/// Writes back what this router holds, once it is certain that no router holds more.
+async fn republish(
+    store: &ConfigurationStore,
+    held: &FleetConfig,
+    certain: bool,
+    router_name: &str,
+) -> Option<FleetConfig> {
+    if !certain {
+        return None;
     }
+    let written = store
+        .republish(held, router_name, wall_clock_ms())
+        .await
+        .ok()??;
+    Event::CONFIG_REPUBLISHED.log(&[("version", &written.version.to_string())]);
+    Some(written)
 }
 
 /// Fetches one load report.
@@ -71,11 +127,23 @@
 }
 
 /// Fetches a peer's configuration.
-pub(crate) async fn fetch_config(peers: PeerClient, address: SocketAddr, control: ControlHandle) {
-    let Ok(reply) = peers.fetch_config(address).await else {
-        return;
+pub(crate) async fn fetch_config(
+    peers: PeerClient,
+    address: SocketAddr,
+    held: &FleetConfig,
+    control: ControlHandle,
+) {
+    let fetched = peers
+        .fetch_config_since(address, held.version, held.last_change_id())
+        .await;
+    let config = match fetched {
+        Ok(ConfigUpdate::Whole(json)) => serde_json::from_str::<FleetConfig>(&json).ok(),
+        Ok(ConfigUpdate::Changes(json)) => serde_json::from_str::<Vec<Arc<HistoryEntry>>>(&json)
+            .ok()
+            .and_then(|changes| held.after_all(&changes)),
+        Err(_) => None,
     };
-    if let Ok(config) = serde_json::from_str::<FleetConfig>(&reply.config_json) {
-        control.send(Command::OfferConfig(Arc::new(config)));
+    if let Some(config) = config {
+        control.send(Command::PeerConfig(Arc::new(config)));
     }
 }
--- a/crates/sapphiretrackd/src/control/snapshot.rs
+++ b/crates/sapphiretrackd/src/control/snapshot.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use sapphiretrack_core::{FleetConfig, PoolView, RouterId, RouterView, VmState};
+use sapphiretrack_core::{FleetConfig, KeyIndex, PoolView, RouterId, RouterView, VmState};
 
 /// An immutable picture of the control state.
 #[derive(Clone, Debug)]
@@ -12,6 +12,10 @@
     pub(crate) me: RouterId,
     /// The configuration in force.
     pub(crate) config: Arc<FleetConfig>,
+    /// Its contracts by key.
+    pub(crate) keys: Arc<KeyIndex>,
+    /// Whether the platform or a peer has told a configuration, be it an empty one.
+    pub(crate) config_known: bool,
     /// All routers heard of lately, this one included.
     pub(crate) routers: Vec<RouterView>,
     /// The pools by name.
@@ -20,6 +24,8 @@
     pub(crate) isolated: bool,
     /// Whether this router is stopping.
     pub(crate) stopping: bool,
+    /// Routers that the platform's list names as live, this one included; none before a list came.
+    pub(crate) listed_routers: Option<usize>,
     /// Whether the platform was reached lately.
     pub(crate) platform_reached: bool,
 }
@@ -30,14 +36,23 @@
         Self {
             me,
             config: Arc::default(),
+            keys: Arc::default(),
+            config_known: false,
             routers: Vec::new(),
             pools: BTreeMap::new(),
             isolated: false,
             stopping: false,
+            listed_routers: None,
             platform_reached: false,
         }
     }
 
+    /// The newest configuration version that any router is known to have in force.
+    pub(crate) fn newest_version(&self) -> u64 {
+        let versions = self.routers.iter().map(|router| router.config_version);
+        versions.fold(self.config.version, u64::max)
+    }
+
     /// How many routers take new work.
     pub(crate) fn live_routers(&self) -> usize {
         self.routers
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    FleetConfig, Grant, HeldSlots, Incarnation, Ledger, LedgerSettings, LoadBound, LoadReport,
-    PoolKind, PoolView, Refreshed, ReservationId, ReserveRequest, RouterId, RouterView, ServerId,
-    ServerView, VmRecord, VmRole, VmState, newer_config, steward_of,
+    FleetConfig, Grant, HeldSlots, Incarnation, KeyIndex, Ledger, LedgerSettings, LoadBound,
+    LoadReport, PoolKind, PoolView, Refreshed, ReservationId, ReserveRequest, RouterId, RouterView,
+    ServerId, ServerView, VmRecord, VmRole, VmState, newer_config, steward_of,
 };
 use sapphiretrack_peer::{
     ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, ServerState,
@@ -44,7 +44,11 @@
     timing: Timing,
     bound: LoadBound,
     config: Arc<FleetConfig>,
+    keys: Arc<KeyIndex>,
+    /// Whether the platform or a peer has told a configuration, be it an empty one.
+    config_known: bool,
     listed: Vec<VmRecord>,
+    list_known: bool,
     peers: BTreeMap<RouterId, Peer>,
     servers: BTreeMap<ServerId, Server>,
     ledger: Ledger,
@@ -92,7 +96,10 @@
             timing,
             bound,
             config: Arc::default(),
+            keys: Arc::default(),
+            config_known: false,
             listed: Vec::new(),
+            list_known: false,
             peers: BTreeMap::new(),
             servers: BTreeMap::new(),
             ledger,
@@ -111,6 +118,11 @@
         self.identity.id
     }
 
+    /// This router's name.
+    pub(crate) fn name(&self) -> &str {
+        &self.identity.name
+    }
+
     /// The configuration version in force.
     pub(crate) fn config_version(&self) -> u64 {
         self.config.version
@@ -133,6 +145,7 @@
             }
         }
         self.listed = list.vms;
+        self.list_known = true;
         let names: BTreeSet<ServerId> = self
             .listed
             .iter()
@@ -148,15 +161,21 @@
         }
     }
 
-    /// Takes in a configuration, if it is newer.
-    pub(crate) fn offer_config(&mut self, offered: Arc<FleetConfig>) {
+    /// Takes in a configuration, if it is newer; tells whether it is now in force.
+    pub(crate) fn offer_config(&mut self, offered: Arc<FleetConfig>) -> Refreshed {
+        self.config_known = true;
         let version = offered.version.to_string();
         let older = offered.version < self.config.version;
-        match newer_config(&mut self.config, offered) {
-            Refreshed::InForce => Event::CONFIG_IN_FORCE.log(&[("version", &version)]),
+        let refreshed = newer_config(&mut self.config, offered);
+        match refreshed {
+            Refreshed::InForce => {
+                self.keys = Arc::new(KeyIndex::new(&self.config));
+                Event::CONFIG_IN_FORCE.log(&[("version", &version)]);
+            }
             Refreshed::Kept if older => Event::CONFIG_OLDER.log(&[("version", &version)]),
             Refreshed::Kept => {}
         }
+        refreshed
     }
 
     /// Takes in a load report that this router asked for.
@@ -203,10 +222,30 @@
                 self.ledger.release(router, server, reservation);
                 PeerReply::Released
             }
-            PeerRequest::FetchConfig => match serde_json::to_string(self.config.as_ref()) {
-                Ok(config_json) => PeerReply::Config(ConfigReply { config_json }),
-                Err(_) => PeerReply::Rejected,
-            },
+            PeerRequest::FetchConfig => self.whole_config(),
+            PeerRequest::FetchConfigSince { version, change_id } => {
+                self.config_since(version, &change_id)
+            }
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> &Arc<FleetConfig> {
+        &self.config
+    }
+
+    fn whole_config(&self) -> PeerReply {
+        match serde_json::to_string(self.config.as_ref()) {
+            Ok(config_json) => PeerReply::Config(ConfigReply { config_json }),
+            Err(_) => PeerReply::Rejected,
+        }
+    }
+
+    fn config_since(&self, version: u64, change_id: &str) -> PeerReply {
+        let changes = self.config.changes_since(version, change_id);
+        match changes.and_then(|changes| serde_json::to_string(&changes).ok()) {
+            Some(changes_json) => PeerReply::ConfigChanges(changes_json),
+            None => self.whole_config(),
         }
     }
 
@@ -337,10 +376,13 @@
         Snapshot {
             me: self.identity.id,
             config: self.config.clone(),
+            keys: self.keys.clone(),
+            config_known: self.config_known,
             routers: self.router_views(),
             pools,
             isolated: self.isolated,
             stopping: self.stopping,
+            listed_routers: self.list_known.then(|| self.listed_routers()),
             platform_reached: self.platform_reached(now_ms),
         }
     }
@@ -586,6 +628,25 @@
             .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < self.timing.isolated_after_ms)
     }
 
+    /// Live routers by the platform's list and by what is heard, this one included.
+    fn listed_routers(&self) -> usize {
+        let listed = self.listed.iter().filter(|record| {
+            matches!(record.role, VmRole::Router { .. }) && record.state == VmState::Live
+        });
+        let mut routers: BTreeSet<RouterId> = listed
+            .map(|record| RouterId::from_name(&record.name))
+            .collect();
+        for (router, peer) in &self.peers {
+            if peer.left {
+                routers.remove(router);
+            } else {
+                routers.insert(*router);
+            }
+        }
+        routers.insert(self.identity.id);
+        routers.len()
+    }
+
     fn note_isolation(&mut self, now_ms: u64) {
         let me = self.identity.id;
         let alone = !self.listed.iter().any(|record| {
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -1,13 +1,15 @@
 //! The control loop on its own thread.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
-use sapphiretrack_peer::PeerClient;
+use sapphiretrack_core::{FleetConfig, Refreshed};
+use sapphiretrack_peer::{PeerClient, PeerRequest};
 use sapphiretrack_platform::{ConfigurationStore, PlatformClient};
-use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::Clock;
@@ -29,8 +31,8 @@
     pub(crate) backend: BackendClient,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) heartbeat_ms: u64,
-    /// Bumped when the configuration shall be read at once.
-    pub(crate) read_config: watch::Receiver<u64>,
+    /// Whether a peer's configuration is being fetched.
+    pub(crate) fetching_config: Arc<AtomicBool>,
 }
 
 /// The control loop: the future that has to run on the control thread.
@@ -50,7 +52,7 @@
     tokio::spawn(polling::poll_configuration(
         ConfigurationStore::new(parts.platform.clone()),
         handle.clone(),
-        parts.read_config.clone(),
+        parts.state.name().to_owned(),
     ));
     let mut tick = interval(TICK);
     let mut heartbeat = interval(Duration::from_millis(parts.heartbeat_ms));
@@ -79,7 +81,18 @@
         let now_ms = self.clock.now_ms();
         match command {
             Command::Peer { request, reply } => {
+                let newer = match &request {
+                    PeerRequest::Heartbeat(heartbeat)
+                        if heartbeat.config_version > self.state.config_version() =>
+                    {
+                        Some(heartbeat.peer_address)
+                    }
+                    _ => None,
+                };
                 drop(reply.send(self.state.handle_peer(request, now_ms)));
+                if let Some(address) = newer {
+                    self.fetch_config(address, handle);
+                }
             }
             Command::Begin {
                 server,
@@ -96,10 +109,13 @@
             Command::VmList(list) => self.state.take_vm_list(list),
             Command::Platform { reached } => self.state.note_platform(reached, now_ms),
             Command::OfferConfig(config) => {
-                self.state.offer_config(config);
-                self.metrics
-                    .config_version
-                    .set(self.state.config_version() as i64);
+                // Peers hear of it now and not with the next heartbeat.
+                if self.offer_config(config) == Refreshed::InForce {
+                    self.send_heartbeats(handle);
+                }
+            }
+            Command::PeerConfig(config) => {
+                self.offer_config(config);
             }
             Command::Report { server, report } => self.state.take_report(server, report, now_ms),
             Command::PeerAnswered {
@@ -109,8 +125,7 @@
                 if config_version > self.state.config_version()
                     && let Some(address) = self.state.peer_address(router)
                 {
-                    let fetch = polling::fetch_config(self.peers.clone(), address, handle.clone());
-                    tokio::spawn(fetch);
+                    self.fetch_config(address, handle);
                 }
             }
             Command::Stop => {
@@ -121,6 +136,26 @@
         }
     }
 
+    fn offer_config(&mut self, config: Arc<FleetConfig>) -> Refreshed {
+        let refreshed = self.state.offer_config(config);
+        let version = self.state.config_version();
+        self.metrics.config_version.set(version as i64);
+        refreshed
+    }
+
+    /// Fetches a peer's newer configuration, unless a fetch is under way.
+    fn fetch_config(&self, address: SocketAddr, handle: &ControlHandle) {
+        if self.fetching_config.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let (peers, handle) = (self.peers.clone(), handle.clone());
+        let (held, fetching) = (self.state.config().clone(), self.fetching_config.clone());
+        tokio::spawn(async move {
+            polling::fetch_config(peers, address, &held, handle).await;
+            fetching.store(false, Ordering::Release);
+        });
+    }
+
     fn end(&mut self, reservation: sapphiretrack_core::ReservationId) {
         let Some((steward, server)) = self.state.end(reservation) else {
             return;
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -9,19 +9,21 @@
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
 use sapphiretrack_caller::CallerHandlers;
-use sapphiretrack_core::{PlacementMemory, PlacementSettings, RouterId, sha256_hex};
+use sapphiretrack_core::{
+    Contract, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RouterId, sha256_hex,
+};
 use sapphiretrack_operator::OperatorHandlers;
 use sapphiretrack_operator::wire::StopReply;
 use sapphiretrack_peer::{PeerClient, PeerHandlers, SigningKey};
 use sapphiretrack_platform::{ClaimStore, ConfigurationStore, PlatformClient};
 use snafu::{ResultExt, Snafu};
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use crate::clock::{Clock, wall_clock_ms};
 use crate::control::{
-    Command, CommandReceiver, ControlHandle, ControlParts, ControlState, Identity, Timing,
-    control_channel, run_control,
+    Command, CommandReceiver, ControlHandle, ControlParts, ControlState, Identity, Snapshot,
+    Timing, control_channel, run_control,
 };
 use crate::dispatch::Dispatcher;
 use crate::entry::entry_reply;
@@ -34,6 +36,8 @@
 
 /// How often a planned stop looks whether the last request has ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
+/// When to come back to a router that has not got the contracts yet.
+const NO_CONFIG_RETRY_MS: u64 = 1_000;
 /// How long a load report is passed on.
 const REPORT_STALE_AFTER_MS: u64 = 2_000;
 
@@ -259,7 +263,6 @@
     backend: BackendClient,
     metrics: Arc<Metrics>,
     stop: Arc<Notify>,
-    read_config: watch::Sender<u64>,
 }
 
 impl Parts {
@@ -278,7 +281,6 @@
             backend: BackendClient::new(sapphiretrack_backend::Settings::default()),
             metrics: Arc::new(Metrics::new()),
             stop: Arc::new(Notify::new()),
-            read_config: watch::Sender::new(0),
         }
     }
 
@@ -337,9 +339,7 @@
         let entry_ttl_ms = settings.entry_ttl_ms;
         let metrics = self.metrics.clone();
         CallerHandlers {
-            authenticate: Arc::new(move |key| {
-                for_keys.snapshot().config.contract_of_key(key).cloned()
-            }),
+            authenticate: Arc::new(move |key| contract_of_key(&for_keys.snapshot(), key)),
             entry: Arc::new(move |zone| {
                 entry_reply(&for_entry.snapshot(), zone, entry_ttl_ms, rand::random())
             }),
@@ -354,7 +354,6 @@
             store: ConfigurationStore::new(self.platform.clone()),
             control: self.control.clone(),
             metrics: self.metrics.clone(),
-            read_config: self.read_config.clone(),
         };
         let digest = settings.operator_key_sha256.to_lowercase();
         let stop = self.stop.clone();
@@ -375,9 +374,9 @@
                 let operations = outcome_of.clone();
                 Box::pin(async move { operations.outcome_of(change_id).await })
             }),
-            show: Arc::new(move |customer| {
+            show: Arc::new(move |asked| {
                 let operations = show.clone();
-                Box::pin(async move { operations.show(&customer).await })
+                Box::pin(async move { operations.show(&asked).await })
             }),
             history: Arc::new(move |()| {
                 let operations = history.clone();
@@ -408,12 +407,27 @@
             backend: self.backend,
             metrics: self.metrics,
             heartbeat_ms: settings.heartbeat_ms,
-            read_config: self.read_config.subscribe(),
+            fetching_config: Arc::default(),
         };
         run_control(parts, self.control, self.commands)
     }
 }
 
+/// The contract that lists a key; a router that knows of no configuration cannot say.
+fn contract_of_key(snapshot: &Snapshot, key: &str) -> Result<Arc<Contract>, Refusal> {
+    if let Some(contract) = snapshot.keys.contract_of_key(key) {
+        return Ok(contract.clone());
+    }
+    if !snapshot.config_known {
+        let message = "the router has not got the contracts yet";
+        return Err(
+            Refusal::not_run(RefusalCode::Isolated, message).retry_after(NO_CONFIG_RETRY_MS)
+        );
+    }
+    let message = "no contract lists the key";
+    Err(Refusal::not_run(RefusalCode::BadKey, message))
+}
+
 fn tls_files(settings: &Settings) -> Option<(PathBuf, PathBuf)> {
     settings.tls_cert.clone().zip(settings.tls_key.clone())
 }
--- a/crates/sapphiretrackd/src/events.rs
+++ b/crates/sapphiretrackd/src/events.rs
@@ -66,8 +66,15 @@
     /// The answer of a non-idempotent request could not be recorded.
     pub const RECORD_FAILED: Self = Self::new(502, Level::Warn, "answer was not recorded");
 
+    /// The platform had gone back; this router wrote back what it held.
+    pub const CONFIG_REPUBLISHED: Self = Self::new(
+        202,
+        Level::Warn,
+        "configuration written back to the platform",
+    );
+
     /// All events, by number.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::STARTED,
         Self::STOPPING,
         Self::STOPPED,
@@ -89,6 +96,7 @@
         Self::ATTEMPT_FAILED,
         Self::CROSSED_REPLY,
         Self::RECORD_FAILED,
+        Self::CONFIG_REPUBLISHED,
     ];
 
     const fn new(number: u16, level: Level, text: &'static str) -> Self {
--- a/crates/sapphiretrackd/src/operations.rs
+++ b/crates/sapphiretrackd/src/operations.rs
@@ -1,19 +1,26 @@
 //! What operators ask of a router.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use sapphiretrack_core::{ServerView, VmState, parse_contract};
+use sapphiretrack_core::{
+    Change, FleetConfig, ServerView, VmState, check_change_id, check_server_name, parse_contract,
+};
 use sapphiretrack_operator::wire::{
-    ApplyContract, ChangeReply, DrainServer, HistoryLine, RouterLine, ServerLine, ShownContract,
-    Status,
+    ApplyContract, ChangeReply, DrainServer, HistoryLine, RouterLine, ServerLine, ShowContract,
+    ShownContract, Status,
 };
-use sapphiretrack_platform::{Change, ChangeOutcome, ConfigurationStore, PlatformError};
-use tokio::sync::watch;
+use sapphiretrack_platform::{ApplyError, ChangeOutcome, ConfigurationStore, KnownConfig};
 
 use crate::clock::wall_clock_ms;
-use crate::control::{ControlHandle, Snapshot};
+use crate::control::{Command, ControlHandle, Snapshot};
 use crate::metrics::Metrics;
 
+/// How long an accepted change may take until it is in force on this router.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
+/// How often that is looked at.
+const IN_FORCE_POLL: Duration = Duration::from_millis(5);
+
 /// Runs operators' calls.
 #[derive(Clone)]
 pub(crate) struct Operations {
@@ -21,8 +28,6 @@
     pub(crate) store: ConfigurationStore,
     pub(crate) control: ControlHandle,
     pub(crate) metrics: Arc<Metrics>,
-    /// Asks for a read of the configuration at once.
-    pub(crate) read_config: watch::Sender<u64>,
 }
 
 impl Operations {
@@ -31,11 +36,7 @@
         let contract = match parse_contract(&request.contract_toml) {
             Ok(contract) => Box::new(contract),
             Err(error) => {
-                let reason = error.to_string();
-                return ChangeReply::Refused {
-                    reason,
-                    current_version: None,
-                };
+                return refused(error.to_string());
             }
         };
         let change = Change::Contract {
@@ -55,11 +56,10 @@
                 .any(|server| server.name == request.server)
         });
         if request.draining && !known {
-            let reason = format!("there is no backend server {:?}", request.server);
-            return ChangeReply::Refused {
-                reason,
-                current_version: None,
-            };
+            return refused(format!("there is no backend server {:?}", request.server));
+        }
+        if let Err(error) = check_server_name(&request.server) {
+            return refused(error.to_string());
         }
         let change = Change::Drain {
             server: request.server,
@@ -71,14 +71,15 @@
 
     /// What came of a change.
     pub(crate) async fn outcome_of(&self, change_id: String) -> ChangeReply {
-        match self.store.outcome_of(&change_id).await {
-            Ok(Some(accepted)) => ChangeReply::Accepted {
-                version: accepted.version,
-            },
-            Ok(None) => ChangeReply::Refused {
-                reason: String::from("no change of this id was accepted"),
-                current_version: None,
-            },
+        if let Err(error) = check_change_id(&change_id) {
+            return refused(error.to_string());
+        }
+        let newest = self.control.snapshot().newest_version();
+        match self.store.settled_outcome_of(&change_id, newest).await {
+            Ok(Some(accepted)) => self.bring_in_force(change_id, accepted.version, None).await,
+            Ok(None) => refused(String::from(
+                "no change of this id was accepted so far; one that is still on its way may be",
+            )),
             Err(error) => ChangeReply::Unknown {
                 change_id,
                 reason: error.to_string(),
@@ -87,13 +88,13 @@
     }
 
     /// A customer's contract.
-    pub(crate) async fn show(&self, customer: &str) -> Result<Option<ShownContract>, String> {
-        let found = self
-            .store
-            .contract(customer)
-            .await
-            .map_err(|error| error.to_string())?;
-        let Some((version, contract)) = found else {
+    pub(crate) async fn show(&self, show: &ShowContract) -> Result<Option<ShownContract>, String> {
+        let customer = show.customer.as_str();
+        let found = match show.version {
+            Some(version) => self.store.contract_at(customer, version).await,
+            None => self.store.contract(customer).await,
+        };
+        let Some((version, contract)) = found.map_err(|error| error.to_string())? else {
             return Ok(None);
         };
         let contract_toml =
@@ -139,46 +140,91 @@
     }
 
     async fn change(&self, change_id: String, operator: &str, change: &Change) -> ChangeReply {
+        if let Err(error) = check_change_id(&change_id) {
+            return refused(error.to_string());
+        }
+        let snapshot = self.control.snapshot();
+        let known = KnownConfig {
+            config: snapshot.config.clone(),
+            newest_version: snapshot.newest_version(),
+        };
         let applied = self
             .store
-            .apply(&change_id, operator, change, wall_clock_ms())
+            .apply(&change_id, operator, change, wall_clock_ms(), &known)
             .await;
         match applied {
-            Ok(ChangeOutcome::Accepted { version }) => {
-                self.read_config.send_modify(|count| *count += 1);
-                ChangeReply::Accepted { version }
+            Ok(ChangeOutcome::Accepted { version, config }) => {
+                self.bring_in_force(change_id, version, config).await
             }
             Ok(ChangeOutcome::Refused {
                 current_version,
                 changed_by,
+                differences,
             }) => ChangeReply::Refused {
                 reason: refusal_text(current_version, &changed_by),
                 current_version: Some(current_version),
+                differences,
+            },
+            Err(error @ ApplyError::NotApplied { .. }) => refused(error.to_string()),
+            Err(error @ ApplyError::Unknown { .. }) => ChangeReply::Unknown {
+                change_id,
+                reason: error.to_string(),
             },
-            Err(error) => self.settle(change_id, error).await,
         }
     }
 
-    /// Reads back what came of a change whose reply was lost.
-    async fn settle(&self, change_id: String, error: PlatformError) -> ChangeReply {
-        if error.is_without_effect() {
-            let reason = format!("{error}; nothing was changed");
-            return ChangeReply::Refused {
-                reason,
-                current_version: None,
-            };
-        }
-        if let Ok(Some(accepted)) = self.store.outcome_of(&change_id).await {
-            self.read_config.send_modify(|count| *count += 1);
-            return ChangeReply::Accepted {
-                version: accepted.version,
+    /// Says that a change is accepted once this router has it in force: from then on its peers
+    /// get it even if the platform goes down.
+    async fn bring_in_force(
+        &self,
+        change_id: String,
+        version: u64,
+        config: Option<Arc<FleetConfig>>,
+    ) -> ChangeReply {
+        let held = self.control.snapshot().config.clone();
+        if held.version < version {
+            let config = match config {
+                Some(config) => Ok(config),
+                None => self.store.load_since(&held).await.map(Arc::new),
             };
+            match config {
+                Ok(config) => {
+                    self.keep_snapshot(config.clone());
+                    self.control.send(Command::OfferConfig(config));
+                }
+                Err(error) => {
+                    let reason = format!("it is written but not read back: {error}");
+                    return ChangeReply::Unknown { change_id, reason };
+                }
+            }
         }
-        ChangeReply::Unknown {
-            change_id,
-            reason: error.to_string(),
+        let in_force = tokio::time::timeout(IN_FORCE_LIMIT, async {
+            while self.control.snapshot().config.version < version {
+                tokio::time::sleep(IN_FORCE_POLL).await;
+            }
+        });
+        match in_force.await {
+            Ok(()) => ChangeReply::Accepted { version },
+            Err(_) => ChangeReply::Unknown {
+                change_id,
+                reason: String::from("it is written but not yet in force on this router"),
+            },
         }
     }
+
+    /// Writes the snapshot beside the answer, if one is due; a later one makes up for a failure.
+    fn keep_snapshot(&self, config: Arc<FleetConfig>) {
+        let store = self.store.clone();
+        tokio::spawn(async move { drop(store.keep_snapshot(&config).await) });
+    }
+}
+
+fn refused(reason: String) -> ChangeReply {
+    ChangeReply::Refused {
+        reason,
+        current_version: None,
+        differences: Vec::new(),
+    }
 }
 
 fn refusal_text(current_version: u64, changed_by: &str) -> String {
@@ -199,6 +245,9 @@
             server,
             draining: false,
         } => format!("end of the drain of {server}"),
+        Change::Republished { held_version } => {
+            format!("version {held_version} written back after the platform lost it")
+        }
     }
 }
 
