--- /dev/null
+++ b/crates/sapphiretrack-core/src/held_budget.rs
@@ -0,0 +1,256 @@
+//! What one router holds of a customer's budget, and what it may admit with it.
+
+use crate::budget::{Amounts, BUDGET_LEASE_MS, BudgetAsk, BudgetGrant, Needed};
+use crate::{Limits, RouterId};
+
+/// The holder stops this much before the steward forgets the lease.
+const LEASE_MARGIN_MS: u64 = 200;
+/// How much more than it spent in the last period a router asks to hold ahead.
+const AHEAD_FACTOR: f64 = 1.25;
+/// How long a refusal is repeated without asking the steward again.
+const REFUSAL_KEPT_MS: u64 = 50;
+/// When to come back if the steward did not answer.
+pub const NO_STEWARD_RETRY_MS: u64 = 250;
+
+/// What may become of a request on this router alone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It may run; it counts as in flight until [`HeldBudget::leave`].
+    Admitted,
+    /// The steward has to be asked.
+    Ask,
+    /// It is refused.
+    Refused(Shortage),
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shortage {
+    /// A rate is used up.
+    Rate {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// Too many requests are in flight.
+    InFlight {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// The steward did not answer.
+    NoSteward {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+}
+
+/// What one router holds of one customer's budget.
+#[derive(Clone, Debug, Default)]
+pub struct HeldBudget {
+    limits: Option<Limits>,
+    held: Amounts,
+    returned: Amounts,
+    slots: u32,
+    in_flight: u32,
+    peak_in_flight: u32,
+    spent: Amounts,
+    sequence: u64,
+    expires_ms: u64,
+    refused: Option<Refused>,
+}
+
+/// The steward's last refusal, kept for a moment so that a surge does not ask for each request.
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    shortage: Shortage,
+    tokens: f64,
+    until_ms: u64,
+}
+
+impl HeldBudget {
+    /// Nothing held; `first_sequence` has to be above that of an earlier run of this router.
+    pub fn new(first_sequence: u64) -> Self {
+        Self {
+            sequence: first_sequence,
+            ..Self::default()
+        }
+    }
+
+    /// Decides on a request with what is held.
+    pub fn try_admit(&mut self, tokens: f64, limits: &Limits, now_ms: u64) -> Admission {
+        self.settle(limits, now_ms);
+        let enough = self.held.requests >= 1.0 && self.held.tokens >= tokens;
+        if enough && self.in_flight < self.slots {
+            self.held.requests -= 1.0;
+            self.held.tokens -= tokens;
+            self.begin(tokens);
+            return Admission::Admitted;
+        }
+        match self.refused {
+            // A smaller request may have better luck.
+            Some(refused) if now_ms < refused.until_ms && tokens >= refused.tokens => {
+                Admission::Refused(refused.shortage)
+            }
+            _ => Admission::Ask,
+        }
+    }
+
+    /// The question to the steward, for a waiting request's tokens or only to renew.
+    pub fn ask(&mut self, router: RouterId, customer: &str, need_tokens: Option<f64>) -> BudgetAsk {
+        self.sequence += 1;
+        let returned = std::mem::take(&mut self.returned);
+        let wanted = |spent: f64, held: f64| (spent * AHEAD_FACTOR - held.max(0.0)).max(0.0);
+        BudgetAsk {
+            router,
+            customer: customer.to_owned(),
+            sequence: self.sequence,
+            held: self.held,
+            returned,
+            need_tokens,
+            ahead: Amounts {
+                requests: wanted(self.spent.requests, self.held.requests),
+                tokens: wanted(self.spent.tokens, self.held.tokens),
+            },
+            in_flight: self.in_flight,
+            slots_ahead: self.peak_in_flight.saturating_sub(self.in_flight),
+        }
+    }
+
+    /// Takes the steward's answer to a question that was asked at `asked_ms`.
+    ///
+    /// The lease counts from before the question, so it never outlives the steward's.
+    pub fn take_grant(
+        &mut self,
+        grant: &BudgetGrant,
+        need_tokens: f64,
+        asked_ms: u64,
+        now_ms: u64,
+    ) -> Result<(), Shortage> {
+        self.held.requests += grant.added.requests;
+        self.held.tokens += grant.added.tokens;
+        self.slots = grant.slots;
+        self.expires_ms = asked_ms + BUDGET_LEASE_MS - LEASE_MARGIN_MS;
+        let shortage = match grant.need {
+            Needed::Nothing => return Ok(()),
+            Needed::Admitted => {
+                self.refused = None;
+                self.begin(need_tokens);
+                return Ok(());
+            }
+            Needed::RateUsedUp { retry_after_ms } => Shortage::Rate { retry_after_ms },
+            Needed::SlotsUsedUp { retry_after_ms } => Shortage::InFlight { retry_after_ms },
+        };
+        self.refuse(shortage, need_tokens, now_ms);
+        Err(shortage)
+    }
+
+    /// Notes that the steward did not answer.
+    pub fn no_steward(&mut self, now_ms: u64) -> Shortage {
+        let shortage = Shortage::NoSteward {
+            retry_after_ms: NO_STEWARD_RETRY_MS,
+        };
+        self.refuse(shortage, 0.0, now_ms);
+        shortage
+    }
+
+    /// Counts tokens that a request used beyond its estimate.
+    pub fn charge_tokens(&mut self, tokens: f64, now_ms: u64) {
+        self.drop_expired(now_ms);
+        self.held.tokens -= tokens;
+        self.spent.tokens += tokens;
+    }
+
+    /// Lets a request out.
+    pub fn leave(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        // A place came free here: ask again rather than refuse.
+        self.refused = self
+            .refused
+            .filter(|refused| !matches!(refused.shortage, Shortage::InFlight { .. }));
+    }
+
+    /// Ends a period: what was not used in it goes back. Tells whether to ask the steward.
+    pub fn end_period(&mut self, limits: &Limits, now_ms: u64) -> bool {
+        self.settle(limits, now_ms);
+        let used = self.spent.requests > 0.0 || self.spent.tokens > 0.0;
+        if !used {
+            self.give_all_back();
+        }
+        let ask = used
+            || self.in_flight > 0
+            || self.slots > 0
+            || self.held != Amounts::default()
+            || self.returned != Amounts::default();
+        self.peak_in_flight = self.in_flight;
+        ask
+    }
+
+    /// Starts the next period, after the question that [`Self::end_period`] asked for.
+    pub fn start_period(&mut self) {
+        self.spent = Amounts::default();
+    }
+
+    /// Whether nothing is held and nothing runs.
+    pub fn is_idle(&self) -> bool {
+        self.in_flight == 0
+            && self.held == Amounts::default()
+            && self.returned == Amounts::default()
+            && self.spent == Amounts::default()
+    }
+
+    /// Drops what is no longer the router's: after the lease, or when the contract has changed.
+    fn settle(&mut self, limits: &Limits, now_ms: u64) {
+        if self.limits.as_ref() != Some(limits) {
+            self.limits = Some(limits.clone());
+            self.give_all_back();
+            self.refused = None;
+        }
+        self.drop_expired(now_ms);
+    }
+
+    /// After the lease only what was used too much is left.
+    fn drop_expired(&mut self, now_ms: u64) {
+        if now_ms < self.expires_ms {
+            return;
+        }
+        self.held.requests = self.held.requests.min(0.0);
+        self.held.tokens = self.held.tokens.min(0.0);
+        self.returned = Amounts::default();
+        self.slots = 0;
+    }
+
+    fn give_all_back(&mut self) {
+        let spare = |amount: f64| amount.max(0.0);
+        self.returned.requests += spare(self.held.requests);
+        self.returned.tokens += spare(self.held.tokens);
+        self.held.requests -= spare(self.held.requests);
+        self.held.tokens -= spare(self.held.tokens);
+        self.slots = 0;
+    }
+
+    fn begin(&mut self, tokens: f64) {
+        self.in_flight += 1;
+        self.peak_in_flight = self.peak_in_flight.max(self.in_flight);
+        self.spent.requests += 1.0;
+        self.spent.tokens += tokens;
+    }
+
+    fn refuse(&mut self, shortage: Shortage, tokens: f64, now_ms: u64) {
+        let kept_ms = shortage.retry_after_ms().min(REFUSAL_KEPT_MS);
+        self.refused = Some(Refused {
+            shortage,
+            tokens,
+            until_ms: now_ms + kept_ms,
+        });
+    }
+}
+
+impl Shortage {
+    /// When to come back.
+    pub fn retry_after_ms(self) -> u64 {
+        match self {
+            Self::Rate { retry_after_ms }
+            | Self::InFlight { retry_after_ms }
+            | Self::NoSteward { retry_after_ms } => retry_after_ms,
+        }
+    }
+}
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -4,11 +4,13 @@
 //! numbers are passed in. The daemon and the policy measurements run the same code.
 
 mod bound;
+mod budget;
 mod change;
 mod chat;
 mod claim;
 mod config;
 mod contract;
+mod held_budget;
 mod ids;
 mod ledger;
 mod limits;
@@ -19,6 +21,10 @@
 mod retry;
 
 pub use bound::{LoadBound, server_limit};
+pub use budget::{
+    Amounts, BUDGET_LEASE_MS, BudgetAsk, BudgetGrant, BudgetReply, CustomerBudget, HELD_SHARE,
+    Needed, UNSURE_SHARE,
+};
 pub use change::{Change, HistoryEntry, NameError, check_change_id, check_server_name};
 pub use chat::{Chunk, ChunkChoice, Delta, STREAM_END, Usage};
 pub use claim::{CLAIM_RETENTION_MS, Claim, ClaimDecision, ClaimState, decide_claim};
@@ -27,9 +33,10 @@
     ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, contract_differences,
     parse_contract, sha256_hex,
 };
+pub use held_budget::{Admission, HeldBudget, NO_STEWARD_RETRY_MS, Shortage};
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
 pub use ledger::{Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
-pub use limits::{InFlightGate, RateLimiter};
+pub use limits::RateLimiter;
 pub use membership::{
     Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, VmRecord, VmRole, VmState,
     steward_of,
--- a/crates/sapphiretrack-core/src/limits.rs
+++ b/crates/sapphiretrack-core/src/limits.rs
@@ -1,4 +1,4 @@
-//! A customer's limits on one router.
+//! A token bucket.
 
 /// A token bucket; time is passed in.
 #[derive(Clone, Debug)]
@@ -25,13 +25,48 @@
     ///
     /// More than the bucket holds is granted from a full bucket and leaves a debt.
     pub fn try_take(&mut self, amount: f64, now_ms: u64) -> Result<(), u64> {
+        match self.wait_ms(amount, now_ms) {
+            0 => {
+                self.level -= amount;
+                Ok(())
+            }
+            wait_ms => Err(wait_ms),
+        }
+    }
+
+    /// After how many milliseconds [`Self::try_take`] would take `amount`; 0 for now.
+    pub fn wait_ms(&mut self, amount: f64, now_ms: u64) -> u64 {
         self.refill(now_ms);
         let needed = amount.min(self.capacity);
-        if self.level < needed {
-            return Err(((needed - self.level) / self.rate_per_s * 1_000.0).ceil() as u64);
+        if self.level >= needed {
+            return 0;
         }
-        self.level -= amount;
-        Ok(())
+        ((needed - self.level) / self.rate_per_s * 1_000.0)
+            .ceil()
+            .max(1.0) as u64
+    }
+
+    /// What can be taken without a debt.
+    pub fn available(&mut self, now_ms: u64) -> f64 {
+        self.refill(now_ms);
+        self.level.max(0.0)
+    }
+
+    /// Whether the bucket is full.
+    pub fn is_full(&mut self, now_ms: u64) -> bool {
+        self.refill(now_ms);
+        self.level >= self.capacity
+    }
+
+    /// Takes back what was taken and not used.
+    pub fn give_back(&mut self, amount: f64, now_ms: u64) {
+        self.refill(now_ms);
+        self.level = (self.level + amount).min(self.capacity);
+    }
+
+    /// Leaves only a part of what the bucket holds.
+    pub fn scale_level(&mut self, share: f64) {
+        self.level *= share;
     }
 
     /// Takes what was used beyond the estimate, as a debt if need be.
@@ -55,25 +90,3 @@
         self.level = (self.level + gained).min(self.capacity);
     }
 }
-
-/// Counts requests in flight against a limit.
-#[derive(Clone, Debug, Default)]
-pub struct InFlightGate {
-    in_flight: u32,
-}
-
-impl InFlightGate {
-    /// Takes one in, if the limit allows.
-    pub fn try_enter(&mut self, limit: u32) -> bool {
-        if self.in_flight >= limit {
-            return false;
-        }
-        self.in_flight += 1;
-        true
-    }
-
-    /// Lets one out.
-    pub fn leave(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-    }
-}
--- a/crates/sapphiretrack-fakes/src/platform.rs
+++ b/crates/sapphiretrack-fakes/src/platform.rs
@@ -179,7 +179,7 @@
                 vms: self.visible_vms(),
             })),
             (method @ ("GET" | "PUT"), path) => match path.strip_prefix("/objects/") {
-                Some(name) if method == "GET" => self.get_object(name),
+                Some(name) if method == "GET" => Ok(self.get_object(name)),
                 Some(name) => {
                     let name = name.to_owned();
                     self.put_object(name, request).await
@@ -224,7 +224,9 @@
     async fn get(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let get: GetRequest = read_json(request).await?;
         let mut state = self.lock();
-        state.take_read(self.settings.reads_per_s)?;
+        if !state.take_read(self.settings.reads_per_s) {
+            return Err(with_status(StatusCode::TOO_MANY_REQUESTS, "{}"));
+        }
         let row = state.readable_rows().get(&get.key).cloned();
         let row = row.map(|row| state.as_read(row));
         Ok(json(&GetReply { row }))
@@ -233,7 +235,9 @@
     async fn scan(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let scan: ScanRequest = read_json(request).await?;
         let mut state = self.lock();
-        state.take_read(self.settings.reads_per_s)?;
+        if !state.take_read(self.settings.reads_per_s) {
+            return Err(with_status(StatusCode::TOO_MANY_REQUESTS, "{}"));
+        }
         let rows = state
             .readable_rows()
             .range(scan.prefix.clone()..)
@@ -263,12 +267,14 @@
         Ok(json(&reply))
     }
 
-    fn get_object(&self, name: &str) -> Result<FakeResponse, FakeResponse> {
+    fn get_object(&self, name: &str) -> FakeResponse {
         let mut state = self.lock();
-        state.take_read(self.settings.reads_per_s)?;
+        if !state.take_read(self.settings.reads_per_s) {
+            return with_status(StatusCode::TOO_MANY_REQUESTS, "{}");
+        }
         match state.objects.get(name) {
-            Some(body) => Ok(http::Response::new(full(body.clone()))),
-            None => Ok(with_status(StatusCode::NOT_FOUND, "{}")),
+            Some(body) => http::Response::new(full(body.clone())),
+            None => with_status(StatusCode::NOT_FOUND, "{}"),
         }
     }
 
@@ -315,14 +321,11 @@
         }
     }
 
-    fn take_read(&mut self, reads_per_s: u32) -> Result<(), FakeResponse> {
+    fn take_read(&mut self, reads_per_s: u32) -> bool {
         self.begin_second();
         self.reads_in_second += 1;
-        if self.reads_in_second > reads_per_s {
-            return Err(with_status(StatusCode::TOO_MANY_REQUESTS, "{}"));
-        }
         self.reads += 1;
-        Ok(())
+        self.reads_in_second <= reads_per_s
     }
 
     fn readable_rows(&self) -> &BTreeMap<String, Row> {
--- a/crates/sapphiretrack-peer/src/client.rs
+++ b/crates/sapphiretrack-peer/src/client.rs
@@ -6,7 +6,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use sapphiretrack_core::{Grant, ReservationId, ReserveRequest, RouterId, ServerId};
+use sapphiretrack_core::{
+    BudgetAsk, BudgetReply, Grant, ReservationId, ReserveRequest, RouterId, ServerId,
+};
 use snafu::{IntoError, ResultExt};
 use tarpc::client::Config;
 use tarpc::context;
@@ -107,6 +109,18 @@
         .map(drop)
     }
 
+    /// Asks a customer's steward for a part of its budget.
+    pub async fn lease_budget(
+        &self,
+        peer: SocketAddr,
+        ask: BudgetAsk,
+    ) -> Result<BudgetReply, PeerError> {
+        match self.call(peer, PeerRequest::LeaseBudget(ask)).await? {
+            PeerReply::Budget(reply) => Ok(reply),
+            _ => RejectedSnafu.fail(),
+        }
+    }
+
     /// Fetches what a peer's configuration has more than the version of this change.
     pub async fn fetch_config_since(
         &self,
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -4,8 +4,8 @@
 
 use hmac::{Hmac, Mac};
 use sapphiretrack_core::{
-    Grant, HeldSlots, Incarnation, LoadReport, ReservationId, ReserveRequest, RouterId, ServerId,
-    VmState,
+    BudgetAsk, BudgetReply, Grant, HeldSlots, Incarnation, LoadReport, ReservationId,
+    ReserveRequest, RouterId, ServerId, VmState,
 };
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
@@ -108,6 +108,8 @@
         /// The change that made it, since a restored platform may give a number twice.
         change_id: String,
     },
+    /// Asks the receiver, as steward, for a part of a customer's budget.
+    LeaseBudget(BudgetAsk),
 }
 
 /// The reply to a call.
@@ -125,6 +127,8 @@
     Rejected,
     /// To a request for what is newer: a list of `HistoryEntry` as JSON text.
     ConfigChanges(String),
+    /// To a question about a budget.
+    Budget(BudgetReply),
 }
 
 /// A request with the proof that its sender has the cell's key.
--- a/crates/sapphiretrack-tests/tests/configuration_store.rs
+++ b/crates/sapphiretrack-tests/tests/configuration_store.rs
@@ -198,7 +198,10 @@
         operator.await.expect("the operator ends");
     }
     assert!(recorder.len() >= 4, "{} operations", recorder.len());
-    assert!(recorder.is_linearizable::<OneContract>(), "{recorder:#?}");
+    assert!(
+        recorder.is_linearizable::<OneContract>(),
+        "no order explains {recorder:?}"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use sapphiretrack_core::{FleetConfig, Grant, LoadReport, ReservationId, RouterId, ServerId};
+use sapphiretrack_core::{
+    BudgetAsk, BudgetReply, FleetConfig, Grant, LoadReport, ReservationId, RouterId, ServerId,
+};
 use sapphiretrack_peer::{PeerReply, PeerRequest};
 use sapphiretrack_platform::wire::VmList;
 use tokio::sync::{mpsc, oneshot};
@@ -61,6 +63,13 @@
     Stop,
     /// A configuration came from a peer, which tells the others by itself.
     PeerConfig(Arc<FleetConfig>),
+    /// A traffic thread asks for a part of a customer's budget.
+    LeaseBudget {
+        /// The question.
+        ask: BudgetAsk,
+        /// Where the reply goes.
+        reply: oneshot::Sender<BudgetPlace>,
+    },
 }
 
 /// The control thread's part of a reservation.
@@ -83,6 +92,15 @@
     Nowhere,
 }
 
+/// Where a customer's budget is kept.
+#[derive(Debug)]
+pub(crate) enum BudgetPlace {
+    /// Here: this router is the customer's steward.
+    Here(BudgetReply),
+    /// At the customer's steward, which has to be asked.
+    Peer(SocketAddr, BudgetAsk),
+}
+
 /// Where the control thread takes its messages from.
 pub(crate) type CommandReceiver = mpsc::UnboundedReceiver<Command>;
 
@@ -122,6 +140,13 @@
         receiver.await.ok()
     }
 
+    /// Asks for a part of a customer's budget; none if the control thread has ended.
+    pub(crate) async fn lease_budget(&self, ask: BudgetAsk) -> Option<BudgetPlace> {
+        let (reply, receiver) = oneshot::channel();
+        self.send(Command::LeaseBudget { ask, reply });
+        receiver.await.ok()
+    }
+
     /// Runs a call of a peer.
     pub(crate) async fn peer(&self, request: PeerRequest) -> PeerReply {
         let (reply, receiver) = oneshot::channel();
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    FleetConfig, Grant, HeldSlots, Incarnation, KeyIndex, Ledger, LedgerSettings, LoadBound,
-    LoadReport, PoolKind, PoolView, Refreshed, ReservationId, ReserveRequest, RouterId, RouterView,
-    ServerId, ServerView, VmRecord, VmRole, VmState, newer_config, steward_of,
+    BudgetAsk, BudgetReply, FleetConfig, Grant, HeldSlots, Incarnation, KeyIndex, Ledger,
+    LedgerSettings, LoadBound, LoadReport, PoolKind, PoolView, Refreshed, ReservationId,
+    ReserveRequest, RouterId, RouterView, ServerId, ServerView, VmRecord, VmRole, VmState,
+    newer_config, steward_of,
 };
 use sapphiretrack_peer::{
     ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, ServerState,
@@ -15,7 +16,8 @@
 use sapphiretrack_platform::wire::VmList;
 
 use crate::control::Snapshot;
-use crate::control::handle::{Begun, Place};
+use crate::control::budgets::{Budgets, budget_steward};
+use crate::control::handle::{Begun, BudgetPlace, Place};
 use crate::events::Event;
 
 /// Who this router is.
@@ -52,6 +54,7 @@
     peers: BTreeMap<RouterId, Peer>,
     servers: BTreeMap<ServerId, Server>,
     ledger: Ledger,
+    budgets: Budgets,
     held: BTreeMap<ReservationId, Held>,
     next_reservation: u32,
     heartbeat_sequence: u64,
@@ -84,6 +87,9 @@
     steward: Option<SocketAddr>,
 }
 
+/// How lately a router must have been heard to count for the share of budgets; less than it takes
+/// until its budgets get another steward.
+const BUDGET_HEARD_MS: u64 = 1_500;
 /// Reports that may fail in a row before a server gets no new work.
 const MAX_FAILED_REPORTS: u32 = 3;
 
@@ -103,6 +109,7 @@
             peers: BTreeMap::new(),
             servers: BTreeMap::new(),
             ledger,
+            budgets: Budgets::default(),
             held: BTreeMap::new(),
             next_reservation: 0,
             heartbeat_sequence: 0,
@@ -226,9 +233,44 @@
             PeerRequest::FetchConfigSince { version, change_id } => {
                 self.config_since(version, &change_id)
             }
+            PeerRequest::LeaseBudget(ask) => PeerReply::Budget(self.keep_budget(&ask, now_ms)),
         }
     }
 
+    /// Answers a question about a budget, or tells where to ask it.
+    pub(crate) fn lease_budget(&mut self, ask: BudgetAsk, now_ms: u64) -> BudgetPlace {
+        let steward = budget_steward(&ask.customer, &self.steward_candidates());
+        let peer = steward.and_then(|steward| self.peers.get(&steward));
+        match peer {
+            Some(peer) => BudgetPlace::Peer(peer.heartbeat.peer_address, ask),
+            None => BudgetPlace::Here(self.keep_budget(&ask, now_ms)),
+        }
+    }
+
+    fn keep_budget(&mut self, ask: &BudgetAsk, now_ms: u64) -> BudgetReply {
+        let steward = budget_steward(&ask.customer, &self.steward_candidates());
+        let contract = self.config.contracts.get(&ask.customer);
+        match contract {
+            Some(contract) if steward == Some(self.identity.id) => {
+                let contract = contract.clone();
+                let share = self.budget_share(now_ms);
+                self.budgets.answer(ask, &contract, share, now_ms)
+            }
+            _ => BudgetReply::NotSteward,
+        }
+    }
+
+    /// The part of each budget that this router may give out as steward: the part of the routers
+    /// that it hears. The others may have another steward.
+    fn budget_share(&self, now_ms: u64) -> f64 {
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| !peer.left && now_ms.saturating_sub(peer.heard_ms) < BUDGET_HEARD_MS);
+        let heard = 1 + heard.count();
+        heard as f64 / self.listed_routers().max(heard) as f64
+    }
+
     /// The configuration in force.
     pub(crate) fn config(&self) -> &Arc<FleetConfig> {
         &self.config
@@ -302,6 +344,7 @@
         let mut holders: Vec<RouterId> = self.peers.keys().copied().collect();
         holders.push(self.identity.id);
         self.ledger.set_view(&stewarded, &holders, now_ms);
+        self.budgets.set_view(self.identity.id, &stewards, now_ms);
         self.note_isolation(now_ms);
     }
 
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -128,6 +128,9 @@
                     self.fetch_config(address, handle);
                 }
             }
+            Command::LeaseBudget { ask, reply } => {
+                drop(reply.send(self.state.lease_budget(ask, now_ms)));
+            }
             Command::Stop => {
                 self.state.stop();
                 self.tick(handle);
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -322,6 +322,13 @@
     }
 
     fn caller_handlers(&self, settings: &Settings) -> CallerHandlers {
+        let limits = LimitTable::new(
+            self.clock,
+            self.control.clone(),
+            self.peers.clone(),
+            RouterId::from_name(&settings.router_name),
+        );
+        tokio::spawn(limits.clone().renew());
         let dispatcher = Arc::new(Dispatcher {
             clock: self.clock,
             control: self.control.clone(),
@@ -329,7 +336,7 @@
             backend: self.backend.clone(),
             claims: ClaimStore::new(self.platform.clone()),
             metrics: self.metrics.clone(),
-            limits: LimitTable::default(),
+            limits,
             placement: PlacementSettings::default(),
             memory: Mutex::new(PlacementMemory::new(settings.placement_memory_chats)),
             retries: Mutex::new(Dispatcher::retry_budget()),
--- a/crates/sapphiretrackd/src/dispatch/mod.rs
+++ b/crates/sapphiretrackd/src/dispatch/mod.rs
@@ -61,7 +61,7 @@
     }
 
     async fn run_admitted(self: Arc<Self>, request: CallerRequest) -> Answer {
-        let place = match self.admit(&request) {
+        let place = match self.admit(&request).await {
             Ok(place) => place,
             Err(refusal) => return Answer::Refused(refusal),
         };
@@ -78,7 +78,7 @@
         }
     }
 
-    fn admit(&self, request: &CallerRequest) -> Result<InFlightPlace, Refusal> {
+    async fn admit(&self, request: &CallerRequest) -> Result<InFlightPlace, Refusal> {
         let snapshot = self.control.snapshot();
         if snapshot.isolated {
             let message = "the router hears of neither the platform nor its peers";
@@ -90,10 +90,7 @@
             Target::Chat(call) => call.prompt_tokens,
             Target::Service(_) => 0,
         };
-        let now_ms = self.clock.now_ms();
-        let place =
-            self.limits
-                .enter(&request.contract, tokens, snapshot.live_routers(), now_ms)?;
+        let place = self.limits.enter(&request.contract, tokens).await?;
         self.lock_retries().note_request();
         Ok(place)
     }
--- a/crates/sapphiretrackd/src/limits.rs
+++ b/crates/sapphiretrackd/src/limits.rs
@@ -1,107 +1,233 @@
-//! Enforces the limits of contracts on this router.
-//!
-//! A router enforces its equal share of each limit.
+//! Enforces the limits of contracts on this router, with what it leases from their stewards.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use sapphiretrack_core::{Contract, InFlightGate, RateLimiter, Refusal, RefusalCode};
+use sapphiretrack_core::{
+    Admission, BudgetAsk, BudgetGrant, BudgetReply, Contract, HeldBudget, Refusal, RefusalCode,
+    RouterId, Shortage,
+};
+use sapphiretrack_peer::PeerClient;
+use tokio::time::MissedTickBehavior;
 
-/// When to come back after the in-flight limit.
-const IN_FLIGHT_RETRY_MS: u64 = 500;
+use crate::clock::{Clock, wall_clock_ms};
+use crate::control::{BudgetPlace, ControlHandle};
+
+/// How often leases are renewed and unused chunks given back.
+const RENEW_PERIOD: Duration = Duration::from_millis(250);
+/// Bits of a question's number that count up within one run of the router.
+const SEQUENCE_BITS: u32 = 20;
 
 /// The limits of all customers.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct LimitTable {
-    customers: Arc<Mutex<BTreeMap<String, CustomerLimits>>>,
+    clock: Clock,
+    control: ControlHandle,
+    peers: PeerClient,
+    router: RouterId,
+    first_sequence: u64,
+    customers: Arc<Mutex<BTreeMap<String, Arc<CustomerEntry>>>>,
 }
 
-/// The limits of one customer.
-struct CustomerLimits {
-    requests: RateLimiter,
-    tokens: RateLimiter,
-    in_flight: InFlightGate,
+/// What this router holds of one customer's budget.
+struct CustomerEntry {
+    customer: String,
+    held: Mutex<HeldBudget>,
+    /// Only one question to the steward at a time; its answer may serve those that wait.
+    asking: tokio::sync::Mutex<()>,
 }
 
 /// Keeps one place under the in-flight limit until it is dropped.
 pub(crate) struct InFlightPlace {
-    table: LimitTable,
-    customer: String,
+    entry: Arc<CustomerEntry>,
 }
 
 impl LimitTable {
+    /// An empty table.
+    pub(crate) fn new(
+        clock: Clock,
+        control: ControlHandle,
+        peers: PeerClient,
+        router: RouterId,
+    ) -> Self {
+        Self {
+            clock,
+            control,
+            peers,
+            router,
+            first_sequence: wall_clock_ms() << SEQUENCE_BITS,
+            customers: Arc::default(),
+        }
+    }
+
     /// Takes a request in, or refuses it with when to come back.
-    pub(crate) fn enter(
+    pub(crate) async fn enter(
         &self,
         contract: &Contract,
         tokens: u32,
-        live_routers: usize,
-        now_ms: u64,
     ) -> Result<InFlightPlace, Refusal> {
-        let limits = &contract.limits;
-        let share = 1.0 / live_routers.max(1) as f64;
-        let requests_per_s = limits.requests_per_s * share;
-        let tokens_per_s = limits.tokens_per_s * share;
-        let in_flight_limit = (f64::from(limits.in_flight) * share).ceil() as u32;
-        let mut customers = self
-            .customers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let entry = customers
-            .entry(contract.customer.clone())
-            .or_insert_with(|| CustomerLimits {
-                requests: RateLimiter::new(requests_per_s, limits.burst_s, now_ms),
-                tokens: RateLimiter::new(tokens_per_s, limits.burst_s, now_ms),
-                in_flight: InFlightGate::default(),
-            });
-        entry
-            .requests
-            .set_rate(requests_per_s, limits.burst_s, now_ms);
-        entry.tokens.set_rate(tokens_per_s, limits.burst_s, now_ms);
-        if !entry.in_flight.try_enter(in_flight_limit) {
-            let message = format!("{} requests are in flight", limits.in_flight);
-            return Err(Refusal::not_run(RefusalCode::InFlightLimited, message)
-                .retry_after(IN_FLIGHT_RETRY_MS));
+        let entry = self.entry(&contract.customer);
+        let tokens = f64::from(tokens);
+        if let Some(decided) = self.decide_here(&entry, contract, tokens) {
+            return decided;
+        }
+        let _turn = entry.asking.lock().await;
+        // The answer to the one before may have brought enough.
+        if let Some(decided) = self.decide_here(&entry, contract, tokens) {
+            return decided;
         }
-        let place = InFlightPlace {
-            table: self.clone(),
-            customer: contract.customer.clone(),
+        let asked_ms = self.clock.now_ms();
+        let ask = entry
+            .lock()
+            .ask(self.router, &contract.customer, Some(tokens));
+        let grant = self.ask_steward(ask).await;
+        let now_ms = self.clock.now_ms();
+        let mut held = entry.lock();
+        let admitted = match grant {
+            Some(grant) => held.take_grant(&grant, tokens, asked_ms, now_ms),
+            None => Err(held.no_steward(now_ms)),
         };
-        let taken = entry
-            .requests
-            .try_take(1.0, now_ms)
-            .and_then(|()| entry.tokens.try_take(f64::from(tokens), now_ms));
-        drop(customers);
-        match taken {
-            Ok(()) => Ok(place),
-            Err(wait_ms) => {
-                let message = "the contract's request or token rate is used up";
-                Err(Refusal::not_run(RefusalCode::RateLimited, message).retry_after(wait_ms))
-            }
+        drop(held);
+        match admitted {
+            Ok(()) => Ok(InFlightPlace {
+                entry: entry.clone(),
+            }),
+            Err(shortage) => Err(refusal(contract, shortage)),
         }
     }
 
     /// Charges generated tokens.
     pub(crate) fn charge_tokens(&self, customer: &str, tokens: u32, now_ms: u64) {
-        let mut customers = self
-            .customers
+        self.entry(customer)
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(entry) = customers.get_mut(customer) {
-            entry.tokens.charge(f64::from(tokens), now_ms);
+            .charge_tokens(f64::from(tokens), now_ms);
+    }
+
+    /// Renews leases and gives unused chunks back, again and again.
+    pub(crate) async fn renew(self) {
+        let mut period = tokio::time::interval(RENEW_PERIOD);
+        period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            period.tick().await;
+            let entries: Vec<Arc<CustomerEntry>> = self.lock().values().cloned().collect();
+            for entry in entries {
+                let table = self.clone();
+                tokio::spawn(async move { table.renew_one(&entry).await });
+            }
+            self.lock()
+                .retain(|_, entry| Arc::strong_count(entry) > 1 || !entry.lock().is_idle());
+        }
+    }
+
+    async fn renew_one(&self, entry: &CustomerEntry) {
+        let Ok(_turn) = entry.asking.try_lock() else {
+            return;
+        };
+        let config = self.control.snapshot().config.clone();
+        let Some(contract) = config.contracts.get(&entry.customer) else {
+            return;
+        };
+        let asked_ms = self.clock.now_ms();
+        let ask = {
+            let mut held = entry.lock();
+            if !held.end_period(&contract.limits, asked_ms) {
+                return;
+            }
+            let ask = held.ask(self.router, &entry.customer, None);
+            held.start_period();
+            ask
+        };
+        if let Some(grant) = self.ask_steward(ask).await {
+            let now_ms = self.clock.now_ms();
+            // Nothing waits for this answer, so it refuses nothing.
+            let _nothing_waits = entry.lock().take_grant(&grant, 0.0, asked_ms, now_ms);
         }
     }
+
+    /// Decides without the steward; none if that has to be asked.
+    fn decide_here(
+        &self,
+        entry: &Arc<CustomerEntry>,
+        contract: &Contract,
+        tokens: f64,
+    ) -> Option<Result<InFlightPlace, Refusal>> {
+        let now_ms = self.clock.now_ms();
+        let admission = entry.lock().try_admit(tokens, &contract.limits, now_ms);
+        match admission {
+            Admission::Admitted => Some(Ok(InFlightPlace {
+                entry: entry.clone(),
+            })),
+            Admission::Refused(shortage) => Some(Err(refusal(contract, shortage))),
+            Admission::Ask => None,
+        }
+    }
+
+    async fn ask_steward(&self, ask: BudgetAsk) -> Option<BudgetGrant> {
+        let reply = match self.control.lease_budget(ask).await? {
+            BudgetPlace::Here(reply) => reply,
+            BudgetPlace::Peer(address, ask) => self.peers.lease_budget(address, ask).await.ok()?,
+        };
+        match reply {
+            BudgetReply::Answered(grant) => Some(grant),
+            BudgetReply::NotSteward => None,
+        }
+    }
+
+    fn entry(&self, customer: &str) -> Arc<CustomerEntry> {
+        let mut customers = self.lock();
+        if let Some(entry) = customers.get(customer) {
+            return entry.clone();
+        }
+        let entry = Arc::new(CustomerEntry {
+            customer: customer.to_owned(),
+            held: Mutex::new(HeldBudget::new(self.next_first_sequence())),
+            asking: tokio::sync::Mutex::default(),
+        });
+        customers.insert(customer.to_owned(), entry.clone());
+        entry
+    }
+
+    /// Above all numbers of entries that were forgotten before.
+    fn next_first_sequence(&self) -> u64 {
+        self.first_sequence + (self.clock.now_ms() << SEQUENCE_BITS)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<CustomerEntry>>> {
+        self.customers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl CustomerEntry {
+    fn lock(&self) -> MutexGuard<'_, HeldBudget> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Drop for InFlightPlace {
     fn drop(&mut self) {
-        let mut customers = self
-            .table
-            .customers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(entry) = customers.get_mut(&self.customer) {
-            entry.in_flight.leave();
-        }
+        self.entry.lock().leave();
     }
 }
+
+fn refusal(contract: &Contract, shortage: Shortage) -> Refusal {
+    let retry_after_ms = shortage.retry_after_ms();
+    let refusal = match shortage {
+        Shortage::Rate { .. } => {
+            let message = "the contract's request or token rate is used up";
+            Refusal::not_run(RefusalCode::RateLimited, message)
+        }
+        Shortage::InFlight { .. } => {
+            let limit = contract.limits.in_flight;
+            let message = format!("the contract's limit of {limit} requests in flight is reached");
+            Refusal::not_run(RefusalCode::InFlightLimited, message)
+        }
+        Shortage::NoSteward { .. } => {
+            let message = "the router that keeps the customer's budget does not answer";
+            Refusal::not_run(RefusalCode::Overloaded, message)
+        }
+    };
+    refusal.retry_after(retry_after_ms)
+}
