--- a/crates/sapphiretrack-bench/src/main.rs
+++ b/crates/sapphiretrack-bench/src/main.rs
@@ -8,6 +8,7 @@
 sapphiretrack-bench: measurements and the demo
 
   sapphiretrack-bench demo      the whole of it on embedded stand-ins, within a minute
+  sapphiretrack-bench limits    over-admission of 1, 9 and 360 limiters against exact counting
 ";
 
 fn main() -> ExitCode {
@@ -18,6 +19,7 @@
     }
     let result = match arguments.subcommand() {
         Ok(Some(name)) if name == "demo" => sapphiretrack_bench::demo::run(arguments),
+        Ok(Some(name)) if name == "limits" => sapphiretrack_bench::limits::run(arguments),
         _ => Err(String::from("a command is missing; hint: see --help")),
     };
     match result {
--- /dev/null
+++ b/crates/sapphiretrack-bench/tests/limits.rs
@@ -0,0 +1,149 @@
+//! Limits over many limiters: never above the contract, whatever happens between them.
+
+use sapphiretrack_bench::limits::{LimiterFault, LimitsResult, LimitsRun};
+use sapphiretrack_core::UNSURE_SHARE;
+
+/// Rounding of a running sum of a million steps.
+const ROUNDING: f64 = 0.001;
+
+fn surge(faults: Vec<LimiterFault>) -> LimitsResult {
+    let run = LimitsRun {
+        faults,
+        duration_ms: 20_000,
+        ..LimitsRun::new(9, 5.0, 11)
+    };
+    run.run()
+}
+
+fn assert_within_contract(result: &LimitsResult) {
+    assert!(result.worst_excess <= ROUNDING, "{result:?}");
+    assert_eq!(result.worst_in_flight_excess, 0, "{result:?}");
+}
+
+#[test]
+fn a_surge_over_any_number_of_limiters_stays_within_the_contract_and_uses_it() {
+    for limiters in [1, 9, 360] {
+        let run = LimitsRun {
+            duration_ms: 20_000,
+            ..LimitsRun::new(limiters, 5.0, 3)
+        };
+        let result = run.run();
+        assert_within_contract(&result);
+        assert!(result.over_percent() < 2.0, "{limiters}: {result:?}");
+        assert!(result.over_percent() > -10.0, "{limiters}: {result:?}");
+    }
+}
+
+#[test]
+fn in_flight_requests_of_all_limiters_stay_under_the_limit() {
+    let mut run = LimitsRun::new(9, 1.0, 5);
+    run.limits.in_flight = 60;
+    run.duration_ms = 20_000;
+    let result = run.run();
+    assert_eq!(result.worst_in_flight_excess, 0, "{result:?}");
+    assert!(result.admitted > 600, "{result:?}");
+}
+
+#[test]
+fn a_dead_limiter_lets_nobody_admit_more_and_its_share_comes_back() {
+    let result = surge(vec![
+        LimiterFault::Death {
+            limiter: 2,
+            at_ms: 6_000,
+        },
+        LimiterFault::Death {
+            limiter: 5,
+            at_ms: 6_100,
+        },
+    ]);
+    assert_within_contract(&result);
+    assert!(result.admitted_in_last_s > 170, "{result:?}");
+}
+
+#[test]
+fn a_limiter_that_is_cut_off_spends_only_what_it_holds() {
+    let cut = |limiter| LimiterFault::Cut {
+        limiter,
+        from_ms: 4_000,
+        until_ms: 12_000,
+    };
+    assert_within_contract(&surge((0..8).map(cut).collect()));
+    let all_cut = surge((0..9).map(cut).collect());
+    assert_within_contract(&all_cut);
+    let never_cut = surge(Vec::new());
+    assert!(all_cut.admitted < never_cut.admitted, "{all_cut:?}");
+}
+
+#[test]
+fn clocks_that_jump_do_not_lift_the_limit() {
+    let step = |limiter, at_ms, step_ms| LimiterFault::ClockStep {
+        limiter,
+        at_ms,
+        step_ms,
+    };
+    assert_within_contract(&surge(vec![
+        step(0, 5_000, 3_600_000),
+        step(1, 5_000, -4_000),
+        step(2, 9_000, 30),
+        step(2, 10_000, -3_000),
+    ]));
+}
+
+#[test]
+fn a_new_steward_that_knows_nothing_adds_no_more_than_is_stated() {
+    let limits = LimitsRun::new(1, 1.0, 1).limits;
+    let stated = UNSURE_SHARE * limits.requests_per_s * limits.burst_s;
+    let result = surge(vec![LimiterFault::NewSteward { at_ms: 7_000 }]);
+    assert!(result.worst_excess <= stated, "{result:?}");
+    assert_eq!(result.worst_in_flight_excess, 0, "{result:?}");
+    let mut tight = LimitsRun::new(9, 1.0, 5);
+    tight.limits.in_flight = 60;
+    tight.duration_ms = 20_000;
+    tight.faults = vec![LimiterFault::NewSteward { at_ms: 7_000 }];
+    let unsure_places = (UNSURE_SHARE * f64::from(tight.limits.in_flight)) as u32;
+    let result = tight.run();
+    assert!(result.worst_in_flight_excess <= unsure_places, "{result:?}");
+}
+
+#[test]
+fn a_lowered_contract_holds_for_chunks_that_are_leased() {
+    let result = surge(vec![LimiterFault::NewLimits {
+        at_ms: 10_000,
+        factor: 0.1,
+    }]);
+    // A tenth of 200 a second, and not what was leased at the old rate.
+    assert!(result.admitted_in_last_s <= 24, "{result:?}");
+    assert!(result.worst_excess <= ROUNDING, "{result:?}");
+}
+
+#[test]
+fn an_idle_limiter_gives_its_chunk_back() {
+    use sapphiretrack_core::{Admission, CustomerBudget, HeldBudget, RouterId};
+    let limits = LimitsRun::new(1, 1.0, 1).limits;
+    let mut steward = CustomerBudget::new(&limits, true, 0);
+    let mut held = HeldBudget::new(0);
+    let renew = |held: &mut HeldBudget, steward: &mut CustomerBudget, now_ms| {
+        if held.end_period(&limits, now_ms) {
+            let ask = held.ask(RouterId(1), "customer", None);
+            held.start_period();
+            let grant = steward.answer(&ask, &limits, 1.0, now_ms);
+            held.take_grant(&grant, 0.0, now_ms, now_ms)
+                .expect("nothing waits");
+        }
+    };
+    for _ in 0..8 {
+        if held.try_admit(10.0, &limits, 0) != Admission::Admitted {
+            let ask = held.ask(RouterId(1), "customer", Some(10.0));
+            let grant = steward.answer(&ask, &limits, 1.0, 0);
+            held.take_grant(&grant, 10.0, 0, 0).expect("there is room");
+        }
+        held.leave();
+    }
+    renew(&mut held, &mut steward, 0);
+    assert_eq!(held.try_admit(10.0, &limits, 1), Admission::Admitted);
+    held.leave();
+    renew(&mut held, &mut steward, 250);
+    renew(&mut held, &mut steward, 500);
+    assert!(held.is_idle(), "{held:?}");
+    assert!(steward.is_idle(2_001), "the bucket is full again");
+}
--- a/crates/sapphiretrack-core/src/budget.rs
+++ b/crates/sapphiretrack-core/src/budget.rs
@@ -13,7 +13,8 @@
 
 /// The part of a burst that routers may hold in chunks ahead.
 pub const HELD_SHARE: f64 = 0.1;
-/// The part of a budget that a steward starts with while it may not know what others hold.
+/// The part of a budget that a steward starts with while it may not know what others hold; one
+/// request at least.
 pub const UNSURE_SHARE: f64 = 0.125;
 /// How long a lease lasts after the steward heard of its holder.
 pub const BUDGET_LEASE_MS: u64 = 1_500;
--- a/crates/sapphiretrack-core/src/held_budget.rs
+++ b/crates/sapphiretrack-core/src/held_budget.rs
@@ -180,13 +180,13 @@
             || self.slots > 0
             || self.held != Amounts::default()
             || self.returned != Amounts::default();
-        self.peak_in_flight = self.in_flight;
         ask
     }
 
     /// Starts the next period, after the question that [`Self::end_period`] asked for.
     pub fn start_period(&mut self) {
         self.spent = Amounts::default();
+        self.peak_in_flight = self.in_flight;
     }
 
     /// Whether nothing is held and nothing runs.
--- a/crates/sapphiretrack-core/src/limits.rs
+++ b/crates/sapphiretrack-core/src/limits.rs
@@ -64,9 +64,9 @@
         self.level = (self.level + amount).min(self.capacity);
     }
 
-    /// Leaves only a part of what the bucket holds.
+    /// Leaves only a part of what the bucket holds, but at least one.
     pub fn scale_level(&mut self, share: f64) {
-        self.level *= share;
+        self.level = (self.level * share).max(self.level.min(1.0));
     }
 
     /// Takes what was used beyond the estimate, as a debt if need be.
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -173,12 +173,35 @@
 
     /// Starts a router under a name.
     pub async fn add_router(&mut self, name: &str, index: usize) {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let member = self.start_router(name, index, [free; 3]).await;
+        self.routers.push(member);
+    }
+
+    /// Kills a router and starts it again under its name and addresses.
+    pub async fn restart_router(&mut self, index: usize) {
+        self.routers[index].process.kill().await;
+        let vm = self.routers[index].vm.clone();
+        let VmRole::Router {
+            peer_address,
+            operator_address,
+        } = vm.role
+        else {
+            unreachable!("routers are routers");
+        };
+        let addresses = [vm.address, operator_address, peer_address];
+        self.routers[index] = self.start_router(&vm.name, index, addresses).await;
+    }
+
+    /// Starts a router for callers, operators and peers at these addresses.
+    async fn start_router(&self, name: &str, index: usize, addresses: [SocketAddr; 3]) -> Member {
+        let [callers, operators, peers] = addresses;
         let mut flags = vec![
             format!("--router-name={name}"),
             format!("--zone={}", zone(index)),
-            String::from("--caller-address=127.0.0.1:0"),
-            String::from("--operator-address=127.0.0.1:0"),
-            String::from("--peer-address=127.0.0.1:0"),
+            format!("--caller-address={callers}"),
+            format!("--operator-address={operators}"),
+            format!("--peer-address={peers}"),
             format!("--platform-url=http://{}", self.platform_address),
             format!("--cell-key={CELL_KEY}"),
             format!("--operator-key-sha256={}", sha256_hex(OPERATOR_KEY)),
@@ -197,7 +220,7 @@
             },
             state: VmState::Live,
         };
-        self.routers.push(Member { process, vm });
+        Member { process, vm }
     }
 
     /// Gives the platform the list of VMs as it stands.
--- a/crates/sapphiretrack-tests/tests/configuration_store.rs
+++ b/crates/sapphiretrack-tests/tests/configuration_store.rs
@@ -359,8 +359,13 @@
     assert_eq!(store.load().await.expect("it loads"), last);
     assert_eq!(calls.calls().0 - before, 3, "head, snapshot, newer changes");
 
-    let damaged = bytes::Bytes::from_static(b"{\"version\":1,\"sha256\":\"0\"}\n{}");
-    let put = calls.put_object("config-snapshot", damaged).await;
+    // One digit is wrong, and the text is still a configuration.
+    let object = calls.get_object("config-snapshot").await;
+    let object = object.expect("an answer").expect("the snapshot");
+    let text = String::from_utf8(object.to_vec()).expect("text");
+    let damaged = text.replacen("\"in_flight\":200", "\"in_flight\":900", 1);
+    assert_ne!(damaged, text);
+    let put = calls.put_object("config-snapshot", damaged.into()).await;
     put.expect("it is written");
     let from_rows = store.load().await.expect("it loads");
     assert_eq!(from_rows.contracts, last.contracts);
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -87,9 +87,9 @@
     steward: Option<SocketAddr>,
 }
 
-/// How lately a router must have been heard to count for the share of budgets; less than it takes
-/// until its budgets get another steward.
-const BUDGET_HEARD_MS: u64 = 1_500;
+/// How lately a router must have been heard to count for the share of budgets, in percent of the
+/// time after which its budgets get another steward.
+const BUDGET_HEARD_PERCENT: u64 = 60;
 /// Reports that may fail in a row before a server gets no new work.
 const MAX_FAILED_REPORTS: u32 = 3;
 
@@ -263,10 +263,11 @@
     /// The part of each budget that this router may give out as steward: the part of the routers
     /// that it hears. The others may have another steward.
     fn budget_share(&self, now_ms: u64) -> f64 {
+        let heard_within_ms = self.timing.dead_after_ms * BUDGET_HEARD_PERCENT / 100;
         let heard = self
             .peers
             .values()
-            .filter(|peer| !peer.left && now_ms.saturating_sub(peer.heard_ms) < BUDGET_HEARD_MS);
+            .filter(|peer| !peer.left && now_ms.saturating_sub(peer.heard_ms) < heard_within_ms);
         let heard = 1 + heard.count();
         heard as f64 / self.listed_routers().max(heard) as f64
     }
