--- a/crates/sapphiretrack-core/src/held_budget.rs
+++ b/crates/sapphiretrack-core/src/held_budget.rs
@@ -175,12 +175,10 @@
         if !used {
             self.give_all_back();
         }
-        let ask = used
-            || self.in_flight > 0
+        used || self.in_flight > 0
             || self.slots > 0
             || self.held != Amounts::default()
-            || self.returned != Amounts::default();
-        ask
+            || self.returned != Amounts::default()
     }
 
     /// Starts the next period, after the question that [`Self::end_period`] asked for.
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -324,6 +324,23 @@
     );
 }
 
+/// Gets a text and expects success.
+pub async fn get_text(url: &str) -> String {
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = http::Request::get(url)
+        .body(Full::new(Bytes::new()))
+        .expect("the request is good");
+    let response = client.request(request).await.expect("the server answers");
+    assert!(
+        response.status().is_success(),
+        "{url}: {}",
+        response.status()
+    );
+    let text = response.into_body().collect().await;
+    let text = text.expect("the answer is whole").to_bytes();
+    String::from_utf8_lossy(&text).into_owned()
+}
+
 async fn start_fake(kind: &str, flags: &[String]) -> (ChildProcess, SocketAddr) {
     let mut arguments = vec![kind.to_owned()];
     arguments.extend_from_slice(flags);
--- a/crates/sapphiretrack-tests/src/lib.rs
+++ b/crates/sapphiretrack-tests/src/lib.rs
@@ -5,7 +5,9 @@
 mod process;
 mod recorder;
 
-pub use fleet::{CALLER_KEY, Fleet, FleetSettings, OPERATOR_KEY, contract_toml, post_json};
+pub use fleet::{
+    CALLER_KEY, Fleet, FleetSettings, OPERATOR_KEY, contract_toml, get_text, post_json,
+};
 pub use history::{HistoryRecorder, OpenCall};
 pub use process::{ChildProcess, binary};
 pub use recorder::{Recorder, redact};
--- a/crates/sapphiretrack-tests/tests/configuration.rs
+++ b/crates/sapphiretrack-tests/tests/configuration.rs
@@ -46,7 +46,9 @@
 fn watch(operator: OperatorClient, end: Arc<AtomicBool>) -> tokio::task::JoinHandle<Vec<u64>> {
     tokio::spawn(async move {
         let mut versions = Vec::new();
-        while !end.load(Ordering::Acquire) {
+        loop {
+            // One more look after the end was asked for.
+            let last_look = end.load(Ordering::Acquire);
             // A router that starts shows version 0: it refuses all work until it has a version.
             if let Ok(status) = operator.status().await
                 && status.config_version > 0
@@ -54,9 +56,11 @@
             {
                 versions.push(status.config_version);
             }
+            if last_look {
+                return versions;
+            }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        versions
     })
 }
 
