Fair shares between customers while a pool is full

Cause: while a pool is full, a customer that comes ten times as often got ten times as much of what comes free. Now each has its weighted max-min share of the router's requests in flight there, for a second after each refusal for want of room. Ruled out: counting every customer at each server's steward (a field in every reservation, for what each router sees a fair sample of). Two new tests of leases: a surge on full bucket and held chunks, and a changed contract on a held chunk.

--- a/crates/sapphiretrack-bench/src/limits.rs
+++ b/crates/sapphiretrack-bench/src/limits.rs
@@ -66,6 +66,13 @@
         /// When.
         at_ms: u64,
     },
+    /// Requests come at another multiple of the rate from now on.
+    NewOffered {
+        /// When.
+        at_ms: u64,
+        /// The multiple.
+        offered: f64,
+    },
     /// The contract's rates and its in-flight limit are multiplied from now on.
     NewLimits {
         /// When.
@@ -143,6 +150,7 @@
 struct RunState {
     random: ChaCha8Rng,
     limits: Limits,
+    offered: f64,
     limiters: Vec<Limiter>,
     steward: CustomerBudget,
     exact: [RateLimiter; 2],
@@ -171,6 +179,7 @@
             ],
             allowance: limits.requests_per_s * limits.burst_s,
             limits,
+            offered: run.offered,
             result: LimitsResult::default(),
         }
     }
@@ -186,7 +195,7 @@
                 self.renew(run, index, now_ms);
             }
         }
-        let mut due = run.limits.requests_per_s * run.offered / MS_PER_S;
+        let mut due = run.limits.requests_per_s * self.offered / MS_PER_S;
         while due > 0.0 {
             if self.random.random_bool(due.min(1.0)) {
                 self.arrive(run, now_ms);
@@ -214,6 +223,9 @@
                 LimiterFault::NewSteward { at_ms } if at_ms == now_ms => {
                     self.steward = CustomerBudget::new(&self.limits, false, now_ms);
                 }
+                LimiterFault::NewOffered { at_ms, offered } if at_ms == now_ms => {
+                    self.offered = offered;
+                }
                 LimiterFault::NewLimits { at_ms, factor } if at_ms == now_ms => {
                     self.limits.requests_per_s *= factor;
                     self.limits.tokens_per_s *= factor;
--- a/crates/sapphiretrack-bench/tests/limits.rs
+++ b/crates/sapphiretrack-bench/tests/limits.rs
@@ -34,6 +34,39 @@
     }
 }
 
+#[test]
+fn a_surge_that_finds_chunks_held_and_the_bucket_full_stays_within_the_contract() {
+    let run = LimitsRun {
+        duration_ms: 20_000,
+        faults: vec![LimiterFault::NewOffered {
+            at_ms: 10_000,
+            offered: 20.0,
+        }],
+        ..LimitsRun::new(9, 0.9, 3)
+    };
+    assert_within_contract(&run.run());
+}
+
+#[test]
+fn a_changed_contract_takes_back_what_is_held_before_the_next_request() {
+    use sapphiretrack_core::{Admission, Amounts, BudgetGrant, HeldBudget, Needed};
+    let mut limits = LimitsRun::new(1, 1.0, 1).limits;
+    let mut held = HeldBudget::new(0);
+    assert_eq!(held.try_admit(1.0, &limits, 0), Admission::Ask);
+    let grant = BudgetGrant {
+        need: Needed::Nothing,
+        added: Amounts {
+            requests: 5.0,
+            tokens: 500.0,
+        },
+        slots: 5,
+    };
+    held.take_grant(&grant, 0.0, 0, 0).expect("nothing waits");
+    assert_eq!(held.try_admit(1.0, &limits, 1), Admission::Admitted);
+    limits.requests_per_s /= 2.0;
+    assert_eq!(held.try_admit(1.0, &limits, 2), Admission::Ask);
+}
+
 #[test]
 fn in_flight_requests_of_all_limiters_stay_under_the_limit() {
     let mut run = LimitsRun::new(9, 1.0, 5);
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -10,6 +10,7 @@
 mod claim;
 mod config;
 mod contract;
+mod fair_share;
 mod held_budget;
 mod ids;
 mod ledger;
@@ -33,6 +34,7 @@
     ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, contract_differences,
     parse_contract, sha256_hex,
 };
+pub use fair_share::{Demand, FULL_FOR_MS, PoolShares, fair_shares};
 pub use held_budget::{Admission, HeldBudget, NO_STEWARD_RETRY_MS, Shortage};
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
 pub use ledger::{Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
--- a/crates/sapphiretrackd/src/dispatch/mod.rs
+++ b/crates/sapphiretrackd/src/dispatch/mod.rs
@@ -65,6 +65,15 @@
             Ok(place) => place,
             Err(refusal) => return Answer::Refused(refusal),
         };
+        let pool = request.pool().to_owned();
+        let answer = self.clone().run_placed(request, place).await;
+        if matches!(&answer, Answer::Refused(refusal) if refusal.code == RefusalCode::Overloaded) {
+            self.limits.note_full(&pool);
+        }
+        answer
+    }
+
+    async fn run_placed(self: Arc<Self>, request: CallerRequest, place: InFlightPlace) -> Answer {
         let rule = request
             .contract
             .non_idempotent_rule(request.pool(), request.path())
@@ -90,7 +99,10 @@
             Target::Chat(call) => call.prompt_tokens,
             Target::Service(_) => 0,
         };
-        let place = self.limits.enter(&request.contract, tokens).await?;
+        let place = self
+            .limits
+            .enter(&request.contract, request.pool(), tokens)
+            .await?;
         self.lock_retries().note_request();
         Ok(place)
     }
--- a/crates/sapphiretrackd/src/limits.rs
+++ b/crates/sapphiretrackd/src/limits.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use sapphiretrack_core::{
-    Admission, BudgetAsk, BudgetGrant, BudgetReply, Contract, HeldBudget, Refusal, RefusalCode,
-    RouterId, Shortage,
+    Admission, BudgetAsk, BudgetGrant, BudgetReply, Contract, HeldBudget, PoolShares, Refusal,
+    RefusalCode, RouterId, Shortage,
 };
 use sapphiretrack_peer::PeerClient;
 use tokio::time::MissedTickBehavior;
@@ -16,6 +16,8 @@
 
 /// How often leases are renewed and unused chunks given back.
 const RENEW_PERIOD: Duration = Duration::from_millis(250);
+/// When to come back to a full pool for a customer that has its share.
+const FULL_POOL_RETRY_MS: u64 = 500;
 /// Bits of a question's number that count up within one run of the router.
 const SEQUENCE_BITS: u32 = 20;
 
@@ -28,6 +30,8 @@
     router: RouterId,
     first_sequence: u64,
     customers: Arc<Mutex<BTreeMap<String, Arc<CustomerEntry>>>>,
+    /// What the customers have of each pool.
+    pools: Arc<Mutex<BTreeMap<String, PoolShares>>>,
 }
 
 /// What this router holds of one customer's budget.
@@ -38,8 +42,16 @@
     asking: tokio::sync::Mutex<()>,
 }
 
-/// Keeps one place under the in-flight limit until it is dropped.
+/// Keeps one place under the in-flight limit, and in the pool, until it is dropped.
 pub(crate) struct InFlightPlace {
+    _budget: BudgetPlaceTaken,
+    table: LimitTable,
+    customer: String,
+    pool: String,
+}
+
+/// Keeps one place under the in-flight limit until it is dropped.
+struct BudgetPlaceTaken {
     entry: Arc<CustomerEntry>,
 }
 
@@ -58,6 +70,7 @@
             router,
             first_sequence: wall_clock_ms() << SEQUENCE_BITS,
             customers: Arc::default(),
+            pools: Arc::default(),
         }
     }
 
@@ -65,8 +78,41 @@
     pub(crate) async fn enter(
         &self,
         contract: &Contract,
+        pool: &str,
         tokens: u32,
     ) -> Result<InFlightPlace, Refusal> {
+        let budget = self.enter_budget(contract, tokens).await?;
+        let weight = f64::from(contract.limits.in_flight);
+        let now_ms = self.clock.now_ms();
+        let mut pools = self.lock_pools();
+        let shares = pools.entry(pool.to_owned()).or_default();
+        if !shares.try_enter(&contract.customer, weight, now_ms) {
+            let message = format!("{pool:?} is full and the customer has its share of it");
+            return Err(
+                Refusal::not_run(RefusalCode::Overloaded, message).retry_after(FULL_POOL_RETRY_MS)
+            );
+        }
+        Ok(InFlightPlace {
+            _budget: budget,
+            table: self.clone(),
+            customer: contract.customer.clone(),
+            pool: pool.to_owned(),
+        })
+    }
+
+    /// Notes that a pool refused a request for want of room.
+    pub(crate) fn note_full(&self, pool: &str) {
+        let now_ms = self.clock.now_ms();
+        if let Some(shares) = self.lock_pools().get_mut(pool) {
+            shares.note_full(now_ms);
+        }
+    }
+
+    async fn enter_budget(
+        &self,
+        contract: &Contract,
+        tokens: u32,
+    ) -> Result<BudgetPlaceTaken, Refusal> {
         let entry = self.entry(&contract.customer);
         let tokens = f64::from(tokens);
         if let Some(decided) = self.decide_here(&entry, contract, tokens) {
@@ -90,7 +136,7 @@
         };
         drop(held);
         match admitted {
-            Ok(()) => Ok(InFlightPlace {
+            Ok(()) => Ok(BudgetPlaceTaken {
                 entry: entry.clone(),
             }),
             Err(shortage) => Err(refusal(contract, shortage)),
@@ -151,11 +197,11 @@
         entry: &Arc<CustomerEntry>,
         contract: &Contract,
         tokens: f64,
-    ) -> Option<Result<InFlightPlace, Refusal>> {
+    ) -> Option<Result<BudgetPlaceTaken, Refusal>> {
         let now_ms = self.clock.now_ms();
         let admission = entry.lock().try_admit(tokens, &contract.limits, now_ms);
         match admission {
-            Admission::Admitted => Some(Ok(InFlightPlace {
+            Admission::Admitted => Some(Ok(BudgetPlaceTaken {
                 entry: entry.clone(),
             })),
             Admission::Refused(shortage) => Some(Err(refusal(contract, shortage))),
@@ -193,6 +239,10 @@
         self.first_sequence + (self.clock.now_ms() << SEQUENCE_BITS)
     }
 
+    fn lock_pools(&self) -> MutexGuard<'_, BTreeMap<String, PoolShares>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<CustomerEntry>>> {
         self.customers
             .lock()
@@ -206,12 +256,20 @@
     }
 }
 
-impl Drop for InFlightPlace {
+impl Drop for BudgetPlaceTaken {
     fn drop(&mut self) {
         self.entry.lock().leave();
     }
 }
 
+impl Drop for InFlightPlace {
+    fn drop(&mut self) {
+        if let Some(shares) = self.table.lock_pools().get_mut(&self.pool) {
+            shares.leave(&self.customer);
+        }
+    }
+}
+
 fn refusal(contract: &Contract, shortage: Shortage) -> Refusal {
     let retry_after_ms = shortage.retry_after_ms();
     let refusal = match shortage {
