--- a/crates/sapphiretrack-bench/src/limits.rs
+++ b/crates/sapphiretrack-bench/src/limits.rs
@@ -8,10 +8,15 @@
 use pico_args::Arguments;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sapphiretrack_core::{Admission, CustomerBudget, HeldBudget, Limits, RateLimiter, RouterId};
+use sapphiretrack_core::{
+    Admission, BudgetAsk, CustomerBudget, HeldBudget, Limits, RateLimiter, RouterId,
+};
 
 /// How often a limiter renews its lease.
 const RENEW_MS: u64 = 250;
+const CUSTOMER: &str = "customer-of-the-run";
+/// How long each run of the table is.
+const RUN_S: f64 = 60.0;
 const MS_PER_S: f64 = 1_000.0;
 
 /// One run.
@@ -97,6 +102,8 @@
     pub worst_in_flight_excess: u32,
     /// Questions to the steward.
     pub asks: u64,
+    /// Their encoded bytes.
+    pub ask_bytes: u64,
     /// Requests admitted in the last second of the run.
     pub admitted_in_last_s: u64,
 }
@@ -108,6 +115,13 @@
     }
 }
 
+impl LimitsResult {
+    fn note_ask(&mut self, ask: &BudgetAsk) {
+        self.asks += 1;
+        self.ask_bytes += bincode::serialized_size(ask).unwrap_or_default();
+    }
+}
+
 /// A limiter of a run.
 struct Limiter {
     id: RouterId,
@@ -248,15 +262,16 @@
     fn renew(&mut self, run: &LimitsRun, index: usize, now_ms: u64) {
         let limiter = &mut self.limiters[index];
         let local_ms = local_ms(limiter, now_ms);
-        if limiter.dead || !limiter.held.end_period(&self.limits, local_ms) {
+        if limiter.dead {
             return;
         }
-        let ask = limiter.held.ask(limiter.id, "customer", None);
-        limiter.held.start_period();
-        if is_cut(run, index, now_ms) {
+        let ask = limiter
+            .held
+            .end_period(limiter.id, CUSTOMER, &self.limits, local_ms);
+        let Some(ask) = ask.filter(|_| !is_cut(run, index, now_ms)) else {
             return;
-        }
-        self.result.asks += 1;
+        };
+        self.result.note_ask(&ask);
         let grant = self.steward.answer(&ask, &self.limits, 1.0, now_ms);
         let _nothing_waits = limiter.held.take_grant(&grant, 0.0, local_ms, local_ms);
     }
@@ -280,8 +295,8 @@
                 false
             }
             Admission::Ask => {
-                self.result.asks += 1;
-                let ask = limiter.held.ask(limiter.id, "customer", Some(tokens));
+                let ask = limiter.held.ask(limiter.id, CUSTOMER, Some(tokens));
+                self.result.note_ask(&ask);
                 let grant = self.steward.answer(&ask, &self.limits, 1.0, now_ms);
                 let taken = limiter.held.take_grant(&grant, tokens, local_ms, local_ms);
                 taken.is_ok()
@@ -327,17 +342,24 @@
     if let Some(argument) = arguments.finish().first() {
         return Err(format!("unknown argument {argument:?}"));
     }
-    println!("limiters  offered  admitted     exact    over %  worst excess  asks/admitted");
+    println!(
+        "limiters  offered  admitted     exact    over %  worst excess  asks/admitted  ask bytes/s a limiter"
+    );
     for limiters in [1, 9, 360] {
         for offered in [0.8, 1.0, 5.0] {
-            let result = LimitsRun::new(limiters, offered, 7).run();
+            let run = LimitsRun {
+                duration_ms: (RUN_S * MS_PER_S) as u64,
+                ..LimitsRun::new(limiters, offered, 7)
+            };
+            let result = run.run();
             println!(
-                "{limiters:>8}  {offered:>7.1}  {:>8}  {:>8}  {:>8.2}  {:>12.1}  {:>13.2}",
+                "{limiters:>8}  {offered:>7.1}  {:>8}  {:>8}  {:>8.2}  {:>12.1}  {:>13.2}  {:>20.0}",
                 result.admitted,
                 result.exact,
                 result.over_percent(),
                 result.worst_excess.max(0.0),
                 result.asks as f64 / result.admitted.max(1) as f64,
+                result.ask_bytes as f64 / limiters as f64 / RUN_S,
             );
         }
     }
--- a/crates/sapphiretrack-bench/tests/limits.rs
+++ b/crates/sapphiretrack-bench/tests/limits.rs
@@ -47,6 +47,54 @@
     assert_within_contract(&run.run());
 }
 
+#[test]
+fn a_new_steward_gives_out_few_places_before_it_has_heard_of_the_others() {
+    use sapphiretrack_core::{BUDGET_LEASE_MS, CustomerBudget, HeldBudget, Needed, RouterId};
+    let mut limits = LimitsRun::new(1, 1.0, 1).limits;
+    limits.in_flight = 60;
+    let admitted_at = |now_ms| {
+        let mut steward = CustomerBudget::new(&limits, false, 0);
+        let mut held = HeldBudget::new(0);
+        let mut admitted = 0;
+        for _ in 0..limits.in_flight * 2 {
+            let ask = held.ask(RouterId(1), "customer", Some(1.0));
+            let grant = steward.answer(&ask, &limits, 1.0, now_ms);
+            admitted += u32::from(grant.need == Needed::Admitted);
+            let taken = held.take_grant(&grant, 1.0, now_ms, now_ms);
+            assert_eq!(taken.is_ok(), grant.need == Needed::Admitted);
+        }
+        admitted
+    };
+    let unsure_places = (UNSURE_SHARE * f64::from(limits.in_flight)) as u32;
+    assert_eq!(admitted_at(0), unsure_places);
+    assert_eq!(admitted_at(BUDGET_LEASE_MS), limits.in_flight);
+}
+
+#[test]
+fn a_lease_that_is_not_renewed_ends_at_the_holder_before_the_steward_forgets_it() {
+    use sapphiretrack_core::{
+        Admission, Amounts, BUDGET_LEASE_MS, BudgetGrant, HeldBudget, Needed,
+    };
+    let limits = LimitsRun::new(1, 1.0, 1).limits;
+    let mut held = HeldBudget::new(0);
+    assert_eq!(held.try_admit(1.0, &limits, 0), Admission::Ask);
+    let grant = BudgetGrant {
+        need: Needed::Nothing,
+        added: Amounts {
+            requests: 5.0,
+            tokens: 500.0,
+        },
+        slots: 5,
+    };
+    // The answer was a long time on its way: the lease counts from the question.
+    held.take_grant(&grant, 0.0, 0, 1_000)
+        .expect("nothing waits");
+    assert_eq!(held.try_admit(1.0, &limits, 1_001), Admission::Admitted);
+    let before_forgotten_ms = BUDGET_LEASE_MS - 100;
+    let admission = held.try_admit(1.0, &limits, before_forgotten_ms);
+    assert_eq!(admission, Admission::Ask);
+}
+
 #[test]
 fn a_changed_contract_takes_back_what_is_held_before_the_next_request() {
     use sapphiretrack_core::{Admission, Amounts, BudgetGrant, HeldBudget, Needed};
@@ -156,9 +204,7 @@
     let mut steward = CustomerBudget::new(&limits, true, 0);
     let mut held = HeldBudget::new(0);
     let renew = |held: &mut HeldBudget, steward: &mut CustomerBudget, now_ms| {
-        if held.end_period(&limits, now_ms) {
-            let ask = held.ask(RouterId(1), "customer", None);
-            held.start_period();
+        if let Some(ask) = held.end_period(RouterId(1), "customer", &limits, now_ms) {
             let grant = steward.answer(&ask, &limits, 1.0, now_ms);
             held.take_grant(&grant, 0.0, now_ms, now_ms)
                 .expect("nothing waits");
--- a/crates/sapphiretrack-core/src/held_budget.rs
+++ b/crates/sapphiretrack-core/src/held_budget.rs
@@ -7,6 +7,10 @@
 const LEASE_MARGIN_MS: u64 = 200;
 /// How much more than it spent in the last period a router asks to hold ahead.
 const AHEAD_FACTOR: f64 = 1.25;
+/// Requests in a period from which on a router holds a chunk ahead; below, it asks for each.
+const BUSY_REQUESTS: f64 = 4.0;
+/// A lease is renewed when it has no more than this left.
+const RENEW_BEFORE_END_MS: u64 = 600;
 /// How long a refusal is repeated without asking the steward again.
 const REFUSAL_KEPT_MS: u64 = 50;
 /// When to come back if the steward did not answer.
@@ -98,7 +102,8 @@
     pub fn ask(&mut self, router: RouterId, customer: &str, need_tokens: Option<f64>) -> BudgetAsk {
         self.sequence += 1;
         let returned = std::mem::take(&mut self.returned);
-        let wanted = |spent: f64, held: f64| (spent * AHEAD_FACTOR - held.max(0.0)).max(0.0);
+        let factor = if self.is_busy() { AHEAD_FACTOR } else { 0.0 };
+        let wanted = |spent: f64, held: f64| (spent * factor - held.max(0.0)).max(0.0);
         BudgetAsk {
             router,
             customer: customer.to_owned(),
@@ -111,7 +116,11 @@
                 tokens: wanted(self.spent.tokens, self.held.tokens),
             },
             in_flight: self.in_flight,
-            slots_ahead: self.peak_in_flight.saturating_sub(self.in_flight),
+            slots_ahead: if self.is_busy() {
+                self.peak_in_flight.saturating_sub(self.in_flight)
+            } else {
+                0
+            },
         }
     }
 
@@ -168,23 +177,34 @@
             .filter(|refused| !matches!(refused.shortage, Shortage::InFlight { .. }));
     }
 
-    /// Ends a period: what was not used in it goes back. Tells whether to ask the steward.
-    pub fn end_period(&mut self, limits: &Limits, now_ms: u64) -> bool {
+    /// Ends a period: what was not used in it goes back. Returns the question that renews the
+    /// lease, if there is a reason for one.
+    pub fn end_period(
+        &mut self,
+        router: RouterId,
+        customer: &str,
+        limits: &Limits,
+        now_ms: u64,
+    ) -> Option<BudgetAsk> {
         self.settle(limits, now_ms);
-        let used = self.spent.requests > 0.0 || self.spent.tokens > 0.0;
-        if !used {
+        if !self.is_busy() {
             self.give_all_back();
         }
-        used || self.in_flight > 0
-            || self.slots > 0
-            || self.held != Amounts::default()
+        // Requests that only run are told just often enough that the steward goes on counting them.
+        let lease_ends = now_ms + RENEW_BEFORE_END_MS >= self.expires_ms;
+        let due = self.is_busy()
             || self.returned != Amounts::default()
-    }
-
-    /// Starts the next period, after the question that [`Self::end_period`] asked for.
-    pub fn start_period(&mut self) {
+            || self.held != Amounts::default()
+            || (self.in_flight > 0 && lease_ends);
+        let ask = due.then(|| self.ask(router, customer, None));
         self.spent = Amounts::default();
         self.peak_in_flight = self.in_flight;
+        ask
+    }
+
+    /// Whether a chunk ahead is worth its messages.
+    fn is_busy(&self) -> bool {
+        self.spent.requests >= BUSY_REQUESTS
     }
 
     /// Whether nothing is held and nothing runs.
--- a/crates/sapphiretrackd/src/limits.rs
+++ b/crates/sapphiretrackd/src/limits.rs
@@ -175,15 +175,10 @@
             return;
         };
         let asked_ms = self.clock.now_ms();
-        let ask = {
-            let mut held = entry.lock();
-            if !held.end_period(&contract.limits, asked_ms) {
-                return;
-            }
-            let ask = held.ask(self.router, &entry.customer, None);
-            held.start_period();
-            ask
-        };
+        let ask = entry
+            .lock()
+            .end_period(self.router, &entry.customer, &contract.limits, asked_ms);
+        let Some(ask) = ask else { return };
         if let Some(grant) = self.ask_steward(ask).await {
             let now_ms = self.clock.now_ms();
             // Nothing waits for this answer, so it refuses nothing.
