--- a/crates/sapphiretrack-core/src/outlier.rs
+++ b/crates/sapphiretrack-core/src/outlier.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::{Candidate, ServerId};
+use crate::ServerId;
 
 /// When a server is left out, and how it comes back.
 #[derive(Clone, Debug)]
@@ -103,22 +103,30 @@
         (Self::FIRST_SHARE + (1.0 - Self::FIRST_SHARE) * ramp).min(1.0)
     }
 
-    /// The candidates without the servers that are left out; `draw` is a random number below 1.
+    /// The ranked candidates without the servers that are left out; `draw` is a random number
+    /// below 1.
     ///
     /// If more than half of them would be left out, the fault is hardly theirs: all stay.
-    pub fn filter(&self, candidates: Vec<Candidate>, draw: f64, now_ms: u64) -> Vec<Candidate> {
-        let ejected = candidates
-            .iter()
-            .filter(|candidate| self.share(candidate.server, now_ms) == 0.0)
-            .count();
+    pub fn filter<Ranked, ServerOf>(
+        &self,
+        candidates: Vec<Ranked>,
+        server_of: ServerOf,
+        draw: f64,
+        now_ms: u64,
+    ) -> Vec<Ranked>
+    where
+        ServerOf: Fn(&Ranked) -> ServerId,
+    {
+        let share = |candidate: &Ranked| self.share(server_of(candidate), now_ms);
+        let ejected = candidates.iter().filter(|one| share(one) == 0.0).count();
         if ejected * 2 > candidates.len() {
             return candidates;
         }
         // Stable: servers that sit this request out are the last resort, in their order.
         let (first, last): (Vec<_>, Vec<_>) = candidates
             .into_iter()
-            .filter(|candidate| self.share(candidate.server, now_ms) > 0.0)
-            .partition(|candidate| draw < self.share(candidate.server, now_ms));
+            .filter(|candidate| share(candidate) > 0.0)
+            .partition(|candidate| draw < share(candidate));
         first.into_iter().chain(last).collect()
     }
 }
--- a/crates/sapphiretrack-core/tests/attempt.rs
+++ b/crates/sapphiretrack-core/tests/attempt.rs
@@ -17,6 +17,8 @@
     FailBefore,
     /// The attempt fails; whether it ran is not seen.
     FailUnseen { ran: bool },
+    /// The request has its final answer.
+    Rest,
 }
 
 #[derive(Clone, Debug)]
@@ -49,6 +51,9 @@
     }
 
     fn transitions(state: &World) -> BoxedStrategy<Step> {
+        if state.over {
+            return Just(Step::Rest).boxed();
+        }
         if !state.sending {
             return (0..4_u64).prop_map(Step::Begin).boxed();
         }
@@ -68,6 +73,7 @@
                 state.counted = true;
                 state.tokens += 1;
             }
+            Step::Rest => {}
             Step::FailBefore => {
                 state.sending = false;
                 state.over |= state.once && state.runs > 0;
@@ -87,6 +93,7 @@
             Step::Token | Step::FailUnseen { .. } => state.sending,
             // A server that sent a token cannot say that it did not start.
             Step::FailBefore => state.sending && !state.counted,
+            Step::Rest => state.over,
         }
     }
 }
@@ -107,6 +114,7 @@
         match step {
             Step::Begin(server) => log.begin(ServerId(server)),
             Step::Token => log.deliver(),
+            Step::Rest => {}
             Step::FailBefore | Step::FailUnseen { .. } => {
                 let failure = match step {
                     Step::FailBefore => AttemptFailure::NotRun,
@@ -114,7 +122,11 @@
                 };
                 let next = log.fail(failure);
                 if world.over {
-                    assert_eq!(next, NextStep::GiveUp, "it may have run and must not run again");
+                    assert_eq!(
+                        next,
+                        NextStep::GiveUp,
+                        "it may have run and must not run again"
+                    );
                 }
                 if log.attempts() >= 4 {
                     assert_eq!(next, NextStep::GiveUp);
--- a/crates/sapphiretrack-core/tests/outcome.rs
+++ b/crates/sapphiretrack-core/tests/outcome.rs
@@ -11,14 +11,30 @@
     let mut listed = BTreeSet::new();
     for code in RefusalCode::ALL {
         let row = format!("| `{}` | {} |", code.as_str(), code.http_status());
-        assert!(PAGE.contains(&row), "docs/callers.md has no row that starts {row:?}");
-        assert!(listed.insert(code.as_str()), "{} stands twice", code.as_str());
+        assert!(
+            PAGE.contains(&row),
+            "docs/callers.md has no row that starts {row:?}"
+        );
+        assert!(
+            listed.insert(code.as_str()),
+            "{} stands twice",
+            code.as_str()
+        );
         assert!(!code.hint().is_empty());
     }
-    let rows = PAGE.lines().filter(|line| line.starts_with("| `") && line.contains("` | 4")
-        || line.starts_with("| `") && line.contains("` | 5"));
+    let rows = PAGE.lines().filter(|line| {
+        line.starts_with("| `") && line.contains("` | 4")
+            || line.starts_with("| `") && line.contains("` | 5")
+    });
     for row in rows {
-        let code = row.trim_start_matches("| `").split('`').next().unwrap_or_default();
-        assert!(listed.contains(code), "docs/callers.md lists {code:?}, which no refusal has");
+        let code = row
+            .trim_start_matches("| `")
+            .split('`')
+            .next()
+            .unwrap_or_default();
+        assert!(
+            listed.contains(code),
+            "docs/callers.md lists {code:?}, which no refusal has"
+        );
     }
 }
--- a/crates/sapphiretrack-core/tests/overload.rs
+++ b/crates/sapphiretrack-core/tests/overload.rs
@@ -2,17 +2,12 @@
 
 use proptest::prelude::*;
 use sapphiretrack_core::{
-    Candidate, DrainRate, OutlierDetector, OutlierSettings, RetryBudget, ServerId, ShedControl,
-    backoff_ms,
+    DrainRate, OutlierDetector, OutlierSettings, RetryBudget, ServerId, ShedControl, backoff_ms,
 };
 
-fn candidates(servers: u64) -> Vec<Candidate> {
-    (0..servers)
-        .map(|server| Candidate {
-            server: ServerId(server),
-            ..Candidate::default()
-        })
-        .collect()
+fn filter(outliers: &OutlierDetector, servers: u64, draw: f64, now_ms: u64) -> Vec<ServerId> {
+    let ranked = (0..servers).map(ServerId).collect();
+    outliers.filter(ranked, |server| *server, draw, now_ms)
 }
 
 proptest! {
@@ -70,7 +65,11 @@
         now_ms += 200;
         shed.note_answer(2, 300, 2_000, now_ms);
     }
-    assert_eq!(shed.share(2, now_ms), 1.0, "no urgent request was seen for long");
+    assert_eq!(
+        shed.share(2, now_ms),
+        1.0,
+        "no urgent request was seen for long"
+    );
 }
 
 #[test]
@@ -81,10 +80,15 @@
     }
     let rate = drain.ended_per_s();
     assert!((rate - 50.0).abs() < 2.0, "{rate}");
-    let waits: Vec<u64> = (0..500).map(|_| drain.retry_after_ms(0.5, 20_000)).collect();
+    let waits: Vec<u64> = (0..500)
+        .map(|_| drain.retry_after_ms(0.5, 20_000))
+        .collect();
     assert_eq!(waits[0], DrainRate::MIN_RETRY_MS);
     let last = *waits.last().expect("some");
-    assert!((9_000..11_000).contains(&last), "500 callers at 50 a second: {last}");
+    assert!(
+        (9_000..11_000).contains(&last),
+        "500 callers at 50 a second: {last}"
+    );
     assert!(waits.windows(2).all(|pair| pair[0] <= pair[1]));
 }
 
@@ -105,13 +109,12 @@
         assert!(!outliers.note_failure(bad, 0));
     }
     assert!(outliers.note_failure(bad, 0));
-    let left = outliers.filter(candidates(3), 0.5, 1_000);
-    assert!(left.iter().all(|candidate| candidate.server != bad));
+    assert!(!filter(&outliers, 3, 0.5, 1_000).contains(&bad));
     let first_ms = 2_000;
     assert!(outliers.share(bad, first_ms) <= 0.1 + 1e-9);
     assert!((outliers.share(bad, first_ms + 5_000) - 0.55).abs() < 1e-9);
-    let order = outliers.filter(candidates(3), 0.9, first_ms + 5_000);
-    assert_eq!(order.last().map(|candidate| candidate.server), Some(bad));
+    let order = filter(&outliers, 3, 0.9, first_ms + 5_000);
+    assert_eq!(order.last(), Some(&bad), "the last resort");
     // One failure while it comes back is enough, and the next time is twice as long.
     assert!(outliers.note_failure(bad, first_ms + 5_000));
     assert_eq!(outliers.share(bad, first_ms + 5_000 + 3_999), 0.0);
@@ -127,6 +130,6 @@
             outliers.note_failure(ServerId(server), 0);
         }
     }
-    assert_eq!(outliers.filter(candidates(3), 0.5, 1).len(), 3);
-    assert_eq!(outliers.filter(candidates(4), 0.5, 1).len(), 2);
+    assert_eq!(filter(&outliers, 3, 0.5, 1).len(), 3);
+    assert_eq!(filter(&outliers, 4, 0.5, 1).len(), 2);
 }
--- a/crates/sapphiretrack-core/tests/path.rs
+++ b/crates/sapphiretrack-core/tests/path.rs
@@ -57,7 +57,14 @@
 
 #[test]
 fn plain_paths_are_let_in() {
-    for path in ["/", "/pallets/17", "/pallets/", "/a%20b?x=//..", "/a-b_c~d.e", "/caf%C3%A9"] {
+    for path in [
+        "/",
+        "/pallets/17",
+        "/pallets/",
+        "/a%20b?x=//..",
+        "/a-b_c~d.e",
+        "/caf%C3%A9",
+    ] {
         assert!(check_path(path).is_ok(), "{path}");
     }
 }
--- /dev/null
+++ b/crates/sapphiretrack-platform/tests/claims.rs
@@ -0,0 +1,305 @@
+//! The claim store against a platform that loses requests and replies: at most one run a key.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use sapphiretrack_core::{
+    CLAIM_RETENTION_MS, Claim, ClaimDecision, ClaimState, RecordedAnswer, RecordedBody,
+    decide_claim,
+};
+use sapphiretrack_fakes::{FakePlatform, PlatformFaults, PlatformSettings};
+use sapphiretrack_platform::{ClaimStore, ClaimWritten, PlatformClient, Settings};
+use tokio::runtime::Runtime;
+
+const CUSTOMER: &str = "teranga";
+const HASH: u64 = 7;
+
+/// One step of one of several routers.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A request comes in, with the platform's next transaction as it will be.
+    Come { key: u8, fault: Fault },
+    /// A router that holds a claim sends.
+    Send { key: u8 },
+    /// A router that holds a claim and has not sent gives up.
+    Withdraw { key: u8, fault: Fault },
+    /// A router that sent has the answer.
+    Finish { key: u8, fault: Fault },
+    /// The holder is killed.
+    Kill { key: u8 },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    RequestLost,
+    ReplyLost,
+}
+
+struct Machine;
+
+/// No model state: all invariants are about the store itself.
+impl ReferenceStateMachine for Machine {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Step> {
+        let fault = prop_oneof![
+            3 => Just(Fault::None),
+            1 => Just(Fault::RequestLost),
+            1 => Just(Fault::ReplyLost),
+        ];
+        let key = 0..2_u8;
+        prop_oneof![
+            4 => (key.clone(), fault.clone()).prop_map(|(key, fault)| Step::Come { key, fault }),
+            2 => key.clone().prop_map(|key| Step::Send { key }),
+            1 => (key.clone(), fault.clone()).prop_map(|(key, fault)| Step::Withdraw { key, fault }),
+            2 => (key.clone(), fault).prop_map(|(key, fault)| Step::Finish { key, fault }),
+            1 => key.prop_map(|key| Step::Kill { key }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: (), _step: &Step) -> Self::State {
+        state
+    }
+}
+
+/// A router that holds the claim of a key.
+struct Holder {
+    claim: Claim,
+    row_version: u64,
+    sent: bool,
+}
+
+struct Stores {
+    runtime: Runtime,
+    platform: FakePlatform,
+    store: ClaimStore,
+    next_claim: u64,
+    holders: BTreeMap<u8, Vec<Holder>>,
+    runs: BTreeMap<u8, u32>,
+}
+
+impl Stores {
+    fn call<Value>(&self, fault: Fault, work: impl Future<Output = Value>) -> Value {
+        self.platform.set_faults(PlatformFaults {
+            lose_requests: u32::from(matches!(fault, Fault::RequestLost)),
+            lose_replies: u32::from(matches!(fault, Fault::ReplyLost)),
+            ..PlatformFaults::default()
+        });
+        let value = self.runtime.block_on(work);
+        self.platform.set_faults(PlatformFaults::default());
+        value
+    }
+
+    fn come(&mut self, key: u8, fault: Fault) {
+        self.next_claim += 1;
+        let claim = claim(self.next_claim, 1);
+        let written = self.call(fault, self.store.write(CUSTOMER, &key.to_string(), &claim));
+        let ran = self.runs.get(&key).copied().unwrap_or(0);
+        match written {
+            Ok(ClaimWritten::Ours { row_version }) => {
+                self.holders.entry(key).or_default().push(Holder {
+                    claim,
+                    row_version,
+                    sent: false,
+                });
+            }
+            Ok(ClaimWritten::Found(found)) => {
+                let decision = decide_claim(&found, &claim.claim_id, HASH);
+                assert_ne!(
+                    decision,
+                    ClaimDecision::Send,
+                    "another's claim is no leave to send"
+                );
+                if matches!(decision, ClaimDecision::Replay(_)) {
+                    assert_eq!(ran, 1, "an answer is recorded of a request that ran");
+                }
+            }
+            // Not settled: the router says that it did not run, and sends nothing.
+            Err(_) => {}
+        }
+    }
+
+    fn with_holder(&mut self, key: u8, sent: bool) -> Option<Holder> {
+        let holders = self.holders.get_mut(&key)?;
+        let index = holders.iter().position(|holder| holder.sent == sent)?;
+        Some(holders.remove(index))
+    }
+
+    fn keep(&mut self, key: u8, holder: Holder) {
+        self.holders.entry(key).or_default().push(holder);
+    }
+}
+
+fn claim(number: u64, claimed_at_ms: u64) -> Claim {
+    Claim {
+        claim_id: format!("claim-{number}"),
+        request_hash: HASH,
+        claimed_at_ms,
+        state: ClaimState::Claimed,
+    }
+}
+
+fn finished(claim: &Claim) -> Claim {
+    Claim {
+        state: ClaimState::Finished(RecordedAnswer {
+            status: 200,
+            content_type: String::from("text/plain"),
+            body: RecordedBody::Text(String::from("printed")),
+        }),
+        ..claim.clone()
+    }
+}
+
+impl StateMachineTest for Machine {
+    type SystemUnderTest = Stores;
+    type Reference = Machine;
+
+    fn init_test(_state: &()) -> Stores {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let (platform, store) = runtime.block_on(start());
+        Stores {
+            runtime,
+            platform,
+            store,
+            next_claim: 0,
+            holders: BTreeMap::new(),
+            runs: BTreeMap::new(),
+        }
+    }
+
+    fn apply(mut stores: Stores, _state: &(), step: Step) -> Stores {
+        match step {
+            Step::Come { key, fault } => stores.come(key, fault),
+            Step::Send { key } => {
+                if let Some(holder) = stores.with_holder(key, false) {
+                    *stores.runs.entry(key).or_default() += 1;
+                    stores.keep(
+                        key,
+                        Holder {
+                            sent: true,
+                            ..holder
+                        },
+                    );
+                }
+            }
+            Step::Withdraw { key, fault } => {
+                if let Some(holder) = stores.with_holder(key, false) {
+                    let name = key.to_string();
+                    let work = stores.store.withdraw(CUSTOMER, &name, &holder.claim);
+                    drop(stores.call(fault, work));
+                }
+            }
+            Step::Finish { key, fault } => {
+                if let Some(holder) = stores.with_holder(key, true) {
+                    let (name, done) = (key.to_string(), finished(&holder.claim));
+                    let store = &stores.store;
+                    let work = store.finish(CUSTOMER, &name, holder.row_version, &done);
+                    match stores.call(fault, work) {
+                        Ok(recorded) => assert!(recorded, "nobody else may touch the claim"),
+                        Err(_) => stores.keep(key, holder),
+                    }
+                }
+            }
+            Step::Kill { key } => drop(stores.holders.remove(&key)),
+        }
+        stores
+    }
+
+    fn check_invariants(stores: &Stores, _state: &()) {
+        assert!(
+            stores.runs.values().all(|runs| *runs <= 1),
+            "{:?}",
+            stores.runs
+        );
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_key_runs_twice_whatever_the_platform_loses(sequential 1..40 => Machine);
+}
+
+async fn start() -> (FakePlatform, ClaimStore) {
+    let platform = FakePlatform::start(PlatformSettings::default())
+        .await
+        .expect("the stand-in starts");
+    let client = PlatformClient::new(Settings {
+        url: platform.url(),
+        ..Settings::default()
+    });
+    (platform, ClaimStore::new(client))
+}
+
+#[tokio::test]
+async fn a_sweep_deletes_what_is_past_its_retention_and_nothing_else() {
+    let (platform, store) = start().await;
+    for number in 0..120 {
+        // Every third claim is young.
+        let at = if number % 3 == 0 { 500_000 } else { number };
+        let written = store
+            .write(CUSTOMER, &number.to_string(), &claim(number, at))
+            .await;
+        assert!(matches!(written, Ok(ClaimWritten::Ours { .. })));
+    }
+    let now_ms = CLAIM_RETENTION_MS + 400_000;
+    let mut deleted = Vec::new();
+    loop {
+        let swept = store.sweep(now_ms).await.expect("a sweep");
+        deleted.push(swept.deleted);
+        if !swept.more {
+            break;
+        }
+    }
+    assert_eq!(deleted, [50, 30], "one transaction a page");
+    let rows = platform.rows();
+    assert_eq!(rows.len(), 80, "40 young claims with their age rows");
+    let repeat = store.write(CUSTOMER, "3", &claim(1_000, 500_001)).await;
+    assert!(matches!(repeat, Ok(ClaimWritten::Found(_))), "{repeat:?}");
+    let again = store.write(CUSTOMER, "1", &claim(1_001, 500_001)).await;
+    assert!(matches!(again, Ok(ClaimWritten::Ours { .. })), "{again:?}");
+}
+
+#[tokio::test]
+async fn a_sweep_never_deletes_a_later_claim_of_the_same_key() {
+    let (platform, store) = start().await;
+    let old = claim(1, 10);
+    store.write(CUSTOMER, "key", &old).await.expect("written");
+    assert_eq!(platform.rows().len(), 2, "the claim and its age");
+    assert!(
+        store
+            .withdraw(CUSTOMER, "key", &old)
+            .await
+            .expect("withdrawn")
+    );
+    let young = claim(2, 500_000);
+    store.write(CUSTOMER, "key", &young).await.expect("written");
+    let swept = store
+        .sweep(CLAIM_RETENTION_MS + 100)
+        .await
+        .expect("a sweep");
+    assert_eq!(swept.deleted, 0);
+    let repeat = store.write(CUSTOMER, "key", &claim(3, 500_001)).await;
+    assert_eq!(repeat.expect("read"), ClaimWritten::Found(young));
+}
+
+#[tokio::test]
+async fn keys_that_differ_share_no_claim() {
+    let (_platform, store) = start().await;
+    for (number, key) in ["a", "A", "a ", "a/b", "%61", "ä"].into_iter().enumerate() {
+        let written = store.write(CUSTOMER, key, &claim(number as u64, 1)).await;
+        assert!(matches!(written, Ok(ClaimWritten::Ours { .. })), "{key:?}");
+    }
+}
--- a/crates/sapphiretrackd/src/dispatch/health.rs
+++ b/crates/sapphiretrackd/src/dispatch/health.rs
@@ -23,7 +23,8 @@
 impl Health {
     /// The candidates without the servers that are left out.
     pub(crate) fn filter(&self, candidates: Vec<Candidate>, now_ms: u64) -> Vec<Candidate> {
-        self.outliers().filter(candidates, rand::random(), now_ms)
+        self.outliers()
+            .filter(candidates, |one| one.server, rand::random(), now_ms)
     }
 
     /// Notes how an attempt ended; true if the server is left out from now on.
