--- a/crates/sapphiretrackd/src/lib.rs
+++ b/crates/sapphiretrackd/src/lib.rs
@@ -16,5 +16,5 @@
 
 pub use daemon::{Daemon, DaemonError, StopReport};
 pub use events::Event;
-pub use logging::{LogFormat, start_logging};
+pub use logging::{LogFormat, log_line, start_logging};
 pub use settings::{Flag, Settings, SettingsError, flags, help_text, parse_settings};
