--- a/crates/sapphiretrackd/src/dispatch/whole.rs
+++ b/crates/sapphiretrackd/src/dispatch/whole.rs
@@ -66,7 +66,8 @@
 
     /// The answer's JSON.
     pub(crate) fn to_json(&self) -> String {
-        serde_json::to_string(self).unwrap_or_default()
+        // By way of a value, whose keys are sorted: the same text for the same answer.
+        serde_json::to_value(self).unwrap_or_default().to_string()
     }
 
     fn into_chunk(self) -> Chunk {
