--- a/crates/sapphiretrack-platform/src/lib.rs
+++ b/crates/sapphiretrack-platform/src/lib.rs
@@ -10,7 +10,7 @@
 mod transaction;
 pub mod wire;
 
-pub use claims::{ClaimStore, ClaimWritten};
+pub use claims::{ClaimStore, ClaimWritten, Swept};
 pub use client::{PlatformClient, Settings};
 pub use configuration::{AcceptedChange, ChangeOutcome, ConfigurationStore, KnownConfig};
 pub use error::{ApplyError, PlatformError};
