Bench: an open-loop load tool and a soak whose history is checked

Cause: nothing offered load over real sockets, and nothing checked a whole history of concurrent requests, planned stops, racing changes and faults.

The harness of the whole-path tests starts the processes.

Ruled out: stand-ins inside the soak's process, since a restart of one as another incarnation needs its connections cut, which ending a process does.

--- a/crates/sapphiretrack-bench/src/lib.rs
+++ b/crates/sapphiretrack-bench/src/lib.rs
@@ -1,3 +1,5 @@
 //! Measurements of the router fleet.
 
 pub mod demo;
+pub mod load;
+pub mod soak;
--- /dev/null
+++ b/crates/sapphiretrack-bench/src/load/mod.rs
@@ -0,0 +1,26 @@
+//! Open-loop load over real sockets against running routers.
+
+mod arrivals;
+mod callers;
+mod check;
+mod command;
+mod entries;
+mod history;
+mod plot;
+mod report;
+mod request;
+mod settings;
+mod statistics;
+mod texts;
+
+pub use arrivals::{Arrival, Arrivals, Work};
+pub use callers::{Load, LoadOutcome};
+pub use check::{AnswerCheck, Violation, ViolationKind, check_service_answer};
+pub(crate) use command::append_json_line;
+pub use command::run;
+pub use entries::{AddressBook, KnownRouters};
+pub use history::{Attempt, AttemptOutcome, RequestRecord};
+pub use plot::plot_svg;
+pub use report::LoadReport;
+pub use settings::{ClassMix, LoadSettings, SettingsError, parse_load_settings};
+pub use statistics::{ClassStatistics, Statistics};
--- /dev/null
+++ b/crates/sapphiretrack-bench/src/soak/command.rs
@@ -0,0 +1,260 @@
+//! The subcommand `soak`.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use pico_args::Arguments;
+use sapphiretrack_core::{PoolKind, VmRole};
+use sapphiretrack_fakes::RunCount;
+use sapphiretrack_tests::{Fleet, FleetSettings, get_json};
+use tokio::sync::watch;
+
+use crate::load::append_json_line;
+use crate::load::{KnownRouters, Load, LoadOutcome, LoadReport, Violation, ViolationKind};
+use crate::soak::deployment::DEPLOYMENTS;
+use crate::soak::evidence::{ChangeState, Evidence, VersionSeen};
+use crate::soak::injector::Injector;
+use crate::soak::operators::{Change, settle};
+use crate::soak::plan::plan;
+use crate::soak::report::SoakReport;
+use crate::soak::settings::{SoakSettings, parse_soak_settings};
+use crate::soak::verdict::judge;
+use crate::soak::watch::{Watchlist, watch_versions};
+
+const HELP: &str = "\
+sapphiretrack-bench soak: a fleet of processes under load and random faults, its history checked
+
+  --minutes N        how long load and faults come [10]
+  --seed N           what the load and the faults come from [1]
+  --routers N        routers [9]
+  --rate N           arrivals a second of each of the two deployments [25]
+  --requests N       the most arrivals of each; 0 for no bound [0]
+  --faults N         the most faults; 0 for no bound [0]
+  --fault-mean-ms N  time between two faults, on average [2000]
+  --json FILE        adds the report to a file as a JSON line
+  --seeds FILE       adds a line to a file if a promise was broken
+  --quiet            no progress
+
+The programs `sapphiretrackd` and `sapphiretrack-fakes` have to lie beside this one. The exit
+code is 0 only if every promise held, 1 if one was broken.
+";
+/// The wait for what is still on its way at servers before their counts are read.
+const LAST_RUNS: Duration = Duration::from_secs(1);
+
+/// Runs the subcommand; an error says what is wrong, `false` that a promise was broken.
+pub fn run(mut arguments: Arguments) -> Result<bool, String> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(true);
+    }
+    let settings = parse_soak_settings(arguments)?;
+    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    let report = runtime.block_on(soak(&settings));
+    print!("{}", report.table());
+    if let Some(path) = &settings.json {
+        append_json_line(path, &report)?;
+    }
+    if let Some(path) = &settings.seeds
+        && !report.held()
+    {
+        keep_seed(path, &report)?;
+    }
+    Ok(report.held())
+}
+
+async fn soak(settings: &SoakSettings) -> SoakReport {
+    eprintln!("seed {}", settings.seed);
+    let mut evidence = Evidence::default();
+    let fleet = start_fleet(settings).await;
+    apply_contracts(&fleet, &mut evidence).await;
+    let (known, watchlist) = (KnownRouters::default(), Watchlist::default());
+    let next_change = DEPLOYMENTS.len() as u64;
+    let mut injector = Injector::new(fleet, known.clone(), watchlist.clone(), next_change);
+    let seen: Arc<Mutex<Vec<VersionSeen>>> = Arc::default();
+    let watching = tokio::spawn(watch_versions(watchlist, seen.clone()));
+    let (over, load_over) = watch::channel(false);
+    let faults = plan(settings);
+    let (outcomes, ()) = tokio::join!(
+        async {
+            let outcomes = run_loads(settings, &known).await;
+            over.send_replace(true);
+            outcomes
+        },
+        injector.run(&faults, load_over)
+    );
+    let loads = take_outcomes(settings, outcomes, &mut evidence);
+    gather(&mut injector, &mut evidence).await;
+    watching.abort();
+    evidence.versions = std::mem::take(&mut *seen.lock().unwrap_or_else(PoisonError::into_inner));
+    let found = judge(&evidence);
+    let mut report = SoakReport::new(settings, &evidence, &found);
+    report.loads = loads;
+    let caused = injector.caused.iter();
+    report.faults = caused
+        .map(|(name, count)| ((*name).to_owned(), *count))
+        .collect();
+    report
+}
+
+async fn start_fleet(settings: &SoakSettings) -> Fleet {
+    let mut fleet = Fleet::start_platform(FleetSettings {
+        router_flags: vec![String::from("--platform-timeout-ms=1000")],
+        ..FleetSettings::default()
+    })
+    .await;
+    for deployment in DEPLOYMENTS {
+        for _ in 0..deployment.engines {
+            let index = fleet.servers.len();
+            fleet
+                .add_server("engine", deployment.model, PoolKind::Engine, index)
+                .await;
+        }
+        for _ in 0..deployment.services {
+            let index = fleet.servers.len();
+            fleet
+                .add_server("service", deployment.service, PoolKind::Service, index)
+                .await;
+        }
+    }
+    for index in 0..settings.routers {
+        fleet.add_router(&format!("router-{index}"), index).await;
+    }
+    fleet.publish().await;
+    fleet.wait_settled().await;
+    fleet
+}
+
+async fn apply_contracts(fleet: &Fleet, evidence: &mut Evidence) {
+    for (number, deployment) in DEPLOYMENTS.into_iter().enumerate() {
+        let change = Change {
+            deployment,
+            operator: fleet.operator(0),
+            number: number as u64 + 1,
+        };
+        evidence.changes.push(change.apply_to(0).await);
+    }
+    let newest = newest_accepted(evidence);
+    fleet
+        .wait_status("both contracts in force", |status| {
+            status.config_version >= newest
+        })
+        .await;
+}
+
+async fn run_loads(settings: &SoakSettings, known: &KnownRouters) -> Vec<LoadOutcome> {
+    let [first, second] = DEPLOYMENTS.map(|deployment| {
+        let load = Load::new(deployment.load(settings), known);
+        load.run()
+    });
+    let (first, second) = tokio::join!(first, second);
+    vec![first, second]
+}
+
+fn take_outcomes(
+    settings: &SoakSettings,
+    outcomes: Vec<LoadOutcome>,
+    evidence: &mut Evidence,
+) -> BTreeMap<String, LoadReport> {
+    let mut loads = BTreeMap::new();
+    for (deployment, outcome) in DEPLOYMENTS.iter().zip(outcomes) {
+        let report = LoadReport::new(&deployment.load(settings), &outcome);
+        evidence.violations.extend(report.violations.clone());
+        evidence.requests.extend(outcome.history);
+        loads.insert(deployment.customer.to_owned(), report);
+    }
+    loads
+}
+
+/// Reads what the fleet says once all faults are taken back.
+async fn gather(injector: &mut Injector, evidence: &mut Evidence) {
+    while let Some(stop) = injector.stops.join_next().await {
+        evidence.stops.extend(stop.ok());
+    }
+    while let Some(change) = injector.changes.join_next().await {
+        evidence.changes.extend(change.ok().flatten());
+    }
+    evidence.killed = injector.killed.clone();
+    let fleet = &injector.fleet;
+    if !fleet.settles().await {
+        let detail = String::from("the routers do not all see all routers and servers");
+        let violation = Violation::new(ViolationKind::NotSettled, detail);
+        evidence.violations.push(violation);
+    }
+    for change in &mut evidence.changes {
+        if change.state == ChangeState::Unsettled {
+            change.state = settle(&fleet.operator(0), &change.change_id).await;
+        }
+    }
+    let newest = newest_accepted(evidence);
+    if !fleet
+        .comes_to(|status| status.config_version >= newest)
+        .await
+    {
+        let detail = format!("version {newest} is not in force everywhere");
+        let violation = Violation::new(ViolationKind::ChangeLost, detail);
+        evidence.violations.push(violation);
+    }
+    tokio::time::sleep(LAST_RUNS).await;
+    gather_runs(fleet, evidence).await;
+    gather_configuration(fleet, evidence).await;
+}
+
+async fn gather_runs(fleet: &Fleet, evidence: &mut Evidence) {
+    for server in &fleet.servers {
+        let address = server.vm.address;
+        let VmRole::Server { kind, .. } = &server.vm.role else {
+            continue;
+        };
+        match kind {
+            PoolKind::Service => {
+                let runs: Vec<RunCount> = get_json(&format!("http://{address}/fake/runs")).await;
+                for run in runs {
+                    *evidence.runs.entry(run.order).or_default() += run.runs;
+                }
+            }
+            PoolKind::Engine => {
+                let url = format!("http://{address}/fake/started-tags");
+                let tags: Vec<String> = get_json(&url).await;
+                evidence.started_tags.extend(tags);
+            }
+        }
+    }
+}
+
+async fn gather_configuration(fleet: &Fleet, evidence: &mut Evidence) {
+    for (index, router) in fleet.routers.iter().enumerate() {
+        let (operator, name) = (fleet.operator(index), &router.vm.name);
+        let history = operator.history().await.unwrap_or_default();
+        let told = history.into_iter();
+        let told = told.map(|line| (line.version, line.change_id)).collect();
+        evidence.told.insert(name.clone(), told);
+        for deployment in DEPLOYMENTS {
+            let customer = deployment.customer;
+            let shown = operator.show(customer).await;
+            let version = shown.map_or(0, |shown| shown.version);
+            let key = (name.clone(), customer.to_owned());
+            evidence.contract_versions.insert(key, version);
+        }
+    }
+}
+
+fn newest_accepted(evidence: &Evidence) -> u64 {
+    let versions = evidence.changes.iter().map(|change| match change.state {
+        ChangeState::Accepted(version) => version,
+        ChangeState::Refused | ChangeState::Unsettled => 0,
+    });
+    versions.max().unwrap_or_default()
+}
+
+fn keep_seed(path: &Path, report: &SoakReport) -> Result<(), String> {
+    let with_path = |error: std::io::Error| format!("{}: {error}", path.display());
+    let mut file = std::fs::OpenOptions::new()
+        .append(true)
+        .create(true)
+        .open(path)
+        .map_err(with_path)?;
+    writeln!(file, "{}", report.failure_line()).map_err(with_path)
+}
--- a/crates/sapphiretrack-fakes/src/engine.rs
+++ b/crates/sapphiretrack-fakes/src/engine.rs
@@ -102,6 +102,8 @@
     cache: BTreeMap<String, u32>,
     cache_order: VecDeque<String>,
     started_requests: u64,
+    /// The answer tags of the requests that were started.
+    started_tags: BTreeSet<u64>,
 }
 
 /// A request as the engine reads it.
@@ -150,6 +152,13 @@
         self.shared.lock().started_requests
     }
 
+    /// The answer tags of the requests that were started: hashes of their messages.
+    pub fn started_tags(&self) -> Vec<String> {
+        let state = self.shared.lock();
+        let tags = state.started_tags.iter();
+        tags.map(|tag| format!("{tag:016x}")).collect()
+    }
+
     /// The load as it stands.
     pub fn load(&self) -> LoadReport {
         let state = self.shared.lock();
@@ -171,6 +180,7 @@
                 }
                 Err(response) => response,
             },
+            "/fake/started-tags" => json(&self.started_tags()),
             "/fake/started" => json(&self.started_requests()),
             "/load" => {
                 self.shared.wait_unfrozen().await;
@@ -185,7 +195,7 @@
 
     async fn chat(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let chat = read_chat(request).await?;
-        if !self.shared.take_in() {
+        if !self.shared.take_in(chat.answer_tag) {
             let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, "{}");
             let yes = http::HeaderValue::from_static("true");
             response.headers_mut().insert(NOT_STARTED_HEADER, yes);
@@ -219,7 +229,7 @@
 
 impl Shared {
     /// Whether a request is started, or waits for its start.
-    fn take_in(&self) -> bool {
+    fn take_in(&self, answer_tag: u64) -> bool {
         let mut state = self.lock();
         if state.faults.refuse > 0 {
             state.faults.refuse -= 1;
@@ -229,6 +239,7 @@
             return false;
         }
         state.started_requests += 1;
+        state.started_tags.insert(answer_tag);
         true
     }
 
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -12,6 +12,7 @@
 use sapphiretrack_operator::wire::{ApplyContract, ChangeReply, Status};
 use sapphiretrack_platform::wire::VmList;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::process::ChildProcess;
 
@@ -74,14 +75,7 @@
 impl Fleet {
     /// Starts a fleet and waits until every router sees all of it.
     pub async fn start(settings: FleetSettings) -> Self {
-        let (platform, platform_address) = start_fake("platform", &[]).await;
-        let mut fleet = Self {
-            platform,
-            platform_address,
-            servers: Vec::new(),
-            routers: Vec::new(),
-            settings: settings.clone(),
-        };
+        let mut fleet = Self::start_platform(settings.clone()).await;
         for index in 0..settings.engines {
             fleet
                 .add_server("engine", "assistant", PoolKind::Engine, index)
@@ -100,6 +94,18 @@
         fleet
     }
 
+    /// Starts the platform alone; routers and servers are added one by one.
+    pub async fn start_platform(settings: FleetSettings) -> Self {
+        let (platform, platform_address) = start_fake("platform", &[]).await;
+        Self {
+            platform,
+            platform_address,
+            servers: Vec::new(),
+            routers: Vec::new(),
+            settings,
+        }
+    }
+
     /// The callers' URL of a router.
     pub fn caller_url(&self, router: usize) -> String {
         format!("http://{}", self.routers[router].vm.address)
@@ -171,6 +177,23 @@
         self.servers.push(Member { process, vm });
     }
 
+    /// Kills a server and starts it again at its address as another incarnation.
+    pub async fn restart_server(&mut self, server: usize, incarnation: u64) {
+        let address = self.servers[server].vm.address;
+        let name = self.servers[server].vm.name.clone();
+        let kind = name.split('-').next().unwrap_or_default();
+        let mut flags = vec![
+            format!("--address={address}"),
+            format!("--incarnation={incarnation}"),
+        ];
+        if kind == "engine" {
+            flags.extend(self.settings.engine_flags.clone());
+        }
+        self.servers[server].process.kill().await;
+        let (process, _) = start_fake(kind, &flags).await;
+        self.servers[server].process = process;
+    }
+
     /// Starts a router under a name.
     pub async fn add_router(&mut self, name: &str, index: usize) {
         let mut flags = vec![
@@ -211,8 +234,13 @@
 
     /// Waits until every router sees all routers and servers.
     pub async fn wait_settled(&self) {
+        assert!(self.settles().await, "the fleet is not seen by all");
+    }
+
+    /// Whether every router comes to see all routers and servers.
+    pub async fn settles(&self) -> bool {
         let (routers, servers) = (self.routers.len(), self.servers.len());
-        self.wait_status("the fleet seen by all", |status| {
+        self.comes_to(|status| {
             let live = status
                 .servers
                 .iter()
@@ -220,30 +248,38 @@
                 .count();
             status.routers.len() == routers && live == servers
         })
-        .await;
+        .await
     }
 
     /// Waits until the status of every router satisfies a condition.
     pub async fn wait_status<Holds>(&self, what: &str, holds: Holds)
+    where
+        Holds: Fn(&Status) -> bool,
+    {
+        assert!(
+            self.comes_to(holds).await,
+            "{what}: not within {SETTLE_LIMIT:?}"
+        );
+    }
+
+    /// Whether the status of every router comes to satisfy a condition.
+    pub async fn comes_to<Holds>(&self, holds: Holds) -> bool
     where
         Holds: Fn(&Status) -> bool,
     {
         let waited = tokio::time::timeout(SETTLE_LIMIT, async {
             for router in 0..self.routers.len() {
-                loop {
-                    if self
-                        .operator(router)
-                        .status()
-                        .await
-                        .is_ok_and(|status| holds(&status))
-                    {
-                        break;
-                    }
+                while !self
+                    .operator(router)
+                    .status()
+                    .await
+                    .is_ok_and(|status| holds(&status))
+                {
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             }
         });
-        assert!(waited.await.is_ok(), "{what}: not within {SETTLE_LIMIT:?}");
+        waited.await.is_ok()
     }
 }
 
@@ -301,6 +337,21 @@
     );
 }
 
+/// Gets JSON.
+pub async fn get_json<Body>(url: &str) -> Body
+where
+    Body: DeserializeOwned,
+{
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = http::Request::get(url)
+        .body(Full::default())
+        .expect("the request is good");
+    let response = client.request(request).await.expect("the stand-in answers");
+    let body = response.into_body().collect().await;
+    let text = body.expect("the answer is whole").to_bytes();
+    serde_json::from_slice(&text).expect("the answer is JSON")
+}
+
 async fn start_fake(kind: &str, flags: &[String]) -> (ChildProcess, SocketAddr) {
     let mut arguments = vec![kind.to_owned()];
     arguments.extend_from_slice(flags);
--- a/crates/sapphiretrack-tests/src/lib.rs
+++ b/crates/sapphiretrack-tests/src/lib.rs
@@ -3,5 +3,7 @@
 mod fleet;
 mod process;
 
-pub use fleet::{CALLER_KEY, Fleet, FleetSettings, OPERATOR_KEY, contract_toml, post_json};
+pub use fleet::{
+    CALLER_KEY, Fleet, FleetSettings, Member, OPERATOR_KEY, contract_toml, get_json, post_json,
+};
 pub use process::{ChildProcess, binary};
--- a/crates/sapphiretrack-tests/src/process.rs
+++ b/crates/sapphiretrack-tests/src/process.rs
@@ -17,16 +17,17 @@
 ///
 /// If it was not built: `cargo build --workspace --bins` builds it.
 pub fn binary(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the test has a path");
-    let path = test
-        .parent()
-        .and_then(|deps| deps.parent())
-        .expect("a target folder")
-        .join(name);
-    assert!(
-        path.exists(),
-        "{name} is not built; run `cargo build --workspace --bins` first"
-    );
+    let own = std::env::current_exe().expect("the program has a path");
+    // A test lies one folder below the programs.
+    let path = own
+        .ancestors()
+        .skip(1)
+        .take(2)
+        .map(|folder| folder.join(name))
+        .find(|path| path.exists());
+    let Some(path) = path else {
+        panic!("{name} is not built; run `cargo build --workspace --bins` first");
+    };
     path
 }
 
