--- a/crates/sapphiretrack-tests/src/lib.rs
+++ b/crates/sapphiretrack-tests/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod fleet;
 mod process;
+mod recorder;
 
 pub use fleet::{
     CALLER_KEY, Fleet, FleetSettings, Member, OPERATOR_KEY, contract_toml, get_json, post_json,
 };
 pub use process::{ChildProcess, binary};
+pub use recorder::{Recorder, redact};
