--- a/crates/sapphiretrack-bench/src/lib.rs
+++ b/crates/sapphiretrack-bench/src/lib.rs
@@ -2,5 +2,9 @@
 
 pub mod demo;
 pub mod limits;
+pub mod load;
 pub mod overhead;
+pub mod report;
 mod site;
+pub mod slopes;
+pub mod soak;
--- a/crates/sapphiretrack-fakes/src/lib.rs
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -11,5 +11,5 @@
 
 pub use answer::{answer_tag, expected_answer, token_text};
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
-pub use platform::{FakePlatform, PlatformFaults, PlatformSettings};
+pub use platform::{FakePlatform, PlatformCalls, PlatformFaults, PlatformSettings};
 pub use service::{FakeService, RunCount, ServiceFaults, ServiceSettings};
