--- a/crates/sapphiretrack-core/src/budget.rs
+++ b/crates/sapphiretrack-core/src/budget.rs
@@ -86,6 +86,8 @@
     RateUsedUp {
         /// When to come back.
         retry_after_ms: u64,
+        /// Whether a request of any size would be refused.
+        any_size: bool,
     },
     /// No place in flight is free.
     SlotsUsedUp {
@@ -251,13 +253,12 @@
                 retry_after_ms: SLOT_RETRY_MS,
             };
         }
-        let wait_ms = self
-            .requests
-            .wait_ms(1.0, now_ms)
-            .max(self.tokens.wait_ms(tokens, now_ms));
+        let requests_wait_ms = self.requests.wait_ms(1.0, now_ms);
+        let wait_ms = self.tokens.wait_ms(tokens, now_ms).max(requests_wait_ms);
         if wait_ms > 0 {
             return Needed::RateUsedUp {
                 retry_after_ms: wait_ms.max(MIN_RETRY_MS),
+                any_size: requests_wait_ms > 0,
             };
         }
         self.requests.charge(1.0, now_ms);
--- a/crates/sapphiretrack-core/src/held_budget.rs
+++ b/crates/sapphiretrack-core/src/held_budget.rs
@@ -12,7 +12,7 @@
 /// A lease is renewed when it has no more than this left.
 const RENEW_BEFORE_END_MS: u64 = 600;
 /// How long a refusal is repeated without asking the steward again.
-const REFUSAL_KEPT_MS: u64 = 50;
+const REFUSAL_KEPT_MS: u64 = 100;
 /// When to come back if the steward did not answer.
 pub const NO_STEWARD_RETRY_MS: u64 = 250;
 
@@ -138,6 +138,7 @@
         self.held.tokens += grant.added.tokens;
         self.slots = grant.slots;
         self.expires_ms = asked_ms + BUDGET_LEASE_MS - LEASE_MARGIN_MS;
+        let mut refused_tokens = 0.0;
         let shortage = match grant.need {
             Needed::Nothing => return Ok(()),
             Needed::Admitted => {
@@ -145,10 +146,18 @@
                 self.begin(need_tokens);
                 return Ok(());
             }
-            Needed::RateUsedUp { retry_after_ms } => Shortage::Rate { retry_after_ms },
+            Needed::RateUsedUp {
+                retry_after_ms,
+                any_size,
+            } => {
+                if !any_size {
+                    refused_tokens = need_tokens;
+                }
+                Shortage::Rate { retry_after_ms }
+            }
             Needed::SlotsUsedUp { retry_after_ms } => Shortage::InFlight { retry_after_ms },
         };
-        self.refuse(shortage, need_tokens, now_ms);
+        self.refuse(shortage, refused_tokens, now_ms);
         Err(shortage)
     }
 
