--- a/crates/sapphiretrack-bench/src/lib.rs
+++ b/crates/sapphiretrack-bench/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod demo;
 pub mod limits;
+pub mod overhead;
+mod site;
--- a/crates/sapphiretrackd/src/events.rs
+++ b/crates/sapphiretrackd/src/events.rs
@@ -72,9 +72,13 @@
         Level::Warn,
         "configuration written back to the platform",
     );
+    /// A backend server's attempts failed in a row: it is left out for a while.
+    pub const SERVER_EJECTED: Self = Self::new(503, Level::Warn, "backend server left out");
+    /// Claims past their retention were deleted.
+    pub const CLAIMS_SWEPT: Self = Self::new(504, Level::Info, "old claims deleted");
 
     /// All events, by number.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: &'static [Self] = &[
         Self::STARTED,
         Self::STOPPING,
         Self::STOPPED,
@@ -97,6 +101,8 @@
         Self::CROSSED_REPLY,
         Self::RECORD_FAILED,
         Self::CONFIG_REPUBLISHED,
+        Self::SERVER_EJECTED,
+        Self::CLAIMS_SWEPT,
     ];
 
     const fn new(number: u16, level: Level, text: &'static str) -> Self {
