The tool and the callers' client connect by TLS

Cause: routers could serve callers and operators by TLS, but nothing of ours could connect to them, and no test showed it.

--- a/crates/sapphiretrack-caller/src/client.rs
+++ b/crates/sapphiretrack-caller/src/client.rs
@@ -6,9 +6,9 @@
 use http_body_util::{BodyDataStream, BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use sapphiretrack_core::{Chunk, STREAM_END};
+use sapphiretrack_tls::{Connector, Trust};
 use snafu::Snafu;
 
 use crate::answer::{EntryReply, ErrorBody};
@@ -81,7 +81,7 @@
 /// Sends callers' requests.
 #[derive(Clone, Debug)]
 pub struct CallerClient {
-    http: Client<HttpConnector, Full<Bytes>>,
+    http: Client<Connector, Full<Bytes>>,
 }
 
 impl Default for CallerClient {
@@ -93,10 +93,15 @@
 impl CallerClient {
     /// A client; it connects when first used.
     pub fn new() -> Self {
+        Self::with_trust(&Trust::default())
+    }
+
+    /// A client that also connects by TLS to certificates that it trusts.
+    pub fn with_trust(trust: &Trust) -> Self {
         // A request that the pool sends again on its own could run twice.
         let http = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
-            .build_http();
+            .build(trust.connector());
         Self { http }
     }
 
--- a/crates/sapphiretrack-cli/src/callers.rs
+++ b/crates/sapphiretrack-cli/src/callers.rs
@@ -6,13 +6,13 @@
 use sapphiretrack_caller::{CallerClient, RequestOptions};
 use snafu::ResultExt;
 
-use crate::command::{Chat, Options};
+use crate::command::{Chat, Options, like};
 use crate::error::{CallerSnafu, CliError, RefusedSnafu, UsageSnafu};
 use crate::table::json;
 
 /// Asks which routers to connect to.
 pub(crate) async fn entry(options: &Options, zone: Option<&str>) -> Result<String, CliError> {
-    let reply = CallerClient::new()
+    let reply = CallerClient::with_trust(&options.trust)
         .entry(&options.caller_url, zone)
         .await
         .context(CallerSnafu)?;
@@ -28,7 +28,7 @@
 
 /// Sends one chat, to a router that the entry lookup names, and streams the answer.
 pub(crate) async fn chat(options: &Options, chat: &Chat) -> Result<String, CliError> {
-    let client = CallerClient::new();
+    let client = CallerClient::with_trust(&options.trust);
     let entry = client
         .entry(&options.caller_url, None)
         .await
@@ -51,7 +51,7 @@
         class: chat.class.clone(),
         ..RequestOptions::default()
     };
-    let url = format!("http://{address}");
+    let url = like(&options.caller_url, address);
     let show = !options.json;
     let answer = client
         .chat(&url, Bytes::from(body.to_string()), &request, |text| {
--- a/crates/sapphiretrack-cli/src/command.rs
+++ b/crates/sapphiretrack-cli/src/command.rs
@@ -1,11 +1,12 @@
 //! The command line, read and checked.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use pico_args::Arguments;
+use sapphiretrack_tls::Trust;
 use snafu::ResultExt;
 
-use crate::error::{ArgumentsSnafu, CliError, UsageSnafu};
+use crate::error::{ArgumentsSnafu, CliError, TrustSnafu, UsageSnafu};
 
 /// What every command may need.
 #[derive(Clone, Debug)]
@@ -20,6 +21,8 @@
     pub(crate) caller_url: String,
     /// A key of a contract.
     pub(crate) caller_key: String,
+    /// Which certificates are trusted.
+    pub(crate) trust: Trust,
     /// How long `--wait` waits.
     pub(crate) wait_limit_ms: u64,
     /// Whether to print JSON.
@@ -165,7 +168,12 @@
     let wait_limit_ms: Option<u64> = arguments
         .opt_value_from_str("--wait-limit-ms")
         .context(ArgumentsSnafu)?;
+    let trust = match setting(arguments, "--tls-ca", "")?.as_str() {
+        "" => Trust::default(),
+        file => Trust::from_pem_file(Path::new(file)).context(TrustSnafu)?,
+    };
     Ok(Options {
+        trust,
         router: setting(arguments, "--router", "http://127.0.0.1:8081")?,
         operator_key: setting(arguments, "--operator-key", "")?,
         operator: setting(arguments, "--operator", "operator")?,
@@ -176,6 +184,16 @@
     })
 }
 
+/// The URL of an address that is served the same way, plain or by TLS, as another URL.
+pub(crate) fn like(url: &str, address: &str) -> String {
+    let scheme = if url.starts_with("https://") {
+        "https"
+    } else {
+        "http"
+    };
+    format!("{scheme}://{address}")
+}
+
 /// A flag, else its environment variable, else the default.
 fn setting(
     arguments: &mut Arguments,
--- a/crates/sapphiretrack-cli/src/contracts.rs
+++ b/crates/sapphiretrack-cli/src/contracts.rs
@@ -20,7 +20,12 @@
 
 /// A client of the router that the options name.
 pub(crate) fn client(options: &Options) -> OperatorClient {
-    OperatorClient::new(&options.router, &options.operator_key, CALL_TIMEOUT_MS)
+    client_of(options, &options.router)
+}
+
+/// A client of the router with this operators' URL.
+pub(crate) fn client_of(options: &Options, url: &str) -> OperatorClient {
+    OperatorClient::with_trust(url, &options.operator_key, CALL_TIMEOUT_MS, &options.trust)
 }
 
 /// An id for a change.
--- a/crates/sapphiretrack-cli/src/error.rs
+++ b/crates/sapphiretrack-cli/src/error.rs
@@ -29,6 +29,12 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The certificates cannot be trusted.
+    #[snafu(display("{source}; hint: --tls-ca"))]
+    Trust {
+        /// Why.
+        source: sapphiretrack_tls::TrustError,
+    },
     /// The contract in a file is refused before it is sent.
     #[snafu(display("{} is refused: {source}", file.display()))]
     Contract {
@@ -93,7 +99,10 @@
             | Self::Router {
                 source: OperatorError::Refused { .. },
             } => 1,
-            Self::Arguments { .. } | Self::Usage { .. } | Self::ReadFile { .. } => 2,
+            Self::Arguments { .. }
+            | Self::Usage { .. }
+            | Self::ReadFile { .. }
+            | Self::Trust { .. } => 2,
             Self::Unknown { .. }
             | Self::Router {
                 source: OperatorError::ReplyLost { .. },
--- a/crates/sapphiretrack-cli/src/fleet.rs
+++ b/crates/sapphiretrack-cli/src/fleet.rs
@@ -6,13 +6,11 @@
 use sapphiretrack_operator::wire::{DrainServer, Status};
 use snafu::ResultExt;
 
-use crate::command::{Options, ServerDrain};
-use crate::contracts::{accepted_text, client, new_change_id, settle};
+use crate::command::{Options, ServerDrain, like};
+use crate::contracts::{accepted_text, client, client_of, new_change_id, settle};
 use crate::error::{CliError, NoSuchSnafu, RouterSnafu, WaitEndedSnafu};
 use crate::table::{json, table};
 
-/// How long one call to a router may take.
-const CALL_TIMEOUT_MS: u64 = 5_000;
 /// How often `--wait` looks.
 const WAIT_POLL: Duration = Duration::from_millis(100);
 
@@ -65,8 +63,8 @@
         }
         .fail();
     };
-    let url = format!("http://{}", router.operator_address);
-    let there = OperatorClient::new(&url, &options.operator_key, CALL_TIMEOUT_MS);
+    let url = like(&options.router, &router.operator_address);
+    let there = client_of(options, &url);
     let reply = there.stop().await.context(RouterSnafu)?;
     if options.json {
         return Ok(json(&reply));
--- a/crates/sapphiretrack-cli/src/main.rs
+++ b/crates/sapphiretrack-cli/src/main.rs
@@ -35,6 +35,7 @@
   --operator NAME       who you are, for the history (SAPPHIRETRACK_OPERATOR)
   --caller-url URL      callers' address of a router, for entry and chat (SAPPHIRETRACK_CALLER_URL)
   --caller-key KEY      a key of a contract, for chat (SAPPHIRETRACK_CALLER_KEY)
+  --tls-ca FILE         certificates to trust, PEM, for https:// addresses (SAPPHIRETRACK_TLS_CA)
   --wait-limit-ms N     how long --wait waits [30000]
   --json                print JSON for scripts
   --help, --version
--- a/crates/sapphiretrack-operator/src/client.rs
+++ b/crates/sapphiretrack-operator/src/client.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use sapphiretrack_tls::{Connector, Trust};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
@@ -50,19 +50,24 @@
     url: String,
     key: String,
     timeout: Duration,
-    http: Client<HttpConnector, Full<Bytes>>,
+    http: Client<Connector, Full<Bytes>>,
 }
 
 impl OperatorClient {
     /// A client of the router at `url` (`http://IP:PORT`) with an operator's key.
     pub fn new(url: &str, key: &str, timeout_ms: u64) -> Self {
+        Self::with_trust(url, key, timeout_ms, &Trust::default())
+    }
+
+    /// A client that also connects by TLS (`https://IP:PORT`) to certificates that it trusts.
+    pub fn with_trust(url: &str, key: &str, timeout_ms: u64, trust: &Trust) -> Self {
         Self {
             url: url.trim_end_matches('/').to_owned(),
             key: key.to_owned(),
             timeout: Duration::from_millis(timeout_ms),
             http: Client::builder(TokioExecutor::new())
                 .retry_canceled_requests(false)
-                .build_http(),
+                .build(trust.connector()),
         }
     }
 
