A starting router hears its peers before it takes a configuration

Cause: a router that started took the configuration of the first peer that spoke, which may have slept through changes, and went back in the eyes of whoever had seen its run before. Now one without a configuration waits until every live router was heard, or the time after which a silent one counts as dead, and takes the newest. A platform that is seen behind is looked at again after one period by the same router: with nine routers the write-back took up to two rounds of nine seconds.

--- a/crates/sapphiretrack-tests/tests/configuration.rs
+++ b/crates/sapphiretrack-tests/tests/configuration.rs
@@ -129,6 +129,45 @@
     assert!(matches!(change, ChangeReply::Unknown { .. }), "{change:?}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_slept_through_changes_hands_out_no_older_version() {
+    let mut fleet = Fleet::start(FleetSettings::default()).await;
+    let end = Arc::new(AtomicBool::new(false));
+    let watchers: Vec<_> = (0..3)
+        .map(|router| watch(fleet.operator(router), end.clone()))
+        .collect();
+    let mut version = fleet.apply_contract(&contract_toml(1_000), 0).await;
+    fleet.routers[2].process.signal("STOP").await;
+    for number in 0..3 {
+        let request = ApplyContract {
+            change_id: format!("while-one-sleeps-{number}"),
+            operator: String::from("amina"),
+            seen_version: version,
+            contract_toml: contract_toml(2_000 + number),
+        };
+        let reply = fleet.operator(0).apply(&request).await;
+        let Ok(ChangeReply::Accepted { version: made }) = reply else {
+            panic!("not accepted: {reply:?}");
+        };
+        version = made;
+    }
+    fleet.set_faults(fleet.platform_address, &down()).await;
+    // The router that starts may hear the old view first: that of the one that slept.
+    fleet.routers[2].process.signal("CONT").await;
+    fleet.restart_router(0).await;
+    fleet
+        .wait_status("the newest version everywhere", |status| {
+            status.config_version == version
+        })
+        .await;
+    end.store(true, Ordering::Release);
+    for (router, watcher) in watchers.into_iter().enumerate() {
+        let versions = watcher.await.expect("the watcher ends");
+        assert!(versions.is_sorted(), "{router}: {versions:?}");
+        assert_eq!(versions.last(), Some(&version), "{router}: {versions:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_router_cut_off_from_platform_and_peers_refuses_new_work_as_not_run() {
     let settings = FleetSettings {
@@ -227,9 +266,13 @@
     let started = Instant::now();
     fleet.apply_contract(&contract_toml(4), 0).await;
     let mut requests = Vec::new();
-    for number in 0..90 {
+    // For some seconds, so that three routers with the whole limit each would be far above it.
+    for number in 0..180 {
         let url = fleet.caller_url(number % 3);
         requests.push(tokio::spawn(async move { chat(&url).await }));
+        if number % 3 == 2 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
     }
     let mut complete = 0;
     for request in requests {
--- a/crates/sapphiretrackd/src/control/polling.rs
+++ b/crates/sapphiretrackd/src/control/polling.rs
@@ -17,8 +17,7 @@
 const VM_LIST_PERIOD: Duration = Duration::from_millis(1_000);
 /// How often one router of the cell reads the configuration version.
 const CONFIG_PERIOD: Duration = Duration::from_millis(1_000);
-/// How long a router that starts waits for its peers' configuration.
-const PEERS_FIRST: Duration = Duration::from_millis(1_200);
+/// How often a router that starts looks whether it has heard its peers.
 const PEERS_FIRST_POLL: Duration = Duration::from_millis(20);
 /// How often in a row the platform has to stand behind this router until that writes back what it
 /// holds; in between, a peer that holds more is heard of.
@@ -77,7 +76,11 @@
                 control.send(Command::OfferConfig(Arc::new(config)));
             }
         }
-        let routers = snapshot.live_routers().max(1) as u32;
+        // A platform that has gone back is looked at again by the same router, and soon.
+        let routers = match behind_reads {
+            0 => snapshot.live_routers().max(1) as u32,
+            _ => 1,
+        };
         tokio::time::sleep(CONFIG_PERIOD * routers).await;
     }
 }
@@ -85,14 +88,7 @@
 /// Gives peers the time to tell their configuration before the platform is asked: a platform that
 /// has gone back must not put an older one in force on a router that starts.
 async fn wait_for_peers(control: &ControlHandle) {
-    let started = tokio::time::Instant::now();
-    while started.elapsed() < PEERS_FIRST {
-        let snapshot = control.snapshot();
-        let others_heard = snapshot.routers.len() > 1;
-        let alone = snapshot.listed_routers == Some(1);
-        if alone || (others_heard && snapshot.newest_version() <= snapshot.config.version) {
-            return;
-        }
+    while !control.snapshot().peers_heard {
         tokio::time::sleep(PEERS_FIRST_POLL).await;
     }
 }
--- a/crates/sapphiretrackd/src/control/snapshot.rs
+++ b/crates/sapphiretrackd/src/control/snapshot.rs
@@ -24,8 +24,8 @@
     pub(crate) isolated: bool,
     /// Whether this router is stopping.
     pub(crate) stopping: bool,
-    /// Routers that the platform's list names as live, this one included; none before a list came.
-    pub(crate) listed_routers: Option<usize>,
+    /// Whether every live router was heard since the start, or had the time to be.
+    pub(crate) peers_heard: bool,
     /// Whether the platform was reached lately.
     pub(crate) platform_reached: bool,
 }
@@ -42,7 +42,7 @@
             pools: BTreeMap::new(),
             isolated: false,
             stopping: false,
-            listed_routers: None,
+            peers_heard: false,
             platform_reached: false,
         }
     }
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -385,11 +385,12 @@
             .collect()
     }
 
-    /// A peer that has a newer configuration than this router, by its id.
-    pub(crate) fn peer_address(&self, router: RouterId) -> Option<SocketAddr> {
-        self.peers
-            .get(&router)
-            .map(|peer| peer.heartbeat.peer_address)
+    /// Notes the configuration version of a peer's answer to a heartbeat.
+    pub(crate) fn note_peer_version(&mut self, router: RouterId, config_version: u64) {
+        if let Some(peer) = self.peers.get_mut(&router) {
+            let known = &mut peer.heartbeat.config_version;
+            *known = (*known).max(config_version);
+        }
     }
 
     /// A picture for the traffic threads.
@@ -426,7 +427,7 @@
             pools,
             isolated: self.isolated,
             stopping: self.stopping,
-            listed_routers: self.list_known.then(|| self.listed_routers()),
+            peers_heard: self.peers_heard(now_ms),
             platform_reached: self.platform_reached(now_ms),
         }
     }
@@ -672,6 +673,27 @@
             .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < self.timing.isolated_after_ms)
     }
 
+    /// Whether every live router was heard since the start, or had the time to be.
+    fn peers_heard(&self, now_ms: u64) -> bool {
+        let all_heard = self.list_known && self.peers.len() + 1 >= self.listed_routers();
+        all_heard || now_ms >= self.timing.dead_after_ms
+    }
+
+    /// Where to fetch a newer configuration: at the peer that has the newest.
+    ///
+    /// A router that has none waits until it has heard its peers: one of them may have an old view.
+    pub(crate) fn newer_config_at(&self, now_ms: u64) -> Option<SocketAddr> {
+        if self.config.version == 0 && !self.peers_heard(now_ms) {
+            return None;
+        }
+        let newest = self
+            .peers
+            .values()
+            .max_by_key(|peer| peer.heartbeat.config_version)?;
+        let newer = newest.heartbeat.config_version > self.config.version;
+        newer.then_some(newest.heartbeat.peer_address)
+    }
+
     /// Live routers by the platform's list and by what is heard, this one included.
     fn listed_routers(&self) -> usize {
         let listed = self.listed.iter().filter(|record| {
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -1,6 +1,5 @@
 //! The control loop on its own thread.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -81,17 +80,10 @@
         let now_ms = self.clock.now_ms();
         match command {
             Command::Peer { request, reply } => {
-                let newer = match &request {
-                    PeerRequest::Heartbeat(heartbeat)
-                        if heartbeat.config_version > self.state.config_version() =>
-                    {
-                        Some(heartbeat.peer_address)
-                    }
-                    _ => None,
-                };
+                let is_heartbeat = matches!(request, PeerRequest::Heartbeat(_));
                 drop(reply.send(self.state.handle_peer(request, now_ms)));
-                if let Some(address) = newer {
-                    self.fetch_config(address, handle);
+                if is_heartbeat {
+                    self.fetch_newer_config(now_ms, handle);
                 }
             }
             Command::Begin {
@@ -122,11 +114,8 @@
                 router,
                 config_version,
             } => {
-                if config_version > self.state.config_version()
-                    && let Some(address) = self.state.peer_address(router)
-                {
-                    self.fetch_config(address, handle);
-                }
+                self.state.note_peer_version(router, config_version);
+                self.fetch_newer_config(now_ms, handle);
             }
             Command::LeaseBudget { ask, reply } => {
                 drop(reply.send(self.state.lease_budget(ask, now_ms)));
@@ -146,8 +135,11 @@
         refreshed
     }
 
-    /// Fetches a peer's newer configuration, unless a fetch is under way.
-    fn fetch_config(&self, address: SocketAddr, handle: &ControlHandle) {
+    /// Fetches a peer's newer configuration, unless there is none or a fetch is under way.
+    fn fetch_newer_config(&self, now_ms: u64, handle: &ControlHandle) {
+        let Some(address) = self.state.newer_config_at(now_ms) else {
+            return;
+        };
         if self.fetching_config.swap(true, Ordering::AcqRel) {
             return;
         }
