--- a/crates/sapphiretrack-fakes/src/platform.rs
+++ b/crates/sapphiretrack-fakes/src/platform.rs
@@ -62,6 +62,17 @@
     pub wrong_reads: bool,
 }
 
+/// Calls that the platform answered or cut.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct PlatformCalls {
+    /// Reads of the table and of objects.
+    pub reads: u64,
+    /// Transactions and writes of objects.
+    pub writes: u64,
+    /// Reads of the list of VMs.
+    pub lists: u64,
+}
+
 /// The stand-in platform; clones are the same one.
 #[derive(Clone)]
 pub struct FakePlatform {
@@ -73,6 +84,7 @@
 #[derive(Default)]
 struct State {
     faults: PlatformFaults,
+    calls: PlatformCalls,
     rows: BTreeMap<String, Row>,
     /// What reads answer from while they are older.
     older_rows: Option<BTreeMap<String, Row>>,
@@ -84,8 +96,6 @@
     second_started: Option<Instant>,
     writes_in_second: u32,
     reads_in_second: u32,
-    reads: u64,
-    writes: u64,
 }
 
 impl FakePlatform {
@@ -127,9 +137,8 @@
     }
 
     /// Reads and writes of table and objects that were taken so far.
-    pub fn calls(&self) -> (u64, u64) {
-        let state = self.lock();
-        (state.reads, state.writes)
+    pub fn calls(&self) -> PlatformCalls {
+        self.lock().calls
     }
 
     /// Remembers the table as it stands, for a later restore.
@@ -164,7 +173,11 @@
         if let Some(admin) = path.strip_prefix("/fake/") {
             return self.administer(admin, request).await;
         }
-        let faults = self.lock().faults.clone();
+        let faults = {
+            let mut state = self.lock();
+            state.calls.count(request.method().as_str(), &path);
+            state.faults.clone()
+        };
         if faults.delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         }
@@ -309,6 +322,16 @@
     }
 }
 
+impl PlatformCalls {
+    fn count(&mut self, method: &str, path: &str) {
+        match (method, path) {
+            (_, "/vms") => self.lists += 1,
+            (_, "/table/transact") | ("PUT", _) => self.writes += 1,
+            _ => self.reads += 1,
+        }
+    }
+}
+
 impl State {
     fn begin_second(&mut self) {
         let fresh = self
@@ -324,7 +347,6 @@
     fn take_read(&mut self, reads_per_s: u32) -> bool {
         self.begin_second();
         self.reads_in_second += 1;
-        self.reads += 1;
         self.reads_in_second <= reads_per_s
     }
 
@@ -342,7 +364,6 @@
 
     fn take_write(&mut self, writes_per_s: u32) -> bool {
         self.begin_second();
-        self.writes += 1;
         self.writes_in_second += 1;
         self.writes_in_second <= writes_per_s
     }
