--- a/crates/sapphiretrack-bench/src/demo/callers.rs
+++ b/crates/sapphiretrack-bench/src/demo/callers.rs
@@ -114,7 +114,11 @@
                     }
                     turn += 1;
                 }
-                Ok(answer) => self.tally.refused(&answer),
+                Ok(answer) => {
+                    self.tally.refused(&answer);
+                    let retry_after = Duration::from_secs(answer.retry_after_s.unwrap_or(0));
+                    tokio::time::sleep(retry_after).await;
+                }
                 Err(error) => self.tally.failed(&error),
             }
             let pause_ms = self.rng.random_range(100..500);
