--- a/crates/sapphiretrack-fakes/src/main.rs
+++ b/crates/sapphiretrack-fakes/src/main.rs
@@ -1,17 +1,19 @@
 //! Runs one stand-in as a process of its own, until it is ended.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use pico_args::Arguments;
 use sapphiretrack_fakes::{
     EngineSettings, FakeEngine, FakePlatform, FakeService, PlatformSettings, ServiceSettings,
 };
+use sapphiretrack_platform::wire::VmList;
 
 const HELP: &str = "\
 sapphiretrack-fakes: a stand-in, for trials and tests
 
-  sapphiretrack-fakes platform [--address IP:PORT] [--list-lag-ms N]
+  sapphiretrack-fakes platform [--address IP:PORT] [--list-lag-ms N] [--vms FILE]
   sapphiretrack-fakes engine   [--address IP:PORT] [--incarnation N] [--decode-ms N]
   sapphiretrack-fakes service  [--address IP:PORT] [--incarnation N] [--name NAME]
 
@@ -47,7 +49,13 @@
                 list_lag_ms,
                 ..Default::default()
             };
-            FakePlatform::start(settings).await?.address()
+            let vms: Option<PathBuf> = arguments.opt_value_from_str("--vms")?;
+            let platform = FakePlatform::start(settings).await?;
+            if let Some(file) = vms {
+                let list: VmList = serde_json::from_str(&std::fs::read_to_string(file)?)?;
+                platform.set_vms(list.vms);
+            }
+            platform.address()
         }
         "engine" => {
             let decode_ms = arguments.opt_value_from_str("--decode-ms")?.unwrap_or(2);
