--- a/crates/sapphiretrack-core/src/peer_roster.rs
+++ b/crates/sapphiretrack-core/src/peer_roster.rs
@@ -239,10 +239,11 @@
         }
     }
 
-    /// Notes that a peer answered a call of this router.
-    pub fn note_answer(&mut self, router: RouterId, now_ms: u64) {
+    /// Notes that a peer answered a call of this router, and the version that it has in force.
+    pub fn note_answer(&mut self, router: RouterId, config_version: u64, now_ms: u64) {
         if let Some(peer) = self.peers.get_mut(&router) {
             peer.answered_ms = now_ms;
+            peer.config_version = peer.config_version.max(config_version);
         }
     }
 
--- a/crates/sapphiretrack-core/tests/peer_roster.rs
+++ b/crates/sapphiretrack-core/tests/peer_roster.rs
@@ -57,7 +57,7 @@
 /// `name` is heard and answers at a time.
 fn alive(roster: &mut PeerRoster, name: &str, sequence: u64, now_ms: u64) {
     roster.take_beat(&beat(name, 1, sequence), now_ms);
-    roster.note_answer(id(name), now_ms);
+    roster.note_answer(id(name), 1, now_ms);
 }
 
 #[test]
@@ -116,7 +116,7 @@
     }
     assert!(roster.get(id("a")).is_some());
     assert_eq!(roster.steward_candidates(false, 4_500), [id("me")]);
-    roster.note_answer(id("a"), 4_600);
+    roster.note_answer(id("a"), 1, 4_600);
     assert_eq!(roster.steward_candidates(false, 4_600).len(), 2);
 }
 
@@ -128,7 +128,7 @@
     for incarnation in 1..=4 {
         let now_ms = incarnation * 1_000;
         roster.take_beat(&beat("a", incarnation, incarnation), now_ms);
-        roster.note_answer(id("a"), now_ms);
+        roster.note_answer(id("a"), 1, now_ms);
         // One restart costs nothing beyond itself.
         assert_eq!(
             is_candidate(&roster, now_ms),
@@ -141,7 +141,7 @@
     }
     for sequence in 5..20 {
         roster.take_beat(&beat("a", 4, sequence), 4_000 + sequence * 500);
-        roster.note_answer(id("a"), 4_000 + sequence * 500);
+        roster.note_answer(id("a"), 1, 4_000 + sequence * 500);
     }
     assert!(is_candidate(&roster, 13_500));
 }
--- a/crates/sapphiretrackd/src/control/configuration.rs
+++ b/crates/sapphiretrackd/src/control/configuration.rs
@@ -1,5 +1,6 @@
 //! The configuration in force, as this router gives it to peers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sapphiretrack_core::FleetConfig;
@@ -13,6 +14,26 @@
         &self.config
     }
 
+    /// Whether every live router was heard since the start, or had the time to be.
+    pub(super) fn peers_heard(&self, now_ms: u64) -> bool {
+        let heard = 1 + self.peers.iter().count();
+        let all_heard = !self.lacks_list() && heard >= self.peers.expected_routers();
+        all_heard || now_ms >= self.timing.dead_after_ms
+    }
+
+    /// Where to fetch a newer configuration: at the peer that has the newest.
+    ///
+    /// A router that has none waits until it has heard its peers: one of them may have an old view.
+    pub(crate) fn newer_config_at(&self, now_ms: u64) -> Option<SocketAddr> {
+        if self.config.version == 0 && !self.peers_heard(now_ms) {
+            return None;
+        }
+        let peers = self.peers.iter().map(|(_, peer)| peer);
+        let newest = peers.max_by_key(|peer| peer.config_version)?;
+        let newer = newest.config_version > self.config.version;
+        newer.then_some(newest.profile.peer_address)
+    }
+
     pub(super) fn whole_config(&self) -> PeerReply {
         match serde_json::to_string(self.config.as_ref()) {
             Ok(config_json) => PeerReply::Config(ConfigReply { config_json }),
--- a/crates/sapphiretrackd/src/control/heartbeats.rs
+++ b/crates/sapphiretrackd/src/control/heartbeats.rs
@@ -177,15 +177,15 @@
         }
     }
 
-    /// Takes in the answer to a heartbeat; returns whether the peer has a newer configuration.
+    /// Takes in the answer to a heartbeat.
     pub(crate) fn take_answer(
         &mut self,
         router: RouterId,
         sequence: u64,
         reply: &HeartbeatReply,
         now_ms: u64,
-    ) -> bool {
-        self.peers.note_answer(router, now_ms);
+    ) {
+        self.peers.note_answer(router, reply.config_version, now_ms);
         self.peers.introduce(&reply.introduced);
         if let Some(sent) = self.book.sent.get_mut(&router) {
             if reply.wants_whole {
@@ -201,7 +201,6 @@
             self.book.sequence = self.book.sequence.max(self.identity.incarnation);
             self.urgent_rounds = URGENT_ROUNDS;
         }
-        reply.config_version > self.config.version
     }
 
     /// Takes in whom a router at an address of the settings knows.
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -69,6 +69,7 @@
     pause: PauseWatch,
     platform_reached_ms: Option<u64>,
     platform_was_reached: bool,
+    peers_were_heard: bool,
 }
 
 impl ControlState {
@@ -113,6 +114,7 @@
             pause: PauseWatch::default(),
             platform_reached_ms: None,
             platform_was_reached: false,
+            peers_were_heard: false,
         }
     }
 
@@ -126,11 +128,6 @@
         &self.identity.profile.name
     }
 
-    /// Where a peer is reached by its peers.
-    pub(crate) fn peer_address(&self, router: RouterId) -> Option<SocketAddr> {
-        self.peers.get(router).map(|peer| peer.profile.peer_address)
-    }
-
     /// Which run of this router.
     pub(crate) fn incarnation(&self) -> Incarnation {
         self.identity.incarnation
@@ -395,6 +392,11 @@
             self.platform_was_reached = reached;
             self.changed = true;
         }
+        let heard = self.peers_heard(now_ms);
+        if heard != self.peers_were_heard {
+            self.peers_were_heard = heard;
+            self.changed = true;
+        }
         let isolated = hearing.is_isolated(self.timing.isolated_after_ms, now_ms);
         if isolated != self.isolated {
             let event = if isolated {
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -103,17 +103,10 @@
         let now_ms = self.clock.now_ms();
         match command {
             Command::Peer { request, reply } => {
-                let newer = match &request {
-                    PeerRequest::Heartbeat(heartbeat)
-                        if heartbeat.config_version > self.state.config_version() =>
-                    {
-                        Some(heartbeat.router)
-                    }
-                    _ => None,
-                };
+                let is_heartbeat = matches!(request, PeerRequest::Heartbeat(_));
                 drop(reply.send(self.state.handle_peer(request, now_ms)));
-                if let Some(address) = newer.and_then(|router| self.state.peer_address(router)) {
-                    self.fetch_config(address, handle);
+                if is_heartbeat {
+                    self.fetch_newer_config(now_ms, handle);
                 }
             }
             Command::Begin {
@@ -178,16 +171,11 @@
         handle: &ControlHandle,
     ) {
         let now_ms = self.clock.now_ms();
-        let newer = match router {
+        match router {
             Some(router) => self.state.take_answer(router, sequence, answer, now_ms),
-            None => {
-                self.state.introduce(answer);
-                answer.config_version > self.state.config_version()
-            }
-        };
-        if newer {
-            self.fetch_config(address, handle);
+            None => self.state.introduce(answer),
         }
+        self.fetch_newer_config(now_ms, handle);
         if self.state.lacks_list() {
             let fetch = polling::fetch_vm_list(self.peers.clone(), address, handle.clone());
             tokio::spawn(fetch);
@@ -201,8 +189,11 @@
         refreshed
     }
 
-    /// Fetches a peer's newer configuration, unless a fetch is under way.
-    fn fetch_config(&self, address: SocketAddr, handle: &ControlHandle) {
+    /// Fetches a peer's newer configuration, unless there is none or a fetch is under way.
+    fn fetch_newer_config(&self, now_ms: u64, handle: &ControlHandle) {
+        let Some(address) = self.state.newer_config_at(now_ms) else {
+            return;
+        };
         if self.fetching_config.swap(true, Ordering::AcqRel) {
             return;
         }
--- a/crates/sapphiretrackd/src/control/views.rs
+++ b/crates/sapphiretrackd/src/control/views.rs
@@ -42,7 +42,7 @@
             isolated: self.isolated,
             stopping: self.stopping,
             platform_reached: self.platform_reached(now_ms),
-            listed_routers: (!self.lacks_list()).then(|| self.peers.expected_routers()),
+            peers_heard: self.peers_heard(now_ms),
             listed_others: self.peers.listed_others().cloned().collect(),
         }
     }
