--- a/crates/sapphiretrack-bench/src/load/texts.rs
+++ b/crates/sapphiretrack-bench/src/load/texts.rs
@@ -12,11 +12,16 @@
     chat: u64,
     turn: u32,
 ) -> serde_json::Value {
-    let opening = format!("notes of workspace {}; ", arrival.workspace);
+    // The model tells the texts of two loads of one seed apart.
+    let model = &settings.model;
+    let opening = format!("{model}: notes of workspace {}; ", arrival.workspace);
     let preamble = filled(&opening, settings.preamble_bytes);
     let mut messages = vec![json!({ "role": "system", "content": preamble })];
     for number in 0..=turn {
-        let opening = format!("load {} chat {chat} turn {number}; ", settings.seed);
+        let opening = format!(
+            "{model}: load {} chat {chat} turn {number}; ",
+            settings.seed
+        );
         let content = filled(&opening, settings.turn_bytes);
         messages.push(json!({ "role": "user", "content": content }));
     }
--- a/crates/sapphiretrack-bench/src/main.rs
+++ b/crates/sapphiretrack-bench/src/main.rs
@@ -3,15 +3,20 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
+use sapphiretrackd::{LogFormat, start_logging};
 
 const HELP: &str = "\
 sapphiretrack-bench: measurements and the demo
 
-  sapphiretrack-bench demo      the whole of it on embedded stand-ins, within a minute
-  sapphiretrack-bench load      open-loop load against running routers
-  sapphiretrack-bench report    gathers JSON lines of all measurements into one file
-  sapphiretrack-bench slopes    what a router spends, by the size of each thing it holds
-  sapphiretrack-bench soak      a fleet of processes under load and random faults
+  sapphiretrack-bench demo [--seed N]     the whole of it on embedded stand-ins, within a minute
+  sapphiretrack-bench limits              over-admission of 1, 9 and 360 limiters against exact counting
+  sapphiretrack-bench load              open-loop load against running routers
+  sapphiretrack-bench overhead [--json]   what a router adds to a chat
+  sapphiretrack-bench report            gathers JSON lines of all measurements into one file
+  sapphiretrack-bench slopes            what a router spends, by the size of each thing it holds
+  sapphiretrack-bench soak              a fleet of processes under load and random faults
+
+Exit codes: 0 done and every promise held, 1 a promise was broken, 2 wrong use or cannot run
 ";
 /// The exit code of a run that found a broken promise.
 const BROKEN_PROMISE: u8 = 1;
@@ -23,13 +28,18 @@
         print!("{HELP}");
         return ExitCode::SUCCESS;
     }
+    if let Err(error) = start_logging(LogFormat::Text, log::LevelFilter::Error) {
+        eprintln!("sapphiretrack-bench: the log cannot start: {error}");
+    }
     let held = match name.as_str() {
         "demo" => sapphiretrack_bench::demo::run(arguments).map(|()| true),
+        "limits" => sapphiretrack_bench::limits::run(arguments).map(|()| true),
+        "overhead" => sapphiretrack_bench::overhead::run(arguments).map(|()| true),
         "load" => sapphiretrack_bench::load::run(arguments),
         "report" => sapphiretrack_bench::report::run(arguments).map(|()| true),
         "slopes" => sapphiretrack_bench::slopes::run(arguments).map(|()| true),
         "soak" => sapphiretrack_bench::soak::run(arguments),
-        _ => Err(String::from("a command is missing; hint: see --help")),
+        _ => Err(format!("there is no command {name:?}; hint: see --help")),
     };
     match held {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/sapphiretrack-bench/src/slopes/measures.rs
+++ b/crates/sapphiretrack-bench/src/slopes/measures.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use sapphiretrack_fakes::PlatformCalls;
 use sapphiretrack_tests::{Fleet, FleetSettings, get_json};
 use tokio::time::Instant;
 
@@ -295,11 +294,11 @@
     let calls_before = platform_calls(fleet).await;
     tokio::time::sleep(WINDOW).await;
     let after = usage_of_routers(fleet)?;
-    let calls = platform_calls(fleet).await;
+    let calls_after = platform_calls(fleet).await;
     let seconds = started.elapsed().as_secs_f64();
     let routers = fleet.routers.len() as f64;
-    let reads = calls.reads + calls.lists - calls_before.reads - calls_before.lists;
-    let writes = calls.writes - calls_before.writes;
+    let reads = calls_after.0 - calls_before.0;
+    let writes = calls_after.1 - calls_before.1;
     Ok(Point {
         size,
         cpu_us_per_s: (after.cpu_us - before.cpu_us) / routers / seconds,
@@ -319,6 +318,7 @@
     Ok(sum)
 }
 
-async fn platform_calls(fleet: &Fleet) -> PlatformCalls {
+/// Reads and writes of table and objects so far.
+async fn platform_calls(fleet: &Fleet) -> (u64, u64) {
     get_json(&format!("http://{}/fake/calls", fleet.platform_address)).await
 }
--- a/crates/sapphiretrack-bench/src/soak/command.rs
+++ b/crates/sapphiretrack-bench/src/soak/command.rs
@@ -225,9 +225,9 @@
                 }
             }
             PoolKind::Engine => {
-                let url = format!("http://{address}/fake/started-tags");
-                let tags: Vec<String> = get_json(&url).await;
-                evidence.started_tags.extend(tags);
+                let url = format!("http://{address}/fake/started-chats");
+                let started: Vec<String> = get_json(&url).await;
+                evidence.started_chats.extend(started);
             }
         }
     }
--- a/crates/sapphiretrack-fakes/src/engine.rs
+++ b/crates/sapphiretrack-fakes/src/engine.rs
@@ -12,13 +12,12 @@
 use sapphiretrack_backend::wire::{
     ATTEMPT_HEADER, CHAT_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER, RESUME_HEADER,
 };
-use sapphiretrack_core::{
-    Chunk, ChunkChoice, Delta, Incarnation, LoadReport, STREAM_END, Usage, hash_parts,
-};
+use sapphiretrack_core::{Chunk, ChunkChoice, Delta, Incarnation, LoadReport, STREAM_END, Usage};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc};
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::answer::{answer_tag, messages_hash, token_text};
 use crate::http_server::{
     FakeFuture, FakeResponse, json, read_bytes, read_json, serve, with_status,
 };
@@ -102,8 +101,8 @@
     cache: BTreeMap<String, u32>,
     cache_order: VecDeque<String>,
     started_requests: u64,
-    /// The answer tags of the requests that were started.
-    started_tags: BTreeSet<u64>,
+    /// The hashes of the messages of the requests that were started.
+    started_chats: BTreeSet<u64>,
 }
 
 /// A request as the engine reads it.
@@ -115,7 +114,8 @@
     model: String,
     prompt_tokens: u32,
     answer_tokens: u32,
-    answer_tag: u64,
+    answer_tag: u16,
+    messages_hash: u64,
 }
 
 impl FakeEngine {
@@ -152,11 +152,11 @@
         self.shared.lock().started_requests
     }
 
-    /// The answer tags of the requests that were started: hashes of their messages.
-    pub fn started_tags(&self) -> Vec<String> {
+    /// The hashes of the messages of the requests that were started, in hex.
+    pub fn started_chats(&self) -> Vec<String> {
         let state = self.shared.lock();
-        let tags = state.started_tags.iter();
-        tags.map(|tag| format!("{tag:016x}")).collect()
+        let hashes = state.started_chats.iter();
+        hashes.map(|hash| format!("{hash:016x}")).collect()
     }
 
     /// The load as it stands.
@@ -180,7 +180,7 @@
                 }
                 Err(response) => response,
             },
-            "/fake/started-tags" => json(&self.started_tags()),
+            "/fake/started-chats" => json(&self.started_chats()),
             "/fake/started" => json(&self.started_requests()),
             "/load" => {
                 self.shared.wait_unfrozen().await;
@@ -195,10 +195,13 @@
 
     async fn chat(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let chat = read_chat(request).await?;
-        if !self.shared.take_in(chat.answer_tag) {
+        if !self.shared.take_in(chat.messages_hash) {
             let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, "{}");
             let yes = http::HeaderValue::from_static("true");
             response.headers_mut().insert(NOT_STARTED_HEADER, yes);
+            if let Ok(attempt) = http::HeaderValue::from_str(&chat.attempt) {
+                response.headers_mut().insert(ATTEMPT_HEADER, attempt);
+            }
             return Err(response);
         }
         let echoed = self.shared.echoed_attempt(&chat.attempt);
@@ -229,7 +232,7 @@
 
 impl Shared {
     /// Whether a request is started, or waits for its start.
-    fn take_in(&self, answer_tag: u64) -> bool {
+    fn take_in(&self, messages_hash: u64) -> bool {
         let mut state = self.lock();
         if state.faults.refuse > 0 {
             state.faults.refuse -= 1;
@@ -239,7 +242,7 @@
             return false;
         }
         state.started_requests += 1;
-        state.started_tags.insert(answer_tag);
+        state.started_chats.insert(messages_hash);
         true
     }
 
@@ -270,7 +273,7 @@
                 return;
             }
             tokio::time::sleep(Duration::from_millis(self.settings.decode_ms)).await;
-            let text = format!("{:04x}-{index} ", chat.answer_tag & 0xffff);
+            let text = token_text(chat.answer_tag, index);
             let chunk = chunk(attempt, chat, Some(text), None);
             if !send_event(&frames, &chunk).await {
                 return;
@@ -400,7 +403,6 @@
     let body = read_bytes(request).await?;
     let value: serde_json::Value = serde_json::from_slice(&body)
         .map_err(|error| with_status(StatusCode::BAD_REQUEST, error.to_string()))?;
-    let messages = value["messages"].to_string();
     let text_bytes: usize = value["messages"].as_array().map_or(0, |messages| {
         messages
             .iter()
@@ -416,7 +418,8 @@
         model: value["model"].as_str().unwrap_or_default().to_owned(),
         prompt_tokens: text_bytes.div_ceil(BYTES_PER_TOKEN) as u32,
         answer_tokens: max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
-        answer_tag: hash_parts(&[messages.as_bytes()]),
+        answer_tag: answer_tag(&value["messages"]),
+        messages_hash: messages_hash(&value["messages"]),
     })
 }
 
--- a/crates/sapphiretrack-platform/src/client.rs
+++ b/crates/sapphiretrack-platform/src/client.rs
@@ -91,25 +91,50 @@
 
     /// Reads all rows whose keys start with `prefix`.
     pub async fn scan(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
+        self.scan_pages(prefix, None).await
+    }
+
+    /// Reads the rows whose keys start with `prefix` and come after a key.
+    pub async fn scan_after(&self, prefix: &str, after: &str) -> Result<Vec<Row>, PlatformError> {
+        self.scan_pages(prefix, Some(after)).await
+    }
+
+    async fn scan_pages(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<Vec<Row>, PlatformError> {
         const PAGE_ROWS: u32 = 1_000;
         let mut rows: Vec<Row> = Vec::new();
         loop {
-            self.counts.reads.fetch_add(1, Ordering::Relaxed);
-            let after = rows.last().map(|row| row.key.clone());
-            let request = ScanRequest {
-                prefix: prefix.to_owned(),
-                after,
-                limit: PAGE_ROWS,
-            };
-            let reply: ScanReply = self.post("/table/scan", &request).await?;
-            let last_page = reply.rows.len() < PAGE_ROWS as usize;
-            rows.extend(reply.rows);
+            let after = rows.last().map(|row| row.key.as_str()).or(after);
+            let after = after.map(str::to_owned);
+            let page = self.scan_page(prefix, after, PAGE_ROWS).await?;
+            let last_page = page.len() < PAGE_ROWS as usize;
+            rows.extend(page);
             if last_page {
                 return Ok(rows);
             }
         }
     }
 
+    /// Reads the first rows after `after` whose keys start with `prefix`.
+    pub async fn scan_page(
+        &self,
+        prefix: &str,
+        after: Option<String>,
+        limit: u32,
+    ) -> Result<Vec<Row>, PlatformError> {
+        self.counts.reads.fetch_add(1, Ordering::Relaxed);
+        let request = ScanRequest {
+            prefix: prefix.to_owned(),
+            after,
+            limit,
+        };
+        let reply: ScanReply = self.post("/table/scan", &request).await?;
+        Ok(reply.rows)
+    }
+
     /// Writes rows if all conditions hold.
     pub async fn transact(
         &self,
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    FleetConfig, Grant, HeldSlots, Incarnation, Ledger, LedgerSettings, LoadBound, LoadReport,
-    PoolKind, PoolView, Refreshed, ReservationId, ReserveRequest, RouterId, RouterView, ServerId,
-    ServerView, VmRecord, VmRole, VmState, newer_config, steward_of,
+    BudgetAsk, BudgetReply, FleetConfig, Grant, HeldSlots, Incarnation, KeyIndex, Ledger,
+    LedgerSettings, LoadBound, LoadReport, PoolKind, PoolView, Refreshed, ReservationId,
+    ReserveRequest, RouterId, RouterView, ServerId, ServerView, VmRecord, VmRole, VmState,
+    newer_config, steward_of,
 };
 use sapphiretrack_peer::{
     ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, ServerState,
@@ -15,7 +16,8 @@
 use sapphiretrack_platform::wire::VmList;
 
 use crate::control::Snapshot;
-use crate::control::handle::{Begun, Place};
+use crate::control::budgets::{Budgets, budget_steward};
+use crate::control::handle::{Begun, BudgetPlace, Place};
 use crate::events::Event;
 
 /// Who this router is.
@@ -44,10 +46,15 @@
     timing: Timing,
     bound: LoadBound,
     config: Arc<FleetConfig>,
+    keys: Arc<KeyIndex>,
+    /// Whether the platform or a peer has told a configuration, be it an empty one.
+    config_known: bool,
     listed: Vec<VmRecord>,
+    list_known: bool,
     peers: BTreeMap<RouterId, Peer>,
     servers: BTreeMap<ServerId, Server>,
     ledger: Ledger,
+    budgets: Budgets,
     held: BTreeMap<ReservationId, Held>,
     next_reservation: u32,
     heartbeat_sequence: u64,
@@ -80,6 +87,9 @@
     steward: Option<SocketAddr>,
 }
 
+/// How lately a router must have been heard to count for the share of budgets, in percent of the
+/// time after which its budgets get another steward.
+const BUDGET_HEARD_PERCENT: u64 = 60;
 /// Reports that may fail in a row before a server gets no new work.
 const MAX_FAILED_REPORTS: u32 = 3;
 
@@ -92,10 +102,14 @@
             timing,
             bound,
             config: Arc::default(),
+            keys: Arc::default(),
+            config_known: false,
             listed: Vec::new(),
+            list_known: false,
             peers: BTreeMap::new(),
             servers: BTreeMap::new(),
             ledger,
+            budgets: Budgets::default(),
             held: BTreeMap::new(),
             next_reservation: 0,
             heartbeat_sequence: 0,
@@ -111,6 +125,11 @@
         self.identity.id
     }
 
+    /// This router's name.
+    pub(crate) fn name(&self) -> &str {
+        &self.identity.name
+    }
+
     /// The configuration version in force.
     pub(crate) fn config_version(&self) -> u64 {
         self.config.version
@@ -133,6 +152,7 @@
             }
         }
         self.listed = list.vms;
+        self.list_known = true;
         let names: BTreeSet<ServerId> = self
             .listed
             .iter()
@@ -148,15 +168,21 @@
         }
     }
 
-    /// Takes in a configuration, if it is newer.
-    pub(crate) fn offer_config(&mut self, offered: Arc<FleetConfig>) {
+    /// Takes in a configuration, if it is newer; tells whether it is now in force.
+    pub(crate) fn offer_config(&mut self, offered: Arc<FleetConfig>) -> Refreshed {
+        self.config_known = true;
         let version = offered.version.to_string();
         let older = offered.version < self.config.version;
-        match newer_config(&mut self.config, offered) {
-            Refreshed::InForce => Event::CONFIG_IN_FORCE.log(&[("version", &version)]),
+        let refreshed = newer_config(&mut self.config, offered);
+        match refreshed {
+            Refreshed::InForce => {
+                self.keys = Arc::new(KeyIndex::new(&self.config));
+                Event::CONFIG_IN_FORCE.log(&[("version", &version)]);
+            }
             Refreshed::Kept if older => Event::CONFIG_OLDER.log(&[("version", &version)]),
             Refreshed::Kept => {}
         }
+        refreshed
     }
 
     /// Takes in a load report that this router asked for.
@@ -203,10 +229,66 @@
                 self.ledger.release(router, server, reservation);
                 PeerReply::Released
             }
-            PeerRequest::FetchConfig => match serde_json::to_string(self.config.as_ref()) {
-                Ok(config_json) => PeerReply::Config(ConfigReply { config_json }),
-                Err(_) => PeerReply::Rejected,
-            },
+            PeerRequest::FetchConfig => self.whole_config(),
+            PeerRequest::FetchConfigSince { version, change_id } => {
+                self.config_since(version, &change_id)
+            }
+            PeerRequest::LeaseBudget(ask) => PeerReply::Budget(self.keep_budget(&ask, now_ms)),
+        }
+    }
+
+    /// Answers a question about a budget, or tells where to ask it.
+    pub(crate) fn lease_budget(&mut self, ask: BudgetAsk, now_ms: u64) -> BudgetPlace {
+        let steward = budget_steward(&ask.customer, &self.steward_candidates());
+        let peer = steward.and_then(|steward| self.peers.get(&steward));
+        match peer {
+            Some(peer) => BudgetPlace::Peer(peer.heartbeat.peer_address, ask),
+            None => BudgetPlace::Here(self.keep_budget(&ask, now_ms)),
+        }
+    }
+
+    fn keep_budget(&mut self, ask: &BudgetAsk, now_ms: u64) -> BudgetReply {
+        let steward = budget_steward(&ask.customer, &self.steward_candidates());
+        let contract = self.config.contracts.get(&ask.customer);
+        match contract {
+            Some(contract) if steward == Some(self.identity.id) => {
+                let contract = contract.clone();
+                let share = self.budget_share(now_ms);
+                self.budgets.answer(ask, &contract, share, now_ms)
+            }
+            _ => BudgetReply::NotSteward,
+        }
+    }
+
+    /// The part of each budget that this router may give out as steward: the part of the routers
+    /// that it hears. The others may have another steward.
+    fn budget_share(&self, now_ms: u64) -> f64 {
+        let heard_within_ms = self.timing.dead_after_ms * BUDGET_HEARD_PERCENT / 100;
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| !peer.left && now_ms.saturating_sub(peer.heard_ms) < heard_within_ms);
+        let heard = 1 + heard.count();
+        heard as f64 / self.listed_routers().max(heard) as f64
+    }
+
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> &Arc<FleetConfig> {
+        &self.config
+    }
+
+    fn whole_config(&self) -> PeerReply {
+        match serde_json::to_string(self.config.as_ref()) {
+            Ok(config_json) => PeerReply::Config(ConfigReply { config_json }),
+            Err(_) => PeerReply::Rejected,
+        }
+    }
+
+    fn config_since(&self, version: u64, change_id: &str) -> PeerReply {
+        let changes = self.config.changes_since(version, change_id);
+        match changes.and_then(|changes| serde_json::to_string(&changes).ok()) {
+            Some(changes_json) => PeerReply::ConfigChanges(changes_json),
+            None => self.whole_config(),
         }
     }
 
@@ -263,6 +345,7 @@
         let mut holders: Vec<RouterId> = self.peers.keys().copied().collect();
         holders.push(self.identity.id);
         self.ledger.set_view(&stewarded, &holders, now_ms);
+        self.budgets.set_view(self.identity.id, &stewards, now_ms);
         self.note_isolation(now_ms);
     }
 
@@ -337,10 +420,13 @@
         Snapshot {
             me: self.identity.id,
             config: self.config.clone(),
+            keys: self.keys.clone(),
+            config_known: self.config_known,
             routers: self.router_views(),
             pools,
             isolated: self.isolated,
             stopping: self.stopping,
+            listed_routers: self.list_known.then(|| self.listed_routers()),
             platform_reached: self.platform_reached(now_ms),
         }
     }
@@ -586,6 +672,25 @@
             .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < self.timing.isolated_after_ms)
     }
 
+    /// Live routers by the platform's list and by what is heard, this one included.
+    fn listed_routers(&self) -> usize {
+        let listed = self.listed.iter().filter(|record| {
+            matches!(record.role, VmRole::Router { .. }) && record.state == VmState::Live
+        });
+        let mut routers: BTreeSet<RouterId> = listed
+            .map(|record| RouterId::from_name(&record.name))
+            .collect();
+        for (router, peer) in &self.peers {
+            if peer.left {
+                routers.remove(router);
+            } else {
+                routers.insert(*router);
+            }
+        }
+        routers.insert(self.identity.id);
+        routers.len()
+    }
+
     fn note_isolation(&mut self, now_ms: u64) {
         let me = self.identity.id;
         let alone = !self.listed.iter().any(|record| {
