--- a/crates/sapphiretrack-bench/src/slopes/line.rs
+++ b/crates/sapphiretrack-bench/src/slopes/line.rs
@@ -11,7 +11,7 @@
     pub cpu_us_per_s: f64,
     /// Resident memory.
     pub memory_bytes: f64,
-    /// Reads of the platform's table and objects in a second, the list of VMs included.
+    /// Reads of the platform's table and objects in a second; those of the list of VMs come on top.
     pub platform_reads_per_s: f64,
     /// Writes of the platform in a second.
     pub platform_writes_per_s: f64,
--- a/crates/sapphiretrack-bench/tests/load.rs
+++ b/crates/sapphiretrack-bench/tests/load.rs
@@ -5,9 +5,11 @@
     AnswerCheck, Arrivals, ClassMix, LoadSettings, Statistics, ViolationKind, Work,
     check_service_answer, parse_load_settings, plot_svg,
 };
-use sapphiretrack_core::hash_parts;
+use sapphiretrack_fakes::token_text;
 
-const MESSAGES: &str = r#"[{"content":"conching notes","role":"user"}]"#;
+fn messages() -> serde_json::Value {
+    serde_json::json!([{ "content": "conching notes", "role": "user" }])
+}
 
 fn settings() -> LoadSettings {
     LoadSettings {
@@ -24,12 +26,11 @@
 
 /// An answer as the stand-in engine gives it.
 fn token(index: u32) -> String {
-    let tag = hash_parts(&[MESSAGES.as_bytes()]) & 0xffff;
-    format!("{tag:04x}-{index} ")
+    token_text(sapphiretrack_fakes::answer_tag(&messages()), index)
 }
 
 fn judge(tokens: &[String], complete: bool) -> Option<ViolationKind> {
-    let mut check = AnswerCheck::new(MESSAGES, 4);
+    let mut check = AnswerCheck::new(&messages(), 4);
     for token in tokens {
         check.take(token);
     }
--- a/crates/sapphiretrack-bench/tests/soak.rs
+++ b/crates/sapphiretrack-bench/tests/soak.rs
@@ -64,7 +64,7 @@
         ..Evidence::default()
     };
     evidence.runs.insert(ORDER.to_owned(), 1);
-    evidence.started_tags.insert(String::from("00aa"));
+    evidence.started_chats.insert(String::from("00aa"));
     let told = [(1, String::from("a")), (2, String::from("b"))];
     evidence.told.insert(String::from("router-1"), told.into());
     let in_force = (String::from("router-1"), String::from("teranga"));
@@ -99,7 +99,7 @@
     });
     assert_eq!(ran, [ViolationKind::RanThoughNotRun]);
     let started = kinds(|evidence| {
-        evidence.started_tags.insert(String::from("00bb"));
+        evidence.started_chats.insert(String::from("00bb"));
     });
     assert_eq!(started, [ViolationKind::RanThoughNotRun]);
     let nowhere = kinds(|evidence| evidence.runs.clear());
--- a/crates/sapphiretrack-fakes/src/answer.rs
+++ b/crates/sapphiretrack-fakes/src/answer.rs
@@ -3,14 +3,19 @@
 
 use sapphiretrack_core::hash_parts;
 
-/// Marks the answer to these messages.
-pub fn answer_tag(messages: &serde_json::Value) -> u64 {
+/// Identifies these messages among all others.
+pub fn messages_hash(messages: &serde_json::Value) -> u64 {
     hash_parts(&[messages.to_string().as_bytes()])
 }
 
-/// The text of one token of an answer; it shows the tag's last four hex digits.
-pub fn token_text(tag: u64, index: u32) -> String {
-    format!("{:04x}-{index} ", tag & 0xffff)
+/// Marks the answer to these messages.
+pub fn answer_tag(messages: &serde_json::Value) -> u16 {
+    messages_hash(messages) as u16
+}
+
+/// The text of one token of an answer.
+pub fn token_text(tag: u16, index: u32) -> String {
+    format!("{tag:04x}-{index} ")
 }
 
 /// The whole answer to these messages.
--- a/crates/sapphiretrack-fakes/src/engine.rs
+++ b/crates/sapphiretrack-fakes/src/engine.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::answer::{answer_tag, token_text};
+use crate::answer::{answer_tag, messages_hash, token_text};
 use crate::http_server::{
     FakeFuture, FakeResponse, json, read_bytes, read_json, serve, with_status,
 };
@@ -113,8 +113,8 @@
     cache: BTreeMap<String, u32>,
     cache_order: VecDeque<String>,
     started_requests: u64,
-    /// The answer tags of the requests that were started.
-    started_tags: BTreeSet<u64>,
+    /// The hashes of the messages of the requests that were started.
+    started_chats: BTreeSet<u64>,
 }
 
 /// A request as the engine reads it.
@@ -126,7 +126,8 @@
     model: String,
     prompt_tokens: u32,
     answer_tokens: u32,
-    answer_tag: u64,
+    answer_tag: u16,
+    messages_hash: u64,
 }
 
 impl FakeEngine {
@@ -169,11 +170,11 @@
         self.shared.lock().started_requests
     }
 
-    /// The answer tags of the requests that were started: hashes of their messages.
-    pub fn started_tags(&self) -> Vec<String> {
+    /// The hashes of the messages of the requests that were started, in hex.
+    pub fn started_chats(&self) -> Vec<String> {
         let state = self.shared.lock();
-        let tags = state.started_tags.iter();
-        tags.map(|tag| format!("{tag:016x}")).collect()
+        let hashes = state.started_chats.iter();
+        hashes.map(|hash| format!("{hash:016x}")).collect()
     }
 
     /// All orders as they arrived.
@@ -211,7 +212,7 @@
                 self.shared.wait_unfrozen().await;
                 answer_order(request, |order| self.shared.lock_orders().take(order)).await
             }
-            "/fake/started-tags" => json(&self.started_tags()),
+            "/fake/started-chats" => json(&self.started_chats()),
             "/fake/started" => json(&self.started_requests()),
             "/load" => {
                 self.shared.wait_unfrozen().await;
@@ -226,7 +227,7 @@
 
     async fn chat(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let chat = read_chat(request).await?;
-        if !self.shared.take_in(chat.answer_tag) {
+        if !self.shared.take_in(chat.messages_hash) {
             let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, "{}");
             let yes = http::HeaderValue::from_static("true");
             if self.shared.lock().faults.refuse_as_leaving {
@@ -266,7 +267,7 @@
 
 impl Shared {
     /// Whether a request is started, or waits for its start.
-    fn take_in(&self, answer_tag: u64) -> bool {
+    fn take_in(&self, messages_hash: u64) -> bool {
         let mut state = self.lock();
         if state.faults.refuse_as_leaving {
             return false;
@@ -279,7 +280,7 @@
             return false;
         }
         state.started_requests += 1;
-        state.started_tags.insert(answer_tag);
+        state.started_chats.insert(messages_hash);
         true
     }
 
@@ -460,6 +461,7 @@
         prompt_tokens: text_bytes.div_ceil(BYTES_PER_TOKEN) as u32,
         answer_tokens: max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
         answer_tag: answer_tag(&value["messages"]),
+        messages_hash: messages_hash(&value["messages"]),
     })
 }
 
--- a/crates/sapphiretrack-fakes/src/lib.rs
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -10,7 +10,7 @@
 mod platform;
 mod service;
 
-pub use answer::{answer_tag, expected_answer, token_text};
+pub use answer::{answer_tag, expected_answer, messages_hash, token_text};
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
 pub use orders::ArrivedOrder;
 pub use platform::{FakePlatform, PlatformCalls, PlatformFaults, PlatformSettings};
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -387,6 +387,14 @@
     );
 }
 
+/// Gets JSON and expects success.
+pub async fn get_json<Body>(url: &str) -> Body
+where
+    Body: DeserializeOwned,
+{
+    serde_json::from_str(&get_text(url).await).expect("the answer is JSON")
+}
+
 /// Gets a text and expects success.
 pub async fn get_text(url: &str) -> String {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
@@ -404,21 +412,6 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
-/// Gets JSON.
-pub async fn get_json<Body>(url: &str) -> Body
-where
-    Body: DeserializeOwned,
-{
-    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
-    let request = http::Request::get(url)
-        .body(Full::default())
-        .expect("the request is good");
-    let response = client.request(request).await.expect("the stand-in answers");
-    let body = response.into_body().collect().await;
-    let text = body.expect("the answer is whole").to_bytes();
-    serde_json::from_slice(&text).expect("the answer is JSON")
-}
-
 async fn start_fake(kind: &str, flags: &[String]) -> (ChildProcess, SocketAddr) {
     let mut arguments = vec![kind.to_owned()];
     arguments.extend_from_slice(flags);
