--- a/crates/sapphiretrack-core/tests/attempt.rs
+++ b/crates/sapphiretrack-core/tests/attempt.rs
@@ -1,6 +1,7 @@
 //! The state machine of attempts against a model that knows what really ran.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use sapphiretrack_core::{
     AttemptFailure, AttemptLog, NextStep, Outcome, RefusalCode, Repeatable, ServerId,
@@ -147,7 +148,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, rng_seed: RngSeed::Fixed(6), ..ProptestConfig::default() })]
 
     #[test]
     fn a_log_never_says_not_run_of_a_request_that_ran(sequential 1..16 => Machine);
--- a/crates/sapphiretrack-core/tests/overload.rs
+++ b/crates/sapphiretrack-core/tests/overload.rs
@@ -1,6 +1,7 @@
 //! Shedding, drain rate, retry budget, outlier detection.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use sapphiretrack_core::{
     DrainRate, OutlierDetector, OutlierSettings, RetryBudget, ServerId, ShedControl, backoff_ms,
 };
@@ -11,7 +12,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(6), ..ProptestConfig::default() })]
 
     #[test]
     fn a_class_never_gets_more_than_a_class_above_it(
--- a/crates/sapphiretrack-fakes/src/http_server.rs
+++ b/crates/sapphiretrack-fakes/src/http_server.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
 /// An error in a body makes the server cut the connection.
@@ -106,3 +106,19 @@
         Err(error) => Err(with_status(StatusCode::BAD_REQUEST, error.to_string())),
     }
 }
+
+/// How often one order ran.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RunCount {
+    /// The order: method, path and body.
+    pub order: String,
+    /// How often it ran.
+    pub runs: u32,
+}
+
+/// Takes one from a count of faults to come; false if there is none.
+pub(crate) fn take(count: &mut u32) -> bool {
+    let some = *count > 0;
+    *count = count.saturating_sub(1);
+    some
+}
--- a/crates/sapphiretrack-fakes/src/lib.rs
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -9,5 +9,6 @@
 mod service;
 
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
+pub use http_server::RunCount;
 pub use platform::{FakePlatform, PlatformFaults, PlatformSettings};
-pub use service::{FakeService, RunCount, ServiceFaults, ServiceSettings};
+pub use service::{FakeService, ServiceFaults, ServiceSettings};
--- a/crates/sapphiretrack-fakes/src/platform.rs
+++ b/crates/sapphiretrack-fakes/src/platform.rs
@@ -53,6 +53,8 @@
     pub lose_replies: u32,
     /// So many of the next transactions are cut before they take effect.
     pub lose_requests: u32,
+    /// The replies of transactions come so much later than their effect.
+    pub delay_replies_ms: u64,
 }
 
 /// The stand-in platform; clones are the same one.
@@ -196,6 +198,16 @@
 
     async fn transact(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let transaction: TransactRequest = read_json(request).await?;
+        let (reply, delay_ms) = self.transact_now(&transaction)?;
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        Ok(json(&reply))
+    }
+
+    /// The reply, and how late it comes.
+    fn transact_now(
+        &self,
+        transaction: &TransactRequest,
+    ) -> Result<(TransactReply, u64), FakeResponse> {
         let mut state = self.lock();
         if !state.take_write(self.settings.writes_per_s) {
             return Err(with_status(StatusCode::TOO_MANY_REQUESTS, "{}"));
@@ -204,12 +216,12 @@
             state.faults.lose_requests -= 1;
             return Err(cut());
         }
-        let reply = state.transact(&transaction);
+        let reply = state.transact(transaction);
         if state.faults.lose_replies > 0 {
             state.faults.lose_replies -= 1;
             return Err(cut());
         }
-        Ok(json(&reply))
+        Ok((reply, state.faults.delay_replies_ms))
     }
 
     fn get_object(&self, name: &str) -> FakeResponse {
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -34,6 +34,8 @@
     pub services: usize,
     /// Further flags of each router.
     pub router_flags: Vec<String>,
+    /// How long lookups may be kept.
+    pub entry_ttl_ms: u64,
     /// Further flags of each engine.
     pub engine_flags: Vec<String>,
 }
@@ -45,6 +47,7 @@
             engines: 2,
             services: 1,
             router_flags: Vec::new(),
+            entry_ttl_ms: 300,
             engine_flags: Vec::new(),
         }
     }
@@ -182,7 +185,7 @@
             format!("--platform-url=http://{}", self.platform_address),
             format!("--cell-key={CELL_KEY}"),
             format!("--operator-key-sha256={}", sha256_hex(OPERATOR_KEY)),
-            String::from("--entry-ttl-ms=300"),
+            format!("--entry-ttl-ms={}", self.settings.entry_ttl_ms),
         ];
         flags.extend(self.settings.router_flags.clone());
         let process = ChildProcess::start("sapphiretrackd", &flags);
@@ -228,19 +231,20 @@
     where
         Holds: Fn(&Status) -> bool,
     {
+        for router in 0..self.routers.len() {
+            self.wait_status_of(router, what, &holds).await;
+        }
+    }
+
+    /// Waits until the status of one router satisfies a condition.
+    pub async fn wait_status_of<Holds>(&self, router: usize, what: &str, holds: Holds)
+    where
+        Holds: Fn(&Status) -> bool,
+    {
+        let operator = self.operator(router);
         let waited = tokio::time::timeout(SETTLE_LIMIT, async {
-            for router in 0..self.routers.len() {
-                loop {
-                    if self
-                        .operator(router)
-                        .status()
-                        .await
-                        .is_ok_and(|status| holds(&status))
-                    {
-                        break;
-                    }
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                }
+            while !operator.status().await.is_ok_and(|status| holds(&status)) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
             }
         });
         assert!(waited.await.is_ok(), "{what}: not within {SETTLE_LIMIT:?}");
@@ -276,6 +280,21 @@
     )
 }
 
+/// Gets a text and expects success.
+pub async fn get_text(url: &str) -> String {
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let response = client.get(url.parse().expect("a URL")).await;
+    let response = response.expect("the process answers");
+    assert!(
+        response.status().is_success(),
+        "{url}: {}",
+        response.status()
+    );
+    let body = response.into_body().collect().await;
+    let text = body.expect("the answer is whole").to_bytes();
+    String::from_utf8_lossy(&text).into_owned()
+}
+
 /// Posts JSON and expects success.
 pub async fn post_json<Body>(url: &str, body: &Body)
 where
--- a/crates/sapphiretrack-tests/src/lib.rs
+++ b/crates/sapphiretrack-tests/src/lib.rs
@@ -4,6 +4,8 @@
 mod process;
 mod recorder;
 
-pub use fleet::{CALLER_KEY, Fleet, FleetSettings, OPERATOR_KEY, contract_toml, post_json};
+pub use fleet::{
+    CALLER_KEY, Fleet, FleetSettings, Member, OPERATOR_KEY, contract_toml, get_text, post_json,
+};
 pub use process::{ChildProcess, binary};
 pub use recorder::{Recorder, redact};
--- /dev/null
+++ b/crates/sapphiretrack-tests/tests/outcomes.rs
@@ -0,0 +1,367 @@
+//! Outcomes in separate processes, one fault at a time.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use sapphiretrack_caller::{CallerClient, ReadAnswer, RequestOptions};
+use sapphiretrack_core::PoolKind;
+use sapphiretrack_fakes::{EngineFaults, PlatformFaults, ServiceFaults};
+use sapphiretrack_tests::{CALLER_KEY, Fleet, FleetSettings, contract_toml, get_text};
+
+const PRINT: &str = "plant/labels/print";
+
+fn options(key: Option<&str>) -> RequestOptions {
+    RequestOptions {
+        key: CALLER_KEY.to_owned(),
+        chat: Some(String::from("line-four")),
+        idempotency_key: key.map(str::to_owned),
+        ..RequestOptions::default()
+    }
+}
+
+fn chat_body(model: &str, stream: bool) -> Bytes {
+    let body = serde_json::json!({
+        "model": model,
+        "stream": stream,
+        "max_tokens": 6,
+        "messages": [{ "role": "user", "content": "how long does batch nine rest" }],
+    });
+    Bytes::from(body.to_string())
+}
+
+async fn order(url: &str, path: &str, body: &'static str, key: &str) -> ReadAnswer {
+    let body = Bytes::from_static(body.as_bytes());
+    let call = CallerClient::new();
+    let options = options(Some(key));
+    let answer = call.service(url, Method::POST, path, body, &options).await;
+    answer.expect("the router answers")
+}
+
+async fn chat(url: &str, body: Bytes, key: Option<&str>) -> ReadAnswer {
+    let (client, options) = (CallerClient::new(), options(key));
+    let answer = client.chat(url, body, &options, |_| {}).await;
+    answer.expect("the router answers")
+}
+
+/// Outcome, and the code of the error or nothing.
+fn told(answer: &ReadAnswer) -> (&str, &str) {
+    let code = answer.error.as_ref().map_or("", |body| &body.error.code);
+    (&answer.outcome, code)
+}
+
+/// Repeats an order, as its refusals ask, until it is complete.
+async fn until_complete(url: &str, body: &'static str, key: &str) -> ReadAnswer {
+    until(url, body, key, |answer| answer.outcome == "complete").await
+}
+
+/// Repeats an order, as its refusals ask, until its answer is as it should be.
+async fn until<Wanted>(url: &str, body: &'static str, key: &str, wanted: Wanted) -> ReadAnswer
+where
+    Wanted: Fn(&ReadAnswer) -> bool,
+{
+    let waited = tokio::time::timeout(Duration::from_secs(60), async {
+        loop {
+            let answer = order(url, PRINT, body, key).await;
+            if wanted(&answer) {
+                return answer;
+            }
+            assert!(answer.retry_after_s.is_some(), "{answer:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    waited.await.expect("the wanted answer comes at last")
+}
+
+async fn fleet(settings: FleetSettings, contract: &str) -> Fleet {
+    let fleet = Fleet::start(settings).await;
+    fleet.apply_contract(contract, 0).await;
+    fleet
+}
+
+fn server(fleet: &Fleet, name: &str) -> std::net::SocketAddr {
+    let member = fleet.servers.iter().find(|member| member.vm.name == name);
+    member.expect("the server is there").vm.address
+}
+
+fn slow_platform(delay_ms: u64) -> PlatformFaults {
+    PlatformFaults {
+        delay_ms,
+        ..PlatformFaults::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_paused_between_claim_and_send_sends_once_and_records_the_answer() {
+    let settings = FleetSettings {
+        router_flags: vec![String::from("--platform-timeout-ms=15000")],
+        ..FleetSettings::default()
+    };
+    let fleet = fleet(settings, &contract_toml(1_000)).await;
+    // The claim takes effect, and its reply finds the router paused.
+    let faults = PlatformFaults {
+        delay_replies_ms: 5_000,
+        ..PlatformFaults::default()
+    };
+    fleet.set_faults(fleet.platform_address, &faults).await;
+    let paused = fleet.caller_url(0);
+    let first = tokio::spawn(async move { order(&paused, PRINT, "lot 1", "k").await });
+    wait_for_claim(&fleet).await;
+    fleet.routers[0].process.signal("STOP").await;
+    fleet
+        .set_faults(fleet.platform_address, &PlatformFaults::default())
+        .await;
+    // The paused router counted the service's slots; another one takes that over.
+    let has_room = |answer: &ReadAnswer| told(answer) != ("not-run", "overloaded");
+    let meanwhile = until(&fleet.caller_url(1), "lot 1", "k", has_room).await;
+    assert_eq!(
+        told(&meanwhile),
+        ("unknown", "already_claimed"),
+        "{meanwhile:?}"
+    );
+    first.abort();
+    fleet.routers[0].process.signal("CONT").await;
+    let answer = until_complete(&fleet.caller_url(2), "lot 1", "k").await;
+    assert!(answer.body.contains("\"run\":1"), "{answer:?}");
+    let again = order(&fleet.caller_url(1), PRINT, "lot 1", "k").await;
+    assert_eq!(again.body, answer.body);
+}
+
+/// Waits until the platform's table has a claim.
+async fn wait_for_claim(fleet: &Fleet) {
+    let url = format!("http://{}/fake/rows", fleet.platform_address);
+    let waited = tokio::time::timeout(Duration::from_secs(60), async {
+        while !get_text(&url).await.contains("claim-expiry/") {}
+    });
+    waited.await.expect("a claim is written");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_whose_deadline_passes_before_it_is_sent_is_not_run_and_never_runs() {
+    let contract = contract_toml(1_000).replace("deadline_ms = 20000", "deadline_ms = 300");
+    let fleet = fleet(FleetSettings::default(), &contract).await;
+    fleet
+        .set_faults(fleet.platform_address, &slow_platform(900))
+        .await;
+    let late = order(&fleet.caller_url(0), PRINT, "lot 2", "k").await;
+    assert_eq!(told(&late), ("not-run", "deadline_passed"), "{late:?}");
+    assert!(late.retry_after_s.is_some());
+    fleet
+        .set_faults(fleet.platform_address, &slow_platform(0))
+        .await;
+    // The claim is withdrawn, so the repeat is the first run.
+    let answer = until_complete(&fleet.caller_url(1), "lot 2", "k").await;
+    assert!(answer.body.contains("\"run\":1"), "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_reply_after_the_deadline_is_recorded_for_the_repeat() {
+    let contract = contract_toml(1_000).replace("deadline_ms = 20000", "deadline_ms = 500");
+    let fleet = fleet(FleetSettings::default(), &contract).await;
+    let faults = ServiceFaults {
+        late_replies: 1,
+        late_ms: 1_500,
+        ..ServiceFaults::default()
+    };
+    fleet.set_faults(server(&fleet, "service-0"), &faults).await;
+    let late = order(&fleet.caller_url(0), PRINT, "lot 3", "k").await;
+    assert_eq!(told(&late), ("unknown", "deadline_passed"), "{late:?}");
+    let answer = until_complete(&fleet.caller_url(1), "lot 3", "k").await;
+    assert!(answer.body.contains("\"run\":1"), "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_key_at_two_routers_at_once_with_lost_platform_replies_runs_once() {
+    let fleet = fleet(FleetSettings::default(), &contract_toml(1_000)).await;
+    let faults = PlatformFaults {
+        lose_replies: 3,
+        ..PlatformFaults::default()
+    };
+    fleet.set_faults(fleet.platform_address, &faults).await;
+    let (first, second) = (fleet.caller_url(0), fleet.caller_url(1));
+    tokio::join!(
+        order(&first, PRINT, "lot 4", "k"),
+        order(&second, PRINT, "lot 4", "k")
+    );
+    let answer = until_complete(&fleet.caller_url(2), "lot 4", "k").await;
+    assert!(answer.body.contains("\"run\":1"), "{answer:?}");
+    let other = order(&first, PRINT, "lot 5", "k").await;
+    assert_eq!(
+        (told(&other), other.status),
+        (("not-run", "key_reused"), 422)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_non_idempotent_path_has_no_other_spelling() {
+    let fleet = fleet(FleetSettings::default(), &contract_toml(1_000)).await;
+    let url = fleet.caller_url(0);
+    for path in [
+        "plant//labels/print",
+        "plant/labels//print",
+        "plant/%6cabels/print",
+        "plant/labels%2Fprint",
+        "plant/labels;v=1/print",
+    ] {
+        let answer = order(&url, path, "lot 6", "k").await;
+        assert_eq!(told(&answer), ("not-run", "bad_path"), "{path}");
+    }
+    for path in ["plant/labels/./print", "plant/labels/x/../print"] {
+        // The HTTP library refuses these before the router sees them.
+        assert_eq!(order(&url, path, "lot 6", "k").await.status, 400, "{path}");
+    }
+    let call = CallerClient::new();
+    let body = Bytes::from_static(b"lot 6");
+    let no_key = options(None);
+    for path in [
+        "plant/LABELS/print",
+        "plant/labels/print/",
+        "plant/labels/print?x=1",
+    ] {
+        let answer = call
+            .service(&url, Method::POST, path, body.clone(), &no_key)
+            .await;
+        let answer = answer.expect("the router answers");
+        assert_eq!(
+            told(&answer),
+            ("not-run", "idempotency_key_required"),
+            "{path}"
+        );
+    }
+    let runs = get_text(&format!("http://{}/fake/runs", server(&fleet, "service-0"))).await;
+    assert_eq!(runs, "[]");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_non_idempotent_chat_runs_once_and_its_answer_is_repeated() {
+    let mut fleet = Fleet::start(FleetSettings::default()).await;
+    fleet
+        .add_server("engine", "dispatch", PoolKind::Engine, 2)
+        .await;
+    fleet.publish().await;
+    fleet.wait_settled().await;
+    let rule = "\n[[non_idempotent]]\npool = \"dispatch\"\n";
+    let contract = contract_toml(1_000).replace("[\"assistant\",", "[\"dispatch\", \"assistant\",");
+    fleet.apply_contract(&(contract + rule), 0).await;
+    let (one, other) = (fleet.caller_url(0), fleet.caller_url(1));
+    let first = chat(&one, chat_body("dispatch", true), Some("truck")).await;
+    assert_eq!(told(&first), ("complete", ""), "{first:?}");
+    let again = chat(&other, chat_body("dispatch", true), Some("truck")).await;
+    assert_eq!((told(&again), &again.body), (("complete", ""), &first.body));
+    assert_eq!(again.completion_tokens, 6);
+    // A cut leaves the claim: no second run, whoever asks.
+    let cut = EngineFaults {
+        cut_streams: 1,
+        cut_after_tokens: 2,
+        ..EngineFaults::default()
+    };
+    fleet.set_faults(server(&fleet, "engine-2"), &cut).await;
+    let broken = chat(&one, chat_body("dispatch", true), Some("truck-2")).await;
+    assert_eq!(told(&broken), ("unknown", "server_failed"), "{broken:?}");
+    let repeat = chat(&other, chat_body("dispatch", true), Some("truck-2")).await;
+    assert_eq!(told(&repeat), ("unknown", "already_claimed"), "{repeat:?}");
+    // A server that did not start it leaves no claim.
+    let refuse = EngineFaults {
+        refuse: 10,
+        ..EngineFaults::default()
+    };
+    fleet.set_faults(server(&fleet, "engine-2"), &refuse).await;
+    let refused = chat(&one, chat_body("dispatch", true), Some("truck-3")).await;
+    assert_eq!(refused.outcome, "not-run", "{refused:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_with_a_cut_a_foreign_piece_or_a_standstill_goes_on_elsewhere() {
+    let fleet = fleet(FleetSettings::default(), &contract_toml(1_000)).await;
+    let url = fleet.caller_url(0);
+    let whole = chat(&url, chat_body("assistant", true), None).await;
+    let base = EngineFaults {
+        cut_after_tokens: 3,
+        ..EngineFaults::default()
+    };
+    let faults = [
+        EngineFaults {
+            cut_streams: 1,
+            ..base.clone()
+        },
+        EngineFaults {
+            crossed_pieces: 1,
+            ..base.clone()
+        },
+        EngineFaults {
+            crossed: 1,
+            ..base.clone()
+        },
+        // Ten times the deadline: only giving up on it early saves the answer.
+        EngineFaults {
+            stalled_streams: 1,
+            stall_ms: 200_000,
+            ..base
+        },
+    ];
+    for (index, fault) in faults.into_iter().enumerate() {
+        // Another router for each: a new router's retry budget is small.
+        let url = fleet.caller_url(index % 3);
+        for engine in ["engine-0", "engine-1"] {
+            fleet.set_faults(server(&fleet, engine), &fault).await;
+        }
+        let answer = chat(&url, chat_body("assistant", true), None).await;
+        assert_eq!(
+            (told(&answer), &answer.body),
+            (("complete", ""), &whole.body),
+            "{fault:?}"
+        );
+        assert_eq!(answer.completion_tokens, 6);
+    }
+    for router in [1, 2] {
+        let metrics = get_text(&format!("{}/metrics", fleet.operator_url(router))).await;
+        let counted = metrics.lines().any(|line| {
+            let count = line.strip_prefix("sapphiretrack_crossed_replies_total ");
+            count.is_some_and(|count| count.parse::<u64>().is_ok_and(|count| count >= 1))
+        });
+        assert!(counted, "crossed replies are counted: {metrics}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_waits_for_calls_and_streams_and_serves_old_addresses() {
+    let settings = FleetSettings {
+        engine_flags: vec![String::from("--decode-ms=300")],
+        ..FleetSettings::default()
+    };
+    let mut fleet = fleet(settings, &contract_toml(1_000)).await;
+    let faults = ServiceFaults {
+        late_replies: 1,
+        late_ms: 1_500,
+        ..ServiceFaults::default()
+    };
+    fleet.set_faults(server(&fleet, "service-0"), &faults).await;
+    let url = fleet.caller_url(0);
+    let label = tokio::spawn({
+        let url = url.clone();
+        async move { order(&url, PRINT, "lot 7", "k").await }
+    });
+    wait_for_claim(&fleet).await;
+    let stream = tokio::spawn({
+        let url = url.clone();
+        async move { chat(&url, chat_body("assistant", true), None).await }
+    });
+    fleet
+        .wait_status_of(0, "both are in flight", |status| status.in_flight == 2)
+        .await;
+    fleet.routers[0].process.signal("TERM").await;
+    fleet
+        .wait_status_of(1, "the stop is known", |status| {
+            status
+                .routers
+                .iter()
+                .any(|router| router.state == "leaving")
+        })
+        .await;
+    fleet.routers[0].process.signal("TERM").await;
+    let old_address = chat(&url, chat_body("assistant", true), None).await;
+    assert_eq!(old_address.outcome, "complete", "{old_address:?}");
+    assert_eq!(stream.await.expect("no panic").outcome, "complete");
+    assert_eq!(label.await.expect("no panic").outcome, "complete");
+    assert_eq!(fleet.routers[0].process.wait().await, Some(0));
+}
--- a/crates/sapphiretrackd/src/dispatch/attempts.rs
+++ b/crates/sapphiretrackd/src/dispatch/attempts.rs
@@ -27,7 +27,16 @@
         let candidates = self.health.filter(candidates, now_ms);
         let pool = request.pool();
         let share = self.health.bound_share(pool, &request.policy, now_ms);
-        let reserved = self.reserve(snapshot, pool, &candidates, share, log.tried());
+        let reserved = async {
+            let fresh = self
+                .reserve(snapshot, pool, &candidates, share, log.tried())
+                .await;
+            if fresh.is_some() || log.attempts() == 0 {
+                return fresh;
+            }
+            // No other server has room: one that failed may do better now.
+            self.reserve(snapshot, pool, &candidates, share, &[]).await
+        };
         match tokio::time::timeout_at(deadline.into(), reserved).await {
             Ok(Some(slot)) => Ok(slot),
             Ok(None) => Err(log.correct(self.no_server(snapshot, pool))),
