--- a/crates/sapphiretrack-fakes/src/service.rs
+++ b/crates/sapphiretrack-fakes/src/service.rs
@@ -148,8 +148,8 @@
             let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, "{}");
             let yes = http::HeaderValue::from_static("true");
             response.headers_mut().insert(NOT_STARTED_HEADER, yes);
-            if let Some(attempt) = attempt {
-                response.headers_mut().insert(ATTEMPT_HEADER, attempt);
+            if let Some(echoed) = self.echoed(attempt) {
+                response.headers_mut().insert(ATTEMPT_HEADER, echoed);
             }
             return Ok(response);
         }
@@ -163,9 +163,8 @@
         tokio::time::sleep(Duration::from_millis(self.settings.work_ms)).await;
         let late_ms = self.take_late_ms();
         tokio::time::sleep(Duration::from_millis(late_ms)).await;
-        let mut state = self.lock();
-        state.running -= 1;
-        if take(&mut state.faults.lose_replies) {
+        self.lock().running -= 1;
+        if take(&mut self.lock().faults.lose_replies) {
             return Ok(cut());
         }
         let answer = serde_json::json!({
@@ -174,17 +173,20 @@
             "run": runs,
         });
         let mut response = json(&answer);
-        let echoed = if take(&mut state.faults.crossed) {
-            Some(http::HeaderValue::from_static("another-attempt"))
-        } else {
-            attempt
-        };
-        if let Some(echoed) = echoed {
+        if let Some(echoed) = self.echoed(attempt) {
             response.headers_mut().insert(ATTEMPT_HEADER, echoed);
         }
         Ok(response)
     }
 
+    /// The attempt id that a reply carries.
+    fn echoed(&self, attempt: Option<http::HeaderValue>) -> Option<http::HeaderValue> {
+        if take(&mut self.lock().faults.crossed) {
+            return Some(http::HeaderValue::from_static("another-attempt"));
+        }
+        attempt
+    }
+
     fn take_late_ms(&self) -> u64 {
         let faults = &mut self.lock().faults;
         if take(&mut faults.late_replies) {
--- a/crates/sapphiretrack-tests/tests/outcomes.rs
+++ b/crates/sapphiretrack-tests/tests/outcomes.rs
@@ -192,6 +192,19 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_to_start_another_request_is_not_believed() {
+    let fleet = fleet(FleetSettings::default(), &contract_toml(1_000)).await;
+    let faults = ServiceFaults {
+        refuse: 1,
+        crossed: 1,
+        ..ServiceFaults::default()
+    };
+    fleet.set_faults(server(&fleet, "service-0"), &faults).await;
+    let answer = order(&fleet.caller_url(0), PRINT, "lot 8", "k").await;
+    assert_eq!(told(&answer), ("unknown", "server_failed"), "{answer:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_non_idempotent_path_has_no_other_spelling() {
     let fleet = fleet(FleetSettings::default(), &contract_toml(1_000)).await;
