--- a/crates/sapphiretrack-bench/src/main.rs
+++ b/crates/sapphiretrack-bench/src/main.rs
@@ -3,35 +3,47 @@
 use std::process::ExitCode;
 
 use pico_args::Arguments;
+use sapphiretrackd::{LogFormat, start_logging};
 
 const HELP: &str = "\
 sapphiretrack-bench: measurements and the demo
 
-  sapphiretrack-bench demo      the whole of it on embedded stand-ins, within a minute
-  sapphiretrack-bench overload  goodput and late share by class at 1, 2 and 4 times the capacity
-  sapphiretrack-bench brown-out retries while engines cut every stream
-  sapphiretrack-bench claims    added time and platform writes of a non-idempotent request
-  sapphiretrack-bench streams   memory of a router for each open stream (starts sapphiretrackd)
+  sapphiretrack-bench demo [--seed N]     the whole of it on embedded stand-ins, within a minute
+  sapphiretrack-bench limits              over-admission of 1, 9 and 360 limiters against exact counting
+  sapphiretrack-bench overhead [--json]   what a router adds to a chat
+  sapphiretrack-bench overload            goodput and late share by class at 1, 2 and 4 times the capacity
+  sapphiretrack-bench brown-out           retries while engines cut every stream
+  sapphiretrack-bench claims              added time and platform writes of a non-idempotent request
+  sapphiretrack-bench streams             memory of a router for each open stream (starts sapphiretrackd)
+
+Exit codes: 0 done and every promise held, 1 a promise was broken, 2 wrong use or cannot run
 ";
+/// The exit code of a run that found a broken promise.
+const BROKEN_PROMISE: u8 = 1;
 
 fn main() -> ExitCode {
     let mut arguments = Arguments::from_env();
-    if arguments.contains(["-h", "--help"]) {
+    let name = arguments.subcommand().ok().flatten().unwrap_or_default();
+    if name.is_empty() && arguments.contains(["-h", "--help"]) {
         print!("{HELP}");
         return ExitCode::SUCCESS;
     }
-    let result = match arguments.subcommand() {
-        Ok(Some(name)) if name == "demo" => sapphiretrack_bench::demo::run(arguments),
-        Ok(Some(name)) if name == "overload" => sapphiretrack_bench::overload::run(arguments),
-        Ok(Some(name)) if name == "brown-out" => {
-            sapphiretrack_bench::overload::run_brown_out(arguments)
-        }
-        Ok(Some(name)) if name == "claims" => sapphiretrack_bench::claims::run(arguments),
-        Ok(Some(name)) if name == "streams" => sapphiretrack_bench::streams::run(arguments),
-        _ => Err(String::from("a command is missing; hint: see --help")),
+    if let Err(error) = start_logging(LogFormat::Text, log::LevelFilter::Error) {
+        eprintln!("sapphiretrack-bench: the log cannot start: {error}");
+    }
+    let held = match name.as_str() {
+        "demo" => sapphiretrack_bench::demo::run(arguments).map(|()| true),
+        "limits" => sapphiretrack_bench::limits::run(arguments).map(|()| true),
+        "overhead" => sapphiretrack_bench::overhead::run(arguments).map(|()| true),
+        "overload" => sapphiretrack_bench::overload::run(arguments).map(|()| true),
+        "brown-out" => sapphiretrack_bench::overload::run_brown_out(arguments).map(|()| true),
+        "claims" => sapphiretrack_bench::claims::run(arguments).map(|()| true),
+        "streams" => sapphiretrack_bench::streams::run(arguments).map(|()| true),
+        _ => Err(format!("there is no command {name:?}; hint: see --help")),
     };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
+    match held {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(BROKEN_PROMISE),
         Err(error) => {
             eprintln!("sapphiretrack-bench: {error}");
             ExitCode::from(2)
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -5,10 +5,14 @@
 
 mod attempt;
 mod bound;
+mod budget;
+mod change;
 mod chat;
 mod claim;
 mod config;
 mod contract;
+mod fair_share;
+mod held_budget;
 mod ids;
 mod ledger;
 mod limits;
@@ -25,18 +29,26 @@
     AttemptFailure, AttemptLog, NextStep, Repeatable, first_token_timeout_ms, idle_timeout_ms,
 };
 pub use bound::{LoadBound, server_limit};
+pub use budget::{
+    Amounts, BUDGET_LEASE_MS, BudgetAsk, BudgetGrant, BudgetReply, CustomerBudget, HELD_SHARE,
+    Needed, UNSURE_SHARE,
+};
+pub use change::{Change, HistoryEntry, NameError, check_change_id, check_server_name};
 pub use chat::{Chunk, ChunkChoice, Delta, STREAM_END, Usage};
 pub use claim::{
     CLAIM_RETENTION_MS, Claim, ClaimDecision, ClaimState, RecordedAnswer, RecordedBody,
     claim_expired, decide_claim,
 };
-pub use config::{FleetConfig, Refreshed, newer_config};
+pub use config::{FleetConfig, KeyIndex, REPUBLISH_STEP, Refreshed, newer_config};
 pub use contract::{
-    ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, parse_contract, sha256_hex,
+    ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, contract_differences,
+    parse_contract, sha256_hex,
 };
+pub use fair_share::{Demand, FULL_FOR_MS, PoolShares, fair_shares};
+pub use held_budget::{Admission, HeldBudget, NO_STEWARD_RETRY_MS, Shortage};
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
 pub use ledger::{Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
-pub use limits::{InFlightGate, RateLimiter};
+pub use limits::RateLimiter;
 pub use membership::{
     Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, VmRecord, VmRole, VmState,
     steward_of,
