--- a/crates/sapphiretrack-bench/src/small_fleet.rs
+++ b/crates/sapphiretrack-bench/src/small_fleet.rs
@@ -99,7 +99,7 @@
             operator_address: free,
             peer_address: free,
             platform_url: self.platform.url(),
-            cell_key: String::from("bench-cell"),
+            cell_key: String::from("cell-key-of-the-bench"),
             operator_key_sha256: sha256_hex(OPERATOR_KEY),
             load_bound: *load_bound,
             traffic_threads: 1,
--- a/crates/sapphiretrack-bench/src/streams.rs
+++ b/crates/sapphiretrack-bench/src/streams.rs
@@ -66,7 +66,7 @@
     for number in 0..SLOW_CALLERS {
         open.push(slow_caller(port, number).await?);
     }
-    for seconds in [5, 10, 20] {
+    for seconds in [5, 10, 15] {
         tokio::time::sleep(Duration::from_secs(5)).await;
         print!("after about {seconds} s, ");
         report("never reading", base, (open.len(), router.memory_bytes()?));
@@ -169,7 +169,7 @@
                 format!("--operator-address=127.0.0.1:{}", port + 1),
                 format!("--peer-address=127.0.0.1:{}", port + 2),
                 format!("--platform-url={}", platform.url()),
-                String::from("--cell-key=bench-cell"),
+                String::from("--cell-key=cell-key-of-the-bench"),
                 format!("--operator-key-sha256={}", sha256_hex(OPERATOR_KEY)),
                 String::from("--floor-requests=100000"),
                 String::from("--ceiling-requests=100000"),
