--- a/crates/sapphiretrack-fakes/src/platform.rs
+++ b/crates/sapphiretrack-fakes/src/platform.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use crate::http_server::{
-    FakeFuture, FakeResponse, cut, full, json, read_bytes, read_json, serve, with_status,
+    FakeFuture, FakeResponse, cut, full, json, read_bytes, read_json, serve, take, with_status,
 };
 
 /// How the stand-in behaves without faults.
@@ -56,6 +56,8 @@
     pub lose_replies: u32,
     /// So many of the next transactions are cut before they take effect.
     pub lose_requests: u32,
+    /// The replies of transactions come so much later than their effect.
+    pub delay_replies_ms: u64,
     /// Reads of the table answer as it stood when this was set.
     pub older_reads: bool,
     /// Reads of the table give values that are no values of the fleet.
@@ -264,19 +266,21 @@
 
     async fn transact(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let transaction: TransactRequest = read_json(request).await?;
-        let mut state = self.lock();
-        if !state.take_write(self.settings.writes_per_s) {
-            return Err(with_status(StatusCode::TOO_MANY_REQUESTS, "{}"));
-        }
-        if state.faults.lose_requests > 0 {
-            state.faults.lose_requests -= 1;
-            return Err(cut());
-        }
-        let reply = state.transact(&transaction);
-        if state.faults.lose_replies > 0 {
-            state.faults.lose_replies -= 1;
-            return Err(cut());
-        }
+        let (reply, delay_ms) = {
+            let mut state = self.lock();
+            if !state.take_write(self.settings.writes_per_s) {
+                return Err(with_status(StatusCode::TOO_MANY_REQUESTS, "{}"));
+            }
+            if take(&mut state.faults.lose_requests) {
+                return Err(cut());
+            }
+            let reply = state.transact(&transaction);
+            if take(&mut state.faults.lose_replies) {
+                return Err(cut());
+            }
+            (reply, state.faults.delay_replies_ms)
+        };
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         Ok(json(&reply))
     }
 
--- a/crates/sapphiretrackd/src/dispatch/attempts.rs
+++ b/crates/sapphiretrackd/src/dispatch/attempts.rs
@@ -13,6 +13,9 @@
 use crate::dispatch::slots::Slot;
 use crate::events::Event;
 
+/// When to come back after attempts that failed.
+const FAILED_RETRY_MS: u64 = 1_000;
+
 impl Dispatcher {
     /// A slot for a request's next attempt, by its deadline.
     pub(crate) async fn slot(
@@ -27,7 +30,16 @@
         let candidates = self.health.filter(candidates, now_ms);
         let pool = request.pool();
         let share = self.health.bound_share(pool, &request.policy, now_ms);
-        let reserved = self.reserve(snapshot, pool, &candidates, share, log.tried());
+        let reserved = async {
+            let fresh = self
+                .reserve(snapshot, pool, &candidates, share, log.tried())
+                .await;
+            if fresh.is_some() || log.attempts() == 0 {
+                return fresh;
+            }
+            // No other server has room: one that failed may do better now.
+            self.reserve(snapshot, pool, &candidates, share, &[]).await
+        };
         match tokio::time::timeout_at(deadline.into(), reserved).await {
             Ok(Some(slot)) => Ok(slot),
             Ok(None) => Err(log.correct(self.no_server(snapshot, pool))),
@@ -57,7 +69,8 @@
         let next = log.fail(failure);
         let code = RefusalCode::ServerFailed;
         if next == NextStep::GiveUp {
-            return Err(log.refusal(code, error.to_string()));
+            let refusal = log.refusal(code, error.to_string());
+            return Err(refusal.retry_after(FAILED_RETRY_MS));
         }
         if !self.try_retry() {
             let message = format!("{error}; the retry budget is used up");
