--- a/crates/sapphiretrack-core/src/peer_roster.rs
+++ b/crates/sapphiretrack-core/src/peer_roster.rs
@@ -240,11 +240,15 @@
     }
 
     /// Notes that a peer answered a call of this router, and the version that it has in force.
-    pub fn note_answer(&mut self, router: RouterId, config_version: u64, now_ms: u64) {
-        if let Some(peer) = self.peers.get_mut(&router) {
-            peer.answered_ms = now_ms;
-            peer.config_version = peer.config_version.max(config_version);
-        }
+    /// Tells whether that version is news.
+    pub fn note_answer(&mut self, router: RouterId, config_version: u64, now_ms: u64) -> bool {
+        let Some(peer) = self.peers.get_mut(&router) else {
+            return false;
+        };
+        peer.answered_ms = now_ms;
+        let is_news = config_version > peer.config_version;
+        peer.config_version = peer.config_version.max(config_version);
+        is_news
     }
 
     /// Drops a peer whose address refuses connections: its process has ended.
--- a/crates/sapphiretrackd/src/control/heartbeats.rs
+++ b/crates/sapphiretrackd/src/control/heartbeats.rs
@@ -185,7 +185,8 @@
         reply: &HeartbeatReply,
         now_ms: u64,
     ) {
-        self.peers.note_answer(router, reply.config_version, now_ms);
+        // Without a new snapshot the status would tell the older version until something else changes.
+        self.changed |= self.peers.note_answer(router, reply.config_version, now_ms);
         self.peers.introduce(&reply.introduced);
         if let Some(sent) = self.book.sent.get_mut(&router) {
             if reply.wants_whole {
