--- a/crates/sapphiretrack-bench/src/cell/command.rs
+++ b/crates/sapphiretrack-bench/src/cell/command.rs
@@ -198,11 +198,13 @@
     for planned in [false, true] {
         let mut cell = Cell::start(routers, 1).await?;
         let mut times = Vec::new();
-        let mut refused = 0;
+        let mut refused: BTreeMap<String, u32> = BTreeMap::new();
         for _ in 0..trials {
             let gap = steward_gap(&mut cell, planned).await?;
             times.push(gap.without_grants_ms);
-            refused += gap.refused;
+            for (code, count) in gap.refused {
+                *refused.entry(code).or_default() += count;
+            }
         }
         let what = if planned {
             "without grants, steward stopped as planned"
--- a/crates/sapphiretrack-bench/src/cell/detection.rs
+++ b/crates/sapphiretrack-bench/src/cell/detection.rs
@@ -1,5 +1,6 @@
 //! How soon the routers of a cell notice what happens to one of them, or to an engine.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -113,12 +114,12 @@
 }
 
 /// What callers met around the death of the steward of a pool's only engine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Gap {
     /// From the kill to the first answer after it that began after it.
     pub(crate) without_grants_ms: f64,
-    /// Chats refused as not run in between.
-    pub(crate) refused: u32,
+    /// Chats refused as not run in between, by the refusal's code.
+    pub(crate) refused: BTreeMap<String, u32>,
 }
 
 /// Kills the steward of engine 0 and chats through another router until one is answered.
@@ -157,7 +158,7 @@
     // A planned stop answers on for a while: what counts is the longest time between answers.
     let mut last = since;
     let mut longest = Duration::ZERO;
-    let mut refused = 0;
+    let mut refused: BTreeMap<String, u32> = BTreeMap::new();
     while since.elapsed() < Duration::from_secs(4) || longest.is_zero() {
         let answer = client.chat(&url, body.clone(), &options, |_| {}).await;
         let answer = answer.map_err(|error| error.to_string())?;
@@ -165,7 +166,10 @@
             longest = longest.max(last.elapsed());
             last = Instant::now();
         } else {
-            refused += 1;
+            let code = answer
+                .error
+                .map_or_else(String::new, |error| format!("{:?}", error.error.code));
+            *refused.entry(code).or_default() += 1;
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
