The test of old views makes the router that starts hear the old view first

Cause: taking the first peer's view passed the test by chance, as the peer that was awake spoke sooner. Now that one sleeps until the old view was heard.

--- a/crates/sapphiretrack-tests/tests/configuration.rs
+++ b/crates/sapphiretrack-tests/tests/configuration.rs
@@ -131,7 +131,15 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_router_that_slept_through_changes_hands_out_no_older_version() {
-    let mut fleet = Fleet::start(FleetSettings::default()).await;
+    // Long enough that the router which is awake speaks in time on a busy machine too.
+    let settings = FleetSettings {
+        router_flags: vec![
+            String::from("--dead-after-ms=8000"),
+            String::from("--isolated-after-ms=60000"),
+        ],
+        ..FleetSettings::default()
+    };
+    let mut fleet = Fleet::start(settings).await;
     let end = Arc::new(AtomicBool::new(false));
     let watchers: Vec<_> = (0..3)
         .map(|router| watch(fleet.operator(router), end.clone()))
@@ -152,9 +160,21 @@
         version = made;
     }
     fleet.set_faults(fleet.platform_address, &down()).await;
-    // The router that starts may hear the old view first: that of the one that slept.
+    // The router that starts hears the old view first: that of the one that slept.
+    fleet.routers[1].process.signal("STOP").await;
     fleet.routers[2].process.signal("CONT").await;
     fleet.restart_router(0).await;
+    while fleet
+        .operator(0)
+        .status()
+        .await
+        .is_ok_and(|status| status.routers.len() < 2)
+    {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // Time enough to take that view in, if it would.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.routers[1].process.signal("CONT").await;
     fleet
         .wait_status("the newest version everywhere", |status| {
             status.config_version == version
