--- a/crates/sapphiretrack-backend/src/client.rs
+++ b/crates/sapphiretrack-backend/src/client.rs
@@ -12,10 +12,12 @@
 use sapphiretrack_core::{AttemptId, ChatKey, LoadReport};
 
 use crate::answer::AnswerStream;
-use crate::error::{BackendError, BrokenSnafu, CrossedSnafu, NotStartedSnafu, UnreachableSnafu};
+use crate::error::{
+    BackendError, BrokenSnafu, CrossedSnafu, LeavingSnafu, NotStartedSnafu, UnreachableSnafu,
+};
 use crate::wire::{
-    ATTEMPT_HEADER, CHAT_HEADER, DEADLINE_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER,
-    RESUME_HEADER,
+    ATTEMPT_HEADER, CHAT_HEADER, DEADLINE_HEADER, LEAVING_HEADER, NOT_STARTED_HEADER,
+    PRIORITY_HEADER, RESUME_HEADER,
 };
 
 /// How backend servers are reached.
@@ -232,6 +234,9 @@
 ) -> Result<http::Response<Incoming>, BackendError> {
     let refused = header(&response, NOT_STARTED_HEADER) == "true";
     if refused && header(&response, ATTEMPT_HEADER) == id {
+        if header(&response, LEAVING_HEADER) == "true" {
+            return LeavingSnafu.fail();
+        }
         return NotStartedSnafu {
             status: response.status().as_u16(),
         }
--- a/crates/sapphiretrack-bench/src/load/request.rs
+++ b/crates/sapphiretrack-bench/src/load/request.rs
@@ -5,13 +5,14 @@
 
 use bytes::Bytes;
 use sapphiretrack_caller::{ClientError, ReadAnswer, RequestOptions};
+use sapphiretrack_fakes::messages_hash;
 use serde_json::json;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 use crate::load::arrivals::{Arrival, Work};
 use crate::load::callers::{Shared, lock};
-use crate::load::check::{AnswerCheck, Violation, answer_tag, check_service_answer};
+use crate::load::check::{AnswerCheck, Violation, check_service_answer};
 use crate::load::entries::AddressBook;
 use crate::load::history::{Attempt, AttemptOutcome, RequestRecord};
 use crate::load::statistics::ClassStatistics;
@@ -110,7 +111,7 @@
     async fn try_chat(&self, router: &str, chat: u64, turn: u32, sends_warm: bool) -> Tried {
         let settings = &self.shared.settings;
         let messages = messages(settings, &self.arrival, chat, turn);
-        let mut check = AnswerCheck::new(&messages.to_string(), settings.answer_tokens);
+        let mut check = AnswerCheck::new(&messages, settings.answer_tokens);
         let mut options = self.options();
         options.chat = Some(format!("chat-{}-{chat}", settings.seed));
         options.warm = sends_warm
@@ -226,10 +227,8 @@
         let settings = &self.shared.settings;
         let identity = match self.arrival.work {
             Work::Chat { chat, turn, .. } => {
-                format!(
-                    "{:016x}",
-                    answer_tag(&messages(settings, &self.arrival, chat, turn).to_string())
-                )
+                let messages = messages(settings, &self.arrival, chat, turn);
+                format!("{:016x}", messages_hash(&messages))
             }
             Work::Lookup | Work::Order => service_order(settings, &self.arrival),
         };
--- a/crates/sapphiretrack-bench/src/main.rs
+++ b/crates/sapphiretrack-bench/src/main.rs
@@ -10,6 +10,11 @@
 
   sapphiretrack-bench demo [--seed N]     the whole of it on embedded stand-ins, within a minute
   sapphiretrack-bench limits              over-admission of 1, 9 and 360 limiters against exact counting
+  sapphiretrack-bench overload            goodput and late share by class at 1, 2 and 4 times the capacity
+  sapphiretrack-bench brown-out           retries while engines cut every stream
+  sapphiretrack-bench claims              added time and platform writes of a non-idempotent request
+  sapphiretrack-bench streams             memory of a router for each open stream
+  sapphiretrack-bench cell                control bytes, processor time and memory of one cell
   sapphiretrack-bench overhead [--json]   what a router adds to a chat
   sapphiretrack-bench load                open-loop load against running routers
   sapphiretrack-bench soak                a fleet of processes under load and random faults
@@ -34,6 +39,11 @@
     let held = match name.as_str() {
         "demo" => sapphiretrack_bench::demo::run(arguments).map(|()| true),
         "limits" => sapphiretrack_bench::limits::run(arguments).map(|()| true),
+        "overload" => sapphiretrack_bench::overload::run(arguments).map(|()| true),
+        "brown-out" => sapphiretrack_bench::overload::run_brown_out(arguments).map(|()| true),
+        "claims" => sapphiretrack_bench::claims::run(arguments).map(|()| true),
+        "streams" => sapphiretrack_bench::streams::run(arguments).map(|()| true),
+        "cell" => sapphiretrack_bench::cell::run(arguments).map(|()| true),
         "overhead" => sapphiretrack_bench::overhead::run(arguments).map(|()| true),
         "load" => sapphiretrack_bench::load::run(arguments),
         "soak" => sapphiretrack_bench::soak::run(arguments),
--- a/crates/sapphiretrack-bench/src/slopes/measures.rs
+++ b/crates/sapphiretrack-bench/src/slopes/measures.rs
@@ -6,7 +6,7 @@
 use sapphiretrack_tests::{Fleet, FleetSettings, get_json};
 use tokio::time::Instant;
 
-use crate::load::{KnownRouters, Load, LoadSettings};
+use crate::load::{ClassMix, KnownRouters, Load, LoadSettings};
 use crate::slopes::line::{Point, Slope, fit};
 use crate::slopes::usage::Usage;
 use crate::soak::{Change, DEPLOYMENTS, SoakSettings};
@@ -186,6 +186,8 @@
             max_requests: streams,
             service_share: 0.0,
             answer_tokens: 25,
+            // The streams last longer than the urgent class's deadline.
+            classes: vec![ClassMix::new("floor", 1.0, 40_000)],
             ..small_load()
         };
         let known = KnownRouters::new(vec![fleet.caller_url(0)]);
@@ -293,11 +295,11 @@
     let calls_before = platform_calls(fleet).await;
     tokio::time::sleep(WINDOW).await;
     let after = usage_of_routers(fleet)?;
-    let calls = platform_calls(fleet).await;
+    let calls_after = platform_calls(fleet).await;
     let seconds = started.elapsed().as_secs_f64();
     let routers = fleet.routers.len() as f64;
-    let reads = calls.reads + calls.lists - calls_before.reads - calls_before.lists;
-    let writes = calls.writes - calls_before.writes;
+    let reads = calls_after.reads - calls_before.reads;
+    let writes = calls_after.writes - calls_before.writes;
     Ok(Point {
         size,
         cpu_us_per_s: (after.cpu_us - before.cpu_us) / routers / seconds,
@@ -317,6 +319,7 @@
     Ok(sum)
 }
 
+/// Reads and writes of table and objects so far.
 async fn platform_calls(fleet: &Fleet) -> PlatformCalls {
     get_json(&format!("http://{}/fake/calls", fleet.platform_address)).await
 }
--- a/crates/sapphiretrack-bench/src/soak/verdict.rs
+++ b/crates/sapphiretrack-bench/src/soak/verdict.rs
@@ -24,7 +24,7 @@
         let runs = if request.service {
             evidence.runs.get(&request.identity).copied().unwrap_or(0)
         } else {
-            u32::from(evidence.started_tags.contains(&request.identity))
+            u32::from(evidence.started_chats.contains(&request.identity))
         };
         let kind = if request.non_idempotent && runs > 1 {
             ViolationKind::RanTwice
--- a/crates/sapphiretrack-cli/src/command.rs
+++ b/crates/sapphiretrack-cli/src/command.rs
@@ -1,11 +1,13 @@
 //! The command line, read and checked.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use pico_args::Arguments;
+use sapphiretrack_operator::wire::{SetFencing, SetGoal};
+use sapphiretrack_tls::Trust;
 use snafu::ResultExt;
 
-use crate::error::{ArgumentsSnafu, CliError, UsageSnafu};
+use crate::error::{ArgumentsSnafu, CliError, TrustSnafu, UsageSnafu};
 
 /// What every command may need.
 #[derive(Clone, Debug)]
@@ -20,6 +22,8 @@
     pub(crate) caller_url: String,
     /// A key of a contract.
     pub(crate) caller_key: String,
+    /// Which certificates are trusted.
+    pub(crate) trust: Trust,
     /// How long `--wait` waits.
     pub(crate) wait_limit_ms: u64,
     /// Whether to print JSON.
@@ -40,6 +44,8 @@
     Status,
     Entry { zone: Option<String> },
     Chat(Chat),
+    ServerSet(SetGoal),
+    PoolFencing(SetFencing),
 }
 
 /// Applies a contract file.
@@ -70,6 +76,8 @@
     pub(crate) undo: bool,
     /// Whether to wait until no router has a request in flight there.
     pub(crate) wait: bool,
+    /// Whether to order it to stop once it is empty.
+    pub(crate) stop: bool,
 }
 
 /// Sends one chat.
@@ -109,10 +117,16 @@
             "drain" => Command::ServerDrain(ServerDrain {
                 undo: arguments.contains("--undo"),
                 wait: arguments.contains("--wait"),
+                stop: arguments.contains("--stop"),
                 server: free(&mut arguments, "NAME")?,
             }),
+            "set" => Command::ServerSet(server_set(&mut arguments)?),
             other => return unknown("server", other),
         },
+        "pool" => match verb(&mut arguments)?.as_str() {
+            "fencing" => Command::PoolFencing(pool_fencing(&mut arguments)?),
+            other => return unknown("pool", other),
+        },
         "status" => Command::Status,
         "entry" => Command::Entry {
             zone: option(&mut arguments, "--zone")?,
@@ -137,6 +151,34 @@
     }
 }
 
+fn server_set(arguments: &mut Arguments) -> Result<SetGoal, CliError> {
+    let adapters = option(arguments, "--adapters")?;
+    Ok(SetGoal {
+        model: option(arguments, "--model")?,
+        version: option(arguments, "--model-version")?,
+        adapters: adapters.map(|names| {
+            let names = names.split(',').filter(|name| !name.is_empty());
+            names.map(str::to_owned).collect()
+        }),
+        role: option(arguments, "--role")?,
+        stopped: arguments.contains("--stopped"),
+        server: free(arguments, "NAME")?,
+    })
+}
+
+fn pool_fencing(arguments: &mut Arguments) -> Result<SetFencing, CliError> {
+    let checks = arguments.contains("--checks");
+    let ignores = arguments.contains("--ignores");
+    if checks == ignores {
+        let problem = "one of --checks and --ignores is needed";
+        return UsageSnafu { problem }.fail();
+    }
+    Ok(SetFencing {
+        pool: free(arguments, "POOL")?,
+        checks,
+    })
+}
+
 fn contract(arguments: &mut Arguments) -> Result<Command, CliError> {
     match verb(arguments)?.as_str() {
         "apply" => {
@@ -165,7 +207,12 @@
     let wait_limit_ms: Option<u64> = arguments
         .opt_value_from_str("--wait-limit-ms")
         .context(ArgumentsSnafu)?;
+    let trust = match setting(arguments, "--tls-ca", "")?.as_str() {
+        "" => Trust::default(),
+        file => Trust::from_pem_file(Path::new(file)).context(TrustSnafu)?,
+    };
     Ok(Options {
+        trust,
         router: setting(arguments, "--router", "http://127.0.0.1:8081")?,
         operator_key: setting(arguments, "--operator-key", "")?,
         operator: setting(arguments, "--operator", "operator")?,
@@ -176,6 +223,16 @@
     })
 }
 
+/// The URL of an address that is served the same way, plain or by TLS, as another URL.
+pub(crate) fn like(url: &str, address: &str) -> String {
+    let scheme = if url.starts_with("https://") {
+        "https"
+    } else {
+        "http"
+    };
+    format!("{scheme}://{address}")
+}
+
 /// A flag, else its environment variable, else the default.
 fn setting(
     arguments: &mut Arguments,
--- a/crates/sapphiretrack-fakes/src/engine.rs
+++ b/crates/sapphiretrack-fakes/src/engine.rs
@@ -10,17 +10,20 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use sapphiretrack_backend::wire::{
-    ATTEMPT_HEADER, CHAT_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER, RESUME_HEADER,
+    ATTEMPT_HEADER, CHAT_HEADER, LEAVING_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER, RESUME_HEADER,
+};
+use sapphiretrack_core::{
+    Chunk, ChunkChoice, Delta, FencingCheck, Incarnation, LoadReport, STREAM_END, Usage,
 };
-use sapphiretrack_core::{Chunk, ChunkChoice, Delta, Incarnation, LoadReport, STREAM_END, Usage};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc};
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::answer::{answer_tag, token_text};
+use crate::answer::{answer_tag, messages_hash, token_text};
 use crate::http_server::{
-    FakeFuture, FakeResponse, json, read_bytes, read_json, serve, with_status,
+    FakeFuture, FakeResponse, RunCount, json, read_bytes, read_json, serve, take, with_status,
 };
+use crate::orders::{ArrivedOrder, OrderBook, answer_order};
 
 /// Bytes of text that make about one token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -44,6 +47,10 @@
     pub decode_ms: u64,
     /// Chats whose prefix the cache holds.
     pub cached_chats: usize,
+    /// Whether it refuses orders with an old fencing number.
+    pub fencing_check: FencingCheck,
+    /// How long weights take to load.
+    pub load_ms: u64,
 }
 
 impl Default for EngineSettings {
@@ -56,6 +63,8 @@
             prefill_us_per_token: 50,
             decode_ms: 2,
             cached_chats: 1_000,
+            fencing_check: FencingCheck::Checks,
+            load_ms: 50,
         }
     }
 }
@@ -76,8 +85,19 @@
     pub frozen: bool,
     /// The engine says that it is leaving.
     pub leaving: bool,
+    /// The engine refuses new requests because it is leaving, without its reports saying so.
+    pub refuse_as_leaving: bool,
+    /// So many of the next streams carry a piece of another attempt in their middle.
+    pub crossed_pieces: u32,
+    /// So many of the next streams stand still in their middle, and go on late.
+    pub stalled_streams: u32,
+    /// How long they stand still.
+    pub stall_ms: u64,
 }
 
+/// The most different requests whose runs are counted.
+const MAX_COUNTED_REQUESTS: usize = 100_000;
+
 /// The stand-in engine; clones are the same one.
 #[derive(Clone)]
 pub struct FakeEngine {
@@ -88,6 +108,7 @@
 struct Shared {
     settings: EngineSettings,
     state: Mutex<State>,
+    orders: Mutex<OrderBook>,
     slot_freed: Notify,
 }
 
@@ -101,8 +122,9 @@
     cache: BTreeMap<String, u32>,
     cache_order: VecDeque<String>,
     started_requests: u64,
-    /// The answer tags of the requests that were started.
-    started_tags: BTreeSet<u64>,
+    /// The hashes of the messages of the requests that were started.
+    started_chats: BTreeSet<u64>,
+    runs: BTreeMap<String, u32>,
 }
 
 /// A request as the engine reads it.
@@ -114,16 +136,33 @@
     model: String,
     prompt_tokens: u32,
     answer_tokens: u32,
-    answer_tag: u64,
+    answer_tag: u16,
+    messages_hash: u64,
+    messages: String,
+}
+
+/// What goes wrong with a stream, and after how many of its tokens.
+#[derive(Default)]
+struct StreamFaults {
+    after_tokens: u32,
+    cut: bool,
+    crossed_piece: bool,
+    stall: Option<Duration>,
 }
 
 impl FakeEngine {
     /// Starts the stand-in.
     pub async fn start(settings: EngineSettings) -> std::io::Result<Self> {
         let address = settings.address;
+        let orders = OrderBook::new(
+            settings.fencing_check,
+            settings.incarnation,
+            settings.load_ms,
+        );
         let shared = Arc::new(Shared {
             settings,
             state: Mutex::default(),
+            orders: Mutex::new(orders),
             slot_freed: Notify::new(),
         });
         let mut engine = Self { address, shared };
@@ -151,11 +190,27 @@
         self.shared.lock().started_requests
     }
 
-    /// The answer tags of the requests that were started: hashes of their messages.
-    pub fn started_tags(&self) -> Vec<String> {
+    /// The hashes of the messages of the requests that were started, in hex.
+    pub fn started_chats(&self) -> Vec<String> {
         let state = self.shared.lock();
-        let tags = state.started_tags.iter();
-        tags.map(|tag| format!("{tag:016x}")).collect()
+        let hashes = state.started_chats.iter();
+        hashes.map(|hash| format!("{hash:016x}")).collect()
+    }
+
+    /// All orders as they arrived.
+    pub fn arrived_orders(&self) -> Vec<ArrivedOrder> {
+        self.shared.lock_orders().arrived().to_vec()
+    }
+
+    /// How often each request, by its messages, was started.
+    pub fn runs(&self) -> Vec<RunCount> {
+        let state = self.shared.lock();
+        let runs = state.runs.iter();
+        runs.map(|(order, runs)| RunCount {
+            order: order.clone(),
+            runs: *runs,
+        })
+        .collect()
     }
 
     /// The load as it stands.
@@ -179,7 +234,17 @@
                 }
                 Err(response) => response,
             },
-            "/fake/started-tags" => json(&self.started_tags()),
+            "/fake/orders" => json(&self.arrived_orders()),
+            "/state" => {
+                self.shared.wait_unfrozen().await;
+                json(&self.shared.lock_orders().state())
+            }
+            "/orders" => {
+                self.shared.wait_unfrozen().await;
+                answer_order(request, |order| self.shared.lock_orders().take(order)).await
+            }
+            "/fake/started-chats" => json(&self.started_chats()),
+            "/fake/runs" => json(&self.runs()),
             "/fake/started" => json(&self.started_requests()),
             "/load" => {
                 self.shared.wait_unfrozen().await;
@@ -194,9 +259,12 @@
 
     async fn chat(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let chat = read_chat(request).await?;
-        if !self.shared.take_in(chat.answer_tag) {
+        if !self.shared.take_in(&chat) {
             let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, "{}");
             let yes = http::HeaderValue::from_static("true");
+            if self.shared.lock().faults.refuse_as_leaving {
+                response.headers_mut().insert(LEAVING_HEADER, yes.clone());
+            }
             response.headers_mut().insert(NOT_STARTED_HEADER, yes);
             if let Ok(attempt) = http::HeaderValue::from_str(&chat.attempt) {
                 response.headers_mut().insert(ATTEMPT_HEADER, attempt);
@@ -231,8 +299,11 @@
 
 impl Shared {
     /// Whether a request is started, or waits for its start.
-    fn take_in(&self, answer_tag: u64) -> bool {
+    fn take_in(&self, chat: &ChatRequest) -> bool {
         let mut state = self.lock();
+        if state.faults.refuse_as_leaving {
+            return false;
+        }
         if state.faults.refuse > 0 {
             state.faults.refuse -= 1;
             return false;
@@ -241,7 +312,10 @@
             return false;
         }
         state.started_requests += 1;
-        state.started_tags.insert(answer_tag);
+        state.started_chats.insert(chat.messages_hash);
+        if state.runs.len() < MAX_COUNTED_REQUESTS {
+            *state.runs.entry(chat.messages.clone()).or_default() += 1;
+        }
         true
     }
 
@@ -260,15 +334,12 @@
         let uncached = u64::from(chat.prompt_tokens - cached_tokens);
         let prefill_us = uncached * self.settings.prefill_us_per_token;
         tokio::time::sleep(Duration::from_micros(prefill_us)).await;
-        let cut_after = self.take_cut();
+        let faults = self.take_stream_faults();
         for index in chat.resume_tokens..chat.answer_tokens {
             self.wait_unfrozen().await;
-            if cut_after == Some(index - chat.resume_tokens) {
-                drop(
-                    frames
-                        .send(Err(std::io::Error::other("cut by the stand-in")))
-                        .await,
-                );
+            if index - chat.resume_tokens == faults.after_tokens
+                && !go_wrong(&faults, chat, &frames).await
+            {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(self.settings.decode_ms)).await;
@@ -324,13 +395,15 @@
         }
     }
 
-    fn take_cut(&self) -> Option<u32> {
-        let mut state = self.lock();
-        if state.faults.cut_streams == 0 {
-            return None;
+    fn take_stream_faults(&self) -> StreamFaults {
+        let faults = &mut self.lock().faults;
+        let stall = take(&mut faults.stalled_streams);
+        StreamFaults {
+            after_tokens: faults.cut_after_tokens,
+            cut: take(&mut faults.cut_streams),
+            crossed_piece: take(&mut faults.crossed_pieces),
+            stall: stall.then(|| Duration::from_millis(faults.stall_ms)),
         }
-        state.faults.cut_streams -= 1;
-        Some(state.faults.cut_after_tokens)
     }
 
     async fn wait_unfrozen(&self) {
@@ -340,6 +413,10 @@
         }
     }
 
+    fn lock_orders(&self) -> MutexGuard<'_, OrderBook> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -397,6 +474,29 @@
     }
 }
 
+/// Does what goes wrong in the middle of a stream; false if the stream is over.
+async fn go_wrong(faults: &StreamFaults, chat: &ChatRequest, frames: &Frames) -> bool {
+    if let Some(stall) = faults.stall {
+        tokio::time::sleep(stall).await;
+    }
+    if faults.crossed_piece {
+        let piece = chunk(
+            "another-attempt",
+            chat,
+            Some(String::from("foreign ")),
+            None,
+        );
+        if !send_event(frames, &piece).await {
+            return false;
+        }
+    }
+    if faults.cut {
+        let error = std::io::Error::other("cut by the stand-in");
+        drop(frames.send(Err(error)).await);
+    }
+    !faults.cut
+}
+
 async fn read_chat(request: Request<Incoming>) -> Result<ChatRequest, FakeResponse> {
     let headers = request.headers().clone();
     let body = read_bytes(request).await?;
@@ -418,6 +518,8 @@
         prompt_tokens: text_bytes.div_ceil(BYTES_PER_TOKEN) as u32,
         answer_tokens: max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
         answer_tag: answer_tag(&value["messages"]),
+        messages_hash: messages_hash(&value["messages"]),
+        messages: value["messages"].to_string(),
     })
 }
 
--- a/crates/sapphiretrackd/src/control/budgets.rs
+++ b/crates/sapphiretrackd/src/control/budgets.rs
@@ -7,6 +7,13 @@
     hash_parts, steward_of,
 };
 
+use crate::control::ControlState;
+use crate::control::handle::BudgetPlace;
+
+/// How lately a router must have been heard to count for the share of budgets, in percent of the
+/// time after which its budgets get another steward.
+const BUDGET_HEARD_PERCENT: u64 = 60;
+
 /// All budgets that this router keeps.
 #[derive(Default)]
 pub(crate) struct Budgets {
@@ -50,3 +57,37 @@
     let key = hash_parts(&[b"budget", customer.as_bytes()]);
     steward_of(ServerId(key), stewards)
 }
+
+impl ControlState {
+    /// Answers a question about a budget, or tells where to ask it.
+    pub(crate) fn lease_budget(&mut self, ask: BudgetAsk, now_ms: u64) -> BudgetPlace {
+        let steward = budget_steward(&ask.customer, &self.stewards);
+        let peer = steward.and_then(|steward| self.peers.get(steward));
+        match peer {
+            Some(peer) => BudgetPlace::Peer(peer.profile.peer_address, ask),
+            None => BudgetPlace::Here(self.keep_budget(&ask, now_ms)),
+        }
+    }
+
+    /// Answers a router about a budget that this one may keep.
+    pub(super) fn keep_budget(&mut self, ask: &BudgetAsk, now_ms: u64) -> BudgetReply {
+        let steward = budget_steward(&ask.customer, &self.stewards);
+        let contract = self.config.contracts.get(&ask.customer);
+        match contract {
+            Some(contract) if steward == Some(self.identity.id) => {
+                let contract = contract.clone();
+                let share = self.budget_share(now_ms);
+                self.budgets.answer(ask, &contract, share, now_ms)
+            }
+            _ => BudgetReply::NotSteward,
+        }
+    }
+
+    /// The part of each budget that this router may give out as steward: the part of the routers
+    /// that it hears. The others may have another steward.
+    fn budget_share(&self, now_ms: u64) -> f64 {
+        let heard_within_ms = self.timing.dead_after_ms * BUDGET_HEARD_PERCENT / 100;
+        let heard = 1 + self.peers.live_heard_within(heard_within_ms, now_ms);
+        heard as f64 / self.peers.expected_routers().max(heard) as f64
+    }
+}
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -5,9 +5,10 @@
 
 use arc_swap::ArcSwap;
 use sapphiretrack_core::{
-    BudgetAsk, BudgetReply, FleetConfig, Grant, LoadReport, ReservationId, RouterId, ServerId,
+    BudgetAsk, BudgetReply, FleetConfig, Grant, Incarnation, LoadReport, ReservationId, RouterId,
+    ServerId,
 };
-use sapphiretrack_peer::{PeerReply, PeerRequest};
+use sapphiretrack_peer::{HeartbeatReply, PeerReply, PeerRequest};
 use sapphiretrack_platform::wire::VmList;
 use tokio::sync::{mpsc, oneshot};
 
@@ -54,10 +55,14 @@
     },
     /// A peer answered a heartbeat.
     PeerAnswered {
-        /// The peer.
-        router: RouterId,
-        /// The configuration version that it has in force.
-        config_version: u64,
+        /// The peer; none for an address of the settings.
+        router: Option<RouterId>,
+        /// Where it was called.
+        address: SocketAddr,
+        /// The heartbeat's sequence number.
+        sequence: u64,
+        /// Its answer.
+        answer: HeartbeatReply,
     },
     /// The planned stop begins.
     Stop,
@@ -70,6 +75,23 @@
         /// Where the reply goes.
         reply: oneshot::Sender<BudgetPlace>,
     },
+    /// Nothing listens at a peer's address.
+    PeerRefused {
+        /// The peer.
+        router: RouterId,
+    },
+    /// Nothing listens at the address of a steward.
+    AddressRefused {
+        /// Its peers' address.
+        address: SocketAddr,
+    },
+    /// A request met a server that says that it is leaving.
+    ServerLeaving {
+        /// The server.
+        server: ServerId,
+        /// The incarnation to which the request was sent.
+        incarnation: Incarnation,
+    },
 }
 
 /// The control thread's part of a reservation.
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -10,12 +10,13 @@
 use sapphiretrack_backend::BackendClient;
 use sapphiretrack_caller::{CallerHandlers, RequestToken};
 use sapphiretrack_core::{
-    Contract, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RouterId, sha256_hex,
+    Contract, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RouterId, RouterProfile,
+    sha256_hex,
 };
 use sapphiretrack_operator::OperatorHandlers;
 use sapphiretrack_operator::wire::StopReply;
 use sapphiretrack_peer::{PeerClient, PeerHandlers, SigningKey};
-use sapphiretrack_platform::{ClaimStore, ConfigurationStore, PlatformClient};
+use sapphiretrack_platform::{ClaimStore, ConfigurationStore, GoalStore, PlatformClient};
 use snafu::{ResultExt, Snafu};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::Notify;
@@ -28,6 +29,7 @@
 use crate::dispatch::{Dispatcher, Health};
 use crate::entry::entry_reply;
 use crate::events::Event;
+use crate::goals::GoalOperations;
 use crate::limits::LimitTable;
 use crate::metrics::{InFlight, Metrics};
 use crate::operations::Operations;
@@ -123,12 +125,14 @@
         traffic.spawn(sweep_claims(claims, parts.control.clone()));
         let identity = Identity {
             id: RouterId::from_name(&settings.router_name),
-            name: settings.router_name.clone(),
-            zone: settings.zone.clone(),
             incarnation: wall_clock_ms(),
-            caller_address: endpoints.callers.local_addr(),
-            operator_address: endpoints.operators.local_addr(),
-            peer_address,
+            profile: RouterProfile {
+                name: settings.router_name.clone(),
+                zone: settings.zone.clone(),
+                caller_address: endpoints.callers.local_addr(),
+                operator_address: endpoints.operators.local_addr(),
+                peer_address,
+            },
         };
         let (control, stop, metrics) = (
             parts.control.clone(),
@@ -365,6 +369,11 @@
             control: self.control.clone(),
             metrics: self.metrics.clone(),
         };
+        let goals = GoalOperations {
+            store: GoalStore::new(self.platform.clone()),
+            control: self.control.clone(),
+        };
+        let goals_for_fencing = goals.clone();
         let digest = settings.operator_key_sha256.to_lowercase();
         let stop = self.stop.clone();
         let metrics = self.metrics.clone();
@@ -400,6 +409,14 @@
                 }
             }),
             metrics: Arc::new(move || metrics.encode()),
+            set_goal: Arc::new(move |request| {
+                let goals = goals.clone();
+                Box::pin(async move { goals.set_goal(request).await })
+            }),
+            set_fencing: Arc::new(move |request| {
+                let goals = goals_for_fencing.clone();
+                Box::pin(async move { goals.set_fencing(request).await })
+            }),
         }
     }
 
@@ -411,13 +428,19 @@
         };
         let parts = ControlParts {
             clock: self.clock,
-            state: ControlState::new(identity, timing, settings.load_bound),
+            state: ControlState::new(
+                identity,
+                timing,
+                settings.load_bound,
+                settings.peer_seeds.0.clone(),
+            ),
             platform: self.platform,
             peers: self.peers,
             backend: self.backend,
             metrics: self.metrics,
             heartbeat_ms: settings.heartbeat_ms,
             fetching_config: Arc::default(),
+            read_list: Arc::new(Notify::new()),
         };
         run_control(parts, self.control, self.commands)
     }
--- a/crates/sapphiretrackd/src/dispatch/mod.rs
+++ b/crates/sapphiretrackd/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod chat;
 mod health;
+mod leaving;
 mod once;
 mod service;
 mod slots;
--- a/crates/sapphiretrackd/src/events.rs
+++ b/crates/sapphiretrackd/src/events.rs
@@ -65,6 +65,16 @@
     pub const CROSSED_REPLY: Self = Self::new(501, Level::Error, "crossed reply dropped");
     /// The answer of a non-idempotent request could not be recorded.
     pub const RECORD_FAILED: Self = Self::new(502, Level::Warn, "answer was not recorded");
+    /// The control thread stood still; nothing is granted on what it knew before.
+    pub const PAUSED: Self = Self::new(220, Level::Warn, "control thread stood still");
+    /// This router took the lease for orders to engines.
+    pub const LEASE_TAKEN: Self = Self::new(410, Level::Info, "order lease taken");
+    /// An engine took an order.
+    pub const ORDER_TAKEN: Self = Self::new(411, Level::Info, "order taken");
+    /// An engine refused an order: its fencing number is old, or the engine restarted.
+    pub const ORDER_REFUSED: Self = Self::new(412, Level::Warn, "order refused");
+    /// No reply came to an order; the engine's state tells what became of it.
+    pub const ORDER_LOST: Self = Self::new(413, Level::Warn, "no reply to an order");
 
     /// The platform had gone back; this router wrote back what it held.
     pub const CONFIG_REPUBLISHED: Self = Self::new(
@@ -103,6 +113,11 @@
         Self::CONFIG_REPUBLISHED,
         Self::SERVER_EJECTED,
         Self::CLAIMS_SWEPT,
+        Self::PAUSED,
+        Self::LEASE_TAKEN,
+        Self::ORDER_TAKEN,
+        Self::ORDER_REFUSED,
+        Self::ORDER_LOST,
     ];
 
     const fn new(number: u16, level: Level, text: &'static str) -> Self {
