--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet on loopback: platform, engines, a plain service and routers as processes.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,7 +21,8 @@
 pub const CALLER_KEY: &str = "caller-key-of-the-tests";
 /// The operators' key.
 pub const OPERATOR_KEY: &str = "operator-key-of-the-tests";
-const CELL_KEY: &str = "cell-key-of-the-tests";
+/// Counts the fleets of this process, for their cell keys.
+static FLEETS: AtomicU64 = AtomicU64::new(0);
 /// How long a fleet may take until all see all.
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -73,6 +75,9 @@
     /// Routers.
     pub routers: Vec<Member>,
     settings: FleetSettings,
+    /// A key of its own: a router of another fleet that takes the port of one that died here must
+    /// not be taken for it.
+    cell_key: String,
 }
 
 impl Fleet {
@@ -106,6 +111,11 @@
             servers: Vec::new(),
             routers: Vec::new(),
             settings,
+            cell_key: format!(
+                "cell-key-of-the-tests-{}-{}",
+                std::process::id(),
+                FLEETS.fetch_add(1, Ordering::Relaxed)
+            ),
         }
     }
 
@@ -240,7 +250,7 @@
             format!("--operator-address={operators}"),
             format!("--peer-address={peers}"),
             format!("--platform-url=http://{}", self.platform_address),
-            format!("--cell-key={CELL_KEY}"),
+            format!("--cell-key={}", self.cell_key),
             format!("--operator-key-sha256={}", sha256_hex(OPERATOR_KEY)),
             format!("--entry-ttl-ms={}", self.settings.entry_ttl_ms),
         ];
