--- a/crates/sapphiretrack-bench/src/lib.rs
+++ b/crates/sapphiretrack-bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Measurements of the router fleet.
 
 pub mod demo;
+pub mod policy;
--- /dev/null
+++ b/crates/sapphiretrack-bench/src/policy/messages.rs
@@ -0,0 +1,60 @@
+//! Counts the encoded sizes of the messages that routers really send.
+
+use sapphiretrack_core::{Grant, LoadReport};
+use sapphiretrack_peer::{HeartbeatReply, PeerReply, PeerRequest, SigningKey};
+
+/// The request that fetches a load report.
+const PROBE_REQUEST: &str = "GET /load HTTP/1.1\r\nhost: 10.10.10.10:8000\r\n\r\n";
+/// The head of its answer.
+const PROBE_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
+    content-length: 85\r\ndate: Wed, 01 Jan 2025 00:00:00 GMT\r\n\r\n";
+
+/// Sums the bytes that routers spend on control.
+pub(crate) struct Meter {
+    key: SigningKey,
+    bytes: u64,
+    probe_bytes: u64,
+}
+
+impl Meter {
+    pub(crate) fn new() -> Self {
+        let report = serde_json::to_string(&LoadReport::default()).unwrap_or_default();
+        let probe = PROBE_REQUEST.len() + PROBE_ANSWER.len() + report.len();
+        Self {
+            key: SigningKey::new("policy"),
+            bytes: 0,
+            probe_bytes: probe as u64,
+        }
+    }
+
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    pub(crate) fn count(&mut self, request: &PeerRequest) {
+        let signed = self.key.sign(request);
+        let size = signed.and_then(|signed| bincode::serialized_size(&signed));
+        self.bytes += size.unwrap_or_default();
+    }
+
+    pub(crate) fn count_reply_to_reserve(&mut self) {
+        self.count_reply(&PeerReply::Reserve(Grant::Granted));
+    }
+
+    pub(crate) fn count_reply_to_release(&mut self) {
+        self.count_reply(&PeerReply::Released);
+    }
+
+    pub(crate) fn count_reply_to_heartbeat(&mut self) {
+        let reply = HeartbeatReply { config_version: 1 };
+        self.count_reply(&PeerReply::Heartbeat(reply));
+    }
+
+    pub(crate) fn count_probes(&mut self, probes: usize) {
+        self.bytes += self.probe_bytes * probes as u64;
+    }
+
+    fn count_reply(&mut self, reply: &PeerReply) {
+        self.bytes += bincode::serialized_size(reply).unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-bench/src/policy/router.rs
@@ -0,0 +1,386 @@
+//! One router of the policy run: the daemon's decisions over a view of its own.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use sapphiretrack_core::{
+    CellView, ChatKey, ConsentSettings, DrainSettings, Grant, HeardLoad, HeldSlots, Ledger,
+    LedgerSettings, LoadReport, PlacementMemory, PlacementRequest, PlacementSettings, PoolKind,
+    PoolLoad, PoolView, ReservationId, ReserveRequest, RouterId, ServerId, ServerView,
+    StewardNames, VmState, WarmHint, WorkspaceKey, WorkspaceShares, least_in_flight, rank_servers,
+    steward_of,
+};
+use sapphiretrack_peer::{Heartbeat, ServerState};
+
+use super::trace::Turn;
+
+/// After this silence a router is no longer taken to be live.
+const DEAD_AFTER_MS: u64 = 2_500;
+/// Chats that a router remembers.
+const MEMORY_CHATS: usize = 100_000;
+
+/// One router.
+pub(crate) struct Router {
+    pub(crate) id: RouterId,
+    all: Vec<RouterId>,
+    servers: Vec<ServerId>,
+    placement: PlacementSettings,
+    drain: DrainSettings,
+    names: StewardNames,
+    ledger: Ledger,
+    memory: PlacementMemory,
+    shares: WorkspaceShares,
+    view: PoolView,
+    /// Which server of the view is which; none if it is not listed.
+    own: Vec<u32>,
+    held: BTreeMap<ReservationId, usize>,
+    next_reservation: u32,
+    sequence: u64,
+    peers: Vec<Peer>,
+}
+
+/// A peer as last heard.
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    heard_ms: u64,
+    in_flight: Vec<u32>,
+    pool_in_flight: u32,
+    pool_heard_ms: u64,
+}
+
+impl Router {
+    pub(crate) fn new(
+        index: usize,
+        all: &[RouterId],
+        servers: &[ServerId],
+        listed: usize,
+        placement: PlacementSettings,
+    ) -> Self {
+        let consent = ConsentSettings::default();
+        let views = servers.iter().map(|id| server_view(*id)).collect();
+        let mut router = Self {
+            id: all[index],
+            all: all.to_vec(),
+            servers: servers.to_vec(),
+            placement,
+            drain: DrainSettings::default(),
+            names: StewardNames::new(consent),
+            ledger: Ledger::new(all[index], LedgerSettings::default()),
+            memory: PlacementMemory::new(MEMORY_CHATS),
+            shares: WorkspaceShares::default(),
+            view: PoolView {
+                name: String::from("model"),
+                kind: PoolKind::Engine,
+                servers: views,
+            },
+            own: vec![0; servers.len()],
+            held: BTreeMap::new(),
+            next_reservation: u32::MAX - 1_000,
+            sequence: 0,
+            peers: vec![Peer::default(); all.len()],
+        };
+        for peer in &mut router.peers {
+            peer.in_flight = vec![0; servers.len()];
+        }
+        for server in &mut router.view.servers[listed..] {
+            server.state = VmState::Leaving;
+        }
+        router
+    }
+
+    /// Learns whether a server takes new work.
+    pub(crate) fn learn(&mut self, server: usize, state: VmState) {
+        self.view.servers[server].state = state;
+    }
+
+    /// Takes in a server's load report.
+    pub(crate) fn take_report(&mut self, server: usize, report: LoadReport) {
+        self.view.servers[server].report = report;
+    }
+
+    pub(crate) fn is_live(&self, server: usize) -> bool {
+        self.view.servers[server].state == VmState::Live
+    }
+
+    pub(crate) fn reported(&self, server: usize) -> u32 {
+        let report = &self.view.servers[server].report;
+        report.running + report.queued
+    }
+
+    pub(crate) fn own(&self, server: usize) -> u32 {
+        self.own[server]
+    }
+
+    pub(crate) fn note_sent(&mut self, server: usize) {
+        self.own[server] += 1;
+    }
+
+    pub(crate) fn note_ended(&mut self, server: usize) {
+        self.own[server] -= 1;
+    }
+
+    /// Settles what time alone changes.
+    pub(crate) fn tick(&mut self, now_ms: u64) {
+        let live = self.live_routers(now_ms);
+        let consents = |server: &ServerId| self.names.consent(*server) == Some(self.id);
+        let stewarded: Vec<ServerId> = self.servers.iter().copied().filter(consents).collect();
+        self.names.note_sent(self.id, now_ms);
+        let view = CellView {
+            stewarded: &stewarded,
+            live: &live,
+            known: &self.all,
+        };
+        self.ledger.set_view(&view, now_ms);
+        let may_begin = self.ledger.hears_cell();
+        for server in &self.servers {
+            if let Some(steward) = steward_of(*server, &live) {
+                self.names.want(*server, steward, may_begin, now_ms);
+            }
+        }
+    }
+
+    /// The servers to try, best first.
+    pub(crate) fn rank(
+        &mut self,
+        turn: &Turn,
+        told: Option<WarmHint>,
+        share: f64,
+        now_ms: u64,
+    ) -> Vec<usize> {
+        self.correct_in_flight();
+        let chat = ChatKey(turn.chat);
+        let workspace = WorkspaceKey(turn.workspace);
+        let remembered = self.memory.recall(chat, now_ms);
+        let warm: Vec<WarmHint> = told.into_iter().chain(remembered).collect();
+        let request = PlacementRequest {
+            workspace,
+            workspace_share: self.shares.note(workspace, now_ms),
+            chat,
+            prompt_tokens: turn.prompt_tokens,
+            warm: &warm,
+            bound_share: share,
+            zone: "",
+        };
+        let ranked = rank_servers(&self.placement, &self.view, &request);
+        ranked
+            .iter()
+            .filter_map(|candidate| self.servers.iter().position(|id| *id == candidate.server))
+            .collect()
+    }
+
+    pub(crate) fn remember(&mut self, chat: u64, place: WarmHint, now_ms: u64) {
+        self.memory.remember(ChatKey(chat), place, now_ms);
+    }
+
+    /// Begins a reservation: whom to ask, and what.
+    pub(crate) fn begin(&mut self, server: usize, share: f64) -> (Option<usize>, ReserveRequest) {
+        let reservation = ReservationId(self.next_reservation);
+        self.next_reservation = self.next_reservation.wrapping_add(1);
+        self.held.insert(reservation, server);
+        let request = ReserveRequest {
+            router: self.id,
+            reservation,
+            server: self.servers[server],
+            bound_share: share as f32,
+            in_flight: self.pool_in_flight() as u16,
+        };
+        let steward = self.names.steward(self.servers[server]);
+        let index = self.all.iter().position(|id| Some(*id) == steward);
+        (index, request)
+    }
+
+    /// Ends a reservation.
+    pub(crate) fn end(&mut self, reservation: ReservationId) {
+        self.held.remove(&reservation);
+    }
+
+    /// Decides about a slot, as steward.
+    pub(crate) fn reserve(&mut self, request: &ReserveRequest, now_ms: u64) -> Grant {
+        self.note_pool_load(request.router, u32::from(request.in_flight), now_ms);
+        let Some(server) = self.servers.iter().position(|id| *id == request.server) else {
+            return Grant::NotSteward;
+        };
+        if !self.is_live(server) {
+            return Grant::Full;
+        }
+        let load = PoolLoad {
+            in_flight: self.least_pool_in_flight(now_ms),
+            live_servers: self.view.live_count(),
+            reported: self.reported(server),
+        };
+        let bound = self.placement.bound;
+        self.ledger.reserve(request, &bound, &load, now_ms)
+    }
+
+    /// Takes a slot back, as steward.
+    pub(crate) fn release(
+        &mut self,
+        router: RouterId,
+        server: usize,
+        reservation: ReservationId,
+        in_flight: u32,
+        now_ms: u64,
+    ) {
+        self.note_pool_load(router, in_flight, now_ms);
+        self.ledger
+            .release(router, self.servers[server], reservation);
+    }
+
+    /// The heartbeat for a peer.
+    pub(crate) fn heartbeat(&mut self, to: usize, now_ms: u64) -> Heartbeat {
+        let steward = self.all[to];
+        self.names.note_sent(steward, now_ms);
+        self.sequence += 1;
+        let consents = |server: &ServerId| self.names.consent(*server) == Some(steward);
+        let listed = self
+            .servers
+            .iter()
+            .enumerate()
+            .filter(|(_, id)| consents(id));
+        let by_server = listed
+            .map(|(server, id)| {
+                let held = self.held.iter().filter(|(_, on)| **on == server);
+                (*id, held.map(|(reservation, _)| *reservation).collect())
+            })
+            .collect();
+        let in_flight = self
+            .servers
+            .iter()
+            .zip(&self.own)
+            .filter(|(_, own)| **own > 0);
+        Heartbeat {
+            router: self.id,
+            name: String::from("router-00"),
+            zone: String::from("thiaroye"),
+            incarnation: 1,
+            sequence: self.sequence,
+            state: VmState::Live,
+            caller_address: ADDRESS,
+            peer_address: ADDRESS,
+            operator_address: ADDRESS,
+            config_version: 1,
+            in_flight: in_flight.map(|(id, own)| (*id, *own as u16)).collect(),
+            servers: self
+                .watched()
+                .map(|server| self.server_state(server))
+                .collect(),
+            held: HeldSlots {
+                next_reservation: self.next_reservation,
+                by_server,
+            },
+        }
+    }
+
+    /// The servers whose load reports this router fetches.
+    pub(crate) fn watched(&self) -> impl Iterator<Item = usize> + '_ {
+        let is_own = |id: &ServerId| self.names.steward(*id) == Some(self.id);
+        let servers = self.servers.iter().enumerate();
+        servers
+            .filter(move |(_, id)| is_own(id))
+            .map(|(server, _)| server)
+    }
+
+    /// Takes in a peer's heartbeat.
+    pub(crate) fn take_heartbeat(&mut self, from: usize, heartbeat: &Heartbeat, now_ms: u64) {
+        let peer = &mut self.peers[from];
+        peer.heard_ms = now_ms;
+        peer.in_flight.fill(0);
+        for (id, count) in &heartbeat.in_flight {
+            if let Some(server) = self.servers.iter().position(|known| known == id) {
+                peer.in_flight[server] = u32::from(*count);
+            }
+        }
+        self.ledger
+            .reconcile(heartbeat.router, &heartbeat.held, now_ms);
+        let views = &self.view.servers;
+        let live = views
+            .iter()
+            .enumerate()
+            .filter(|(_, view)| view.state == VmState::Live);
+        let sum = live
+            .map(|(server, _)| self.peers[from].in_flight[server])
+            .sum();
+        self.note_pool_load(heartbeat.router, sum, now_ms);
+    }
+
+    /// This router's requests in flight on live servers.
+    pub(crate) fn pool_in_flight(&self) -> u32 {
+        let live = self
+            .own
+            .iter()
+            .enumerate()
+            .filter(|(server, _)| self.is_live(*server));
+        live.map(|(_, own)| *own).sum()
+    }
+
+    fn note_pool_load(&mut self, router: RouterId, in_flight: u32, now_ms: u64) {
+        let Some(index) = self.all.iter().position(|id| *id == router) else {
+            return;
+        };
+        let peer = &mut self.peers[index];
+        peer.pool_in_flight = in_flight;
+        peer.pool_heard_ms = now_ms;
+    }
+
+    fn least_pool_in_flight(&self, now_ms: u64) -> u32 {
+        let own = self.pool_in_flight();
+        let others = self
+            .all
+            .iter()
+            .zip(&self.peers)
+            .filter(|(id, _)| **id != self.id);
+        let heard = others.map(|(_, peer)| HeardLoad {
+            in_flight: peer.pool_in_flight,
+            age_ms: now_ms.saturating_sub(peer.pool_heard_ms),
+        });
+        least_in_flight(&self.drain, own, heard)
+    }
+
+    /// What others held when last heard, and what this router holds now.
+    fn correct_in_flight(&mut self) {
+        for (server, view) in self.view.servers.iter_mut().enumerate() {
+            let heard: u32 = self.peers.iter().map(|peer| peer.in_flight[server]).sum();
+            let counted = self.ledger.held(view.id);
+            view.in_flight = counted.unwrap_or(heard + self.own[server]);
+        }
+    }
+
+    fn live_routers(&self, now_ms: u64) -> Vec<RouterId> {
+        let known = self.all.iter().zip(&self.peers);
+        known
+            .filter(|(id, peer)| {
+                **id == self.id || now_ms.saturating_sub(peer.heard_ms) < DEAD_AFTER_MS
+            })
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    fn server_state(&self, server: usize) -> ServerState {
+        let view = &self.view.servers[server];
+        ServerState {
+            server: view.id,
+            state: view.state,
+            reachable: true,
+            report: view.report,
+        }
+    }
+}
+
+/// Stands for all addresses; they are all of the same encoded size.
+const ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+pub(crate) fn server_view(id: ServerId) -> ServerView {
+    ServerView {
+        id,
+        name: String::new(),
+        zone: String::new(),
+        address: ADDRESS,
+        state: VmState::Live,
+        in_flight: 0,
+        report: LoadReport {
+            incarnation: 1,
+            ..LoadReport::default()
+        },
+        steward: RouterId(0),
+    }
+}
--- a/crates/sapphiretrack-core/src/bound.rs
+++ b/crates/sapphiretrack-core/src/bound.rs
@@ -27,13 +27,19 @@
 /// The number of requests that a server may hold, as its pool stands.
 ///
 /// `share` is the part of the bound that a class may fill: urgent classes get 1.0, lower ones
-/// leave headroom. The request about to be placed counts as part of the load.
+/// leave headroom. The request about to be placed counts as part of the load. The multiple of
+/// the mean is rounded down: above the floor no server passes the multiple, not by a fraction.
+///
+/// No class gets less than one request above the mean, as far as the bound allows it: the
+/// emptiest server is at the mean or under it, so that headroom alone never refuses work
+/// while the pool could take it.
 pub fn server_limit(bound: &LoadBound, pool_in_flight: u32, live_servers: u32, share: f64) -> u32 {
     let mean = f64::from(pool_in_flight.saturating_add(1)) / f64::from(live_servers.max(1));
-    let by_mean = (bound.load_multiple * mean).ceil() as u32;
+    let by_mean = (bound.load_multiple * mean).floor() as u32;
     let whole = by_mean
         .max(bound.floor_requests)
         .min(bound.ceiling_requests);
     let by_class = (f64::from(whole) * share.clamp(0.0, 1.0)).floor() as u32;
-    by_class.max(1)
+    let above_mean = (mean.floor() as u32).saturating_add(1).min(whole);
+    by_class.max(above_mean).max(1)
 }
--- a/crates/sapphiretrack-core/src/ids.rs
+++ b/crates/sapphiretrack-core/src/ids.rs
@@ -51,6 +51,14 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ReservationId(pub u32);
 
+impl ReservationId {
+    /// Whether this id was drawn at or after `next`; ids wrap around, so that one half of them
+    /// counts as later and the other as earlier.
+    pub fn is_at_or_after(self, next: u32) -> bool {
+        self.0.wrapping_sub(next) <= u32::MAX / 2
+    }
+}
+
 /// Identifies one attempt to run a request on a backend server.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct AttemptId(pub u128);
--- a/crates/sapphiretrack-core/src/ledger.rs
+++ b/crates/sapphiretrack-core/src/ledger.rs
@@ -4,19 +4,30 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{LoadBound, ReservationId, RouterId, ServerId, server_limit};
+use crate::{ConsentSettings, LoadBound, ReservationId, RouterId, ServerId, server_limit};
 
 /// Times that rule the ledger.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
     /// How long slots of a router that is no longer heard of stay counted.
     pub dead_holder_grace_ms: u64,
+    /// How long a router that is no longer heard of still counts among those of whom most have
+    /// to consent; longer than an isolated router keeps taking new work.
+    pub electorate_ms: u64,
+    /// For so long after that, requests of the lost router may still run on the server, and the
+    /// server's own report is a lower limit of the count.
+    pub orphans_ms: u64,
+    /// How consent is given.
+    pub consent: ConsentSettings,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             dead_holder_grace_ms: 3_000,
+            electorate_ms: 15_000,
+            orphans_ms: 60_000,
+            consent: ConsentSettings::default(),
         }
     }
 }
@@ -31,7 +42,9 @@
     /// The server.
     pub server: ServerId,
     /// The part of the bound that the request's class may fill.
-    pub bound_share: f64,
+    pub bound_share: f32,
+    /// The asker's requests in flight on the server's pool.
+    pub in_flight: u16,
 }
 
 /// The steward's answer.
@@ -46,6 +59,8 @@
 }
 
 /// What a router holds on the servers of one steward, as it stands when sent.
+///
+/// Listing a server is also the sender's consent that the receiver is its steward.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct HeldSlots {
     /// Reservations from this id on were made later and are not judged by this message.
@@ -55,21 +70,53 @@
     pub by_server: Vec<(ServerId, Vec<ReservationId>)>,
 }
 
+/// A pool's load as a steward knows it when it is asked for a slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PoolLoad {
+    /// Requests in flight, at the least.
+    pub in_flight: u32,
+    /// Servers that take new work, at the most.
+    pub live_servers: u32,
+    /// Requests on the asked server by its own last report.
+    pub reported: u32,
+}
+
+/// The routers of a cell as one of them knows them.
+#[derive(Clone, Copy, Debug)]
+pub struct CellView<'a> {
+    /// The servers that this router's own view makes it steward of.
+    pub stewarded: &'a [ServerId],
+    /// The routers heard of lately, leaving ones and this one included.
+    pub live: &'a [RouterId],
+    /// All routers there may be: listed ones and those heard of lately.
+    pub known: &'a [RouterId],
+}
+
 /// The slots of the servers that this router is steward of.
 #[derive(Debug)]
 pub struct Ledger {
     settings: Settings,
     me: RouterId,
     servers: BTreeMap<ServerId, ServerSlots>,
+    /// Known routers that are not heard of, and since when.
     lost_since_ms: BTreeMap<RouterId, u64>,
+    /// Everyone who may hold a slot that this router did not grant.
+    holders: BTreeSet<RouterId>,
+    /// Routers of whom most have to consent.
+    electorate: usize,
+    hears_cell: bool,
+    /// Until then requests may run that no router lists.
+    orphans_until_ms: u64,
 }
 
 /// The slots of one server.
 #[derive(Debug, Default)]
 struct ServerSlots {
     held: BTreeMap<RouterId, BTreeSet<ReservationId>>,
-    /// Routers that have not yet said what they hold; no grant before this is empty.
-    unheard: BTreeSet<RouterId>,
+    /// When each router last said what it holds, and so consented to this steward.
+    consents: BTreeMap<RouterId, u64>,
+    /// Whether all holders were heard under the present consent; no grant before.
+    is_whole: bool,
 }
 
 impl Ledger {
@@ -80,36 +127,39 @@
             me,
             servers: BTreeMap::new(),
             lost_since_ms: BTreeMap::new(),
+            holders: BTreeSet::new(),
+            electorate: 1,
+            hears_cell: false,
+            orphans_until_ms: 0,
         }
     }
 
-    /// Takes in a new view: the servers that this router is steward of, and the live routers.
+    /// Takes in a new view. Call it often: this is also where consent is seen to lapse.
     ///
-    /// A server that is new here grants nothing until each live router has said what it holds.
-    pub fn set_view(&mut self, stewarded: &[ServerId], live_routers: &[RouterId], now_ms: u64) {
-        self.servers.retain(|server, _| stewarded.contains(server));
-        for server in stewarded {
-            self.servers.entry(*server).or_insert_with(|| ServerSlots {
-                held: BTreeMap::new(),
-                unheard: live_routers
-                    .iter()
-                    .copied()
-                    .filter(|id| *id != self.me)
-                    .collect(),
-            });
+    /// A server that is new here, or whose consent has lapsed, grants nothing until most routers
+    /// consent and every router that may hold a slot has said what it holds.
+    pub fn set_view(&mut self, view: &CellView<'_>, now_ms: u64) {
+        self.note_lost_routers(view, now_ms);
+        for server in view.stewarded {
+            let slots = self.servers.entry(*server).or_default();
+            slots.consents.insert(self.me, now_ms);
+        }
+        let consent_ms = self.settings.consent.consent_ms;
+        self.servers.retain(|server, slots| {
+            view.stewarded.contains(server) || slots.fresh_consents(consent_ms, now_ms) > 0
+        });
+        for slots in self.servers.values_mut() {
+            slots.settle(&self.holders, self.electorate, consent_ms, now_ms);
         }
-        self.forget_lost_routers(live_routers, now_ms);
     }
 
     /// Takes in what a router holds; this also settles lost grants and lost releases.
-    pub fn reconcile(&mut self, router: RouterId, slots: &HeldSlots) {
+    pub fn reconcile(&mut self, router: RouterId, slots: &HeldSlots, now_ms: u64) {
         for (server, reservations) in &slots.by_server {
-            let Some(entry) = self.servers.get_mut(server) else {
-                continue;
-            };
-            entry.unheard.remove(&router);
+            let entry = self.servers.entry(*server).or_default();
+            entry.consents.insert(router, now_ms);
             let held = entry.held.entry(router).or_default();
-            held.retain(|id| id.0 >= slots.next_reservation);
+            held.retain(|id| id.is_at_or_after(slots.next_reservation));
             held.extend(reservations.iter().copied());
         }
     }
@@ -119,24 +169,28 @@
         &mut self,
         request: &ReserveRequest,
         bound: &LoadBound,
-        pool_in_flight: u32,
-        live_servers: u32,
+        load: &PoolLoad,
+        now_ms: u64,
     ) -> Grant {
+        let consent_ms = self.settings.consent.consent_ms;
         let Some(entry) = self.servers.get_mut(&request.server) else {
             return Grant::NotSteward;
         };
-        if !entry.unheard.is_empty() {
+        entry.settle(&self.holders, self.electorate, consent_ms, now_ms);
+        if !entry.is_whole {
             return Grant::NotSteward;
         }
-        let limit = server_limit(bound, pool_in_flight, live_servers, request.bound_share);
-        if entry.count() >= limit {
+        let share = f64::from(request.bound_share);
+        let limit = server_limit(bound, load.in_flight, load.live_servers, share);
+        let unlisted = match now_ms < self.orphans_until_ms {
+            true => load.reported,
+            false => 0,
+        };
+        if entry.count().max(unlisted) >= limit {
             return Grant::Full;
         }
-        entry
-            .held
-            .entry(request.router)
-            .or_default()
-            .insert(request.reservation);
+        let held = entry.held.entry(request.router).or_default();
+        held.insert(request.reservation);
         Grant::Granted
     }
 
@@ -150,33 +204,50 @@
         }
     }
 
-    /// Slots held on a server, if this router is its steward.
+    /// Whether this router hears of most of its cell, and of all routers that may hold slots.
+    pub fn hears_cell(&self) -> bool {
+        self.hears_cell
+    }
+
+    /// Slots held on a server, if this router counts them all.
     pub fn held(&self, server: ServerId) -> Option<u32> {
-        self.servers.get(&server).map(ServerSlots::count)
+        let slots = self.servers.get(&server)?;
+        slots.is_whole.then(|| slots.count())
     }
 
-    fn forget_lost_routers(&mut self, live_routers: &[RouterId], now_ms: u64) {
-        let holders: BTreeSet<RouterId> = self
-            .servers
-            .values()
-            .flat_map(|slots| slots.held.keys().chain(&slots.unheard).copied())
-            .filter(|id| *id != self.me)
-            .collect();
-        for router in holders {
-            if live_routers.contains(&router) {
-                self.lost_since_ms.remove(&router);
-                continue;
-            }
-            let since_ms = *self.lost_since_ms.entry(router).or_insert(now_ms);
-            if now_ms.saturating_sub(since_ms) < self.settings.dead_holder_grace_ms {
-                continue;
+    fn note_lost_routers(&mut self, view: &CellView<'_>, now_ms: u64) {
+        for router in view.live {
+            self.lost_since_ms.remove(router);
+        }
+        for router in view.known {
+            if !view.live.contains(router) {
+                self.lost_since_ms.entry(*router).or_insert(now_ms);
             }
-            self.lost_since_ms.remove(&router);
-            for slots in self.servers.values_mut() {
-                slots.held.remove(&router);
-                slots.unheard.remove(&router);
+        }
+        let grace_ms = self.settings.dead_holder_grace_ms;
+        let electorate_ms = self.settings.electorate_ms;
+        let mut voters = view.live.len();
+        self.holders = view.live.iter().copied().collect();
+        for (router, since_ms) in &self.lost_since_ms {
+            let lost_ms = now_ms.saturating_sub(*since_ms);
+            voters += usize::from(lost_ms < electorate_ms);
+            if lost_ms < grace_ms {
+                self.holders.insert(*router);
+                self.orphans_until_ms = now_ms + self.settings.orphans_ms;
+            } else {
+                for slots in self.servers.values_mut() {
+                    slots.held.remove(router);
+                }
             }
         }
+        self.holders.remove(&self.me);
+        self.electorate = voters.max(1);
+        let hears_holders = self.holders.iter().all(|holder| view.live.contains(holder));
+        self.hears_cell = hears_holders && view.live.len() * 2 > self.electorate;
+        let known = view.known;
+        self.lost_since_ms.retain(|router, since_ms| {
+            known.contains(router) || now_ms.saturating_sub(*since_ms) < electorate_ms
+        });
     }
 }
 
@@ -184,4 +255,27 @@
     fn count(&self) -> u32 {
         self.held.values().map(|held| held.len() as u32).sum()
     }
+
+    fn fresh_consents(&self, consent_ms: u64, now_ms: u64) -> usize {
+        let fresh = |at_ms: &&u64| now_ms.saturating_sub(**at_ms) < consent_ms;
+        self.consents.values().filter(fresh).count()
+    }
+
+    /// Sees whether this router may grant: it starts when every possible holder has just
+    /// consented and said what it holds, and goes on while most consent.
+    fn settle(
+        &mut self,
+        holders: &BTreeSet<RouterId>,
+        electorate: usize,
+        consent_ms: u64,
+        now_ms: u64,
+    ) {
+        let has_most = self.fresh_consents(consent_ms, now_ms) * 2 > electorate;
+        let is_fresh = |router: &RouterId| {
+            self.consents
+                .get(router)
+                .is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < consent_ms)
+        };
+        self.is_whole = has_most && (self.is_whole || holders.iter().all(is_fresh));
+    }
 }
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -14,8 +14,10 @@
 mod membership;
 mod outcome;
 mod placement;
+mod pool_load;
 mod rendezvous;
 mod retry;
+mod stewardship;
 
 pub use bound::{LoadBound, server_limit};
 pub use chat::{Chunk, ChunkChoice, Delta, STREAM_END, Usage};
@@ -25,7 +27,9 @@
     ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, parse_contract, sha256_hex,
 };
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
-pub use ledger::{Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
+pub use ledger::{
+    CellView, Grant, HeldSlots, Ledger, PoolLoad, ReserveRequest, Settings as LedgerSettings,
+};
 pub use limits::{InFlightGate, RateLimiter};
 pub use membership::{
     Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, VmRecord, VmRole, VmState,
@@ -33,7 +37,10 @@
 };
 pub use outcome::{Outcome, Refusal, RefusalCode};
 pub use placement::{
-    Candidate, PlacementMemory, PlacementRequest, PlacementSettings, WarmHint, rank_servers,
+    Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
+    WarmHint, WorkspaceShares, rank_servers,
 };
-pub use rendezvous::{rendezvous_score, top_by_rendezvous};
+pub use pool_load::{DrainSettings, HeardLoad, least_in_flight};
+pub use rendezvous::rendezvous_score;
 pub use retry::RetryBudget;
+pub use stewardship::{ConsentSettings, StewardNames};
--- /dev/null
+++ b/crates/sapphiretrack-core/src/placement/mod.rs
@@ -0,0 +1,14 @@
+//! Which backend server gets a request.
+
+mod memory;
+mod ranking;
+mod settings;
+mod shares;
+mod subset;
+mod warmth;
+
+pub use memory::{MEMORY_BYTES_PER_CHAT, PlacementMemory};
+pub use ranking::{Candidate, PlacementRequest, rank_servers};
+pub use settings::PlacementSettings;
+pub use shares::WorkspaceShares;
+pub use warmth::WarmHint;
--- /dev/null
+++ b/crates/sapphiretrack-core/src/placement/ranking.rs
@@ -0,0 +1,127 @@
+//! Ranks the servers of a pool for one request by estimated time to first token.
+
+use crate::placement::subset::{subset_size, workspace_subset};
+use crate::placement::warmth::expected_warm_tokens;
+use crate::{
+    ChatKey, PlacementSettings, PoolKind, PoolView, RouterId, ServerId, ServerView, VmState,
+    WarmHint, WorkspaceKey, rendezvous_score, server_limit,
+};
+
+/// What placement needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementRequest<'a> {
+    /// The workspace.
+    pub workspace: WorkspaceKey,
+    /// The workspace's share of the load.
+    pub workspace_share: f64,
+    /// The chat.
+    pub chat: ChatKey,
+    /// Estimated length of the prompt.
+    pub prompt_tokens: u32,
+    /// Where the chat is believed warm.
+    pub warm: &'a [WarmHint],
+    /// The part of the load bound that the request's class may fill.
+    pub bound_share: f64,
+    /// The asker's availability zone.
+    pub zone: &'a str,
+}
+
+/// A server to try, with the router that counts its slots.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// The server.
+    pub server: ServerId,
+    /// Its steward.
+    pub steward: RouterId,
+    /// Its estimated time to first token.
+    pub estimate_ms: f64,
+    /// Whether the chat is believed warm there.
+    pub warm: bool,
+    /// Whether it looks to be at its bound.
+    pub full: bool,
+}
+
+/// The live servers of a pool: first those that seem to have room, and among them the one with
+/// the smallest estimated time to first token.
+pub fn rank_servers(
+    settings: &PlacementSettings,
+    pool: &PoolView,
+    request: &PlacementRequest<'_>,
+) -> Vec<Candidate> {
+    let live: Vec<&ServerView> = pool
+        .servers
+        .iter()
+        .filter(|server| server.state == VmState::Live)
+        .collect();
+    let size = subset_size(settings, live.len(), request.workspace_share);
+    let subset = workspace_subset(request.workspace, &live, size);
+    let scores: Vec<f64> = subset
+        .iter()
+        .map(|server| rendezvous_score(request.chat.0, server.0, 1.0))
+        .collect();
+    let home = (0..subset.len())
+        .max_by(|a, b| scores[*a].total_cmp(&scores[*b]))
+        .map(|index| subset[index]);
+    let limit = server_limit(
+        &settings.bound,
+        pool.in_flight(),
+        live.len() as u32,
+        request.bound_share,
+    );
+    let rank = |server: &&ServerView| {
+        let place = Place {
+            is_home: home == Some(server.id),
+            in_subset: subset.contains(&server.id),
+            has_cache: pool.kind == PoolKind::Engine,
+        };
+        candidate(settings, server, request, place, limit)
+    };
+    let mut ranked: Vec<Candidate> = live.iter().map(rank).collect();
+    ranked.sort_unstable_by(|a, b| {
+        let room = a.full.cmp(&b.full);
+        let estimate = a.estimate_ms.total_cmp(&b.estimate_ms);
+        room.then(estimate).then(a.server.cmp(&b.server))
+    });
+    ranked
+}
+
+/// What a server is to a request, whatever its load.
+struct Place {
+    is_home: bool,
+    in_subset: bool,
+    has_cache: bool,
+}
+
+fn candidate(
+    settings: &PlacementSettings,
+    server: &ServerView,
+    request: &PlacementRequest<'_>,
+    place: Place,
+    limit: u32,
+) -> Candidate {
+    let known = expected_warm_tokens(
+        server,
+        request.warm,
+        request.prompt_tokens,
+        settings.warm_half_life_ms,
+    );
+    let guessed_fraction = match (place.is_home, place.in_subset) {
+        (true, _) => settings.home_warm_fraction,
+        (false, true) => settings.subset_warm_fraction,
+        (false, false) => 0.0,
+    };
+    let prompt_tokens = f64::from(request.prompt_tokens);
+    let cached = match place.has_cache {
+        true => known.max(guessed_fraction * prompt_tokens),
+        false => prompt_tokens,
+    };
+    let queue_ms = f64::from(server.in_flight) * settings.queue_ms_per_request;
+    let prefill_ms = (prompt_tokens - cached) * settings.prefill_us_per_token / 1_000.0;
+    Candidate {
+        server: server.id,
+        steward: server.steward,
+        estimate_ms: queue_ms + prefill_ms,
+        warm: place.has_cache && known > 0.0,
+        full: server.in_flight >= limit,
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-core/src/placement/warmth.rs
@@ -0,0 +1,38 @@
+//! Evidence of where a chat's prefix is cached.
+
+use crate::{Incarnation, ServerId, ServerView};
+
+/// Where a chat was last served, and how much of it is cached there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WarmHint {
+    /// The server.
+    pub server: ServerId,
+    /// Its incarnation then; a restarted server has lost its cache.
+    pub incarnation: Incarnation,
+    /// How many tokens of the chat it has cached.
+    pub tokens: u32,
+    /// How long ago this was so.
+    pub age_ms: u64,
+}
+
+/// The tokens of a prompt that a server is expected to have cached, by the best hint.
+pub(crate) fn expected_warm_tokens(
+    server: &ServerView,
+    hints: &[WarmHint],
+    prompt_tokens: u32,
+    half_life_ms: u64,
+) -> f64 {
+    hints
+        .iter()
+        .filter(|hint| hint.server == server.id && same_incarnation(server, hint))
+        .map(|hint| {
+            let age = hint.age_ms as f64 / half_life_ms.max(1) as f64;
+            f64::from(hint.tokens.min(prompt_tokens)) * (-age).exp2()
+        })
+        .fold(0.0, f64::max)
+}
+
+/// Whether the hint is of the server's present run; a server not yet heard gets the benefit.
+fn same_incarnation(server: &ServerView, hint: &WarmHint) -> bool {
+    server.report.incarnation == 0 || hint.incarnation == server.report.incarnation
+}
--- a/crates/sapphiretrack-peer/src/client.rs
+++ b/crates/sapphiretrack-peer/src/client.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use sapphiretrack_core::{Grant, ReservationId, ReserveRequest, RouterId, ServerId};
+use sapphiretrack_core::{Grant, ReserveRequest};
 use snafu::{IntoError, ResultExt};
 use tarpc::client::Config;
 use tarpc::context;
@@ -87,24 +87,9 @@
         }
     }
 
-    /// Gives a slot back to its steward.
-    pub async fn release(
-        &self,
-        peer: SocketAddr,
-        router: RouterId,
-        server: ServerId,
-        reservation: ReservationId,
-    ) -> Result<(), PeerError> {
-        self.call(
-            peer,
-            PeerRequest::Release {
-                router,
-                server,
-                reservation,
-            },
-        )
-        .await
-        .map(drop)
+    /// Gives a slot back to its steward; the request is a [`PeerRequest::Release`].
+    pub async fn release(&self, peer: SocketAddr, request: PeerRequest) -> Result<(), PeerError> {
+        self.call(peer, request).await.map(drop)
     }
 
     /// Fetches a peer's configuration.
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -89,6 +89,8 @@
         server: ServerId,
         /// The reservation.
         reservation: ReservationId,
+        /// The sender's requests in flight on the server's pool.
+        in_flight: u16,
     },
     /// Asks for the receiver's configuration.
     FetchConfig,
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -68,6 +68,8 @@
     pub(crate) reservation: ReservationId,
     /// Where the slot is decided.
     pub(crate) place: Place,
+    /// This router's requests in flight on the server's pool, for the steward.
+    pub(crate) in_flight: u16,
 }
 
 /// Where a slot is decided.
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    FleetConfig, Grant, HeldSlots, Incarnation, Ledger, LedgerSettings, LoadBound, LoadReport,
-    PoolKind, PoolView, Refreshed, ReservationId, ReserveRequest, RouterId, RouterView, ServerId,
-    ServerView, VmRecord, VmRole, VmState, newer_config, steward_of,
+    CellView, ConsentSettings, DrainSettings, FleetConfig, Grant, HeardLoad, HeldSlots,
+    Incarnation, Ledger, LedgerSettings, LoadBound, LoadReport, PoolKind, PoolLoad, PoolView,
+    Refreshed, ReservationId, ReserveRequest, RouterId, RouterView, ServerId, ServerView,
+    StewardNames, VmRecord, VmRole, VmState, least_in_flight, newer_config, steward_of,
 };
 use sapphiretrack_peer::{
     ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, ServerState,
@@ -48,6 +49,7 @@
     peers: BTreeMap<RouterId, Peer>,
     servers: BTreeMap<ServerId, Server>,
     ledger: Ledger,
+    names: StewardNames,
     held: BTreeMap<ReservationId, Held>,
     next_reservation: u32,
     heartbeat_sequence: u64,
@@ -62,6 +64,8 @@
     heartbeat: Heartbeat,
     heard_ms: u64,
     left: bool,
+    /// Its requests in flight by pool since its last heartbeat, with when it said so.
+    newer_loads: BTreeMap<String, (u32, u64)>,
 }
 
 /// A backend server as it was last heard of.
@@ -80,6 +84,14 @@
     steward: Option<SocketAddr>,
 }
 
+/// What a steward is told when a slot of its server is given back.
+pub(crate) struct SlotRelease {
+    pub(crate) steward: SocketAddr,
+    pub(crate) server: ServerId,
+    /// This router's requests in flight on the server's pool.
+    pub(crate) in_flight: u16,
+}
+
 /// Reports that may fail in a row before a server gets no new work.
 const MAX_FAILED_REPORTS: u32 = 3;
 
@@ -96,6 +108,7 @@
             peers: BTreeMap::new(),
             servers: BTreeMap::new(),
             ledger,
+            names: StewardNames::new(ConsentSettings::default()),
             held: BTreeMap::new(),
             next_reservation: 0,
             heartbeat_sequence: 0,
@@ -194,12 +207,17 @@
                     config_version: self.config.version,
                 })
             }
-            PeerRequest::Reserve(request) => PeerReply::Reserve(self.reserve(&request)),
+            PeerRequest::Reserve(request) => {
+                self.note_pool_load(request.router, request.server, request.in_flight, now_ms);
+                PeerReply::Reserve(self.reserve(&request, now_ms))
+            }
             PeerRequest::Release {
                 router,
                 server,
                 reservation,
+                in_flight,
             } => {
+                self.note_pool_load(router, server, in_flight, now_ms);
                 self.ledger.release(router, server, reservation);
                 PeerReply::Released
             }
@@ -211,7 +229,8 @@
     }
 
     /// Starts a reservation on a server.
-    pub(crate) fn begin(&mut self, server: ServerId, bound_share: f64) -> Begun {
+    pub(crate) fn begin(&mut self, server: ServerId, bound_share: f64, now_ms: u64) -> Begun {
+        let in_flight = self.own_in_flight_with(server);
         let reservation = ReservationId(self.next_reservation);
         self.next_reservation = self.next_reservation.wrapping_add(1);
         let steward = self.steward(server);
@@ -222,9 +241,10 @@
                     router,
                     reservation,
                     server,
-                    bound_share,
+                    bound_share: bound_share as f32,
+                    in_flight,
                 };
-                Place::Here(self.reserve(&request))
+                Place::Here(self.reserve(&request, now_ms))
             }
             Some(steward) => match self.peers.get(&steward) {
                 Some(peer) => Place::Peer(peer.heartbeat.peer_address),
@@ -240,36 +260,36 @@
             };
             self.held.insert(reservation, Held { server, steward });
         }
-        Begun { reservation, place }
+        Begun {
+            reservation,
+            place,
+            in_flight,
+        }
     }
 
-    /// Ends a reservation; returns the steward that has to be told, with the server.
-    pub(crate) fn end(&mut self, reservation: ReservationId) -> Option<(SocketAddr, ServerId)> {
+    /// Ends a reservation; returns what the steward has to be told, if it is a peer.
+    pub(crate) fn end(&mut self, reservation: ReservationId) -> Option<SlotRelease> {
         let held = self.held.remove(&reservation)?;
         self.ledger
             .release(self.identity.id, held.server, reservation);
-        held.steward.map(|steward| (steward, held.server))
+        let steward = held.steward?;
+        Some(SlotRelease {
+            steward,
+            server: held.server,
+            in_flight: self.own_in_flight_with(held.server),
+        })
     }
 
     /// Settles all that time alone changes. Call it often.
     pub(crate) fn tick(&mut self, now_ms: u64) {
         self.note_lost_peers(now_ms);
-        let stewards = self.steward_candidates();
-        let stewarded: Vec<ServerId> = self
-            .listed_servers()
-            .map(|(server, _, _, _)| server)
-            .filter(|server| steward_of(*server, &stewards) == Some(self.identity.id))
-            .collect();
-        let mut holders: Vec<RouterId> = self.peers.keys().copied().collect();
-        holders.push(self.identity.id);
-        self.ledger.set_view(&stewarded, &holders, now_ms);
+        self.settle_stewards(now_ms);
         self.note_isolation(now_ms);
     }
 
     /// The heartbeat for each peer, with where it goes.
     pub(crate) fn heartbeats(&mut self, now_ms: u64) -> Vec<(RouterId, SocketAddr, Heartbeat)> {
         self.heartbeat_sequence += 1;
-        let stewards = self.steward_candidates();
         let mut targets: BTreeMap<RouterId, SocketAddr> = self
             .peers
             .iter()
@@ -287,17 +307,16 @@
         targets
             .into_iter()
             .map(|(router, address)| {
-                let heartbeat = self.heartbeat_for(router, &stewards, now_ms);
-                (router, address, heartbeat)
+                self.names.note_sent(router, now_ms);
+                (router, address, self.heartbeat_for(router, now_ms))
             })
             .collect()
     }
 
     /// The servers whose load reports this router fetches: those that it is steward of.
     pub(crate) fn watched_servers(&self) -> Vec<(ServerId, SocketAddr)> {
-        let stewards = self.steward_candidates();
         self.listed_servers()
-            .filter(|(server, ..)| steward_of(*server, &stewards) == Some(self.identity.id))
+            .filter(|(server, ..)| self.names.steward(*server) == Some(self.identity.id))
             .map(|(server, record, ..)| (server, record.address))
             .collect()
     }
@@ -313,7 +332,6 @@
     pub(crate) fn snapshot(&self, now_ms: u64) -> Snapshot {
         let mut pools: BTreeMap<String, PoolView> = BTreeMap::new();
         let in_flight = self.in_flight_by_server();
-        let stewards = self.steward_candidates();
         for (server, record, pool, kind) in self.listed_servers() {
             let known = self.servers.get(&server).cloned().unwrap_or_default();
             let state = self.server_state(server, record, &known);
@@ -325,7 +343,7 @@
                 state,
                 in_flight: in_flight.get(&server).copied().unwrap_or(0),
                 report: known.report,
-                steward: steward_of(server, &stewards).unwrap_or(self.identity.id),
+                steward: self.names.steward(server).unwrap_or(self.identity.id),
             };
             let pool = pools.entry(pool.to_owned()).or_insert_with(|| PoolView {
                 name: pool.to_owned(),
@@ -358,7 +376,7 @@
             return;
         }
         self.peer_heard_ms = now_ms;
-        self.ledger.reconcile(router, &heartbeat.held);
+        self.ledger.reconcile(router, &heartbeat.held, now_ms);
         for state in &heartbeat.servers {
             self.take_server_state(state, now_ms);
         }
@@ -376,6 +394,7 @@
                 heartbeat,
                 heard_ms: now_ms,
                 left,
+                newer_loads: BTreeMap::new(),
             },
         );
     }
@@ -394,35 +413,125 @@
         };
     }
 
-    fn reserve(&mut self, request: &ReserveRequest) -> Grant {
-        let Some((_, _, pool, _)) = self
-            .listed_servers()
-            .find(|(server, ..)| *server == request.server)
-        else {
+    fn reserve(&mut self, request: &ReserveRequest, now_ms: u64) -> Grant {
+        let Some(pool) = self.pool_of(request.server).map(str::to_owned) else {
             return Grant::NotSteward;
         };
-        let in_flight = self.in_flight_by_server();
-        let mut pool_in_flight = 0;
-        let mut live_servers = 0;
-        for (server, record, other, _) in self.listed_servers() {
-            if other != pool {
-                continue;
-            }
-            pool_in_flight += in_flight.get(&server).copied().unwrap_or(0);
-            let known = self.servers.get(&server).cloned().unwrap_or_default();
-            let live = self.server_state(server, record, &known) == VmState::Live;
-            if server == request.server && !live {
-                return Grant::Full;
-            }
-            live_servers += u32::from(live);
+        let live = self.live_servers(&pool);
+        if !live.contains(&request.server) {
+            return Grant::Full;
         }
+        let report = self.servers.get(&request.server).map(|known| known.report);
+        let load = PoolLoad {
+            in_flight: self.least_pool_in_flight(&pool, &live, now_ms),
+            live_servers: live.len() as u32,
+            reported: report.map_or(0, |report| report.running + report.queued),
+        };
         let bound = self.bound;
-        self.ledger
-            .reserve(request, &bound, pool_in_flight, live_servers)
+        self.ledger.reserve(request, &bound, &load, now_ms)
+    }
+
+    /// Settles whom this router asks, whom it consents to, and where it is steward itself.
+    fn settle_stewards(&mut self, now_ms: u64) {
+        let me = self.identity.id;
+        let listed: BTreeSet<ServerId> = self.listed_servers().map(|(id, ..)| id).collect();
+        let consents = |server: &ServerId| self.names.consent(*server) == Some(me);
+        let stewarded: Vec<ServerId> = listed.iter().copied().filter(consents).collect();
+        self.names.note_sent(me, now_ms);
+        let mut live: Vec<RouterId> = self.peers.keys().copied().collect();
+        live.push(me);
+        let routers = self
+            .listed
+            .iter()
+            .filter(|record| matches!(record.role, VmRole::Router { .. }));
+        let mut known: BTreeSet<RouterId> = routers
+            .map(|record| RouterId::from_name(&record.name))
+            .collect();
+        known.extend(&live);
+        let known: Vec<RouterId> = known.into_iter().collect();
+        let view = CellView {
+            stewarded: &stewarded,
+            live: &live,
+            known: &known,
+        };
+        self.ledger.set_view(&view, now_ms);
+        let may_begin = self.ledger.hears_cell();
+        let candidates = self.steward_candidates();
+        self.names.retain(|server| listed.contains(&server));
+        for server in listed {
+            if let Some(steward) = steward_of(server, &candidates) {
+                self.names.want(server, steward, may_begin, now_ms);
+            }
+        }
+    }
+
+    fn pool_of(&self, server: ServerId) -> Option<&str> {
+        self.listed_servers()
+            .find(|(id, ..)| *id == server)
+            .map(|(_, _, pool, _)| pool)
+    }
+
+    fn live_servers(&self, pool: &str) -> BTreeSet<ServerId> {
+        let of_pool = self
+            .listed_servers()
+            .filter(|(_, _, other, _)| *other == pool);
+        of_pool
+            .filter(|(server, record, ..)| {
+                let known = self.servers.get(server).cloned().unwrap_or_default();
+                self.server_state(*server, record, &known) == VmState::Live
+            })
+            .map(|(server, ..)| server)
+            .collect()
+    }
+
+    /// Requests in flight on the live servers of a pool, at the least.
+    fn least_pool_in_flight(&self, pool: &str, live: &BTreeSet<ServerId>, now_ms: u64) -> u32 {
+        let own = self
+            .held
+            .values()
+            .filter(|held| live.contains(&held.server));
+        let heard = self
+            .peers
+            .values()
+            .map(|peer| match peer.newer_loads.get(pool) {
+                Some((in_flight, at_ms)) => HeardLoad {
+                    in_flight: *in_flight,
+                    age_ms: now_ms.saturating_sub(*at_ms),
+                },
+                None => HeardLoad {
+                    in_flight: peer.in_flight_on(live),
+                    age_ms: now_ms.saturating_sub(peer.heard_ms),
+                },
+            });
+        least_in_flight(&DrainSettings::default(), own.count() as u32, heard)
+    }
+
+    /// This router's requests in flight on the live servers of a server's pool.
+    fn own_in_flight_with(&self, server: ServerId) -> u16 {
+        let Some(pool) = self.pool_of(server) else {
+            return 0;
+        };
+        let live = self.live_servers(pool);
+        let own = self
+            .held
+            .values()
+            .filter(|held| live.contains(&held.server));
+        u16::try_from(own.count()).unwrap_or(u16::MAX)
+    }
+
+    /// Takes in what a peer says of its load beside its heartbeats.
+    fn note_pool_load(&mut self, router: RouterId, server: ServerId, in_flight: u16, now_ms: u64) {
+        let Some(pool) = self.pool_of(server).map(str::to_owned) else {
+            return;
+        };
+        if let Some(peer) = self.peers.get_mut(&router) {
+            peer.newer_loads
+                .insert(pool, (u32::from(in_flight), now_ms));
+        }
     }
 
     fn steward(&self, server: ServerId) -> Option<RouterId> {
-        steward_of(server, &self.steward_candidates())
+        self.names.steward(server)
     }
 
     /// Routers that may be stewards: those heard of and not leaving, or this one alone.
@@ -480,11 +589,11 @@
         counts
     }
 
-    fn heartbeat_for(&self, peer: RouterId, stewards: &[RouterId], now_ms: u64) -> Heartbeat {
+    fn heartbeat_for(&self, peer: RouterId, now_ms: u64) -> Heartbeat {
         let mut in_flight: BTreeMap<ServerId, u16> = BTreeMap::new();
         let mut by_server: BTreeMap<ServerId, Vec<ReservationId>> = BTreeMap::new();
         for (server, ..) in self.listed_servers() {
-            if steward_of(server, stewards) == Some(peer) {
+            if self.names.consent(server) == Some(peer) {
                 by_server.insert(server, Vec::new());
             }
         }
@@ -497,7 +606,7 @@
         }
         let servers = self
             .listed_servers()
-            .filter(|(server, ..)| steward_of(*server, stewards) == Some(self.identity.id))
+            .filter(|(server, ..)| self.names.steward(*server) == Some(self.identity.id))
             .filter_map(|(server, record, ..)| {
                 let known = self.servers.get(&server)?;
                 let fresh =
@@ -606,6 +715,14 @@
     }
 }
 
+impl Peer {
+    fn in_flight_on(&self, servers: &BTreeSet<ServerId>) -> u32 {
+        let counts = self.heartbeat.in_flight.iter();
+        let there = counts.filter(|(server, _)| servers.contains(server));
+        there.map(|(_, count)| u32::from(*count)).sum()
+    }
+}
+
 /// Whether a server itself, or the platform, says that this incarnation is leaving.
 fn is_leaving(record: &VmRecord, known: &Server) -> bool {
     record.state == VmState::Leaving
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -5,7 +5,7 @@
 
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
-use sapphiretrack_peer::PeerClient;
+use sapphiretrack_peer::{PeerClient, PeerRequest};
 use sapphiretrack_platform::{ConfigurationStore, PlatformClient};
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
@@ -86,7 +86,7 @@
                 bound_share,
                 reply,
             } => {
-                let begun = self.state.begin(server, bound_share);
+                let begun = self.state.begin(server, bound_share, now_ms);
                 let reservation = begun.reservation;
                 if reply.send(begun).is_err() {
                     self.end(reservation);
@@ -122,14 +122,20 @@
     }
 
     fn end(&mut self, reservation: sapphiretrack_core::ReservationId) {
-        let Some((steward, server)) = self.state.end(reservation) else {
+        let Some(release) = self.state.end(reservation) else {
             return;
         };
         let peers = self.peers.clone();
         let me = self.state.id();
         tokio::spawn(async move {
             // A lost release is settled by the next heartbeat.
-            drop(peers.release(steward, me, server, reservation).await);
+            let request = PeerRequest::Release {
+                router: me,
+                server: release.server,
+                reservation,
+                in_flight: release.in_flight,
+            };
+            drop(peers.release(release.steward, request).await);
         });
     }
 
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -328,8 +328,12 @@
             claims: ClaimStore::new(self.platform.clone()),
             metrics: self.metrics.clone(),
             limits: LimitTable::default(),
-            placement: PlacementSettings::default(),
+            placement: PlacementSettings {
+                bound: settings.load_bound,
+                ..PlacementSettings::default()
+            },
             memory: Mutex::new(PlacementMemory::new(settings.placement_memory_chats)),
+            shares: Mutex::default(),
             retries: Mutex::new(Dispatcher::retry_budget()),
         });
         let for_keys = self.control.clone();
--- a/crates/sapphiretrackd/src/dispatch/chat.rs
+++ b/crates/sapphiretrackd/src/dispatch/chat.rs
@@ -175,13 +175,17 @@
             return Vec::new();
         };
         let told = self.request.warm.as_deref().and_then(read_warm);
-        let remembered = self.dispatcher.lock_memory().recall(self.chat);
+        let now_ms = self.dispatcher.clock.now_ms();
+        let remembered = self.dispatcher.lock_memory().recall(self.chat, now_ms);
         let warm: Vec<WarmHint> = told.into_iter().chain(remembered).collect();
+        let workspace = workspace_key(&self.request);
         let placement = PlacementRequest {
-            workspace: workspace_key(&self.request),
+            workspace,
+            workspace_share: self.dispatcher.note_workspace(workspace),
             chat: self.chat,
             prompt_tokens: self.call().map_or(0, |call| call.prompt_tokens),
             warm: &warm,
+            bound_share: self.request.policy.bound_share,
             zone: "",
         };
         rank_servers(&self.dispatcher.placement, pool, &placement)
@@ -244,8 +248,13 @@
         let hint = WarmHint {
             server: slot.server,
             incarnation: slot.incarnation,
+            tokens: self.call().map_or(0, |call| call.prompt_tokens),
+            age_ms: 0,
         };
-        self.dispatcher.lock_memory().remember(self.chat, hint);
+        let now_ms = self.dispatcher.clock.now_ms();
+        self.dispatcher
+            .lock_memory()
+            .remember(self.chat, hint, now_ms);
         let metrics = &self.dispatcher.metrics;
         let labels = metrics.labels(&self.request.contract.customer, &self.request.class);
         metrics.first_token(&labels, self.started_at.elapsed().as_secs_f64());
--- a/crates/sapphiretrackd/src/dispatch/mod.rs
+++ b/crates/sapphiretrackd/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 use sapphiretrack_caller::{Answer, CallerRequest, Target};
 use sapphiretrack_core::{
     AttemptId, ChatKey, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RetryBudget,
-    WorkspaceKey,
+    WorkspaceKey, WorkspaceShares,
 };
 use sapphiretrack_peer::PeerClient;
 use sapphiretrack_platform::ClaimStore;
@@ -39,6 +39,7 @@
     pub(crate) limits: LimitTable,
     pub(crate) placement: PlacementSettings,
     pub(crate) memory: Mutex<PlacementMemory>,
+    pub(crate) shares: Mutex<WorkspaceShares>,
     pub(crate) retries: Mutex<RetryBudget>,
 }
 
@@ -110,6 +111,13 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts a request of a workspace; returns the workspace's share of the load.
+    fn note_workspace(&self, workspace: WorkspaceKey) -> f64 {
+        let shares = self.shares.lock();
+        let mut shares = shares.unwrap_or_else(PoisonError::into_inner);
+        shares.note(workspace, self.clock.now_ms())
+    }
+
     fn lock_memory(&self) -> std::sync::MutexGuard<'_, PlacementMemory> {
         self.memory.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sapphiretrackd/src/dispatch/service.rs
+++ b/crates/sapphiretrackd/src/dispatch/service.rs
@@ -142,11 +142,14 @@
     let Some(pool) = snapshot.pools.get(request.pool()) else {
         return Vec::new();
     };
+    let workspace = workspace_key(request);
     let placement = PlacementRequest {
-        workspace: workspace_key(request),
+        workspace,
+        workspace_share: dispatcher.note_workspace(workspace),
         chat: chat_key(request),
         prompt_tokens: 0,
         warm: &[],
+        bound_share: request.policy.bound_share,
         zone: "",
     };
     rank_servers(&dispatcher.placement, pool, &placement)
--- a/crates/sapphiretrackd/src/dispatch/slots.rs
+++ b/crates/sapphiretrackd/src/dispatch/slots.rs
@@ -78,6 +78,7 @@
         let Begun {
             reservation: id,
             place,
+            in_flight,
         } = self.control.begin(server, bound_share).await?;
         let reservation = Reservation {
             control: self.control.clone(),
@@ -91,7 +92,8 @@
                     router: snapshot.me,
                     reservation: id,
                     server,
-                    bound_share,
+                    bound_share: bound_share as f32,
+                    in_flight,
                 };
                 self.peers
                     .reserve(address, request)
