--- a/crates/sapphiretrack-bench/src/policy/engine.rs
+++ b/crates/sapphiretrack-bench/src/policy/engine.rs
@@ -6,6 +6,10 @@
 const BATCH_SLOTS: usize = 16;
 /// Time to compute one uncached prompt token; prompts are computed one after the other.
 const PREFILL_US_PER_TOKEN: u64 = 250;
+/// Time to begin an import from another engine.
+const IMPORT_US: u64 = 5_000;
+/// Time to import one token.
+const IMPORT_US_PER_TOKEN: u64 = 25;
 /// Time between two tokens of an answer in an empty batch.
 const DECODE_US_PER_TOKEN: u64 = 18_000;
 /// How much more of that each other request of the batch costs.
@@ -21,6 +25,8 @@
     pub(crate) prompt_tokens: u32,
     pub(crate) answer_tokens: u32,
     pub(crate) priority: u8,
+    /// Cached tokens that come from another engine.
+    pub(crate) import_tokens: u32,
 }
 
 /// A request that has got its place in the batch.
@@ -28,6 +34,8 @@
 pub(crate) struct Started {
     pub(crate) request: u32,
     pub(crate) cached_tokens: u32,
+    /// Those of them that were imported.
+    pub(crate) imported_tokens: u32,
     pub(crate) first_token_us: u64,
     pub(crate) done_us: u64,
 }
@@ -68,6 +76,18 @@
         (self.running.len() + self.waiting.len()) as u32
     }
 
+    /// The tokens of a chat that it can export.
+    pub(crate) fn exports(&self, chat: u64) -> u32 {
+        match self.is_up {
+            true => self
+                .cache
+                .entries
+                .get(&chat)
+                .map_or(0, |(tokens, _)| *tokens),
+            false => 0,
+        }
+    }
+
     /// Takes a request in; it starts at once if the batch has room.
     pub(crate) fn enter(&mut self, work: Work, now_us: u64) -> Option<Started> {
         let ticket = (work.priority, self.next_ticket);
@@ -112,9 +132,15 @@
             return None;
         }
         let (_, work) = self.waiting.pop_first()?;
-        let cached_tokens = self.cache.find(&work);
+        let local_tokens = self.cache.find(&work);
+        let cached_tokens = local_tokens.max(work.import_tokens.min(work.prompt_tokens));
+        let imported_tokens = cached_tokens - local_tokens;
+        let import_us = match imported_tokens {
+            0 => 0,
+            _ => IMPORT_US + u64::from(work.import_tokens) * IMPORT_US_PER_TOKEN,
+        };
         let uncached = u64::from(work.prompt_tokens - cached_tokens);
-        let begin_us = now_us.max(self.prefill_free_us);
+        let begin_us = (now_us + import_us).max(self.prefill_free_us);
         let first_token_us = begin_us + uncached * PREFILL_US_PER_TOKEN + DECODE_US_PER_TOKEN;
         self.prefill_free_us = first_token_us - DECODE_US_PER_TOKEN;
         let neighbours = self.running.len() as u64;
@@ -123,6 +149,7 @@
         Some(Started {
             request: work.request,
             cached_tokens,
+            imported_tokens,
             first_token_us,
             done_us: first_token_us + u64::from(work.answer_tokens) * step_us,
         })
--- a/crates/sapphiretrack-bench/src/policy/measures.rs
+++ b/crates/sapphiretrack-bench/src/policy/measures.rs
@@ -15,6 +15,8 @@
     pub requests: u64,
     /// Part of the prompt tokens that engines found in their caches.
     pub warm_token_fraction: f64,
+    /// Part of the prompt tokens that were imported from other engines' caches; counted above.
+    pub imported_token_fraction: f64,
     /// The busiest server over the mean, over time.
     pub skew: f64,
     /// The 99th percentile of that over time.
@@ -48,7 +50,7 @@
 
 impl Measures {
     pub(crate) const TABLE_HEAD: &'static str = "policy               scenario   seed requests   \
-        warm    skew skew_p99 breaches refused  late urgent p95_ms bytes/s";
+        warm import    skew skew_p99 breaches refused  late urgent p95_ms bytes/s";
 
     pub(crate) fn to_json(&self) -> String {
         json!({
@@ -57,6 +59,7 @@
             "seed": self.seed,
             "requests": self.requests,
             "warm_token_fraction": rounded(self.warm_token_fraction, 4),
+            "imported_token_fraction": rounded(self.imported_token_fraction, 4),
             "skew": rounded(self.skew, 4),
             "skew_p99": rounded(self.skew_p99, 3),
             "bound_breaches": self.bound_breaches,
@@ -71,12 +74,13 @@
 
     pub(crate) fn to_row(&self) -> String {
         format!(
-            "{:<20} {:<10} {:>4} {:>8} {:>6.4} {:>7.4} {:>8.3} {:>8} {:>7} {:>5} {:>6} {:>6.0} {:>7.0}",
+            "{:<20} {:<10} {:>4} {:>8} {:>6.4} {:>6.4} {:>7.4} {:>8.3} {:>8} {:>7} {:>5} {:>6} {:>6.0} {:>7.0}",
             self.policy,
             self.scenario,
             self.seed,
             self.requests,
             self.warm_token_fraction,
+            self.imported_token_fraction,
             self.skew,
             self.skew_p99,
             self.bound_breaches,
@@ -94,6 +98,7 @@
 pub(crate) struct Gathered {
     pub(crate) prompt_tokens: u64,
     pub(crate) cached_tokens: u64,
+    pub(crate) imported_tokens: u64,
     pub(crate) first_token_ms: Vec<f64>,
     pub(crate) skews: Vec<f64>,
     pub(crate) control_bytes: u64,
@@ -131,6 +136,8 @@
     /// Fills in the figures that are drawn from what was gathered.
     pub(crate) fn fill(mut self, measures: &mut Measures, routers: usize, seconds: f64) {
         measures.warm_token_fraction = ratio(self.cached_tokens as f64, self.prompt_tokens as f64);
+        measures.imported_token_fraction =
+            ratio(self.imported_tokens as f64, self.prompt_tokens as f64);
         measures.skew = ratio(self.skews.iter().sum(), self.skews.len() as f64);
         measures.skew_p99 = percentile(&mut self.skews, 0.99);
         measures.first_token_p95_ms = percentile(&mut self.first_token_ms, 0.95);
--- a/crates/sapphiretrack-bench/src/policy/router.rs
+++ b/crates/sapphiretrack-bench/src/policy/router.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 
 use sapphiretrack_core::{
-    CellView, ChatKey, ConsentSettings, DrainSettings, Grant, HeardLoad, HeldSlots, Ledger,
-    LedgerSettings, LoadReport, PlacementMemory, PlacementRequest, PlacementSettings, PoolKind,
-    PoolLoad, PoolView, ReservationId, ReserveRequest, RouterId, ServerId, ServerView,
-    StewardNames, VmState, WarmHint, WorkspaceKey, WorkspaceShares, least_in_flight, rank_servers,
+    Candidate, CellView, ChatKey, ConsentSettings, DrainSettings, Grant, HeardLoad, HeldSlots,
+    Ledger, LedgerSettings, LoadReport, PlacementMemory, PlacementRequest, PlacementSettings,
+    PoolKind, PoolLoad, PoolView, ReservationId, ReserveRequest, RouterId, ServerId, ServerView,
+    StewardNames, VmState, WarmHint, WorkspaceKey, WorkspaceShares, pool_load, rank_servers,
     steward_of,
 };
 use sapphiretrack_peer::{Heartbeat, ServerState};
@@ -39,6 +39,26 @@
     peers: Vec<Peer>,
 }
 
+/// A server to try for a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Try {
+    pub(crate) server: usize,
+    /// Where the chat's cached tokens are imported from.
+    pub(crate) import_from: Option<usize>,
+}
+
+/// The candidates by their places in the list of servers.
+pub(crate) fn tries(servers: &[ServerId], ranked: &[Candidate]) -> Vec<Try> {
+    let position = |wanted: ServerId| servers.iter().position(|id| *id == wanted);
+    let found = ranked.iter().filter_map(|candidate| {
+        Some(Try {
+            server: position(candidate.server)?,
+            import_from: candidate.import_from.and_then(position),
+        })
+    });
+    found.collect()
+}
+
 /// A peer as last heard.
 #[derive(Clone, Debug, Default)]
 struct Peer {
@@ -146,7 +166,7 @@
         told: Option<WarmHint>,
         share: f64,
         now_ms: u64,
-    ) -> Vec<usize> {
+    ) -> Vec<Try> {
         self.correct_in_flight();
         let chat = ChatKey(turn.chat);
         let workspace = WorkspaceKey(turn.workspace);
@@ -162,10 +182,7 @@
             zone: "",
         };
         let ranked = rank_servers(&self.placement, &self.view, &request);
-        ranked
-            .iter()
-            .filter_map(|candidate| self.servers.iter().position(|id| *id == candidate.server))
-            .collect()
+        tries(&self.servers, &ranked)
     }
 
     pub(crate) fn remember(&mut self, chat: u64, place: WarmHint, now_ms: u64) {
@@ -203,13 +220,11 @@
         if !self.is_live(server) {
             return Grant::Full;
         }
-        let load = PoolLoad {
-            in_flight: self.least_pool_in_flight(now_ms),
-            live_servers: self.view.live_count(),
-            reported: self.reported(server),
-        };
+        let load = self.pool_load(now_ms);
+        let reported = self.reported(server);
         let bound = self.placement.bound;
-        self.ledger.reserve(request, &bound, &load, now_ms)
+        self.ledger
+            .reserve(request, &bound, &load, reported, now_ms)
     }
 
     /// Takes a slot back, as steward.
@@ -322,7 +337,7 @@
         peer.pool_heard_ms = now_ms;
     }
 
-    fn least_pool_in_flight(&self, now_ms: u64) -> u32 {
+    fn pool_load(&self, now_ms: u64) -> PoolLoad {
         let own = self.pool_in_flight();
         let others = self
             .all
@@ -333,7 +348,7 @@
             in_flight: peer.pool_in_flight,
             age_ms: now_ms.saturating_sub(peer.pool_heard_ms),
         });
-        least_in_flight(&self.drain, own, heard)
+        pool_load(&self.drain, own, heard, self.view.live_count())
     }
 
     /// What others held when last heard, and what this router holds now.
--- a/crates/sapphiretrack-bench/src/policy/world.rs
+++ b/crates/sapphiretrack-bench/src/policy/world.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sapphiretrack_core::{
-    ChatKey, Grant, LoadReport, PlacementRequest, PoolKind, PoolView, ReservationId,
+    ChatKey, Grant, LoadReport, PlacementRequest, PoolKind, PoolLoad, PoolView, ReservationId,
     ReserveRequest, RouterId, ServerId, VmState, WarmHint, WorkspaceKey, WorkspaceShares,
     rank_servers, server_limit,
 };
@@ -16,7 +16,7 @@
 use super::measures::{Gathered, Measures};
 use super::messages::Meter;
 use super::policies::{Policy, SimpleView, simple_order};
-use super::router::{Router, server_view};
+use super::router::{Router, Try, server_view, tries};
 use super::scenario::Scenario;
 use super::trace::{Change, Trace, Turn};
 
@@ -30,6 +30,8 @@
 const CALL_TIMEOUT_US: u64 = 400_000;
 /// How long an attempt takes to meet a closed port.
 const CONNECT_US: u64 = 1_000;
+/// The whole of the bound.
+const WHOLE_SHARE: f64 = 1.0;
 /// The part of the bound that requests which are not urgent may fill.
 const NORMAL_SHARE: f64 = 0.9;
 const URGENT_DEADLINE_MS: f64 = 2_000.0;
@@ -87,11 +89,12 @@
 /// A request on its way.
 #[derive(Clone, Debug, Default)]
 struct Pending {
-    order: Vec<usize>,
+    order: Vec<Try>,
     next: usize,
     reservation: Option<ReservationId>,
     steward: Option<usize>,
     placed_on: usize,
+    import_from: Option<usize>,
     cached_tokens: u32,
     first_token_us: u64,
     retries: u32,
@@ -330,7 +333,7 @@
         self.try_next(request);
     }
 
-    fn order(&mut self, request: u32) -> Vec<usize> {
+    fn order(&mut self, request: u32) -> Vec<Try> {
         let turn = self.turn(request);
         let share = self.share(request);
         let now_ms = self.now_ms();
@@ -354,12 +357,18 @@
                     .collect();
                 let taken = &mut self.turns_taken[turn.router];
                 let multiple = self.scenario.placement.bound.load_multiple;
-                simple_order(simple, &views, turn.chat, taken, multiple, &mut self.random)
+                let order =
+                    simple_order(simple, &views, turn.chat, taken, multiple, &mut self.random);
+                let no_import = |server| Try {
+                    server,
+                    import_from: None,
+                };
+                order.into_iter().map(no_import).collect()
             }
         }
     }
 
-    fn oracle_order(&mut self, turn: &Turn, share: f64) -> Vec<usize> {
+    fn oracle_order(&mut self, turn: &Turn, share: f64) -> Vec<Try> {
         for (view, engine) in self.oracle_view.servers.iter_mut().zip(&self.engines) {
             view.state = if engine.is_open() {
                 VmState::Live
@@ -387,11 +396,9 @@
         };
         let ranked = rank_servers(&self.scenario.placement, &self.oracle_view, &request);
         let limit = self.true_limit(share);
-        let under = ranked
-            .iter()
-            .filter_map(|candidate| self.ids.iter().position(|id| *id == candidate.server));
+        let under = tries(&self.ids, &ranked).into_iter();
         under
-            .filter(|server| self.engines[*server].in_flight() < limit)
+            .filter(|one| self.engines[one.server].in_flight() < limit)
             .collect()
     }
 
@@ -399,10 +406,15 @@
     fn try_next(&mut self, request: u32) {
         let turn = self.turn(request);
         let pending = &mut self.pending[request as usize];
-        let Some(server) = pending.order.get(pending.next).copied() else {
+        let Some(Try {
+            server,
+            import_from,
+        }) = pending.order.get(pending.next).copied()
+        else {
             return self.refuse(request);
         };
         pending.next += 1;
+        pending.import_from = import_from;
         if self.policy != Policy::Sapphiretrack {
             return self.enter(request, server);
         }
@@ -458,7 +470,7 @@
             return self.try_next(request);
         }
         let pending = &self.pending[request as usize];
-        let rest: Vec<usize> = pending.order[pending.next..].to_vec();
+        let rest: Vec<Try> = pending.order[pending.next..].to_vec();
         let pending = &mut self.pending[request as usize];
         pending.order = rest;
         pending.next = 0;
@@ -475,7 +487,9 @@
             self.routers[turn.router].learn(server, VmState::Leaving);
             return self.try_later(request, CONNECT_US);
         }
-        let limit = self.true_limit(self.share(request));
+        let limit = self.true_limit(WHOLE_SHARE);
+        let source = self.pending[request as usize].import_from;
+        let import_tokens = source.map_or(0, |source| self.engines[source].exports(turn.chat));
         let work = Work {
             request,
             chat: turn.chat,
@@ -484,6 +498,7 @@
             prompt_tokens: turn.prompt_tokens,
             answer_tokens: turn.answer_tokens,
             priority: u8::from(!turn.is_urgent),
+            import_tokens,
         };
         let started = self.engines[server].enter(work, self.now_us);
         self.measures.bound_breaches += u64::from(self.engines[server].in_flight() > limit);
@@ -496,7 +511,12 @@
         let (in_flight, live) = open.fold((0, 0), |(sum, live), engine| {
             (sum + engine.in_flight(), live + 1)
         });
-        server_limit(&self.scenario.placement.bound, in_flight, live, share)
+        let load = PoolLoad {
+            least_in_flight: in_flight,
+            in_flight,
+            live_servers: live,
+        };
+        server_limit(&self.scenario.placement.bound, &load, share)
     }
 
     fn has_room(&self, request: u32) -> bool {
@@ -510,6 +530,7 @@
         let pending = &mut self.pending[started.request as usize];
         pending.cached_tokens = started.cached_tokens;
         pending.first_token_us = started.first_token_us;
+        self.gathered.imported_tokens += u64::from(started.imported_tokens);
         let incarnation = self.engines[server].incarnation;
         let prompt_tokens = self.turn(started.request).prompt_tokens;
         self.gathered
--- a/crates/sapphiretrack-core/src/bound.rs
+++ b/crates/sapphiretrack-core/src/bound.rs
@@ -24,18 +24,31 @@
     }
 }
 
+/// A pool's requests in flight and servers, as far as a router knows them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PoolLoad {
+    /// Requests in flight on the pool's live servers, at the least.
+    pub least_in_flight: u32,
+    /// Requests in flight there, as likely.
+    pub in_flight: u32,
+    /// Servers that take new work.
+    pub live_servers: u32,
+}
+
 /// The number of requests that a server may hold, as its pool stands.
 ///
 /// `share` is the part of the bound that a class may fill: urgent classes get 1.0, lower ones
 /// leave headroom. The request about to be placed counts as part of the load. The multiple of
 /// the mean is rounded down: above the floor no server passes the multiple, not by a fraction.
 ///
-/// No class gets less than one request above the mean, as far as the bound allows it: the
-/// emptiest server is at the mean or under it, so that headroom alone never refuses work
+/// No class gets less than one request above the likely mean, as far as the bound allows it:
+/// the emptiest server is at the mean or under it, so that headroom alone never refuses work
 /// while the pool could take it.
-pub fn server_limit(bound: &LoadBound, pool_in_flight: u32, live_servers: u32, share: f64) -> u32 {
-    let mean = f64::from(pool_in_flight.saturating_add(1)) / f64::from(live_servers.max(1));
-    let by_mean = (bound.load_multiple * mean).floor() as u32;
+pub fn server_limit(bound: &LoadBound, load: &PoolLoad, share: f64) -> u32 {
+    let live = f64::from(load.live_servers.max(1));
+    let least_mean = f64::from(load.least_in_flight.saturating_add(1)) / live;
+    let mean = f64::from(load.in_flight.saturating_add(1)) / live;
+    let by_mean = (bound.load_multiple * least_mean).floor() as u32;
     let whole = by_mean
         .max(bound.floor_requests)
         .min(bound.ceiling_requests);
--- a/crates/sapphiretrack-core/src/ledger.rs
+++ b/crates/sapphiretrack-core/src/ledger.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ConsentSettings, LoadBound, ReservationId, RouterId, ServerId, server_limit};
+use crate::{
+    ConsentSettings, LoadBound, PoolLoad, ReservationId, RouterId, ServerId, server_limit,
+};
 
 /// Times that rule the ledger.
 #[derive(Clone, Copy, Debug)]
@@ -70,17 +72,6 @@
     pub by_server: Vec<(ServerId, Vec<ReservationId>)>,
 }
 
-/// A pool's load as a steward knows it when it is asked for a slot.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PoolLoad {
-    /// Requests in flight, at the least.
-    pub in_flight: u32,
-    /// Servers that take new work, at the most.
-    pub live_servers: u32,
-    /// Requests on the asked server by its own last report.
-    pub reported: u32,
-}
-
 /// The routers of a cell as one of them knows them.
 #[derive(Clone, Copy, Debug)]
 pub struct CellView<'a> {
@@ -164,12 +155,13 @@
         }
     }
 
-    /// Grants or refuses a slot.
+    /// Grants or refuses a slot; `reported` is the server's load by its own last report.
     pub fn reserve(
         &mut self,
         request: &ReserveRequest,
         bound: &LoadBound,
         load: &PoolLoad,
+        reported: u32,
         now_ms: u64,
     ) -> Grant {
         let consent_ms = self.settings.consent.consent_ms;
@@ -181,9 +173,9 @@
             return Grant::NotSteward;
         }
         let share = f64::from(request.bound_share);
-        let limit = server_limit(bound, load.in_flight, load.live_servers, share);
+        let limit = server_limit(bound, load, share);
         let unlisted = match now_ms < self.orphans_until_ms {
-            true => load.reported,
+            true => reported,
             false => 0,
         };
         if entry.count().max(unlisted) >= limit {
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -19,7 +19,7 @@
 mod retry;
 mod stewardship;
 
-pub use bound::{LoadBound, server_limit};
+pub use bound::{LoadBound, PoolLoad, server_limit};
 pub use chat::{Chunk, ChunkChoice, Delta, STREAM_END, Usage};
 pub use claim::{CLAIM_RETENTION_MS, Claim, ClaimDecision, ClaimState, decide_claim};
 pub use config::{FleetConfig, Refreshed, newer_config};
@@ -27,9 +27,7 @@
     ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, parse_contract, sha256_hex,
 };
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
-pub use ledger::{
-    CellView, Grant, HeldSlots, Ledger, PoolLoad, ReserveRequest, Settings as LedgerSettings,
-};
+pub use ledger::{CellView, Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
 pub use limits::{InFlightGate, RateLimiter};
 pub use membership::{
     Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, VmRecord, VmRole, VmState,
@@ -40,7 +38,7 @@
     Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
     WarmHint, WorkspaceShares, rank_servers,
 };
-pub use pool_load::{DrainSettings, HeardLoad, least_in_flight};
+pub use pool_load::{DrainSettings, HeardLoad, pool_load};
 pub use rendezvous::rendezvous_score;
 pub use retry::RetryBudget;
 pub use stewardship::{ConsentSettings, StewardNames};
--- a/crates/sapphiretrack-core/src/placement/ranking.rs
+++ b/crates/sapphiretrack-core/src/placement/ranking.rs
@@ -1,10 +1,10 @@
 //! Ranks the servers of a pool for one request by estimated time to first token.
 
 use crate::placement::subset::{subset_size, workspace_subset};
-use crate::placement::warmth::expected_warm_tokens;
+use crate::placement::warmth::{expected_warm_tokens, import_source};
 use crate::{
-    ChatKey, PlacementSettings, PoolKind, PoolView, RouterId, ServerId, ServerView, VmState,
-    WarmHint, WorkspaceKey, rendezvous_score, server_limit,
+    ChatKey, PlacementSettings, PoolKind, PoolLoad, PoolView, RouterId, ServerId, ServerView,
+    VmState, WarmHint, WorkspaceKey, rendezvous_score, server_limit,
 };
 
 /// What placement needs to know of a request.
@@ -37,6 +37,8 @@
     pub estimate_ms: f64,
     /// Whether the chat is believed warm there.
     pub warm: bool,
+    /// Where to import the chat's cached tokens from, where that beats computing them.
+    pub import_from: Option<ServerId>,
     /// Whether it looks to be at its bound.
     pub full: bool,
 }
@@ -62,17 +64,21 @@
     let home = (0..subset.len())
         .max_by(|a, b| scores[*a].total_cmp(&scores[*b]))
         .map(|index| subset[index]);
-    let limit = server_limit(
-        &settings.bound,
-        pool.in_flight(),
-        live.len() as u32,
-        request.bound_share,
-    );
+    let in_flight = live.iter().map(|server| server.in_flight).sum();
+    let load = PoolLoad {
+        least_in_flight: in_flight,
+        in_flight,
+        live_servers: live.len() as u32,
+    };
+    let limit = server_limit(&settings.bound, &load, request.bound_share);
+    let half_life_ms = settings.warm_half_life_ms;
+    let source = import_source(pool, request.warm, request.prompt_tokens, half_life_ms);
     let rank = |server: &&ServerView| {
         let place = Place {
             is_home: home == Some(server.id),
             in_subset: subset.contains(&server.id),
             has_cache: pool.kind == PoolKind::Engine,
+            source: source.filter(|(from, _)| *from != server.id),
         };
         candidate(settings, server, request, place, limit)
     };
@@ -90,6 +96,8 @@
     is_home: bool,
     in_subset: bool,
     has_cache: bool,
+    /// Where the chat's cached tokens can be imported from, and how many.
+    source: Option<(ServerId, f64)>,
 }
 
 fn candidate(
@@ -116,12 +124,19 @@
         false => prompt_tokens,
     };
     let queue_ms = f64::from(server.in_flight) * settings.queue_ms_per_request;
-    let prefill_ms = (prompt_tokens - cached) * settings.prefill_us_per_token / 1_000.0;
+    let prefill_ms = |tokens: f64| tokens * settings.prefill_us_per_token / 1_000.0;
+    let compute_ms = prefill_ms(prompt_tokens - cached);
+    let import = place.source.map(|(from, tokens)| {
+        let import_ms = settings.import_ms + tokens * settings.import_us_per_token / 1_000.0;
+        (from, import_ms + prefill_ms(prompt_tokens - tokens))
+    });
+    let import = import.filter(|(_, import_ms)| *import_ms < compute_ms);
     Candidate {
         server: server.id,
         steward: server.steward,
-        estimate_ms: queue_ms + prefill_ms,
+        estimate_ms: queue_ms + import.map_or(compute_ms, |(_, import_ms)| import_ms),
         warm: place.has_cache && known > 0.0,
+        import_from: import.map(|(from, _)| from),
         full: server.in_flight >= limit,
     }
 }
--- a/crates/sapphiretrack-core/src/placement/settings.rs
+++ b/crates/sapphiretrack-core/src/placement/settings.rs
@@ -7,6 +7,10 @@
 pub struct PlacementSettings {
     /// Time to compute one uncached prompt token.
     pub prefill_us_per_token: f64,
+    /// Time to begin an import of a chat's cached tokens from another server.
+    pub import_ms: f64,
+    /// Time to import one cached token.
+    pub import_us_per_token: f64,
     /// Time that a request in flight adds to the wait of a new one.
     pub queue_ms_per_request: f64,
     /// The smallest number of servers that a workspace's chats start on.
@@ -27,6 +31,8 @@
     fn default() -> Self {
         Self {
             prefill_us_per_token: 250.0,
+            import_ms: 5.0,
+            import_us_per_token: 25.0,
             queue_ms_per_request: 15.0,
             subset_servers: 4,
             subset_spread: 2.0,
--- a/crates/sapphiretrack-core/src/placement/warmth.rs
+++ b/crates/sapphiretrack-core/src/placement/warmth.rs
@@ -1,6 +1,6 @@
 //! Evidence of where a chat's prefix is cached.
 
-use crate::{Incarnation, ServerId, ServerView};
+use crate::{Incarnation, PoolView, ServerId, ServerView};
 
 /// Where a chat was last served, and how much of it is cached there.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -15,6 +15,26 @@
     pub age_ms: u64,
 }
 
+/// The server that a chat's cached tokens are best imported from, and how many it likely has.
+///
+/// A leaving server still exports; one whose incarnation is not known does not.
+pub(crate) fn import_source(
+    pool: &PoolView,
+    hints: &[WarmHint],
+    prompt_tokens: u32,
+    half_life_ms: u64,
+) -> Option<(ServerId, f64)> {
+    let sources = hints.iter().filter_map(|hint| pool.server(hint.server));
+    sources
+        .filter(|server| server.report.incarnation != 0)
+        .map(|server| {
+            let tokens = expected_warm_tokens(server, hints, prompt_tokens, half_life_ms);
+            (server.id, tokens)
+        })
+        .filter(|(_, tokens)| *tokens > 0.0)
+        .max_by(|a, b| a.1.total_cmp(&b.1))
+}
+
 /// The tokens of a prompt that a server is expected to have cached, by the best hint.
 pub(crate) fn expected_warm_tokens(
     server: &ServerView,
--- a/crates/sapphiretrack-core/src/pool_load.rs
+++ b/crates/sapphiretrack-core/src/pool_load.rs
@@ -1,4 +1,6 @@
-//! A lower estimate of a pool's requests in flight from counts that are a little old.
+//! A pool's requests in flight, estimated from counts that are a little old.
+
+use crate::PoolLoad;
 
 /// A router's requests in flight on a pool, as another router last heard.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,22 +29,33 @@
     }
 }
 
-/// At least so many requests are in flight on the pool, unless load ends faster than it may.
+/// A pool's load: `own` is exact; what others hold may have ended since they said so.
 ///
-/// `own` is exact; what others hold may have ended since they said so.
-pub fn least_in_flight<Heard>(settings: &DrainSettings, own: u32, heard: Heard) -> u32
+/// The least count holds unless load ends faster than it may.
+pub fn pool_load<Heard>(
+    settings: &DrainSettings,
+    own: u32,
+    heard: Heard,
+    live_servers: u32,
+) -> PoolLoad
 where
     Heard: IntoIterator<Item = HeardLoad>,
 {
     let drain_ms = settings.drain_ms.max(1) as f64;
+    let mut all = own;
     let mut kept = 0.0;
     let mut ended = 0.0;
     for load in heard {
         let in_flight = f64::from(load.in_flight);
         let part = (load.age_ms as f64 / drain_ms).min(1.0);
+        all = all.saturating_add(load.in_flight);
         kept += in_flight * (1.0 - part);
         ended += in_flight * part;
     }
     let least = (kept - settings.deviations * ended.sqrt()).max(0.0);
-    own.saturating_add(least.floor() as u32)
+    PoolLoad {
+        least_in_flight: own.saturating_add(least.floor() as u32),
+        in_flight: all,
+        live_servers,
+    }
 }
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -8,7 +8,7 @@
     CellView, ConsentSettings, DrainSettings, FleetConfig, Grant, HeardLoad, HeldSlots,
     Incarnation, Ledger, LedgerSettings, LoadBound, LoadReport, PoolKind, PoolLoad, PoolView,
     Refreshed, ReservationId, ReserveRequest, RouterId, RouterView, ServerId, ServerView,
-    StewardNames, VmRecord, VmRole, VmState, least_in_flight, newer_config, steward_of,
+    StewardNames, VmRecord, VmRole, VmState, newer_config, pool_load, steward_of,
 };
 use sapphiretrack_peer::{
     ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, ServerState,
@@ -422,13 +422,11 @@
             return Grant::Full;
         }
         let report = self.servers.get(&request.server).map(|known| known.report);
-        let load = PoolLoad {
-            in_flight: self.least_pool_in_flight(&pool, &live, now_ms),
-            live_servers: live.len() as u32,
-            reported: report.map_or(0, |report| report.running + report.queued),
-        };
+        let reported = report.map_or(0, |report| report.running + report.queued);
+        let load = self.pool_load(&pool, &live, now_ms);
         let bound = self.bound;
-        self.ledger.reserve(request, &bound, &load, now_ms)
+        self.ledger
+            .reserve(request, &bound, &load, reported, now_ms)
     }
 
     /// Settles whom this router asks, whom it consents to, and where it is steward itself.
@@ -484,8 +482,8 @@
             .collect()
     }
 
-    /// Requests in flight on the live servers of a pool, at the least.
-    fn least_pool_in_flight(&self, pool: &str, live: &BTreeSet<ServerId>, now_ms: u64) -> u32 {
+    /// Requests in flight on the live servers of a pool.
+    fn pool_load(&self, pool: &str, live: &BTreeSet<ServerId>, now_ms: u64) -> PoolLoad {
         let own = self
             .held
             .values()
@@ -503,7 +501,8 @@
                     age_ms: now_ms.saturating_sub(peer.heard_ms),
                 },
             });
-        least_in_flight(&DrainSettings::default(), own.count() as u32, heard)
+        let drain = DrainSettings::default();
+        pool_load(&drain, own.count() as u32, heard, live.len() as u32)
     }
 
     /// This router's requests in flight on the live servers of a server's pool.
