--- a/crates/sapphiretrack-bench/src/policy/router.rs
+++ b/crates/sapphiretrack-bench/src/policy/router.rs
@@ -15,7 +15,7 @@
 use super::trace::Turn;
 
 /// After this silence a router is no longer taken to be live.
-const DEAD_AFTER_MS: u64 = 2_500;
+const DEAD_AFTER_MS: u64 = 3_500;
 /// Chats that a router remembers.
 const MEMORY_CHATS: usize = 100_000;
 
@@ -31,7 +31,9 @@
     memory: PlacementMemory,
     shares: WorkspaceShares,
     view: PoolView,
-    /// Which server of the view is which; none if it is not listed.
+    /// The version of the last news of each server.
+    versions: Vec<u64>,
+    /// This router's requests in flight by server.
     own: Vec<u32>,
     held: BTreeMap<ReservationId, usize>,
     next_reservation: u32,
@@ -93,6 +95,7 @@
                 kind: PoolKind::Engine,
                 servers: views,
             },
+            versions: vec![0; servers.len()],
             own: vec![0; servers.len()],
             held: BTreeMap::new(),
             next_reservation: u32::MAX - 1_000,
@@ -108,9 +111,34 @@
         router
     }
 
-    /// Learns whether a server takes new work.
-    pub(crate) fn learn(&mut self, server: usize, state: VmState) {
-        self.view.servers[server].state = state;
+    /// Learns whether a server takes new work; older news than known is passed over.
+    ///
+    /// Returns whether the server has just joined: then [`Router::settle`] follows later.
+    pub(crate) fn learn(&mut self, server: usize, state: VmState, version: u64) -> bool {
+        if version < self.versions[server] {
+            return false;
+        }
+        self.versions[server] = version;
+        let view = &mut self.view.servers[server];
+        let joins = state == VmState::Live && view.state != VmState::Live;
+        view.state = state;
+        view.is_joining |= joins;
+        joins
+    }
+
+    /// Meets a closed port.
+    pub(crate) fn note_closed(&mut self, server: usize) {
+        self.view.servers[server].state = VmState::Leaving;
+    }
+
+    /// A server that joined may take requests from now on.
+    pub(crate) fn settle(&mut self, server: usize) {
+        self.view.servers[server].is_joining = false;
+    }
+
+    /// Whether this router would send requests to a server.
+    pub(crate) fn is_open(&self, server: usize) -> bool {
+        self.view.servers[server].is_open()
     }
 
     /// Takes in a server's load report.
@@ -397,5 +425,6 @@
             ..LoadReport::default()
         },
         steward: RouterId(0),
+        is_joining: false,
     }
 }
--- a/crates/sapphiretrack-bench/src/policy/scenario.rs
+++ b/crates/sapphiretrack-bench/src/policy/scenario.rs
@@ -125,7 +125,7 @@
             surge_multiple: 1.0,
             urgent_part: 0.1,
             caller_value_chance: 0.9,
-            heartbeat_ms: 500,
+            heartbeat_ms: 1_000,
             peer_delay_us: 500,
             pause_s: 20.0,
             turns: 8.0,
--- a/crates/sapphiretrack-bench/src/policy/world.rs
+++ b/crates/sapphiretrack-bench/src/policy/world.rs
@@ -7,8 +7,8 @@
 use rand_chacha::ChaCha8Rng;
 use sapphiretrack_core::{
     ChatKey, Grant, LoadReport, PlacementRequest, PoolKind, PoolLoad, PoolView, ReservationId,
-    ReserveRequest, RouterId, ServerId, VmState, WarmHint, WorkspaceKey, WorkspaceShares,
-    rank_servers, server_limit,
+    ReserveRequest, RouterId, ServerId, VmState, WaitSettings, WarmHint, WorkspaceKey,
+    WorkspaceShares, rank_servers, server_limit, wait_for_room,
 };
 use sapphiretrack_peer::{Heartbeat, PeerRequest};
 
@@ -83,6 +83,11 @@
         router: usize,
         server: usize,
         state: VmState,
+        version: u64,
+    },
+    Settle {
+        router: usize,
+        server: usize,
     },
 }
 
@@ -98,6 +103,7 @@
     cached_tokens: u32,
     first_token_us: u64,
     retries: u32,
+    waited_ms: u64,
     had_room: bool,
 }
 
@@ -119,6 +125,7 @@
     bodies: Vec<Option<Event>>,
     free_bodies: Vec<usize>,
     next_event: u64,
+    next_version: u64,
     now_us: u64,
     faults: ChaCha8Rng,
     random: ChaCha8Rng,
@@ -171,6 +178,7 @@
             bodies: Vec::new(),
             free_bodies: Vec::new(),
             next_event: 0,
+            next_version: 0,
             now_us: 0,
             faults: ChaCha8Rng::seed_from_u64(seed ^ 0xfa17),
             random: ChaCha8Rng::seed_from_u64(seed ^ 0xdec1),
@@ -303,7 +311,14 @@
                 router,
                 server,
                 state,
-            } => self.routers[router].learn(server, state),
+                version,
+            } => {
+                if self.routers[router].learn(server, state, version) {
+                    let at_us = self.now_us + JOIN_SETTLE_US;
+                    self.schedule(at_us, Event::Settle { router, server });
+                }
+            }
+            Event::Settle { router, server } => self.routers[router].settle(server),
         }
     }
 
@@ -346,7 +361,7 @@
             }
             simple => {
                 let router = &self.routers[turn.router];
-                let live = (0..self.ids.len()).filter(|server| router.is_live(*server));
+                let live = (0..self.ids.len()).filter(|server| router.is_open(*server));
                 let views: Vec<SimpleView> = live
                     .map(|index| SimpleView {
                         index,
@@ -411,7 +426,7 @@
             import_from,
         }) = pending.order.get(pending.next).copied()
         else {
-            return self.refuse(request);
+            return self.wait_or_refuse(request);
         };
         pending.next += 1;
         pending.import_from = import_from;
@@ -484,7 +499,7 @@
         self.routers[turn.router].note_sent(server);
         if !self.engines[server].is_up {
             self.give_back(request);
-            self.routers[turn.router].learn(server, VmState::Leaving);
+            self.routers[turn.router].note_closed(server);
             return self.try_later(request, CONNECT_US);
         }
         let limit = self.true_limit(WHOLE_SHARE);
@@ -505,16 +520,21 @@
         self.note_started(server, started);
     }
 
-    /// The bound as the pool truly stands.
+    /// The bound as the pool truly stands; a server counts once a router sends requests to it.
     fn true_limit(&self, share: f64) -> u32 {
-        let open = self.engines.iter().filter(|engine| engine.is_open());
-        let (in_flight, live) = open.fold((0, 0), |(sum, live), engine| {
-            (sum + engine.in_flight(), live + 1)
-        });
+        let mut in_flight = 0;
+        let mut live_servers = 0;
+        for (server, engine) in self.engines.iter().enumerate() {
+            let in_service = self.routers.iter().any(|router| router.is_open(server));
+            if engine.is_open() && in_service {
+                in_flight += engine.in_flight();
+                live_servers += 1;
+            }
+        }
         let load = PoolLoad {
             least_in_flight: in_flight,
             in_flight,
-            live_servers: live,
+            live_servers,
         };
         server_limit(&self.scenario.placement.bound, &load, share)
     }
@@ -565,11 +585,7 @@
         let waited_us = pending.first_token_us - (START_US + turn.at_us);
         let first_token_ms = waited_us as f64 / 1_000.0;
         self.gathered.first_token_ms.push(first_token_ms);
-        let deadline_ms = if turn.is_urgent {
-            URGENT_DEADLINE_MS
-        } else {
-            NORMAL_DEADLINE_MS
-        };
+        let deadline_ms = deadline_ms(turn.is_urgent);
         if first_token_ms > deadline_ms {
             self.measures.late += 1;
             let failed = turn.is_urgent && pending.had_room;
@@ -631,6 +647,25 @@
         }
     }
 
+    fn wait_or_refuse(&mut self, request: u32) {
+        let turn = self.turn(request);
+        let in_flight = self.engines.iter().map(Engine::in_flight).sum();
+        let deadline_ms = deadline_ms(turn.is_urgent);
+        let since_us = self.now_us - (START_US + turn.at_us);
+        let left_ms = (deadline_ms as u64).saturating_sub(since_us / 1_000);
+        let pending = &mut self.pending[request as usize];
+        let waited_ms = pending.waited_ms;
+        let wait = wait_for_room(&WaitSettings::default(), in_flight, waited_ms, left_ms);
+        let knows_bound = matches!(self.policy, Policy::Sapphiretrack | Policy::Oracle);
+        match wait.filter(|_| knows_bound) {
+            Some(wait_ms) => {
+                pending.waited_ms += wait_ms;
+                self.schedule(self.now_us + wait_ms * 1_000, Event::Arrive(request));
+            }
+            None => self.refuse(request),
+        }
+    }
+
     fn refuse(&mut self, request: u32) {
         self.measures.refused += 1;
         let failed = self.turn(request).is_urgent && self.has_room(request);
@@ -778,6 +813,7 @@
 
     /// Each router learns of a server's state in its own time.
     fn spread(&mut self, server: usize, state: VmState) {
+        self.next_version += 1;
         let slowest_us = if self.scenario.splits_per_min > 0.0 {
             5_000_000
         } else {
@@ -791,6 +827,7 @@
                     router,
                     server,
                     state,
+                    version: self.next_version,
                 },
             );
         }
@@ -817,7 +854,16 @@
     }
 }
 
+/// How long a server that joined counts for the bound before it takes requests.
+const JOIN_SETTLE_US: u64 = 2_500_000;
 /// Time between the two failures of a flapping server.
 const FLAP_US: u64 = 12_000_000;
+fn deadline_ms(is_urgent: bool) -> f64 {
+    match is_urgent {
+        true => URGENT_DEADLINE_MS,
+        false => NORMAL_DEADLINE_MS,
+    }
+}
+
 /// How often a request is tried again after its server failed.
 const MAX_RETRIES: u32 = 3;
--- a/crates/sapphiretrack-core/src/bound.rs
+++ b/crates/sapphiretrack-core/src/bound.rs
@@ -18,7 +18,7 @@
     fn default() -> Self {
         Self {
             load_multiple: 1.25,
-            floor_requests: 4,
+            floor_requests: 8,
             ceiling_requests: 64,
         }
     }
--- a/crates/sapphiretrack-core/src/membership.rs
+++ b/crates/sapphiretrack-core/src/membership.rs
@@ -120,6 +120,16 @@
     pub report: LoadReport,
     /// Which router counts its slots.
     pub steward: RouterId,
+    /// Whether it has joined just now: it counts for the load bound, but takes no requests until
+    /// all routers can have heard of it.
+    pub is_joining: bool,
+}
+
+impl ServerView {
+    /// Whether new requests may go there.
+    pub fn is_open(&self) -> bool {
+        self.state == VmState::Live && !self.is_joining
+    }
 }
 
 /// A pool as this router sees it.
--- a/crates/sapphiretrack-core/src/placement/mod.rs
+++ b/crates/sapphiretrack-core/src/placement/mod.rs
@@ -5,10 +5,12 @@
 mod settings;
 mod shares;
 mod subset;
+mod wait;
 mod warmth;
 
 pub use memory::{MEMORY_BYTES_PER_CHAT, PlacementMemory};
 pub use ranking::{Candidate, PlacementRequest, rank_servers};
 pub use settings::PlacementSettings;
 pub use shares::WorkspaceShares;
+pub use wait::{WaitSettings, wait_for_room};
 pub use warmth::WarmHint;
--- a/crates/sapphiretrack-core/src/placement/ranking.rs
+++ b/crates/sapphiretrack-core/src/placement/ranking.rs
@@ -4,7 +4,7 @@
 use crate::placement::warmth::{expected_warm_tokens, import_source};
 use crate::{
     ChatKey, PlacementSettings, PoolKind, PoolLoad, PoolView, RouterId, ServerId, ServerView,
-    VmState, WarmHint, WorkspaceKey, rendezvous_score, server_limit,
+    WarmHint, WorkspaceKey, rendezvous_score, server_limit,
 };
 
 /// What placement needs to know of a request.
@@ -50,11 +50,8 @@
     pool: &PoolView,
     request: &PlacementRequest<'_>,
 ) -> Vec<Candidate> {
-    let live: Vec<&ServerView> = pool
-        .servers
-        .iter()
-        .filter(|server| server.state == VmState::Live)
-        .collect();
+    let servers = pool.servers.iter();
+    let live: Vec<&ServerView> = servers.filter(|server| server.is_open()).collect();
     let size = subset_size(settings, live.len(), request.workspace_share);
     let subset = workspace_subset(request.workspace, &live, size);
     let scores: Vec<f64> = subset
@@ -68,7 +65,7 @@
     let load = PoolLoad {
         least_in_flight: in_flight,
         in_flight,
-        live_servers: live.len() as u32,
+        live_servers: pool.live_count(),
     };
     let limit = server_limit(&settings.bound, &load, request.bound_share);
     let half_life_ms = settings.warm_half_life_ms;
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -50,6 +50,7 @@
     servers: BTreeMap<ServerId, Server>,
     ledger: Ledger,
     names: StewardNames,
+    open_servers: BTreeSet<ServerId>,
     held: BTreeMap<ReservationId, Held>,
     next_reservation: u32,
     heartbeat_sequence: u64,
@@ -74,6 +75,8 @@
     report: LoadReport,
     reported_ms: u64,
     failed_reports: u32,
+    /// When it began to take new work; none while it takes none, and for the first list.
+    open_since_ms: Option<u64>,
     /// The incarnation that is leaving; it outranks live for that incarnation.
     leaving: Option<Incarnation>,
 }
@@ -92,6 +95,9 @@
     pub(crate) in_flight: u16,
 }
 
+/// How long a server that joined counts for the load bound before it takes requests; longer than
+/// a heartbeat, so that its pool's stewards have heard of it.
+const JOIN_SETTLE_MS: u64 = 2_500;
 /// Reports that may fail in a row before a server gets no new work.
 const MAX_FAILED_REPORTS: u32 = 3;
 
@@ -109,6 +115,7 @@
             servers: BTreeMap::new(),
             ledger,
             names: StewardNames::new(ConsentSettings::default()),
+            open_servers: BTreeSet::new(),
             held: BTreeMap::new(),
             next_reservation: 0,
             heartbeat_sequence: 0,
@@ -283,6 +290,7 @@
     /// Settles all that time alone changes. Call it often.
     pub(crate) fn tick(&mut self, now_ms: u64) {
         self.note_lost_peers(now_ms);
+        self.note_opened(now_ms);
         self.settle_stewards(now_ms);
         self.note_isolation(now_ms);
     }
@@ -344,6 +352,7 @@
                 in_flight: in_flight.get(&server).copied().unwrap_or(0),
                 report: known.report,
                 steward: self.names.steward(server).unwrap_or(self.identity.id),
+                is_joining: known.is_joining(now_ms),
             };
             let pool = pools.entry(pool.to_owned()).or_insert_with(|| PoolView {
                 name: pool.to_owned(),
@@ -429,6 +438,28 @@
             .reserve(request, &bound, &load, reported, now_ms)
     }
 
+    /// Notes servers that begin to take new work; those of the first list did so long ago.
+    fn note_opened(&mut self, now_ms: u64) {
+        let states: Vec<(ServerId, VmState)> = self
+            .listed_servers()
+            .map(|(server, record, ..)| {
+                let known = self.servers.get(&server).cloned().unwrap_or_default();
+                (server, self.server_state(server, record, &known))
+            })
+            .collect();
+        let is_first = self.open_servers.is_empty();
+        for (server, state) in states {
+            let is_new = state == VmState::Live && !self.open_servers.contains(&server);
+            if is_new && !is_first {
+                self.servers.entry(server).or_default().open_since_ms = Some(now_ms);
+            }
+            match state {
+                VmState::Live => self.open_servers.insert(server),
+                VmState::Leaving => self.open_servers.remove(&server),
+            };
+        }
+    }
+
     /// Settles whom this router asks, whom it consents to, and where it is steward itself.
     fn settle_stewards(&mut self, now_ms: u64) {
         let me = self.identity.id;
@@ -714,6 +745,13 @@
     }
 }
 
+impl Server {
+    fn is_joining(&self, now_ms: u64) -> bool {
+        self.open_since_ms
+            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) < JOIN_SETTLE_MS)
+    }
+}
+
 impl Peer {
     fn in_flight_on(&self, servers: &BTreeSet<ServerId>) -> u32 {
         let counts = self.heartbeat.in_flight.iter();
