--- a/crates/sapphiretrack-core/src/bound.rs
+++ b/crates/sapphiretrack-core/src/bound.rs
@@ -25,14 +25,16 @@
 }
 
 /// A pool's requests in flight and servers, as far as a router knows them.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PoolLoad {
     /// Requests in flight on the pool's live servers, at the least.
     pub least_in_flight: u32,
     /// Requests in flight there, as likely.
     pub in_flight: u32,
-    /// Servers that take new work.
+    /// Live servers, those that join just now included.
     pub live_servers: u32,
+    /// Servers that take requests already.
+    pub open_servers: u32,
 }
 
 /// The number of requests that a server may hold, as its pool stands.
@@ -45,9 +47,10 @@
 /// the emptiest server is at the mean or under it, so that headroom alone never refuses work
 /// while the pool could take it.
 pub fn server_limit(bound: &LoadBound, load: &PoolLoad, share: f64) -> u32 {
-    let live = f64::from(load.live_servers.max(1));
-    let least_mean = f64::from(load.least_in_flight.saturating_add(1)) / live;
-    let mean = f64::from(load.in_flight.saturating_add(1)) / live;
+    let least = f64::from(load.least_in_flight.saturating_add(1));
+    let least_mean = least / f64::from(load.live_servers.max(1));
+    let likely = f64::from(load.in_flight.saturating_add(1));
+    let mean = likely / f64::from(load.open_servers.max(1));
     let by_mean = (bound.load_multiple * least_mean).floor() as u32;
     let whole = by_mean
         .max(bound.floor_requests)
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -36,7 +36,8 @@
 pub use outcome::{Outcome, Refusal, RefusalCode};
 pub use placement::{
     Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
-    WaitSettings, WarmHint, WorkspaceShares, rank_servers, wait_for_room,
+    SentTokens, WaitSettings, WarmHint, WorkspaceShares, backlog_tokens, rank_servers,
+    wait_for_room,
 };
 pub use pool_load::{DrainSettings, HeardLoad, pool_load};
 pub use rendezvous::rendezvous_score;
--- a/crates/sapphiretrack-core/src/membership.rs
+++ b/crates/sapphiretrack-core/src/membership.rs
@@ -123,6 +123,8 @@
     /// Whether it has joined just now: it counts for the load bound, but takes no requests until
     /// all routers can have heard of it.
     pub is_joining: bool,
+    /// Prompt tokens that it has yet to compute, as far as this router knows.
+    pub backlog_tokens: u64,
 }
 
 impl ServerView {
@@ -157,6 +159,12 @@
             .count() as u32
     }
 
+    /// How many servers take requests already.
+    pub fn open_count(&self) -> u32 {
+        let open = self.servers.iter().filter(|server| server.is_open());
+        open.count() as u32
+    }
+
     /// The server of this id.
     pub fn server(&self, id: ServerId) -> Option<&ServerView> {
         self.servers.iter().find(|server| server.id == id)
--- a/crates/sapphiretrack-core/src/placement/mod.rs
+++ b/crates/sapphiretrack-core/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Which backend server gets a request.
 
+mod backlog;
 mod memory;
 mod ranking;
 mod settings;
@@ -8,6 +9,7 @@
 mod wait;
 mod warmth;
 
+pub use backlog::{SentTokens, backlog_tokens};
 pub use memory::{MEMORY_BYTES_PER_CHAT, PlacementMemory};
 pub use ranking::{Candidate, PlacementRequest, rank_servers};
 pub use settings::PlacementSettings;
--- a/crates/sapphiretrack-core/src/placement/ranking.rs
+++ b/crates/sapphiretrack-core/src/placement/ranking.rs
@@ -39,6 +39,8 @@
     pub warm: bool,
     /// Where to import the chat's cached tokens from, where that beats computing them.
     pub import_from: Option<ServerId>,
+    /// The prompt tokens that the server is expected to compute.
+    pub uncached_tokens: u32,
     /// Whether it looks to be at its bound.
     pub full: bool,
 }
@@ -66,6 +68,7 @@
         least_in_flight: in_flight,
         in_flight,
         live_servers: pool.live_count(),
+        open_servers: live.len() as u32,
     };
     let limit = server_limit(&settings.bound, &load, request.bound_share);
     let half_life_ms = settings.warm_half_life_ms;
@@ -120,20 +123,23 @@
         true => known.max(guessed_fraction * prompt_tokens),
         false => prompt_tokens,
     };
-    let queue_ms = f64::from(server.in_flight) * settings.queue_ms_per_request;
     let prefill_ms = |tokens: f64| tokens * settings.prefill_us_per_token / 1_000.0;
+    let backlog_ms = prefill_ms(server.backlog_tokens as f64);
+    let queue_ms = f64::from(server.in_flight) * settings.queue_ms_per_request + backlog_ms;
     let compute_ms = prefill_ms(prompt_tokens - cached);
     let import = place.source.map(|(from, tokens)| {
         let import_ms = settings.import_ms + tokens * settings.import_us_per_token / 1_000.0;
-        (from, import_ms + prefill_ms(prompt_tokens - tokens))
+        (from, import_ms + prefill_ms(prompt_tokens - tokens), tokens)
     });
-    let import = import.filter(|(_, import_ms)| *import_ms < compute_ms);
+    let import = import.filter(|(_, import_ms, _)| *import_ms < compute_ms);
+    let found = import.map_or(cached, |(_, _, tokens)| tokens);
     Candidate {
         server: server.id,
         steward: server.steward,
-        estimate_ms: queue_ms + import.map_or(compute_ms, |(_, import_ms)| import_ms),
+        estimate_ms: queue_ms + import.map_or(compute_ms, |(_, import_ms, _)| import_ms),
         warm: place.has_cache && known > 0.0,
-        import_from: import.map(|(from, _)| from),
+        import_from: import.map(|(from, ..)| from),
+        uncached_tokens: (prompt_tokens - found) as u32,
         full: server.in_flight >= limit,
     }
 }
--- a/crates/sapphiretrack-core/src/placement/wait.rs
+++ b/crates/sapphiretrack-core/src/placement/wait.rs
@@ -17,7 +17,7 @@
     fn default() -> Self {
         Self {
             hold_ms: 10_000,
-            longest_ms: 600,
+            longest_ms: 2_000,
             deadline_part: 0.25,
             shortest_ms: 40,
         }
--- a/crates/sapphiretrack-core/src/pool_load.rs
+++ b/crates/sapphiretrack-core/src/pool_load.rs
@@ -29,15 +29,10 @@
     }
 }
 
-/// A pool's load: `own` is exact; what others hold may have ended since they said so.
+/// A pool's requests in flight, with no servers yet: `own` is exact; what others hold may have ended since they said so.
 ///
 /// The least count holds unless load ends faster than it may.
-pub fn pool_load<Heard>(
-    settings: &DrainSettings,
-    own: u32,
-    heard: Heard,
-    live_servers: u32,
-) -> PoolLoad
+pub fn pool_load<Heard>(settings: &DrainSettings, own: u32, heard: Heard) -> PoolLoad
 where
     Heard: IntoIterator<Item = HeardLoad>,
 {
@@ -56,6 +51,6 @@
     PoolLoad {
         least_in_flight: own.saturating_add(least.floor() as u32),
         in_flight: all,
-        live_servers,
+        ..PoolLoad::default()
     }
 }
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -22,10 +22,8 @@
     },
     /// A traffic thread wants a slot.
     Begin {
-        /// On which server.
-        server: ServerId,
-        /// The part of the bound that the class may fill.
-        bound_share: f64,
+        /// Which.
+        wish: SlotWish,
         /// Where the reply goes.
         reply: oneshot::Sender<Begun>,
     },
@@ -61,6 +59,17 @@
     Stop,
 }
 
+/// A slot that a traffic thread wants.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotWish {
+    /// On which server.
+    pub(crate) server: ServerId,
+    /// The part of the bound that the class may fill.
+    pub(crate) bound_share: f64,
+    /// Prompt tokens that the server is expected to compute.
+    pub(crate) uncached_tokens: u32,
+}
+
 /// The control thread's part of a reservation.
 #[derive(Debug)]
 pub(crate) struct Begun {
@@ -112,13 +121,9 @@
     }
 
     /// Asks for a slot; none if the control thread has ended.
-    pub(crate) async fn begin(&self, server: ServerId, bound_share: f64) -> Option<Begun> {
+    pub(crate) async fn begin(&self, wish: SlotWish) -> Option<Begun> {
         let (reply, receiver) = oneshot::channel();
-        self.send(Command::Begin {
-            server,
-            bound_share,
-            reply,
-        });
+        self.send(Command::Begin { wish, reply });
         receiver.await.ok()
     }
 
--- a/crates/sapphiretrackd/src/control/mod.rs
+++ b/crates/sapphiretrackd/src/control/mod.rs
@@ -9,7 +9,9 @@
 mod state;
 mod thread;
 
-pub(crate) use handle::{Begun, Command, CommandReceiver, ControlHandle, Place, control_channel};
+pub(crate) use handle::{
+    Begun, Command, CommandReceiver, ControlHandle, Place, SlotWish, control_channel,
+};
 pub(crate) use snapshot::Snapshot;
 pub(crate) use state::{ControlState, Identity, Timing};
 pub(crate) use thread::{ControlParts, run_control};
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -6,9 +6,10 @@
 
 use sapphiretrack_core::{
     CellView, ConsentSettings, DrainSettings, FleetConfig, Grant, HeardLoad, HeldSlots,
-    Incarnation, Ledger, LedgerSettings, LoadBound, LoadReport, PoolKind, PoolLoad, PoolView,
-    Refreshed, ReservationId, ReserveRequest, RouterId, RouterView, ServerId, ServerView,
-    StewardNames, VmRecord, VmRole, VmState, newer_config, pool_load, steward_of,
+    Incarnation, Ledger, LedgerSettings, LoadBound, LoadReport, PlacementSettings, PoolKind,
+    PoolLoad, PoolView, Refreshed, ReservationId, ReserveRequest, RouterId, RouterView, SentTokens,
+    ServerId, ServerView, StewardNames, VmRecord, VmRole, VmState, backlog_tokens, newer_config,
+    pool_load, steward_of,
 };
 use sapphiretrack_peer::{
     ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, ServerState,
@@ -16,7 +17,7 @@
 use sapphiretrack_platform::wire::VmList;
 
 use crate::control::Snapshot;
-use crate::control::handle::{Begun, Place};
+use crate::control::handle::{Begun, Place, SlotWish};
 use crate::events::Event;
 
 /// Who this router is.
@@ -85,6 +86,9 @@
 struct Held {
     server: ServerId,
     steward: Option<SocketAddr>,
+    /// Prompt tokens that the server is expected to compute.
+    uncached_tokens: u32,
+    asked_ms: u64,
 }
 
 /// What a steward is told when a slot of its server is given back.
@@ -236,7 +240,8 @@
     }
 
     /// Starts a reservation on a server.
-    pub(crate) fn begin(&mut self, server: ServerId, bound_share: f64, now_ms: u64) -> Begun {
+    pub(crate) fn begin(&mut self, wish: SlotWish, now_ms: u64) -> Begun {
+        let SlotWish { server, .. } = wish;
         let in_flight = self.own_in_flight_with(server);
         let reservation = ReservationId(self.next_reservation);
         self.next_reservation = self.next_reservation.wrapping_add(1);
@@ -248,7 +253,7 @@
                     router,
                     reservation,
                     server,
-                    bound_share: bound_share as f32,
+                    bound_share: wish.bound_share as f32,
                     in_flight,
                 };
                 Place::Here(self.reserve(&request, now_ms))
@@ -265,7 +270,13 @@
                 Place::Peer(address) => Some(address),
                 _ => None,
             };
-            self.held.insert(reservation, Held { server, steward });
+            let held = Held {
+                server,
+                steward,
+                uncached_tokens: wish.uncached_tokens,
+                asked_ms: now_ms,
+            };
+            self.held.insert(reservation, held);
         }
         Begun {
             reservation,
@@ -353,6 +364,7 @@
                 report: known.report,
                 steward: self.names.steward(server).unwrap_or(self.identity.id),
                 is_joining: known.is_joining(now_ms),
+                backlog_tokens: self.backlog_tokens(server, &known, now_ms),
             };
             let pool = pools.entry(pool.to_owned()).or_insert_with(|| PoolView {
                 name: pool.to_owned(),
@@ -427,7 +439,9 @@
             return Grant::NotSteward;
         };
         let live = self.live_servers(&pool);
-        if !live.contains(&request.server) {
+        let known = self.servers.get(&request.server);
+        let is_joining = known.is_some_and(|known| known.is_joining(now_ms));
+        if !live.contains(&request.server) || is_joining {
             return Grant::Full;
         }
         let report = self.servers.get(&request.server).map(|known| known.report);
@@ -460,6 +474,18 @@
         }
     }
 
+    /// What a server has yet to compute: its last report, corrected by own sends since.
+    fn backlog_tokens(&self, server: ServerId, known: &Server, now_ms: u64) -> u64 {
+        let own = self.held.values().filter(|held| held.server == server);
+        let sent = own.map(|held| SentTokens {
+            tokens: held.uncached_tokens,
+            age_ms: now_ms.saturating_sub(held.asked_ms),
+        });
+        let age_ms = now_ms.saturating_sub(known.reported_ms);
+        let reported_tokens = known.report.queued_prompt_tokens;
+        backlog_tokens(&PlacementSettings::default(), reported_tokens, age_ms, sent)
+    }
+
     /// Settles whom this router asks, whom it consents to, and where it is steward itself.
     fn settle_stewards(&mut self, now_ms: u64) {
         let me = self.identity.id;
@@ -532,8 +558,15 @@
                     age_ms: now_ms.saturating_sub(peer.heard_ms),
                 },
             });
-        let drain = DrainSettings::default();
-        pool_load(&drain, own.count() as u32, heard, live.len() as u32)
+        let joining = live.iter().filter(|server| {
+            let known = self.servers.get(*server);
+            known.is_some_and(|known| known.is_joining(now_ms))
+        });
+        PoolLoad {
+            live_servers: live.len() as u32,
+            open_servers: (live.len() - joining.count()) as u32,
+            ..pool_load(&DrainSettings::default(), own.count() as u32, heard)
+        }
     }
 
     /// This router's requests in flight on the live servers of a server's pool.
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -81,12 +81,8 @@
             Command::Peer { request, reply } => {
                 drop(reply.send(self.state.handle_peer(request, now_ms)));
             }
-            Command::Begin {
-                server,
-                bound_share,
-                reply,
-            } => {
-                let begun = self.state.begin(server, bound_share, now_ms);
+            Command::Begin { wish, reply } => {
+                let begun = self.state.begin(wish, now_ms);
                 let reservation = begun.reservation;
                 if reply.send(begun).is_err() {
                     self.end(reservation);
--- a/crates/sapphiretrackd/src/dispatch/slots.rs
+++ b/crates/sapphiretrackd/src/dispatch/slots.rs
@@ -4,7 +4,7 @@
 
 use sapphiretrack_core::{Candidate, Grant, Incarnation, ReservationId, ReserveRequest, ServerId};
 
-use crate::control::{Begun, Command, ControlHandle, Place, Snapshot};
+use crate::control::{Begun, Command, ControlHandle, Place, SlotWish, Snapshot};
 use crate::dispatch::Dispatcher;
 
 /// How many servers are tried for a slot before a request is refused.
@@ -16,6 +16,8 @@
     pub(crate) server: ServerId,
     /// Where it takes requests.
     pub(crate) address: SocketAddr,
+    /// Where the chat's cached tokens can be imported from, where that is cheaper.
+    pub(crate) import_from: Option<SocketAddr>,
     /// Its incarnation, as last heard.
     pub(crate) incarnation: Incarnation,
     _reservation: Reservation,
@@ -53,14 +55,20 @@
             let Some(server) = pool.server(candidate.server) else {
                 continue;
             };
-            let Some(reservation) = self
-                .reserve_on(candidate.server, bound_share, snapshot)
-                .await
-            else {
+            let wish = SlotWish {
+                server: candidate.server,
+                bound_share,
+                uncached_tokens: candidate.uncached_tokens,
+            };
+            let Some(reservation) = self.reserve_on(wish, snapshot).await else {
                 continue;
             };
             return Some(Slot {
                 server: server.id,
+                import_from: candidate
+                    .import_from
+                    .and_then(|from| pool.server(from))
+                    .map(|from| from.address),
                 address: server.address,
                 incarnation: server.report.incarnation,
                 _reservation: reservation,
@@ -69,17 +77,12 @@
         None
     }
 
-    async fn reserve_on(
-        &self,
-        server: ServerId,
-        bound_share: f64,
-        snapshot: &Snapshot,
-    ) -> Option<Reservation> {
+    async fn reserve_on(&self, wish: SlotWish, snapshot: &Snapshot) -> Option<Reservation> {
         let Begun {
             reservation: id,
             place,
             in_flight,
-        } = self.control.begin(server, bound_share).await?;
+        } = self.control.begin(wish).await?;
         let reservation = Reservation {
             control: self.control.clone(),
             id,
@@ -91,8 +94,8 @@
                 let request = ReserveRequest {
                     router: snapshot.me,
                     reservation: id,
-                    server,
-                    bound_share: bound_share as f32,
+                    server: wish.server,
+                    bound_share: wish.bound_share as f32,
                     in_flight,
                 };
                 self.peers
