--- a/crates/sapphiretrack-backend/src/client.rs
+++ b/crates/sapphiretrack-backend/src/client.rs
@@ -14,8 +14,8 @@
 use crate::answer::AnswerStream;
 use crate::error::{BackendError, BrokenSnafu, CrossedSnafu, NotStartedSnafu, UnreachableSnafu};
 use crate::wire::{
-    ATTEMPT_HEADER, CHAT_HEADER, DEADLINE_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER,
-    RESUME_HEADER,
+    ATTEMPT_HEADER, CHAT_HEADER, DEADLINE_HEADER, IMPORT_HEADER, NOT_STARTED_HEADER,
+    PRIORITY_HEADER, RESUME_HEADER,
 };
 
 /// How backend servers are reached.
@@ -54,6 +54,8 @@
     pub deadline_ms: u64,
     /// How many tokens the caller has already.
     pub resume_tokens: u32,
+    /// The engine to import the chat's cached prefix from, where that beats computing it.
+    pub import_from: Option<SocketAddr>,
 }
 
 /// One attempt to run a call on a plain service.
@@ -113,15 +115,18 @@
         attempt: &ChatAttempt,
     ) -> Result<AnswerStream, BackendError> {
         let id = attempt.id.to_string();
-        let request = http::Request::post(format!("http://{address}/v1/chat/completions"))
+        let mut request = http::Request::post(format!("http://{address}/v1/chat/completions"))
             .header(http::header::CONTENT_TYPE, "application/json")
             .header(ATTEMPT_HEADER, &id)
             .header(CHAT_HEADER, format!("{:016x}", attempt.chat.0))
             .header(PRIORITY_HEADER, attempt.priority.to_string())
             .header(DEADLINE_HEADER, attempt.deadline_ms.to_string())
-            .header(RESUME_HEADER, attempt.resume_tokens.to_string())
-            .body(Full::new(attempt.body.clone()));
-        let response = self.send(request).await?;
+            .header(RESUME_HEADER, attempt.resume_tokens.to_string());
+        if let Some(source) = attempt.import_from {
+            request = request.header(IMPORT_HEADER, source.to_string());
+        }
+        let body = Full::new(attempt.body.clone());
+        let response = self.send(request.body(body)).await?;
         let response = started(response)?;
         if !response.status().is_success() {
             return BrokenSnafu {
--- a/crates/sapphiretrack-backend/src/wire.rs
+++ b/crates/sapphiretrack-backend/src/wire.rs
@@ -12,3 +12,7 @@
 pub const CHAT_HEADER: &str = "x-chat-key";
 /// Set to `true` by a server that refuses a request that it did not start.
 pub const NOT_STARTED_HEADER: &str = "x-not-started";
+/// Carries the address of the engine to import the chat's cached prefix from.
+pub const IMPORT_HEADER: &str = "x-import-from";
+/// The path under which an engine exports a chat's cached prefix, followed by the chat's key.
+pub const EXPORT_PATH: &str = "/kv/";
--- a/crates/sapphiretrack-bench/src/policy/router.rs
+++ b/crates/sapphiretrack-bench/src/policy/router.rs
@@ -15,7 +15,7 @@
 use super::trace::Turn;
 
 /// After this silence a router is no longer taken to be live.
-const DEAD_AFTER_MS: u64 = 3_500;
+const DEAD_AFTER_MS: u64 = 3_000;
 /// Chats that a router remembers.
 const MEMORY_CHATS: usize = 100_000;
 
--- a/crates/sapphiretrack-core/src/stewardship.rs
+++ b/crates/sapphiretrack-core/src/stewardship.rs
@@ -20,7 +20,7 @@
 impl Default for ConsentSettings {
     fn default() -> Self {
         Self {
-            consent_ms: 2_500,
+            consent_ms: 3_000,
             travel_ms: 500,
         }
     }
--- a/crates/sapphiretrack-fakes/src/engine.rs
+++ b/crates/sapphiretrack-fakes/src/engine.rs
@@ -10,7 +10,8 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use sapphiretrack_backend::wire::{
-    ATTEMPT_HEADER, CHAT_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER, RESUME_HEADER,
+    ATTEMPT_HEADER, CHAT_HEADER, EXPORT_PATH, IMPORT_HEADER, NOT_STARTED_HEADER, PRIORITY_HEADER,
+    RESUME_HEADER,
 };
 use sapphiretrack_core::{
     Chunk, ChunkChoice, Delta, Incarnation, LoadReport, STREAM_END, Usage, hash_parts,
@@ -22,6 +23,7 @@
 use crate::http_server::{
     FakeFuture, FakeResponse, json, read_bytes, read_json, serve, with_status,
 };
+use crate::kv::{ExportedPrefix, import_prefix};
 
 /// Bytes of text that make about one token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -114,6 +116,7 @@
     prompt_tokens: u32,
     answer_tokens: u32,
     answer_tag: u64,
+    import_from: Option<SocketAddr>,
 }
 
 impl FakeEngine {
@@ -179,7 +182,17 @@
             "/v1/chat/completions" => match self.chat(request).await {
                 Ok(response) | Err(response) => response,
             },
-            _ => with_status(StatusCode::NOT_FOUND, "{}"),
+            path => match path.strip_prefix(EXPORT_PATH) {
+                Some(chat) => self.export_prefix(chat),
+                None => with_status(StatusCode::NOT_FOUND, "{}"),
+            },
+        }
+    }
+
+    fn export_prefix(&self, chat: &str) -> FakeResponse {
+        match self.shared.lock().cache.get(chat) {
+            Some(tokens) => json(&ExportedPrefix { tokens: *tokens }),
+            None => with_status(StatusCode::NOT_FOUND, "{}"),
         }
     }
 
@@ -243,6 +256,7 @@
 
     async fn generate(self: &Arc<Self>, chat: &ChatRequest, attempt: &str, frames: Frames) {
         let _slot = self.take_slot(chat).await;
+        self.import(chat).await;
         let cached_tokens = self.lock().cached_tokens(chat);
         let uncached = u64::from(chat.prompt_tokens - cached_tokens);
         let prefill_us = uncached * self.settings.prefill_us_per_token;
@@ -311,6 +325,21 @@
         }
     }
 
+    /// Imports the chat's prefix, if the request names where it is and it is longer there.
+    async fn import(&self, chat: &ChatRequest) {
+        let Some(source) = chat.import_from else {
+            return;
+        };
+        let Some(prefix) = import_prefix(source, &chat.chat).await else {
+            return;
+        };
+        let capacity = self.settings.cached_chats;
+        let mut state = self.lock();
+        if state.cache.get(&chat.chat).copied().unwrap_or(0) < prefix.tokens {
+            state.store(&chat.chat, prefix.tokens, capacity);
+        }
+    }
+
     fn take_cut(&self) -> Option<u32> {
         let mut state = self.lock();
         if state.faults.cut_streams == 0 {
@@ -343,10 +372,14 @@
 
     fn remember(&mut self, chat: &ChatRequest, capacity: usize) {
         let tokens = chat.prompt_tokens + chat.answer_tokens;
-        if self.cache.insert(chat.chat.clone(), tokens).is_some() {
-            self.cache_order.retain(|known| *known != chat.chat);
+        self.store(&chat.chat, tokens, capacity);
+    }
+
+    fn store(&mut self, chat: &str, tokens: u32, capacity: usize) {
+        if self.cache.insert(chat.to_owned(), tokens).is_some() {
+            self.cache_order.retain(|known| known != chat);
         }
-        self.cache_order.push_back(chat.chat.clone());
+        self.cache_order.push_back(chat.to_owned());
         if self.cache_order.len() > capacity
             && let Some(oldest) = self.cache_order.pop_front()
         {
@@ -406,6 +439,7 @@
         prompt_tokens: text_bytes.div_ceil(BYTES_PER_TOKEN) as u32,
         answer_tokens: max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
         answer_tag: hash_parts(&[messages.as_bytes()]),
+        import_from: text(&headers, IMPORT_HEADER).parse().ok(),
     })
 }
 
--- a/crates/sapphiretrack-fakes/src/lib.rs
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod engine;
 mod http_server;
+mod kv;
 mod platform;
 mod service;
 
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -108,7 +108,15 @@
 impl ControlState {
     /// The state of a router that has heard nothing yet.
     pub(crate) fn new(identity: Identity, timing: Timing, bound: LoadBound) -> Self {
-        let ledger = Ledger::new(identity.id, LedgerSettings::default());
+        let consent = ConsentSettings {
+            consent_ms: timing.dead_after_ms,
+            ..ConsentSettings::default()
+        };
+        let settings = LedgerSettings {
+            consent,
+            ..LedgerSettings::default()
+        };
+        let ledger = Ledger::new(identity.id, settings);
         Self {
             identity,
             timing,
@@ -118,7 +126,7 @@
             peers: BTreeMap::new(),
             servers: BTreeMap::new(),
             ledger,
-            names: StewardNames::new(ConsentSettings::default()),
+            names: StewardNames::new(consent),
             open_servers: BTreeSet::new(),
             held: BTreeMap::new(),
             next_reservation: 0,
--- a/crates/sapphiretrackd/src/dispatch/chat.rs
+++ b/crates/sapphiretrackd/src/dispatch/chat.rs
@@ -213,6 +213,7 @@
             priority: self.request.policy.priority,
             deadline_ms: left.as_millis() as u64,
             resume_tokens: self.sent_tokens,
+            import_from: slot.import_from,
         };
         let mut answer = match self.dispatcher.backend.chat(slot.address, &attempt).await {
             Ok(answer) => answer,
