--- /dev/null
+++ b/crates/sapphiretrack-bench/tests/policy.rs
@@ -0,0 +1,55 @@
+//! The policy runs: the same seed gives the same figures, and what the project promises holds.
+
+use sapphiretrack_bench::policy::{Policy, Scenario, ScenarioName, measure};
+
+fn short(name: ScenarioName) -> Scenario {
+    Scenario {
+        minutes: 1.0,
+        ..Scenario::named(name)
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_figures() {
+    for policy in Policy::ALL {
+        let scenario = short(ScenarioName::Churn);
+        let first = measure(&scenario, policy, 7);
+        assert_eq!(first, measure(&scenario, policy, 7), "{}", policy.name());
+        assert_ne!(
+            first.warm_token_fraction,
+            measure(&scenario, policy, 8).warm_token_fraction
+        );
+    }
+}
+
+#[test]
+fn no_placement_passes_the_bound_while_nothing_fails() {
+    for name in [ScenarioName::Steady, ScenarioName::Surge] {
+        for seed in 1..=3 {
+            let measures = measure(&short(name), Policy::Sapphiretrack, seed);
+            assert_eq!(measures.bound_breaches, 0, "{} seed {seed}", name.name());
+        }
+    }
+}
+
+#[test]
+fn policies_without_a_shared_count_pass_the_bound() {
+    for policy in [
+        Policy::Random,
+        Policy::Rendezvous,
+        Policy::BoundedRendezvous,
+    ] {
+        let measures = measure(&short(ScenarioName::Steady), policy, 1);
+        assert!(measures.bound_breaches > 100, "{}", policy.name());
+    }
+}
+
+#[test]
+fn sapphiretrack_is_warmer_than_load_alone_and_flatter_than_hashing_alone() {
+    let scenario = short(ScenarioName::Churn);
+    let ours = measure(&scenario, Policy::Sapphiretrack, 1);
+    let least_loaded = measure(&scenario, Policy::LeastLoaded, 1);
+    let rendezvous = measure(&scenario, Policy::Rendezvous, 1);
+    assert!(ours.warm_token_fraction > least_loaded.warm_token_fraction + 0.1);
+    assert!(ours.skew < rendezvous.skew - 0.1);
+}
--- /dev/null
+++ b/crates/sapphiretrack-core/tests/stewardship.rs
@@ -0,0 +1,235 @@
+//! Stewards, consent and the ledger: the bound holds though routers disagree.
+
+use proptest::prelude::*;
+use sapphiretrack_core::{
+    CellView, ConsentSettings, Grant, HeldSlots, Ledger, LedgerSettings, LoadBound, PoolLoad,
+    ReservationId, ReserveRequest, RouterId, ServerId, StewardNames,
+};
+
+const SERVER: ServerId = ServerId(7);
+
+fn ask(router: RouterId, reservation: u32) -> ReserveRequest {
+    ReserveRequest {
+        router,
+        reservation: ReservationId(reservation),
+        server: SERVER,
+        bound_share: 1.0,
+        in_flight: 0,
+    }
+}
+
+fn listing(reservations: &[u32], next_reservation: u32) -> HeldSlots {
+    let held = reservations.iter().copied().map(ReservationId).collect();
+    HeldSlots {
+        next_reservation,
+        by_server: vec![(SERVER, held)],
+    }
+}
+
+fn reserve(ledger: &mut Ledger, request: &ReserveRequest, now_ms: u64) -> Grant {
+    let load = PoolLoad {
+        live_servers: 1,
+        open_servers: 1,
+        ..PoolLoad::default()
+    };
+    let bound = LoadBound {
+        floor_requests: 2,
+        ..LoadBound::default()
+    };
+    ledger.reserve(request, &bound, &load, 0, now_ms)
+}
+
+fn view<'a>(live: &'a [RouterId], known: &'a [RouterId]) -> CellView<'a> {
+    CellView {
+        stewarded: &[SERVER],
+        live,
+        known,
+    }
+}
+
+#[test]
+fn a_new_steward_grants_only_after_every_possible_holder_spoke() {
+    let routers = [RouterId(1), RouterId(2), RouterId(3)];
+    let mut ledger = Ledger::new(routers[0], LedgerSettings::default());
+    ledger.set_view(&view(&routers, &routers), 0);
+    assert_eq!(
+        reserve(&mut ledger, &ask(routers[0], 1), 0),
+        Grant::NotSteward
+    );
+    ledger.reconcile(routers[1], &listing(&[4], 5), 10);
+    assert_eq!(
+        reserve(&mut ledger, &ask(routers[0], 1), 10),
+        Grant::NotSteward
+    );
+    ledger.reconcile(routers[2], &listing(&[], 0), 20);
+    assert_eq!(
+        reserve(&mut ledger, &ask(routers[0], 1), 20),
+        Grant::Granted
+    );
+    assert_eq!(ledger.held(SERVER), Some(2));
+    assert_eq!(reserve(&mut ledger, &ask(routers[2], 1), 20), Grant::Full);
+}
+
+#[test]
+fn a_steward_stops_granting_when_most_consents_have_lapsed() {
+    let routers = [RouterId(1), RouterId(2), RouterId(3)];
+    let settings = LedgerSettings::default();
+    let mut ledger = Ledger::new(routers[0], settings);
+    ledger.set_view(&view(&routers, &routers), 0);
+    ledger.reconcile(routers[1], &listing(&[], 0), 0);
+    ledger.reconcile(routers[2], &listing(&[], 0), 0);
+    assert_eq!(reserve(&mut ledger, &ask(routers[0], 1), 1), Grant::Granted);
+    let lapsed_ms = settings.consent.consent_ms;
+    ledger.set_view(&view(&[routers[0]], &routers), lapsed_ms);
+    let late = reserve(&mut ledger, &ask(routers[0], 2), lapsed_ms);
+    assert_eq!(late, Grant::NotSteward);
+}
+
+#[test]
+fn a_router_that_starts_alone_in_a_listed_cell_grants_nothing() {
+    let routers = [RouterId(1), RouterId(2), RouterId(3)];
+    let mut ledger = Ledger::new(routers[0], LedgerSettings::default());
+    ledger.set_view(&view(&routers[..1], &routers), 0);
+    assert!(!ledger.hears_cell());
+    assert_eq!(
+        reserve(&mut ledger, &ask(routers[0], 1), 0),
+        Grant::NotSteward
+    );
+}
+
+#[test]
+fn lost_routers_slots_stay_counted_for_the_grace_time_and_reports_after_it() {
+    let routers = [RouterId(1), RouterId(2), RouterId(3)];
+    let settings = LedgerSettings::default();
+    let mut ledger = Ledger::new(routers[0], settings);
+    ledger.set_view(&view(&routers, &routers), 0);
+    ledger.reconcile(routers[1], &listing(&[1, 2], 3), 0);
+    ledger.reconcile(routers[2], &listing(&[], 0), 0);
+    let live = [routers[0], routers[1]];
+    let known = [routers[0], routers[1], routers[2]];
+    ledger.set_view(&view(&[routers[0], routers[2]], &known), 1_000);
+    ledger.reconcile(routers[2], &listing(&[], 0), 1_000);
+    assert_eq!(ledger.held(SERVER), Some(2));
+    let after_ms = 1_000 + settings.dead_holder_grace_ms;
+    ledger.reconcile(routers[2], &listing(&[], 0), after_ms);
+    ledger.set_view(&view(&[routers[0], routers[2]], &known), after_ms);
+    assert_eq!(ledger.held(SERVER), Some(0));
+    let load = PoolLoad::default();
+    let bound = LoadBound {
+        floor_requests: 2,
+        ..LoadBound::default()
+    };
+    let request = ask(routers[0], 9);
+    let reported = ledger.reserve(&request, &bound, &load, 2, after_ms);
+    assert_eq!(reported, Grant::Full, "the server itself still reports two");
+    assert_eq!(live.len(), 2);
+}
+
+#[test]
+fn reconciling_survives_the_wrap_around_of_reservation_ids() {
+    let me = RouterId(1);
+    let other = RouterId(2);
+    let mut ledger = Ledger::new(me, LedgerSettings::default());
+    ledger.set_view(&view(&[me, other], &[me, other]), 0);
+    ledger.reconcile(other, &listing(&[], u32::MAX - 1), 0);
+    assert_eq!(
+        reserve(&mut ledger, &ask(other, u32::MAX), 1),
+        Grant::Granted
+    );
+    // The listing was sent before the grant: it does not judge the id that was drawn later.
+    ledger.reconcile(other, &listing(&[], u32::MAX), 2);
+    assert_eq!(ledger.held(SERVER), Some(1));
+    // This one was sent after the ids wrapped around, and no longer lists the slot.
+    ledger.reconcile(other, &listing(&[], 3), 3);
+    assert_eq!(ledger.held(SERVER), Some(0));
+}
+
+#[test]
+fn a_router_names_a_new_steward_only_when_its_earlier_consent_has_run_out() {
+    let settings = ConsentSettings::default();
+    let mut names = StewardNames::new(settings);
+    let (first, second) = (RouterId(1), RouterId(2));
+    names.want(SERVER, first, false, 0);
+    assert_eq!(names.consent(SERVER), None, "it does not hear its cell yet");
+    names.want(SERVER, first, true, 0);
+    names.note_sent(first, 1_000);
+    names.want(SERVER, second, true, 1_001);
+    assert_eq!(names.consent(SERVER), None);
+    assert_eq!(names.steward(SERVER), Some(first));
+    names.want(SERVER, second, true, 1_000 + settings.handover_ms() - 1);
+    assert_eq!(names.consent(SERVER), None);
+    names.want(SERVER, second, true, 1_000 + settings.handover_ms());
+    assert_eq!(names.consent(SERVER), Some(second));
+}
+
+/// One router of the property test.
+struct Node {
+    names: StewardNames,
+    ledger: Ledger,
+    held: Vec<u32>,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: proptest::test_runner::RngSeed::Fixed(4), ..ProptestConfig::default() })]
+
+    /// Whatever routers believe about who is steward, the slots held never pass the bound.
+    #[test]
+    fn no_two_stewards_overfill_a_server(beliefs in prop::collection::vec((0_usize..5, 0_usize..5, any::<u32>()), 40..160)) {
+        let routers: Vec<RouterId> = (1..=5).map(RouterId).collect();
+        let mut nodes: Vec<Node> = routers
+            .iter()
+            .map(|id| Node {
+                names: StewardNames::new(ConsentSettings::default()),
+                ledger: Ledger::new(*id, LedgerSettings::default()),
+                held: Vec::new(),
+            })
+            .collect();
+        let mut wanted = vec![0_usize; 5];
+        let mut next = 0;
+        for (step, (who, whom, cuts)) in beliefs.into_iter().enumerate() {
+            let now_ms = step as u64 * 700;
+            wanted[who] = whom;
+            for index in 0..5 {
+                let node = &mut nodes[index];
+                node.names.want(SERVER, routers[wanted[index]], true, now_ms);
+                let is_own = node.names.consent(SERVER) == Some(routers[index]);
+                node.names.note_sent(routers[index], now_ms);
+                let stewarded = [SERVER];
+                let view = CellView {
+                    stewarded: if is_own { &stewarded } else { &[] },
+                    live: &routers,
+                    known: &routers,
+                };
+                node.ledger.set_view(&view, now_ms);
+            }
+            for from in 0..5 {
+                let Some(to) = nodes[from].names.consent(SERVER) else { continue };
+                let to = to.0 as usize - 1;
+                let is_cut = cuts >> (from * 5 + to) & 1 == 1;
+                nodes[from].names.note_sent(routers[to], now_ms);
+                if to != from && !is_cut {
+                    let slots = listing(&nodes[from].held, next);
+                    nodes[to].ledger.reconcile(routers[from], &slots, now_ms);
+                }
+            }
+            for (asker, router) in routers.iter().enumerate() {
+                let Some(steward) = nodes[asker].names.steward(SERVER) else { continue };
+                let steward = steward.0 as usize - 1;
+                let request = ask(*router, next);
+                if reserve(&mut nodes[steward].ledger, &request, now_ms) == Grant::Granted {
+                    nodes[asker].held.push(next);
+                }
+                next += 1;
+            }
+            let held: usize = nodes.iter().map(|node| node.held.len()).sum();
+            prop_assert!(held <= 2, "{held} slots are held of 2 after step {step}");
+            if step % 3 == 0 {
+                for (index, node) in nodes.iter_mut().enumerate() {
+                    node.held.pop().into_iter().for_each(|id| {
+                        node.ledger.release(routers[index], SERVER, ReservationId(id));
+                    });
+                }
+            }
+        }
+    }
+}
