--- a/crates/sapphiretrack-core/src/bound.rs
+++ b/crates/sapphiretrack-core/src/bound.rs
@@ -24,6 +24,10 @@
     }
 }
 
+/// A class whose share of the bound is below this is shed on purpose; a larger share only leaves
+/// headroom to more urgent classes.
+pub const SHED_BELOW_SHARE: f64 = 0.7;
+
 /// A pool's requests in flight and servers, as far as a router knows them.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PoolLoad {
@@ -43,9 +47,9 @@
 /// leave headroom. The request about to be placed counts as part of the load. The multiple of
 /// the mean is rounded down: above the floor no server passes the multiple, not by a fraction.
 ///
-/// No class gets less than one request above the likely mean, as far as the bound allows it:
-/// the emptiest server is at the mean or under it, so that headroom alone never refuses work
-/// while the pool could take it.
+/// A class that is not shed gets at least one request above the likely mean, as far as the
+/// bound allows it: the emptiest server is at the mean or under it, so that headroom alone
+/// never refuses work while the pool could take it.
 pub fn server_limit(bound: &LoadBound, load: &PoolLoad, share: f64) -> u32 {
     let least = f64::from(load.least_in_flight.saturating_add(1));
     let least_mean = least / f64::from(load.live_servers.max(1));
@@ -56,6 +60,9 @@
         .max(bound.floor_requests)
         .min(bound.ceiling_requests);
     let by_class = (f64::from(whole) * share.clamp(0.0, 1.0)).floor() as u32;
-    let above_mean = (mean.floor() as u32).saturating_add(1).min(whole);
+    let above_mean = match share < SHED_BELOW_SHARE {
+        true => 0,
+        false => (mean.floor() as u32).saturating_add(1).min(whole),
+    };
     by_class.max(above_mean).max(1)
 }
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -8,32 +8,37 @@
 use dropshot::HttpServer;
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
-use sapphiretrack_caller::CallerHandlers;
-use sapphiretrack_core::{PlacementMemory, PlacementSettings, RouterId, sha256_hex};
+use sapphiretrack_caller::{CallerHandlers, RequestToken};
+use sapphiretrack_core::{
+    Contract, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RouterId, sha256_hex,
+};
 use sapphiretrack_operator::OperatorHandlers;
 use sapphiretrack_operator::wire::StopReply;
 use sapphiretrack_peer::{PeerClient, PeerHandlers, SigningKey};
 use sapphiretrack_platform::{ClaimStore, ConfigurationStore, PlatformClient};
 use snafu::{ResultExt, Snafu};
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use crate::clock::{Clock, wall_clock_ms};
 use crate::control::{
-    Command, CommandReceiver, ControlHandle, ControlParts, ControlState, Identity, Timing,
-    control_channel, run_control,
+    Command, CommandReceiver, ControlHandle, ControlParts, ControlState, Identity, Snapshot,
+    Timing, control_channel, run_control,
 };
-use crate::dispatch::Dispatcher;
+use crate::dispatch::{Dispatcher, Health};
 use crate::entry::entry_reply;
 use crate::events::Event;
 use crate::limits::LimitTable;
-use crate::metrics::Metrics;
+use crate::metrics::{InFlight, Metrics};
 use crate::operations::Operations;
 use crate::settings::Settings;
 use crate::signals::stop_signals;
+use crate::sweep::sweep_claims;
 
 /// How often a planned stop looks whether the last request has ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
+/// When to come back to a router that has not got the contracts yet.
+const NO_CONFIG_RETRY_MS: u64 = 1_000;
 /// How long a load report is passed on.
 const REPORT_STALE_AFTER_MS: u64 = 2_000;
 
@@ -114,6 +119,8 @@
             address: settings.peer_address,
         })?;
         let endpoints = parts.start_endpoints(&settings, &traffic)?;
+        let claims = ClaimStore::new(parts.platform.clone());
+        traffic.spawn(sweep_claims(claims, parts.control.clone()));
         let identity = Identity {
             id: RouterId::from_name(&settings.router_name),
             name: settings.router_name.clone(),
@@ -205,44 +212,41 @@
             });
             Event::STOPPING.log(&[("router", &settings.router_name)]);
             control.send(Command::Stop);
-            Ok(finish_requests(&settings, &metrics).await)
-        })?;
-        if report.cut_requests == 0 {
-            // Closing waits for answers on the wire.
+            let limit = tokio::time::Instant::now() + Duration::from_millis(settings.stop_limit_ms);
+            finish_requests(&settings, &metrics, limit).await;
+            // Closing ends idle connections and waits for requests that came meanwhile.
             let close = async {
                 drop(callers.close().await);
                 drop(operators.close().await);
             };
-            let limit = Duration::from_millis(settings.stop_limit_ms);
-            drop(traffic.block_on(async { tokio::time::timeout(limit, close).await }));
-            Event::STOPPED.log(&[("router", &settings.router_name)]);
+            drop(tokio::time::timeout_at(limit, close).await);
+            Ok(StopReport {
+                cut_requests: in_flight(&metrics),
+            })
+        })?;
+        match report.cut_requests {
+            0 => Event::STOPPED.log(&[("router", &settings.router_name)]),
+            cut => Event::STOP_LIMIT.log(&[("in_flight", &cut.to_string())]),
         }
         traffic.shutdown_background();
         Ok(report)
     }
 }
 
-/// Serves through the lookups' time to live and to the last request's end.
-async fn finish_requests(settings: &Settings, metrics: &Metrics) -> StopReport {
-    let started = tokio::time::Instant::now();
-    let limit = Duration::from_millis(settings.stop_limit_ms);
-    let keep_serving = Duration::from_millis(settings.entry_ttl_ms).min(limit);
-    tokio::time::sleep(keep_serving).await;
-    loop {
-        let in_flight = metrics.in_flight.get().max(0) as u64;
-        if in_flight == 0 {
-            return StopReport { cut_requests: 0 };
-        }
-        if started.elapsed() >= limit {
-            Event::STOP_LIMIT.log(&[("in_flight", &in_flight.to_string())]);
-            return StopReport {
-                cut_requests: in_flight,
-            };
-        }
+/// Serves through the lookups' time to live and to the last request's end, up to the limit.
+async fn finish_requests(settings: &Settings, metrics: &Metrics, limit: tokio::time::Instant) {
+    let ttl = Duration::from_millis(settings.entry_ttl_ms);
+    tokio::time::sleep_until(limit.min(tokio::time::Instant::now() + ttl)).await;
+    while in_flight(metrics) > 0 && tokio::time::Instant::now() < limit {
         tokio::time::sleep(STOP_POLL).await;
     }
 }
 
+/// Requests whose answers are not whole on their way.
+fn in_flight(metrics: &Metrics) -> u64 {
+    metrics.in_flight.get().max(0) as u64
+}
+
 /// The endpoints on the traffic threads.
 struct Endpoints {
     callers: HttpServer<CallerHandlers>,
@@ -259,7 +263,6 @@
     backend: BackendClient,
     metrics: Arc<Metrics>,
     stop: Arc<Notify>,
-    read_config: watch::Sender<u64>,
 }
 
 impl Parts {
@@ -278,7 +281,6 @@
             backend: BackendClient::new(sapphiretrack_backend::Settings::default()),
             metrics: Arc::new(Metrics::new()),
             stop: Arc::new(Notify::new()),
-            read_config: watch::Sender::new(0),
         }
     }
 
@@ -320,6 +322,13 @@
     }
 
     fn caller_handlers(&self, settings: &Settings) -> CallerHandlers {
+        let limits = LimitTable::new(
+            self.clock,
+            self.control.clone(),
+            self.peers.clone(),
+            RouterId::from_name(&settings.router_name),
+        );
+        tokio::spawn(limits.clone().renew());
         let dispatcher = Arc::new(Dispatcher {
             clock: self.clock,
             control: self.control.clone(),
@@ -327,7 +336,7 @@
             backend: self.backend.clone(),
             claims: ClaimStore::new(self.platform.clone()),
             metrics: self.metrics.clone(),
-            limits: LimitTable::default(),
+            limits,
             placement: PlacementSettings {
                 bound: settings.load_bound,
                 ..PlacementSettings::default()
@@ -335,18 +344,19 @@
             memory: Mutex::new(PlacementMemory::new(settings.placement_memory_chats)),
             shares: Mutex::default(),
             retries: Mutex::new(Dispatcher::retry_budget()),
+            health: Health::default(),
         });
         let for_keys = self.control.clone();
         let for_entry = self.control.clone();
         let entry_ttl_ms = settings.entry_ttl_ms;
         let metrics = self.metrics.clone();
+        let counted = self.metrics.clone();
         CallerHandlers {
-            authenticate: Arc::new(move |key| {
-                for_keys.snapshot().config.contract_of_key(key).cloned()
-            }),
+            authenticate: Arc::new(move |key| contract_of_key(&for_keys.snapshot(), key)),
             entry: Arc::new(move |zone| {
                 entry_reply(&for_entry.snapshot(), zone, entry_ttl_ms, rand::random())
             }),
+            begin: Arc::new(move || RequestToken::new(InFlight::begin(&counted))),
             run: Arc::new(move |request| dispatcher.run(request)),
             refused: Arc::new(move |refusal| metrics.refused(refusal.code)),
         }
@@ -358,7 +368,6 @@
             store: ConfigurationStore::new(self.platform.clone()),
             control: self.control.clone(),
             metrics: self.metrics.clone(),
-            read_config: self.read_config.clone(),
         };
         let digest = settings.operator_key_sha256.to_lowercase();
         let stop = self.stop.clone();
@@ -379,9 +388,9 @@
                 let operations = outcome_of.clone();
                 Box::pin(async move { operations.outcome_of(change_id).await })
             }),
-            show: Arc::new(move |customer| {
+            show: Arc::new(move |asked| {
                 let operations = show.clone();
-                Box::pin(async move { operations.show(&customer).await })
+                Box::pin(async move { operations.show(&asked).await })
             }),
             history: Arc::new(move |()| {
                 let operations = history.clone();
@@ -391,7 +400,7 @@
             stop: Arc::new(move || {
                 stop.notify_one();
                 StopReply {
-                    in_flight: stop_metrics.in_flight.get().max(0) as u64,
+                    in_flight: in_flight(&stop_metrics),
                 }
             }),
             metrics: Arc::new(move || metrics.encode()),
@@ -412,12 +421,27 @@
             backend: self.backend,
             metrics: self.metrics,
             heartbeat_ms: settings.heartbeat_ms,
-            read_config: self.read_config.subscribe(),
+            fetching_config: Arc::default(),
         };
         run_control(parts, self.control, self.commands)
     }
 }
 
+/// The contract that lists a key; a router that knows of no configuration cannot say.
+fn contract_of_key(snapshot: &Snapshot, key: &str) -> Result<Arc<Contract>, Refusal> {
+    if let Some(contract) = snapshot.keys.contract_of_key(key) {
+        return Ok(contract.clone());
+    }
+    if !snapshot.config_known {
+        let message = "the router has not got the contracts yet";
+        return Err(
+            Refusal::not_run(RefusalCode::Isolated, message).retry_after(NO_CONFIG_RETRY_MS)
+        );
+    }
+    let message = "no contract lists the key";
+    Err(Refusal::not_run(RefusalCode::BadKey, message))
+}
+
 fn tls_files(settings: &Settings) -> Option<(PathBuf, PathBuf)> {
     settings.tls_cert.clone().zip(settings.tls_key.clone())
 }
--- a/crates/sapphiretrackd/src/dispatch/mod.rs
+++ b/crates/sapphiretrackd/src/dispatch/mod.rs
@@ -1,10 +1,13 @@
 //! Runs callers' requests: limits, placement, attempts, retries.
 
+mod attempts;
 mod chat;
+mod health;
 mod once;
 mod service;
 mod slots;
 mod warm;
+mod whole;
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -19,14 +22,15 @@
 use sapphiretrack_platform::ClaimStore;
 
 use crate::clock::Clock;
-use crate::control::{ControlHandle, Snapshot};
+use crate::control::ControlHandle;
+pub(crate) use crate::dispatch::health::Health;
 use crate::limits::{InFlightPlace, LimitTable};
 use crate::metrics::Metrics;
 
-/// When to come back after a refusal for want of room.
-const OVERLOAD_RETRY_MS: u64 = 1_000;
+/// When to come back after a refusal of an isolated router.
+const ISOLATED_RETRY_MS: u64 = 1_000;
 /// Retries that are allowed for each request, over all requests.
-const RETRIES_PER_REQUEST: f64 = 0.1;
+const RETRIES_PER_REQUEST: f64 = 0.08;
 
 /// What the dispatch of requests works with.
 pub(crate) struct Dispatcher {
@@ -41,6 +45,7 @@
     pub(crate) memory: Mutex<PlacementMemory>,
     pub(crate) shares: Mutex<WorkspaceShares>,
     pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) health: Health,
 }
 
 impl Dispatcher {
@@ -62,10 +67,19 @@
     }
 
     async fn run_admitted(self: Arc<Self>, request: CallerRequest) -> Answer {
-        let place = match self.admit(&request) {
+        let place = match self.admit(&request).await {
             Ok(place) => place,
             Err(refusal) => return Answer::Refused(refusal),
         };
+        let pool = request.pool().to_owned();
+        let answer = self.clone().run_placed(request, place).await;
+        if matches!(&answer, Answer::Refused(refusal) if refusal.code == RefusalCode::Overloaded) {
+            self.limits.note_full(&pool);
+        }
+        answer
+    }
+
+    async fn run_placed(self: Arc<Self>, request: CallerRequest, place: InFlightPlace) -> Answer {
         let rule = request
             .contract
             .non_idempotent_rule(request.pool(), request.path())
@@ -74,27 +88,27 @@
             return once::run_once(self, request, &rule, place).await;
         }
         match &request.target {
-            Target::Chat(_) => chat::run_chat(self, request, place).await,
+            Target::Chat(_) => chat::run_chat(self, request, place, None).await,
             Target::Service(_) => service::run_service(&self, &request, place).await,
         }
     }
 
-    fn admit(&self, request: &CallerRequest) -> Result<InFlightPlace, Refusal> {
+    async fn admit(&self, request: &CallerRequest) -> Result<InFlightPlace, Refusal> {
         let snapshot = self.control.snapshot();
         if snapshot.isolated {
             let message = "the router hears of neither the platform nor its peers";
             return Err(
-                Refusal::not_run(RefusalCode::Isolated, message).retry_after(OVERLOAD_RETRY_MS)
+                Refusal::not_run(RefusalCode::Isolated, message).retry_after(ISOLATED_RETRY_MS)
             );
         }
         let tokens = match &request.target {
             Target::Chat(call) => call.prompt_tokens,
             Target::Service(_) => 0,
         };
-        let now_ms = self.clock.now_ms();
-        let place =
-            self.limits
-                .enter(&request.contract, tokens, snapshot.live_routers(), now_ms)?;
+        let place = self
+            .limits
+            .enter(&request.contract, request.pool(), tokens)
+            .await?;
         self.lock_retries().note_request();
         Ok(place)
     }
@@ -139,18 +153,3 @@
 fn new_attempt() -> AttemptId {
     AttemptId(rand::random())
 }
-
-fn no_server(snapshot: &Snapshot, pool: &str) -> Refusal {
-    let has_live = snapshot
-        .pools
-        .get(pool)
-        .is_some_and(|pool| pool.live_count() > 0);
-    let refusal = if has_live {
-        let message = format!("no backend server of {pool:?} has room");
-        Refusal::not_run(RefusalCode::Overloaded, message)
-    } else {
-        let message = format!("no backend server of {pool:?} is live");
-        Refusal::not_run(RefusalCode::NoServer, message)
-    };
-    refusal.retry_after(OVERLOAD_RETRY_MS)
-}
