--- a/crates/sapphiretrack-bench/src/lib.rs
+++ b/crates/sapphiretrack-bench/src/lib.rs
@@ -2,6 +2,10 @@
 
 pub mod demo;
 pub mod limits;
+pub mod load;
 pub mod overhead;
 pub mod policy;
+pub mod report;
 mod site;
+pub mod slopes;
+pub mod soak;
--- a/crates/sapphiretrack-bench/src/main.rs
+++ b/crates/sapphiretrack-bench/src/main.rs
@@ -11,6 +11,10 @@
   sapphiretrack-bench demo [--seed N]     the whole of it on embedded stand-ins, within a minute
   sapphiretrack-bench limits              over-admission of 1, 9 and 360 limiters against exact counting
   sapphiretrack-bench overhead [--json]   what a router adds to a chat
+  sapphiretrack-bench load                open-loop load against running routers
+  sapphiretrack-bench soak                a fleet of processes under load and random faults
+  sapphiretrack-bench slopes              what a router spends, by the size of each thing it holds
+  sapphiretrack-bench report              gathers JSON lines of all measurements into one file
   sapphiretrack-bench policy              placement policies on one scenario:
                                           --scenario NAME --seed N [--seeds N] [--policy NAME] [--json]
                                           [--routers N] [--servers N] [--workspaces N] [--chats N]
@@ -38,6 +42,10 @@
         "demo" => sapphiretrack_bench::demo::run(arguments).map(|()| true),
         "limits" => sapphiretrack_bench::limits::run(arguments).map(|()| true),
         "overhead" => sapphiretrack_bench::overhead::run(arguments).map(|()| true),
+        "load" => sapphiretrack_bench::load::run(arguments),
+        "soak" => sapphiretrack_bench::soak::run(arguments),
+        "slopes" => sapphiretrack_bench::slopes::run(arguments).map(|()| true),
+        "report" => sapphiretrack_bench::report::run(arguments).map(|()| true),
         "policy" => sapphiretrack_bench::policy::run(arguments).map(|()| true),
         _ => Err(format!("there is no command {name:?}; hint: see --help")),
     };
--- a/crates/sapphiretrack-tests/benches/configuration.rs
+++ b/crates/sapphiretrack-tests/benches/configuration.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use sapphiretrack_core::{Change, Contract, FleetConfig, HistoryEntry, parse_contract};
+use sapphiretrack_fakes::PlatformCalls;
 use sapphiretrack_fakes::PlatformFaults;
 use sapphiretrack_operator::wire::{ApplyContract, ChangeReply};
 use sapphiretrack_platform::{ConfigurationStore, PlatformClient, Settings};
@@ -133,7 +134,7 @@
 /// Counts since the start of the fleet.
 struct Costs {
     at: Instant,
-    platform_calls: (u64, u64),
+    platform_calls: PlatformCalls,
     control_bytes: u64,
 }
 
@@ -152,15 +153,15 @@
         }
         Self {
             at: Instant::now(),
-            platform_calls: serde_json::from_str(&calls).expect("two counts"),
+            platform_calls: serde_json::from_str(&calls).expect("the counts"),
             control_bytes,
         }
     }
 
     fn print_since(&self, before: &Self, name: &str) {
         let seconds = self.at.duration_since(before.at).as_secs_f64();
-        let reads = self.platform_calls.0 - before.platform_calls.0;
-        let writes = self.platform_calls.1 - before.platform_calls.1;
+        let reads = self.platform_calls.reads - before.platform_calls.reads;
+        let writes = self.platform_calls.writes - before.platform_calls.writes;
         let bytes = (self.control_bytes - before.control_bytes) as f64 / ROUTERS as f64;
         println!(
             "{name}: {seconds:.1} s, table and object reads {:.2}/s, writes {:.2}/s, peer request bytes {:.0}/s a router",
--- a/crates/sapphiretrack-tests/src/lib.rs
+++ b/crates/sapphiretrack-tests/src/lib.rs
@@ -6,7 +6,8 @@
 mod recorder;
 
 pub use fleet::{
-    CALLER_KEY, Fleet, FleetSettings, OPERATOR_KEY, contract_toml, get_text, post_json,
+    CALLER_KEY, Fleet, FleetSettings, Member, OPERATOR_KEY, contract_toml, get_json, get_text,
+    post_json,
 };
 pub use history::{HistoryRecorder, OpenCall};
 pub use process::{ChildProcess, binary};
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -63,6 +63,8 @@
     heartbeat_sequence: u64,
     platform_reached_ms: Option<u64>,
     peer_heard_ms: u64,
+    /// Whether a router has appeared that shall hear of this one at once.
+    greets: bool,
     stopping: bool,
     isolated: bool,
 }
@@ -146,6 +148,7 @@
             heartbeat_sequence: 0,
             platform_reached_ms: None,
             peer_heard_ms: 0,
+            greets: false,
             stopping: false,
             isolated: false,
         }
@@ -182,6 +185,9 @@
                 Event::SERVER_LOST.log(&[("server", &record.name)]);
             }
         }
+        let is_router = |record: &&VmRecord| matches!(record.role, VmRole::Router { .. });
+        let mut routers = list.vms.iter().filter(is_router);
+        self.greets |= routers.any(|new| self.listed.iter().all(|known| known.name != new.name));
         self.listed = list.vms;
         self.list_known = true;
         let names: BTreeSet<ServerId> = self
@@ -397,6 +403,11 @@
         self.note_isolation(now_ms);
     }
 
+    /// Whether heartbeats are due before their time, since a router has appeared.
+    pub(crate) fn take_greeting(&mut self) -> bool {
+        std::mem::take(&mut self.greets)
+    }
+
     /// The heartbeat for each peer, with where it goes.
     pub(crate) fn heartbeats(&mut self, now_ms: u64) -> Vec<(RouterId, SocketAddr, Heartbeat)> {
         self.heartbeat_sequence += 1;
@@ -497,7 +508,10 @@
         }
         let left = heartbeat.state == VmState::Leaving;
         match self.peers.get(&router) {
-            None => Event::PEER_JOINED.log(&[("router", &heartbeat.name)]),
+            None => {
+                Event::PEER_JOINED.log(&[("router", &heartbeat.name)]);
+                self.greets = true;
+            }
             Some(known) if left && !known.left => {
                 Event::PEER_LEAVING.log(&[("router", &heartbeat.name)]);
             }
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -176,6 +176,9 @@
     fn tick(&mut self, handle: &ControlHandle) {
         let now_ms = self.clock.now_ms();
         self.state.tick(now_ms);
+        if self.state.take_greeting() {
+            self.send_heartbeats(handle);
+        }
         handle.snapshot.store(Arc::new(self.state.snapshot(now_ms)));
         self.metrics
             .control_bytes_total("peer_requests", self.peers.sent_bytes());
