--- a/crates/sapphiretrack-core/src/placement/wait.rs
+++ b/crates/sapphiretrack-core/src/placement/wait.rs
@@ -18,7 +18,7 @@
         Self {
             hold_ms: 10_000,
             longest_ms: 2_000,
-            deadline_part: 0.25,
+            deadline_part: 0.5,
             shortest_ms: 40,
         }
     }
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bincode::Options;
 use hmac::{Hmac, Mac};
 use sapphiretrack_core::{
     BudgetAsk, BudgetReply, Grant, HeldSlots, Incarnation, LoadReport, ReservationId,
@@ -159,7 +160,7 @@
 
     /// Encodes and signs a request.
     pub fn sign(&self, request: &PeerRequest) -> Result<Signed, bincode::Error> {
-        let body = bincode::serialize(request)?;
+        let body = codec().serialize(request)?;
         let whole = self.mac.clone().chain_update(&body).finalize().into_bytes();
         let mut signature = [0; SIGNATURE_BYTES];
         signature.copy_from_slice(&whole[..SIGNATURE_BYTES]);
@@ -177,6 +178,11 @@
         }
         let mac = self.mac.clone().chain_update(&signed.body);
         mac.verify_truncated_left(&signed.signature).ok()?;
-        bincode::deserialize(&signed.body).ok()
+        codec().deserialize(&signed.body).ok()
     }
 }
+
+/// Small numbers take few bytes: most of a heartbeat is counts and lengths.
+fn codec() -> impl Options {
+    bincode::options().with_varint_encoding()
+}
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -512,6 +512,9 @@
                 Event::PEER_JOINED.log(&[("router", &heartbeat.name)]);
                 self.greets = true;
             }
+            Some(known) if known.heartbeat.incarnation != heartbeat.incarnation => {
+                self.greets = true;
+            }
             Some(known) if left && !known.left => {
                 Event::PEER_LEAVING.log(&[("router", &heartbeat.name)]);
             }
@@ -634,6 +637,13 @@
             .map(|(_, _, pool, _)| pool)
     }
 
+    fn pool_servers(&self, pool: &str) -> BTreeSet<ServerId> {
+        let all = self.listed_servers();
+        all.filter(|(_, _, other, _)| *other == pool)
+            .map(|(server, ..)| server)
+            .collect()
+    }
+
     fn live_servers(&self, pool: &str) -> BTreeSet<ServerId> {
         let of_pool = self
             .listed_servers()
@@ -647,12 +657,14 @@
             .collect()
     }
 
-    /// Requests in flight on the live servers of a pool.
+    /// A pool's requests in flight. Servers that leave count as long as they hold requests, since
+    /// peers' sums have those too.
     fn pool_load(&self, pool: &str, live: &BTreeSet<ServerId>, now_ms: u64) -> PoolLoad {
+        let of_pool = self.pool_servers(pool);
         let own = self
             .held
             .values()
-            .filter(|held| live.contains(&held.server));
+            .filter(|held| of_pool.contains(&held.server));
         let heard = self
             .peers
             .values()
@@ -662,7 +674,7 @@
                     age_ms: now_ms.saturating_sub(*at_ms),
                 },
                 None => HeardLoad {
-                    in_flight: peer.in_flight_on(live),
+                    in_flight: peer.in_flight_on(&of_pool),
                     age_ms: now_ms.saturating_sub(peer.heard_ms),
                 },
             });
@@ -670,23 +682,26 @@
             let known = self.servers.get(*server);
             known.is_some_and(|known| known.is_joining(now_ms))
         });
+        let in_flight = self.in_flight_by_server();
+        let holds = |server: &&ServerId| in_flight.get(*server).is_some_and(|count| *count > 0);
+        let holding = of_pool.difference(live).filter(holds).count();
         PoolLoad {
-            live_servers: live.len() as u32,
+            live_servers: (live.len() + holding) as u32,
             open_servers: (live.len() - joining.count()) as u32,
             ..pool_load(&DrainSettings::default(), own.count() as u32, heard)
         }
     }
 
-    /// This router's requests in flight on the live servers of a server's pool.
+    /// This router's requests in flight on a server's pool.
     fn own_in_flight_with(&self, server: ServerId) -> u16 {
         let Some(pool) = self.pool_of(server) else {
             return 0;
         };
-        let live = self.live_servers(pool);
+        let of_pool = self.pool_servers(pool);
         let own = self
             .held
             .values()
-            .filter(|held| live.contains(&held.server));
+            .filter(|held| of_pool.contains(&held.server));
         u16::try_from(own.count()).unwrap_or(u16::MAX)
     }
 
