--- a/crates/sapphiretrack-bench/src/policy/mod.rs
+++ b/crates/sapphiretrack-bench/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! view, messages take time, and no sockets are opened.
 
 mod arguments;
+mod decision;
 mod engine;
 mod measures;
 mod messages;
@@ -16,6 +17,7 @@
 
 use pico_args::Arguments;
 
+pub use decision::{DECISION_SERVERS, decide, decision_pool};
 pub use measures::{Measures, Moment};
 pub use policies::Policy;
 pub use scenario::{Scenario, ScenarioName};
@@ -23,7 +25,10 @@
 use arguments::Options;
 
 /// Runs all policies on one scenario; an error says what was wrong with the arguments.
-pub fn run(arguments: Arguments) -> Result<(), String> {
+pub fn run(mut arguments: Arguments) -> Result<(), String> {
+    if arguments.contains("--decision") {
+        return decision::run();
+    }
     let options = Options::parse(arguments)?;
     if let Some(path) = &options.plot {
         return plot::draw(&options, path);
