--- a/crates/sapphiretrack-bench/src/policy/decision.rs
+++ b/crates/sapphiretrack-bench/src/policy/decision.rs
@@ -14,12 +14,15 @@
 pub const DECISION_SERVERS: [usize; 3] = [12, 40, 1_800];
 /// Decisions that are measured for each size.
 const DECISIONS: u64 = 20_000;
+/// The longest time that is told apart.
+const LONGEST_NS: u64 = 1_000_000_000;
 
 /// Prints the time of one decision for each size.
 pub(crate) fn run() -> Result<(), String> {
     for servers in DECISION_SERVERS {
         let pool = decision_pool(servers);
-        let mut times = Histogram::<u64>::new(3).map_err(|error| error.to_string())?;
+        let times = Histogram::<u64>::new_with_bounds(1, LONGEST_NS, 3);
+        let mut times = times.map_err(|error| error.to_string())?;
         for number in 0..DECISIONS {
             let started = Instant::now();
             black_box(decide(&pool, number));
--- a/crates/sapphiretrack-bench/src/policy/router.rs
+++ b/crates/sapphiretrack-bench/src/policy/router.rs
@@ -121,6 +121,7 @@
         for server in &mut router.view.servers[listed..] {
             server.state = VmState::Leaving;
         }
+        router.versions[listed..].fill(0);
         router
     }
 
@@ -162,6 +163,8 @@
     /// Takes in a server's load report.
     pub(crate) fn take_report(&mut self, server: usize, report: LoadReport, now_ms: u64) {
         self.reported_ms = now_ms;
+        self.ledger
+            .note_report(self.servers[server], report.running + report.queued);
         self.view.servers[server].report = report;
     }
 
@@ -279,10 +282,8 @@
             return Grant::Full;
         }
         let load = self.pool_load(now_ms);
-        let reported = self.reported(server);
         let bound = self.placement.bound;
-        self.ledger
-            .reserve(request, &bound, &load, reported, now_ms)
+        self.ledger.reserve(request, &bound, &load, now_ms)
     }
 
     /// Takes a slot back, as steward.
--- a/crates/sapphiretrack-core/src/ledger.rs
+++ b/crates/sapphiretrack-core/src/ledger.rs
@@ -11,13 +11,14 @@
 /// Times that rule the ledger.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// How long slots of a router that is no longer heard of stay counted.
+    /// How long a new steward waits for a router that is no longer heard of.
     pub dead_holder_grace_ms: u64,
     /// How long a router that is no longer heard of still counts among those of whom most have
-    /// to consent; longer than an isolated router keeps taking new work.
+    /// to consent, and its known slots stay counted; longer than an isolated router keeps taking
+    /// new work.
     pub electorate_ms: u64,
-    /// For so long after that, requests of the lost router may still run on the server, and the
-    /// server's own report is a lower limit of the count.
+    /// For so long, requests of a lost router may run on a server that no router lists; what the
+    /// server reports beyond the listed ones is counted too.
     pub orphans_ms: u64,
     /// How consent is given.
     pub consent: ConsentSettings,
@@ -106,6 +107,8 @@
     held: BTreeMap<RouterId, BTreeSet<ReservationId>>,
     /// When each router last said what it holds, and so consented to this steward.
     consents: BTreeMap<RouterId, u64>,
+    /// Requests that the server last reported beyond those listed.
+    unlisted: u32,
     /// Whether all holders were heard under the present consent; no grant before.
     is_whole: bool,
 }
@@ -155,13 +158,12 @@
         }
     }
 
-    /// Grants or refuses a slot; `reported` is the server's load by its own last report.
+    /// Grants or refuses a slot.
     pub fn reserve(
         &mut self,
         request: &ReserveRequest,
         bound: &LoadBound,
         load: &PoolLoad,
-        reported: u32,
         now_ms: u64,
     ) -> Grant {
         let consent_ms = self.settings.consent.consent_ms;
@@ -175,10 +177,10 @@
         let share = f64::from(request.bound_share);
         let limit = server_limit(bound, load, share);
         let unlisted = match now_ms < self.orphans_until_ms {
-            true => reported,
+            true => entry.unlisted,
             false => 0,
         };
-        if entry.count().max(unlisted) >= limit {
+        if entry.count() + unlisted >= limit {
             return Grant::Full;
         }
         let held = entry.held.entry(request.router).or_default();
@@ -196,6 +198,13 @@
         }
     }
 
+    /// Takes in how many requests a server itself reports.
+    pub fn note_report(&mut self, server: ServerId, reported: u32) {
+        if let Some(entry) = self.servers.get_mut(&server) {
+            entry.unlisted = reported.saturating_sub(entry.count());
+        }
+    }
+
     /// Whether this router hears of most of its cell, and of all routers that may hold slots.
     pub fn hears_cell(&self) -> bool {
         self.hears_cell
@@ -226,7 +235,8 @@
             if lost_ms < grace_ms {
                 self.holders.insert(*router);
                 self.orphans_until_ms = now_ms + self.settings.orphans_ms;
-            } else {
+            }
+            if lost_ms >= electorate_ms {
                 for slots in self.servers.values_mut() {
                     slots.held.remove(router);
                 }
--- a/crates/sapphiretrack-core/tests/stewardship.rs
+++ b/crates/sapphiretrack-core/tests/stewardship.rs
@@ -36,7 +36,7 @@
         floor_requests: 2,
         ..LoadBound::default()
     };
-    ledger.reserve(request, &bound, &load, 0, now_ms)
+    ledger.reserve(request, &bound, &load, now_ms)
 }
 
 fn view<'a>(live: &'a [RouterId], known: &'a [RouterId]) -> CellView<'a> {
@@ -105,24 +105,20 @@
     ledger.set_view(&view(&routers, &routers), 0);
     ledger.reconcile(routers[1], &listing(&[1, 2], 3), 0);
     ledger.reconcile(routers[2], &listing(&[], 0), 0);
-    let live = [routers[0], routers[1]];
     let known = [routers[0], routers[1], routers[2]];
     ledger.set_view(&view(&[routers[0], routers[2]], &known), 1_000);
     ledger.reconcile(routers[2], &listing(&[], 0), 1_000);
     assert_eq!(ledger.held(SERVER), Some(2));
-    let after_ms = 1_000 + settings.dead_holder_grace_ms;
+    let after_ms = 1_000 + settings.electorate_ms;
     ledger.reconcile(routers[2], &listing(&[], 0), after_ms);
     ledger.set_view(&view(&[routers[0], routers[2]], &known), after_ms);
     assert_eq!(ledger.held(SERVER), Some(0));
-    let load = PoolLoad::default();
-    let bound = LoadBound {
-        floor_requests: 2,
-        ..LoadBound::default()
-    };
+    // The server itself still reports two requests that no router lists.
+    ledger.note_report(SERVER, 2);
     let request = ask(routers[0], 9);
-    let reported = ledger.reserve(&request, &bound, &load, 2, after_ms);
-    assert_eq!(reported, Grant::Full, "the server itself still reports two");
-    assert_eq!(live.len(), 2);
+    assert_eq!(reserve(&mut ledger, &request, after_ms), Grant::Full);
+    ledger.note_report(SERVER, 1);
+    assert_eq!(reserve(&mut ledger, &request, after_ms), Grant::Granted);
 }
 
 #[test]
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -234,6 +234,8 @@
             Some(report) => {
                 entry.failed_reports = 0;
                 entry.reported_ms = now_ms;
+                self.ledger
+                    .note_report(server, report.running + report.queued);
                 entry.report = report;
                 if report.leaving {
                     entry.leaving = Some(report.incarnation);
@@ -556,12 +558,9 @@
         if !live.contains(&request.server) || is_joining {
             return Grant::Full;
         }
-        let report = self.servers.get(&request.server).map(|known| known.report);
-        let reported = report.map_or(0, |report| report.running + report.queued);
         let load = self.pool_load(&pool, &live, now_ms);
         let bound = self.bound;
-        self.ledger
-            .reserve(request, &bound, &load, reported, now_ms)
+        self.ledger.reserve(request, &bound, &load, now_ms)
     }
 
     /// Notes servers that begin to take new work; those of the first list did so long ago.
