--- a/crates/sapphiretrack-backend/src/wire.rs
+++ b/crates/sapphiretrack-backend/src/wire.rs
@@ -16,3 +16,5 @@
 pub const IMPORT_HEADER: &str = "x-import-from";
 /// The path under which an engine exports a chat's cached prefix, followed by the chat's key.
 pub const EXPORT_PATH: &str = "/kv/";
+/// Set to `true`, beside [`NOT_STARTED_HEADER`], by a server that refuses because it is leaving.
+pub const LEAVING_HEADER: &str = "x-leaving";
--- a/crates/sapphiretrack-bench/src/load/check.rs
+++ b/crates/sapphiretrack-bench/src/load/check.rs
@@ -1,14 +1,11 @@
 //! Checks that an answer is the whole answer to its own request and to no other.
 //!
-//! Stand-in engines answer tokens of the form `TAG-INDEX`: the tag is a hash of the messages,
-//! and the index runs from 0 without gap.
+//! Stand-in engines answer tokens of the form `TAG-INDEX`: the tag marks the messages, and the
+//! index runs from 0 without gap.
 
-use sapphiretrack_core::hash_parts;
+use sapphiretrack_fakes::answer_tag;
 use serde::{Deserialize, Serialize};
 
-/// The bits of the messages' hash that a token carries.
-const TAG_MASK: u64 = 0xffff;
-
 /// How an answer broke its promise.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -62,15 +59,15 @@
 
 /// Checks the parts of a chat's answer as they come.
 pub struct AnswerCheck {
-    tag: u64,
+    tag: u16,
     next_index: u32,
     expected_tokens: u32,
     first_violation: Option<Violation>,
 }
 
 impl AnswerCheck {
-    /// The check of the answer to `messages`, the JSON text of the messages.
-    pub fn new(messages: &str, expected_tokens: u32) -> Self {
+    /// The check of the answer to these messages.
+    pub fn new(messages: &serde_json::Value, expected_tokens: u32) -> Self {
         Self {
             tag: answer_tag(messages),
             next_index: 0,
@@ -102,12 +99,12 @@
 
     fn take_token(&mut self, token: &str) {
         let parsed = token.split_once('-').and_then(|(tag, index)| {
-            let tag = u64::from_str_radix(tag, 16).ok()?;
+            let tag = u16::from_str_radix(tag, 16).ok()?;
             Some((tag, index.parse::<u32>().ok()?))
         });
         let expected = self.next_index;
         match parsed {
-            Some((tag, index)) if tag == self.tag & TAG_MASK => {
+            Some((tag, index)) if tag == self.tag => {
                 if index < expected {
                     self.note(ViolationKind::Doubled, token);
                 } else if index > expected {
@@ -132,11 +129,6 @@
     }
 }
 
-/// The hash by which a stand-in engine marks the answer to messages.
-pub(crate) fn answer_tag(messages: &str) -> u64 {
-    hash_parts(&[messages.as_bytes()])
-}
-
 /// Checks a plain service's answer: it names the order that it ran.
 pub fn check_service_answer(body: &str, order: &str, non_idempotent: bool) -> Option<Violation> {
     let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
--- a/crates/sapphiretrack-bench/src/policy/messages.rs
+++ b/crates/sapphiretrack-bench/src/policy/messages.rs
@@ -46,7 +46,11 @@
     }
 
     pub(crate) fn count_reply_to_heartbeat(&mut self) {
-        let reply = HeartbeatReply { config_version: 1 };
+        let reply = HeartbeatReply {
+            config_version: 1,
+            known_incarnation: 1,
+            ..HeartbeatReply::default()
+        };
         self.count_reply(&PeerReply::Heartbeat(reply));
     }
 
--- a/crates/sapphiretrack-bench/src/policy/router.rs
+++ b/crates/sapphiretrack-bench/src/policy/router.rs
@@ -10,7 +10,7 @@
     ServerView, StewardNames, VmState, WarmHint, WorkspaceKey, WorkspaceShares, backlog_tokens,
     pool_load, rank_servers, steward_of,
 };
-use sapphiretrack_peer::{Heartbeat, ServerState};
+use sapphiretrack_peer::{Heartbeat, InFlight, ServerState};
 
 use super::trace::Turn;
 
@@ -78,6 +78,9 @@
 struct Peer {
     heard_ms: u64,
     in_flight: Vec<u32>,
+    /// What this router told it last, and whether it answered.
+    told: Vec<u32>,
+    answered: bool,
     pool_in_flight: u32,
     pool_heard_ms: u64,
 }
@@ -117,6 +120,7 @@
         };
         for peer in &mut router.peers {
             peer.in_flight = vec![0; servers.len()];
+            peer.told = vec![0; servers.len()];
         }
         for server in &mut router.view.servers[listed..] {
             server.state = VmState::Leaving;
@@ -317,23 +321,15 @@
                 (*id, held.map(|(reservation, _)| *reservation).collect())
             })
             .collect();
-        let in_flight = self
-            .servers
-            .iter()
-            .zip(&self.own)
-            .filter(|(_, own)| **own > 0);
         Heartbeat {
             router: self.id,
-            name: String::from("router-00"),
-            zone: String::from("thiaroye"),
             incarnation: 1,
             sequence: self.sequence,
+            heard_sequence: self.sequence,
             state: VmState::Live,
-            caller_address: ADDRESS,
-            peer_address: ADDRESS,
-            operator_address: ADDRESS,
             config_version: 1,
-            in_flight: in_flight.map(|(id, own)| (*id, *own as u16)).collect(),
+            profile: None,
+            in_flight: self.told_counts(to),
             servers: self
                 .watched()
                 .map(|server| self.server_state(server))
@@ -342,9 +338,38 @@
                 next_reservation: self.next_reservation,
                 by_server,
             },
+            left_servers: Vec::new(),
+            list_digest: u64::MAX,
+            suspects: Vec::new(),
+            sections: Vec::new(),
         }
     }
 
+    /// The counts for a peer: whole after a heartbeat that was lost, else what changed.
+    fn told_counts(&mut self, to: usize) -> InFlight {
+        let peer = &mut self.peers[to];
+        let whole = !peer.answered;
+        let told = self
+            .own
+            .iter()
+            .enumerate()
+            .filter(|(server, own)| match whole {
+                true => **own > 0,
+                false => **own != peer.told[*server],
+            });
+        let counts = told
+            .map(|(server, own)| (self.servers[server], *own as u16))
+            .collect();
+        peer.told.clone_from(&self.own);
+        peer.answered = false;
+        InFlight { whole, counts }
+    }
+
+    /// Notes that a peer answered the last heartbeat.
+    pub(crate) fn note_answered(&mut self, peer: usize) {
+        self.peers[peer].answered = true;
+    }
+
     /// The servers whose load reports this router fetches.
     pub(crate) fn watched(&self) -> impl Iterator<Item = usize> + '_ {
         let is_own = |id: &ServerId| self.names.steward(*id) == Some(self.id);
@@ -363,8 +388,10 @@
     ) -> Vec<usize> {
         let peer = &mut self.peers[from];
         peer.heard_ms = now_ms;
-        peer.in_flight.fill(0);
-        for (id, count) in &heartbeat.in_flight {
+        if heartbeat.in_flight.whole {
+            peer.in_flight.fill(0);
+        }
+        for (id, count) in &heartbeat.in_flight.counts {
             if let Some(server) = self.servers.iter().position(|known| known == id) {
                 peer.in_flight[server] = u32::from(*count);
             }
--- a/crates/sapphiretrack-bench/src/policy/world.rs
+++ b/crates/sapphiretrack-bench/src/policy/world.rs
@@ -706,6 +706,7 @@
                 continue;
             };
             if self.cut[router][to] == 0 {
+                self.routers[router].note_answered(to);
                 let at_us = self.now_us + self.scenario.peer_delay_us;
                 self.schedule(
                     at_us,
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -6,25 +6,34 @@
 mod attempt;
 mod bound;
 mod budget;
+mod cell;
 mod change;
 mod chat;
 mod claim;
 mod config;
 mod contract;
+mod entry;
 mod fair_share;
+mod flap;
 mod held_budget;
 mod ids;
+mod isolation;
+mod lease;
 mod ledger;
 mod limits;
 mod membership;
+mod orders;
 mod outcome;
 mod outlier;
 mod overload;
 mod path;
+mod pause;
+mod peer_roster;
 mod placement;
 mod pool_load;
 mod rendezvous;
 mod retry;
+mod server_roster;
 mod stewardship;
 
 pub use attempt::{
@@ -35,6 +44,7 @@
     Amounts, BUDGET_LEASE_MS, BudgetAsk, BudgetGrant, BudgetReply, CustomerBudget, HELD_SHARE,
     Needed, UNSURE_SHARE,
 };
+pub use cell::{Cell, CellId, cell_of_chat, cells_of_workspace, routers_of_workspace};
 pub use change::{Change, HistoryEntry, NameError, check_change_id, check_server_name};
 pub use chat::{Chunk, ChunkChoice, Delta, STREAM_END, Usage};
 pub use claim::{
@@ -46,25 +56,40 @@
     ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, contract_differences,
     parse_contract, sha256_hex,
 };
+pub use entry::{EntryCandidate, entry_addresses};
 pub use fair_share::{Demand, FULL_FOR_MS, PoolShares, fair_shares};
+pub use flap::{Damping, Flaps};
 pub use held_budget::{Admission, HeldBudget, NO_STEWARD_RETRY_MS, Shortage};
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
+pub use isolation::Hearing;
+pub use lease::{Fencing, HeldLease, LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms};
 pub use ledger::{CellView, Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
 pub use limits::RateLimiter;
 pub use membership::{
     Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, VmRecord, VmRole, VmState,
     steward_of,
 };
+pub use orders::{
+    EngineGoal, EngineOrder, EngineRole, EngineState, FencingCheck, MAX_ORDER_DELAY_MS,
+    WeightBudget, first_order_ms, next_order,
+};
 pub use outcome::{Outcome, Refusal, RefusalCode};
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use overload::{DrainRate, ShedControl};
 pub use path::{check_path, prefix_covers};
+pub use pause::{MAX_TURN_GAP_MS, PauseWatch};
+pub use peer_roster::{
+    BeatTaken, ListedRouter, PeerBeat, PeerRoster, PeerRosterSettings, RosterPeer, RouterProfile,
+};
 pub use placement::{
     Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
     SentTokens, WaitSettings, WarmHint, WorkspaceShares, backlog_tokens, rank_servers,
     wait_for_room,
 };
 pub use pool_load::{DrainSettings, HeardLoad, pool_load};
-pub use rendezvous::rendezvous_score;
+pub use rendezvous::{rendezvous_score, top_by_rendezvous};
 pub use retry::{RetryBudget, backoff_ms};
+pub use server_roster::{
+    RosterChange, RosterServer, ServerRoster, ServerRosterSettings, ServerSighting,
+};
 pub use stewardship::{ConsentSettings, StewardNames};
--- a/crates/sapphiretrack-core/src/rendezvous.rs
+++ b/crates/sapphiretrack-core/src/rendezvous.rs
@@ -10,6 +10,26 @@
     -weight / uniform.ln()
 }
 
+/// The `count` nodes with the highest scores for a key, best first.
+pub fn top_by_rendezvous<Node, Id>(key: u64, nodes: &[Node], count: usize, id: Id) -> Vec<&Node>
+where
+    Id: Fn(&Node) -> (u64, f64),
+{
+    let mut scored: Vec<(f64, u64, &Node)> = nodes
+        .iter()
+        .map(|node| {
+            let (node_id, weight) = id(node);
+            (rendezvous_score(key, node_id, weight), node_id, node)
+        })
+        .collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+    scored
+        .into_iter()
+        .take(count)
+        .map(|(_, _, node)| node)
+        .collect()
+}
+
 /// Mixes two hashes into one; both are hashes already, so that a few rounds do.
 fn mix(key: u64, node: u64) -> u64 {
     const ODD: u64 = 0x9e37_79b9_7f4a_7c15;
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -35,6 +35,8 @@
     pub services: usize,
     /// Further flags of each router.
     pub router_flags: Vec<String>,
+    /// How long lookups may be kept.
+    pub entry_ttl_ms: u64,
     /// Further flags of each engine.
     pub engine_flags: Vec<String>,
 }
@@ -46,6 +48,7 @@
             engines: 2,
             services: 1,
             router_flags: Vec::new(),
+            entry_ttl_ms: 300,
             engine_flags: Vec::new(),
         }
     }
@@ -196,8 +199,13 @@
 
     /// Starts a router under a name.
     pub async fn add_router(&mut self, name: &str, index: usize) {
+        self.add_router_with(name, index, &[]).await;
+    }
+
+    /// Starts a router under a name, with further flags of its own.
+    pub async fn add_router_with(&mut self, name: &str, index: usize, more: &[String]) {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
-        let member = self.start_router(name, index, [free; 3]).await;
+        let member = self.start_router(name, index, [free; 3], more).await;
         self.routers.push(member);
     }
 
@@ -213,11 +221,17 @@
             unreachable!("routers are routers");
         };
         let addresses = [vm.address, operator_address, peer_address];
-        self.routers[index] = self.start_router(&vm.name, index, addresses).await;
+        self.routers[index] = self.start_router(&vm.name, index, addresses, &[]).await;
     }
 
     /// Starts a router for callers, operators and peers at these addresses.
-    async fn start_router(&self, name: &str, index: usize, addresses: [SocketAddr; 3]) -> Member {
+    async fn start_router(
+        &self,
+        name: &str,
+        index: usize,
+        addresses: [SocketAddr; 3],
+        more: &[String],
+    ) -> Member {
         let [callers, operators, peers] = addresses;
         let mut flags = vec![
             format!("--router-name={name}"),
@@ -228,9 +242,10 @@
             format!("--platform-url=http://{}", self.platform_address),
             format!("--cell-key={CELL_KEY}"),
             format!("--operator-key-sha256={}", sha256_hex(OPERATOR_KEY)),
-            String::from("--entry-ttl-ms=300"),
+            format!("--entry-ttl-ms={}", self.settings.entry_ttl_ms),
         ];
         flags.extend(self.settings.router_flags.clone());
+        flags.extend_from_slice(more);
         let process = ChildProcess::start("sapphiretrackd", &flags);
         let line = process.wait_line("event=\"100\"").await;
         let vm = VmRecord {
@@ -274,6 +289,21 @@
         .await
     }
 
+    /// Waits until every router sees all members, and `others` routers that are no members.
+    pub async fn wait_settled_with(&self, others: usize) {
+        let routers = self.routers.len() + others;
+        let servers = self.servers.len();
+        self.wait_status("the fleet and others seen by all", |status| {
+            let live = status
+                .servers
+                .iter()
+                .filter(|server| server.state == "live")
+                .count();
+            status.routers.len() == routers && live == servers
+        })
+        .await;
+    }
+
     /// Waits until the status of every router satisfies a condition.
     pub async fn wait_status<Holds>(&self, what: &str, holds: Holds)
     where
@@ -290,16 +320,33 @@
     where
         Holds: Fn(&Status) -> bool,
     {
+        for router in 0..self.routers.len() {
+            if !self.router_comes_to(router, &holds).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Waits until the status of one router satisfies a condition.
+    pub async fn wait_status_of<Holds>(&self, router: usize, what: &str, holds: Holds)
+    where
+        Holds: Fn(&Status) -> bool,
+    {
+        assert!(
+            self.router_comes_to(router, &holds).await,
+            "{what}: not within {SETTLE_LIMIT:?}"
+        );
+    }
+
+    async fn router_comes_to<Holds>(&self, router: usize, holds: &Holds) -> bool
+    where
+        Holds: Fn(&Status) -> bool,
+    {
+        let operator = self.operator(router);
         let waited = tokio::time::timeout(SETTLE_LIMIT, async {
-            for router in 0..self.routers.len() {
-                while !self
-                    .operator(router)
-                    .status()
-                    .await
-                    .is_ok_and(|status| holds(&status))
-                {
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                }
+            while !operator.status().await.is_ok_and(|status| holds(&status)) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
             }
         });
         waited.await.is_ok()
@@ -360,6 +407,14 @@
     );
 }
 
+/// Gets JSON and expects success.
+pub async fn get_json<Body>(url: &str) -> Body
+where
+    Body: DeserializeOwned,
+{
+    serde_json::from_str(&get_text(url).await).expect("the answer is JSON")
+}
+
 /// Gets a text and expects success.
 pub async fn get_text(url: &str) -> String {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
@@ -377,21 +432,6 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
-/// Gets JSON.
-pub async fn get_json<Body>(url: &str) -> Body
-where
-    Body: DeserializeOwned,
-{
-    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
-    let request = http::Request::get(url)
-        .body(Full::default())
-        .expect("the request is good");
-    let response = client.request(request).await.expect("the stand-in answers");
-    let body = response.into_body().collect().await;
-    let text = body.expect("the answer is whole").to_bytes();
-    serde_json::from_slice(&text).expect("the answer is JSON")
-}
-
 async fn start_fake(kind: &str, flags: &[String]) -> (ChildProcess, SocketAddr) {
     let mut arguments = vec![kind.to_owned()];
     arguments.extend_from_slice(flags);
--- /dev/null
+++ b/crates/sapphiretrackd/src/control/slots.rs
@@ -0,0 +1,213 @@
+//! Slots on backend servers: where they are decided, and what this router holds.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use sapphiretrack_core::{
+    CellView, Grant, PoolKind, ReservationId, ReserveRequest, RosterServer, RouterId, ServerId,
+    VmRole, VmState, steward_of,
+};
+use sapphiretrack_peer::PeerRequest;
+
+use crate::control::ControlState;
+use crate::control::handle::{Begun, Place, SlotWish};
+
+/// A slot that this router holds or has asked for.
+pub(super) struct Held {
+    pub(super) server: ServerId,
+    pub(super) steward: Option<SocketAddr>,
+    /// Prompt tokens that the server is expected to compute.
+    pub(super) uncached_tokens: u32,
+    pub(super) asked_ms: u64,
+}
+
+/// A backend server with its pool.
+pub(super) struct PooledServer<'a> {
+    pub(super) id: ServerId,
+    pub(super) known: &'a RosterServer,
+    pub(super) pool: &'a str,
+    pub(super) kind: PoolKind,
+}
+
+impl ControlState {
+    /// Starts a reservation on a server.
+    pub(crate) fn begin(&mut self, wish: SlotWish, now_ms: u64) -> Begun {
+        let SlotWish { server, .. } = wish;
+        let in_flight = self.own_in_flight_with(server);
+        let reservation = ReservationId(self.next_reservation);
+        self.next_reservation = self.next_reservation.wrapping_add(1);
+        let router = self.identity.id;
+        let place = match self.steward(server) {
+            Some(steward) if steward == router => {
+                let request = ReserveRequest {
+                    router,
+                    reservation,
+                    server,
+                    bound_share: wish.bound_share as f32,
+                    in_flight,
+                };
+                Place::Here(self.reserve(&request, now_ms))
+            }
+            Some(steward) => match self.peers.get(steward) {
+                Some(peer) => Place::Peer(peer.profile.peer_address),
+                None => Place::Nowhere,
+            },
+            None => Place::Nowhere,
+        };
+        let steward = match place {
+            Place::Here(Grant::Granted) => Some(None),
+            Place::Peer(address) => Some(Some(address)),
+            Place::Here(_) | Place::Nowhere => None,
+        };
+        if let Some(steward) = steward {
+            let held = Held {
+                server,
+                steward,
+                uncached_tokens: wish.uncached_tokens,
+                asked_ms: now_ms,
+            };
+            self.changed = true;
+            self.held.insert(reservation, held);
+        }
+        Begun {
+            reservation,
+            place,
+            in_flight,
+        }
+    }
+
+    /// Ends a reservation; returns what the steward has to be told, if it is a peer.
+    pub(crate) fn end(&mut self, reservation: ReservationId) -> Option<(SocketAddr, PeerRequest)> {
+        let held = self.held.remove(&reservation)?;
+        self.changed = true;
+        let router = self.identity.id;
+        self.ledger.release(router, held.server, reservation);
+        let release = PeerRequest::Release {
+            router,
+            server: held.server,
+            reservation,
+            in_flight: self.own_in_flight_with(held.server),
+        };
+        held.steward.map(|steward| (steward, release))
+    }
+
+    /// The servers whose load reports this router fetches: those that it is steward of.
+    pub(crate) fn watched_servers(&self) -> Vec<(ServerId, SocketAddr)> {
+        let servers = self.stewarded().into_iter();
+        servers
+            .filter_map(|server| Some((server, self.servers.get(server)?.record.address)))
+            .collect()
+    }
+
+    /// Decides on a slot of a server that this router is steward of.
+    pub(super) fn reserve(&mut self, request: &ReserveRequest, now_ms: u64) -> Grant {
+        let Some(pool) = self
+            .pooled_servers()
+            .find(|server| server.id == request.server)
+            .map(|server| server.pool.to_owned())
+        else {
+            return Grant::NotSteward;
+        };
+        let is_open = self.server_state(request.server, now_ms) == VmState::Live
+            && !self.is_joining(request.server, now_ms);
+        if !is_open {
+            return Grant::Full;
+        }
+        self.changed = true;
+        let load = self.pool_load(&pool, now_ms);
+        let bound = self.bound;
+        self.ledger.reserve(request, &bound, &load, now_ms)
+    }
+
+    /// Brings the ledger in line with the view: which servers this router counts, who may hold
+    /// slots there, and what it holds itself.
+    pub(super) fn settle_ledger(&mut self, now_ms: u64) {
+        let me = self.identity.id;
+        let all: BTreeSet<ServerId> = self.servers.iter().map(|(server, _)| server).collect();
+        let consents = |server: &ServerId| self.names.consent(*server) == Some(me);
+        let stewarded: Vec<ServerId> = all.iter().copied().filter(consents).collect();
+        self.names.note_sent(me, now_ms);
+        let mut live: Vec<RouterId> = self.peers.iter().map(|(router, _)| router).collect();
+        live.push(me);
+        let listed = self.list.iter();
+        let routers = listed.filter(|record| matches!(record.role, VmRole::Router { .. }));
+        let mut known: BTreeSet<RouterId> = routers
+            .map(|record| RouterId::from_name(&record.name))
+            .collect();
+        known.extend(&live);
+        let known: Vec<RouterId> = known.into_iter().collect();
+        let view = CellView {
+            stewarded: &stewarded,
+            live: &live,
+            known: &known,
+        };
+        self.ledger.set_view(&view, now_ms);
+        let own = self.held_for(me);
+        self.ledger.reconcile(me, &own, now_ms);
+        let may_begin = self.ledger.hears_cell();
+        self.names.retain(|server| all.contains(&server));
+        for server in all {
+            if let Some(steward) = steward_of(server, &self.stewards) {
+                self.names.want(server, steward, may_begin, now_ms);
+            }
+        }
+    }
+
+    /// The servers that this router is steward of.
+    pub(super) fn stewarded(&self) -> Vec<ServerId> {
+        self.servers
+            .iter()
+            .map(|(server, _)| server)
+            .filter(|server| self.steward(*server) == Some(self.identity.id))
+            .collect()
+    }
+
+    pub(super) fn steward(&self, server: ServerId) -> Option<RouterId> {
+        self.names.steward(server)
+    }
+
+    pub(super) fn pooled_servers(&self) -> impl Iterator<Item = PooledServer<'_>> {
+        self.servers
+            .iter()
+            .filter_map(|(id, known)| match &known.record.role {
+                VmRole::Server { pool, kind } => Some(PooledServer {
+                    id,
+                    known,
+                    pool,
+                    kind: *kind,
+                }),
+                VmRole::Router { .. } => None,
+            })
+    }
+
+    /// Whether a server takes new work, by all signals and by the operators.
+    pub(super) fn server_state(&self, server: ServerId, now_ms: u64) -> VmState {
+        if self.config.is_draining(server) {
+            return VmState::Leaving;
+        }
+        self.servers
+            .state(server, now_ms)
+            .unwrap_or(VmState::Leaving)
+    }
+
+    pub(super) fn in_flight_by_server(&self) -> BTreeMap<ServerId, u32> {
+        let mut counts: BTreeMap<ServerId, u32> = BTreeMap::new();
+        for held in self.held.values() {
+            *counts.entry(held.server).or_default() += 1;
+        }
+        for (router, _) in self.peers.iter() {
+            let Some(told) = self.book.in_flight.get(&router) else {
+                continue;
+            };
+            for (server, count) in told {
+                *counts.entry(*server).or_default() += u32::from(*count);
+            }
+        }
+        for (server, count) in &mut counts {
+            if let Some(exact) = self.ledger.held(*server) {
+                *count = exact;
+            }
+        }
+        counts
+    }
+}
--- a/crates/sapphiretrackd/src/control/snapshot.rs
+++ b/crates/sapphiretrackd/src/control/snapshot.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use sapphiretrack_core::{FleetConfig, KeyIndex, PoolView, RouterId, RouterView, VmState};
+use sapphiretrack_core::{
+    FleetConfig, KeyIndex, PoolView, RouterId, RouterView, VmRecord, VmState,
+};
 
 /// An immutable picture of the control state.
 #[derive(Clone, Debug)]
@@ -28,6 +30,8 @@
     pub(crate) peers_heard: bool,
     /// Whether the platform was reached lately.
     pub(crate) platform_reached: bool,
+    /// Other routers that the platform's last list shows as live.
+    pub(crate) listed_others: Vec<VmRecord>,
 }
 
 impl Snapshot {
@@ -44,6 +48,7 @@
             stopping: false,
             peers_heard: false,
             platform_reached: false,
+            listed_others: Vec::new(),
         }
     }
 
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -1,36 +1,34 @@
 //! The control state and how messages change it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    BudgetAsk, BudgetReply, CellView, ConsentSettings, DrainSettings, FleetConfig, Grant,
-    HeardLoad, HeldSlots, Incarnation, KeyIndex, Ledger, LedgerSettings, LoadBound, LoadReport,
-    PlacementSettings, PoolKind, PoolLoad, PoolView, Refreshed, ReservationId, ReserveRequest,
-    RouterId, RouterView, SentTokens, ServerId, ServerView, StewardNames, VmRecord, VmRole,
-    VmState, backlog_tokens, newer_config, pool_load, steward_of,
-};
-use sapphiretrack_peer::{
-    ConfigReply, Heartbeat, HeartbeatReply, PeerReply, PeerRequest, ServerState,
+    ConsentSettings, FleetConfig, Hearing, Incarnation, KeyIndex, Ledger, LedgerSettings,
+    LoadBound, LoadReport, PauseWatch, PeerRoster, PeerRosterSettings, Refreshed, ReservationId,
+    RosterChange, RouterId, RouterProfile, ServerId, ServerRoster, ServerRosterSettings,
+    StewardNames, VmRecord, VmState, hash_parts, newer_config,
 };
+use sapphiretrack_peer::{PeerReply, PeerRequest, VmListReply};
 use sapphiretrack_platform::wire::VmList;
 
-use crate::control::Snapshot;
-use crate::control::budgets::{Budgets, budget_steward};
-use crate::control::handle::{Begun, BudgetPlace, Place, SlotWish};
+use crate::control::budgets::Budgets;
+use crate::control::heartbeats::HeartbeatBook;
+use crate::control::load::LoadBook;
+use crate::control::slots::Held;
 use crate::events::Event;
 
+/// Rounds of heartbeats after a change. What a peer holds counts only once the new steward knows
+/// that it is one, which may be just after the first round.
+pub(super) const URGENT_ROUNDS: u8 = 3;
+
 /// Who this router is.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
     pub(crate) id: RouterId,
-    pub(crate) name: String,
-    pub(crate) zone: String,
     pub(crate) incarnation: Incarnation,
-    pub(crate) caller_address: SocketAddr,
-    pub(crate) operator_address: SocketAddr,
-    pub(crate) peer_address: SocketAddr,
+    pub(crate) profile: RouterProfile,
 }
 
 /// Times that rule the control state.
@@ -43,114 +41,85 @@
 
 /// All control state; only the control thread has it.
 pub(crate) struct ControlState {
-    identity: Identity,
-    timing: Timing,
-    bound: LoadBound,
-    config: Arc<FleetConfig>,
-    keys: Arc<KeyIndex>,
+    pub(super) identity: Identity,
+    pub(super) timing: Timing,
+    pub(super) bound: LoadBound,
+    pub(super) config: Arc<FleetConfig>,
+    pub(super) keys: Arc<KeyIndex>,
     /// Whether the platform or a peer has told a configuration, be it an empty one.
-    config_known: bool,
-    listed: Vec<VmRecord>,
-    list_known: bool,
-    peers: BTreeMap<RouterId, Peer>,
-    servers: BTreeMap<ServerId, Server>,
-    ledger: Ledger,
-    names: StewardNames,
-    open_servers: BTreeSet<ServerId>,
-    budgets: Budgets,
-    held: BTreeMap<ReservationId, Held>,
-    next_reservation: u32,
-    heartbeat_sequence: u64,
+    pub(super) config_known: bool,
+    pub(super) list: Vec<VmRecord>,
+    pub(super) list_digest: u64,
+    pub(super) peers: PeerRoster,
+    pub(super) servers: ServerRoster,
+    pub(super) ledger: Ledger,
+    pub(super) names: StewardNames,
+    pub(super) loads: LoadBook,
+    pub(super) budgets: Budgets,
+    pub(super) held: BTreeMap<ReservationId, Held>,
+    pub(super) next_reservation: u32,
+    pub(super) book: HeartbeatBook,
+    pub(super) stopping: bool,
+    /// The list says that this router is leaving, and others were there to take over.
+    told_to_leave: bool,
+    pub(super) isolated: bool,
+    pub(super) stewards: Vec<RouterId>,
+    /// Whether traffic threads need a new snapshot.
+    pub(super) changed: bool,
+    /// How many rounds of heartbeats have to go out at once.
+    pub(super) urgent_rounds: u8,
+    seeds: Vec<SocketAddr>,
+    pause: PauseWatch,
     platform_reached_ms: Option<u64>,
-    peer_heard_ms: u64,
-    /// Whether a router has appeared that shall hear of this one at once.
-    greets: bool,
-    stopping: bool,
-    isolated: bool,
-}
-
-/// A peer as it was last heard.
-struct Peer {
-    heartbeat: Heartbeat,
-    heard_ms: u64,
-    left: bool,
-    /// Its requests in flight by pool since its last heartbeat, with when it said so.
-    newer_loads: BTreeMap<String, (u32, u64)>,
-}
-
-/// A backend server as it was last heard of.
-#[derive(Clone, Debug, Default)]
-struct Server {
-    report: LoadReport,
-    reported_ms: u64,
-    failed_reports: u32,
-    /// When it began to take new work; none while it takes none, and for the first list.
-    open_since_ms: Option<u64>,
-    /// The incarnation that is leaving; it outranks live for that incarnation.
-    leaving: Option<Incarnation>,
+    platform_was_reached: bool,
+    peers_were_heard: bool,
 }
 
-/// A slot that this router holds or has asked for.
-struct Held {
-    server: ServerId,
-    steward: Option<SocketAddr>,
-    /// Prompt tokens that the server is expected to compute.
-    uncached_tokens: u32,
-    asked_ms: u64,
-}
-
-/// What a steward is told when a slot of its server is given back.
-pub(crate) struct SlotRelease {
-    pub(crate) steward: SocketAddr,
-    pub(crate) server: ServerId,
-    /// This router's requests in flight on the server's pool.
-    pub(crate) in_flight: u16,
-}
-
-/// How long a server that joined counts for the load bound before it takes requests; longer than
-/// a heartbeat, so that its pool's stewards have heard of it.
-const JOIN_SETTLE_MS: u64 = 2_500;
-/// How lately a router must have been heard to count for the share of budgets, in percent of the
-/// time after which its budgets get another steward.
-const BUDGET_HEARD_PERCENT: u64 = 60;
-/// Reports that may fail in a row before a server gets no new work.
-const MAX_FAILED_REPORTS: u32 = 3;
-
 impl ControlState {
     /// The state of a router that has heard nothing yet.
-    pub(crate) fn new(identity: Identity, timing: Timing, bound: LoadBound) -> Self {
-        let consent = ConsentSettings {
-            consent_ms: timing.dead_after_ms,
-            ..ConsentSettings::default()
+    pub(crate) fn new(
+        identity: Identity,
+        timing: Timing,
+        bound: LoadBound,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        let peer_settings = PeerRosterSettings {
+            dead_after_ms: timing.dead_after_ms,
+            damping: Default::default(),
         };
-        let settings = LedgerSettings {
-            consent,
-            ..LedgerSettings::default()
+        let server_settings = ServerRosterSettings {
+            report_stale_after_ms: timing.report_stale_after_ms,
+            ..Default::default()
         };
-        let ledger = Ledger::new(identity.id, settings);
         Self {
+            ledger: Ledger::new(identity.id, ledger_settings(&timing)),
+            names: StewardNames::new(ledger_settings(&timing).consent),
+            loads: LoadBook::default(),
+            peers: PeerRoster::new(identity.id, peer_settings),
+            servers: ServerRoster::new(server_settings),
+            book: HeartbeatBook::new(identity.incarnation),
             identity,
             timing,
             bound,
             config: Arc::default(),
             keys: Arc::default(),
             config_known: false,
-            listed: Vec::new(),
-            list_known: false,
-            peers: BTreeMap::new(),
-            servers: BTreeMap::new(),
-            ledger,
-            names: StewardNames::new(consent),
-            open_servers: BTreeSet::new(),
             budgets: Budgets::default(),
+            list: Vec::new(),
+            list_digest: 0,
             held: BTreeMap::new(),
             next_reservation: 0,
-            heartbeat_sequence: 0,
-            platform_reached_ms: None,
-            peer_heard_ms: 0,
-            greets: false,
             stopping: false,
+            told_to_leave: false,
             isolated: false,
+            stewards: Vec::new(),
+            changed: true,
+            urgent_rounds: 0,
+            seeds,
+            pause: PauseWatch::default(),
+            platform_reached_ms: None,
+            platform_was_reached: false,
+            peers_were_heard: false,
         }
     }
 
@@ -161,7 +130,12 @@
 
     /// This router's name.
     pub(crate) fn name(&self) -> &str {
-        &self.identity.name
+        &self.identity.profile.name
+    }
+
+    /// Which run of this router.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.identity.incarnation
     }
 
     /// The configuration version in force.
@@ -169,33 +143,31 @@
         self.config.version
     }
 
-    /// Takes in the platform's list.
-    pub(crate) fn take_vm_list(&mut self, list: VmList) {
-        for record in &list.vms {
-            if matches!(record.role, VmRole::Server { .. })
-                && !self.listed.iter().any(|known| known.name == record.name)
-            {
-                Event::SERVER_JOINED.log(&[("server", &record.name)]);
-            }
+    /// Takes in the platform's list, read by this router or by a peer.
+    pub(crate) fn take_vm_list(&mut self, mut list: VmList, now_ms: u64) {
+        list.vms.sort_by(|a, b| a.name.cmp(&b.name));
+        let peers = self.peers.take_list(&list.vms, now_ms);
+        let servers = self.servers.take_list(&list.vms, now_ms);
+        self.note_peer_changes(&peers);
+        self.note_server_changes(&servers);
+        let mut others = self.peers.iter();
+        let others_live = others.any(|(_, peer)| peer.state() == VmState::Live);
+        if self.peers.is_listed_leaving() && others_live && !self.told_to_leave {
+            self.told_to_leave = true;
+            self.changed = true;
+            self.urgent_rounds = URGENT_ROUNDS;
         }
-        for record in &self.listed {
-            if matches!(record.role, VmRole::Server { .. })
-                && !list.vms.iter().any(|known| known.name == record.name)
-            {
-                Event::SERVER_LOST.log(&[("server", &record.name)]);
-            }
+        if list.vms != self.list {
+            let text = serde_json::to_vec(&list.vms).unwrap_or_default();
+            self.list_digest = hash_parts(&[&text]);
+            self.list = list.vms;
+            self.changed = true;
         }
-        let is_router = |record: &&VmRecord| matches!(record.role, VmRole::Router { .. });
-        let mut routers = list.vms.iter().filter(is_router);
-        self.greets |= routers.any(|new| self.listed.iter().all(|known| known.name != new.name));
-        self.listed = list.vms;
-        self.list_known = true;
-        let names: BTreeSet<ServerId> = self
-            .listed
-            .iter()
-            .map(|record| ServerId::from_name(&record.name))
-            .collect();
-        self.servers.retain(|server, _| names.contains(server));
+    }
+
+    /// Whether this router never got a list and has to ask a peer.
+    pub(crate) fn lacks_list(&self) -> bool {
+        self.list_digest == 0
     }
 
     /// Notes whether the platform was reached.
@@ -207,12 +179,14 @@
 
     /// Takes in a configuration, if it is newer; tells whether it is now in force.
     pub(crate) fn offer_config(&mut self, offered: Arc<FleetConfig>) -> Refreshed {
+        self.changed |= !self.config_known;
         self.config_known = true;
         let version = offered.version.to_string();
         let older = offered.version < self.config.version;
         let refreshed = newer_config(&mut self.config, offered);
         match refreshed {
             Refreshed::InForce => {
+                self.changed = true;
                 self.keys = Arc::new(KeyIndex::new(&self.config));
                 Event::CONFIG_IN_FORCE.log(&[("version", &version)]);
             }
@@ -229,35 +203,57 @@
         report: Option<LoadReport>,
         now_ms: u64,
     ) {
-        let entry = self.servers.entry(server).or_default();
-        match report {
-            Some(report) => {
-                entry.failed_reports = 0;
-                entry.reported_ms = now_ms;
-                self.ledger
-                    .note_report(server, report.running + report.queued);
-                entry.report = report;
-                if report.leaving {
-                    entry.leaving = Some(report.incarnation);
-                }
-            }
-            None => entry.failed_reports = entry.failed_reports.saturating_add(1),
+        let before = self.seen_of(server, now_ms);
+        if let Some(report) = &report {
+            self.note_reported(server, now_ms);
+            let in_flight = report.running + report.queued;
+            self.ledger.note_report(server, in_flight);
+        }
+        let change = self.servers.take_report(server, report, now_ms);
+        self.note_server_changes(change.as_slice());
+        self.changed |= self.seen_of(server, now_ms) != before;
+    }
+
+    /// Marks a server's incarnation as leaving: a request met its refusal.
+    pub(crate) fn note_server_leaving(
+        &mut self,
+        server: ServerId,
+        incarnation: Incarnation,
+        now_ms: u64,
+    ) {
+        let change = self.servers.note_leaving(server, incarnation, now_ms);
+        self.note_server_changes(change.as_slice());
+    }
+
+    /// Notes that nothing listens at a peer's address.
+    pub(crate) fn note_peer_refused(&mut self, router: RouterId, now_ms: u64) {
+        let change = self.peers.note_refused(router, now_ms);
+        self.note_peer_changes(change.as_slice());
+    }
+
+    /// Notes that nothing listens at a steward's address.
+    pub(crate) fn note_address_refused(&mut self, address: SocketAddr, now_ms: u64) {
+        let found = self
+            .peers
+            .iter()
+            .find(|(_, peer)| peer.profile.peer_address == address);
+        if let Some(router) = found.map(|(router, _)| router) {
+            self.note_peer_refused(router, now_ms);
         }
     }
 
     /// Begins the planned stop.
     pub(crate) fn stop(&mut self) {
         self.stopping = true;
+        self.changed = true;
+        self.urgent_rounds = URGENT_ROUNDS;
     }
 
     /// Runs a call of a peer.
     pub(crate) fn handle_peer(&mut self, request: PeerRequest, now_ms: u64) -> PeerReply {
         match request {
             PeerRequest::Heartbeat(heartbeat) => {
-                self.take_heartbeat(*heartbeat, now_ms);
-                PeerReply::Heartbeat(HeartbeatReply {
-                    config_version: self.config.version,
-                })
+                PeerReply::Heartbeat(self.take_heartbeat(*heartbeat, now_ms))
             }
             PeerRequest::Reserve(request) => {
                 self.note_pool_load(request.router, request.server, request.in_flight, now_ms);
@@ -270,6 +266,7 @@
                 in_flight,
             } => {
                 self.note_pool_load(router, server, in_flight, now_ms);
+                self.changed = true;
                 self.ledger.release(router, server, reservation);
                 PeerReply::Released
             }
@@ -278,688 +275,165 @@
                 self.config_since(version, &change_id)
             }
             PeerRequest::LeaseBudget(ask) => PeerReply::Budget(self.keep_budget(&ask, now_ms)),
-        }
-    }
-
-    /// Answers a question about a budget, or tells where to ask it.
-    pub(crate) fn lease_budget(&mut self, ask: BudgetAsk, now_ms: u64) -> BudgetPlace {
-        let steward = budget_steward(&ask.customer, &self.steward_candidates());
-        let peer = steward.and_then(|steward| self.peers.get(&steward));
-        match peer {
-            Some(peer) => BudgetPlace::Peer(peer.heartbeat.peer_address, ask),
-            None => BudgetPlace::Here(self.keep_budget(&ask, now_ms)),
-        }
-    }
-
-    fn keep_budget(&mut self, ask: &BudgetAsk, now_ms: u64) -> BudgetReply {
-        let steward = budget_steward(&ask.customer, &self.steward_candidates());
-        let contract = self.config.contracts.get(&ask.customer);
-        match contract {
-            Some(contract) if steward == Some(self.identity.id) => {
-                let contract = contract.clone();
-                let share = self.budget_share(now_ms);
-                self.budgets.answer(ask, &contract, share, now_ms)
-            }
-            _ => BudgetReply::NotSteward,
-        }
-    }
-
-    /// The part of each budget that this router may give out as steward: the part of the routers
-    /// that it hears. The others may have another steward.
-    fn budget_share(&self, now_ms: u64) -> f64 {
-        let heard_within_ms = self.timing.dead_after_ms * BUDGET_HEARD_PERCENT / 100;
-        let heard = self
-            .peers
-            .values()
-            .filter(|peer| !peer.left && now_ms.saturating_sub(peer.heard_ms) < heard_within_ms);
-        let heard = 1 + heard.count();
-        heard as f64 / self.listed_routers().max(heard) as f64
-    }
-
-    /// The configuration in force.
-    pub(crate) fn config(&self) -> &Arc<FleetConfig> {
-        &self.config
-    }
-
-    fn whole_config(&self) -> PeerReply {
-        match serde_json::to_string(self.config.as_ref()) {
-            Ok(config_json) => PeerReply::Config(ConfigReply { config_json }),
-            Err(_) => PeerReply::Rejected,
-        }
-    }
-
-    fn config_since(&self, version: u64, change_id: &str) -> PeerReply {
-        let changes = self.config.changes_since(version, change_id);
-        match changes.and_then(|changes| serde_json::to_string(&changes).ok()) {
-            Some(changes_json) => PeerReply::ConfigChanges(changes_json),
-            None => self.whole_config(),
-        }
-    }
-
-    /// Starts a reservation on a server.
-    pub(crate) fn begin(&mut self, wish: SlotWish, now_ms: u64) -> Begun {
-        let SlotWish { server, .. } = wish;
-        let in_flight = self.own_in_flight_with(server);
-        let reservation = ReservationId(self.next_reservation);
-        self.next_reservation = self.next_reservation.wrapping_add(1);
-        let steward = self.steward(server);
-        let place = match steward {
-            Some(steward) if steward == self.identity.id => {
-                let router = self.identity.id;
-                let request = ReserveRequest {
-                    router,
-                    reservation,
-                    server,
-                    bound_share: wish.bound_share as f32,
-                    in_flight,
-                };
-                Place::Here(self.reserve(&request, now_ms))
-            }
-            Some(steward) => match self.peers.get(&steward) {
-                Some(peer) => Place::Peer(peer.heartbeat.peer_address),
-                None => Place::Nowhere,
+            PeerRequest::FetchVmList => match serde_json::to_string(&self.list) {
+                Ok(vms_json) => PeerReply::VmList(VmListReply { vms_json }),
+                Err(_) => PeerReply::Rejected,
             },
-            None => Place::Nowhere,
-        };
-        let granted_or_open = matches!(place, Place::Here(Grant::Granted) | Place::Peer(_));
-        if granted_or_open {
-            let steward = match place {
-                Place::Peer(address) => Some(address),
-                _ => None,
-            };
-            let held = Held {
-                server,
-                steward,
-                uncached_tokens: wish.uncached_tokens,
-                asked_ms: now_ms,
-            };
-            self.held.insert(reservation, held);
-        }
-        Begun {
-            reservation,
-            place,
-            in_flight,
-        }
-    }
-
-    /// Ends a reservation; returns what the steward has to be told, if it is a peer.
-    pub(crate) fn end(&mut self, reservation: ReservationId) -> Option<SlotRelease> {
-        let held = self.held.remove(&reservation)?;
-        self.ledger
-            .release(self.identity.id, held.server, reservation);
-        let steward = held.steward?;
-        Some(SlotRelease {
-            steward,
-            server: held.server,
-            in_flight: self.own_in_flight_with(held.server),
-        })
-    }
-
-    /// Settles all that time alone changes. Call it often.
-    pub(crate) fn tick(&mut self, now_ms: u64) {
-        self.note_lost_peers(now_ms);
-        self.note_opened(now_ms);
-        self.settle_stewards(now_ms);
-        let stewards = self.steward_candidates();
-        self.budgets.set_view(self.identity.id, &stewards, now_ms);
-        self.note_isolation(now_ms);
-    }
-
-    /// Whether heartbeats are due before their time, since a router has appeared.
-    pub(crate) fn take_greeting(&mut self) -> bool {
-        std::mem::take(&mut self.greets)
-    }
-
-    /// The heartbeat for each peer, with where it goes.
-    pub(crate) fn heartbeats(&mut self, now_ms: u64) -> Vec<(RouterId, SocketAddr, Heartbeat)> {
-        self.heartbeat_sequence += 1;
-        let mut targets: BTreeMap<RouterId, SocketAddr> = self
-            .peers
-            .iter()
-            .map(|(router, peer)| (*router, peer.heartbeat.peer_address))
-            .collect();
-        for record in &self.listed {
-            let VmRole::Router { peer_address, .. } = &record.role else {
-                continue;
-            };
-            let router = RouterId::from_name(&record.name);
-            if router != self.identity.id {
-                targets.entry(router).or_insert(*peer_address);
-            }
-        }
-        targets
-            .into_iter()
-            .map(|(router, address)| {
-                self.names.note_sent(router, now_ms);
-                (router, address, self.heartbeat_for(router, now_ms))
-            })
-            .collect()
-    }
-
-    /// The servers whose load reports this router fetches: those that it is steward of.
-    pub(crate) fn watched_servers(&self) -> Vec<(ServerId, SocketAddr)> {
-        self.listed_servers()
-            .filter(|(server, ..)| self.names.steward(*server) == Some(self.identity.id))
-            .map(|(server, record, ..)| (server, record.address))
-            .collect()
-    }
-
-    /// Notes the configuration version of a peer's answer to a heartbeat.
-    pub(crate) fn note_peer_version(&mut self, router: RouterId, config_version: u64) {
-        if let Some(peer) = self.peers.get_mut(&router) {
-            let known = &mut peer.heartbeat.config_version;
-            *known = (*known).max(config_version);
-        }
-    }
-
-    /// A picture for the traffic threads.
-    pub(crate) fn snapshot(&self, now_ms: u64) -> Snapshot {
-        let mut pools: BTreeMap<String, PoolView> = BTreeMap::new();
-        let in_flight = self.in_flight_by_server();
-        for (server, record, pool, kind) in self.listed_servers() {
-            let known = self.servers.get(&server).cloned().unwrap_or_default();
-            let state = self.server_state(server, record, &known);
-            let view = ServerView {
-                id: server,
-                name: record.name.clone(),
-                zone: record.zone.clone(),
-                address: record.address,
-                state,
-                in_flight: in_flight.get(&server).copied().unwrap_or(0),
-                report: known.report,
-                steward: self.names.steward(server).unwrap_or(self.identity.id),
-                is_joining: known.is_joining(now_ms),
-                backlog_tokens: self.backlog_tokens(server, &known, now_ms),
-            };
-            let pool = pools.entry(pool.to_owned()).or_insert_with(|| PoolView {
-                name: pool.to_owned(),
-                kind,
-                servers: Vec::new(),
-            });
-            pool.servers.push(view);
-        }
-        Snapshot {
-            me: self.identity.id,
-            config: self.config.clone(),
-            keys: self.keys.clone(),
-            config_known: self.config_known,
-            routers: self.router_views(),
-            pools,
-            isolated: self.isolated,
-            stopping: self.stopping,
-            peers_heard: self.peers_heard(now_ms),
-            platform_reached: self.platform_reached(now_ms),
         }
     }
 
-    fn take_heartbeat(&mut self, heartbeat: Heartbeat, now_ms: u64) {
-        let router = heartbeat.router;
-        if router == self.identity.id {
-            return;
-        }
-        let newer = self.peers.get(&router).is_none_or(|known| {
-            let known = &known.heartbeat;
-            (heartbeat.incarnation, heartbeat.sequence) > (known.incarnation, known.sequence)
-        });
-        if !newer {
+    /// Has to be called at each turn of the control loop, before anything is granted.
+    ///
+    /// After a pause this router no longer knows who counts which slots: it grants nothing until
+    /// its peers have heard of it again and said anew what they hold.
+    pub(crate) fn turn(&mut self, now_ms: u64) {
+        let Some(gap_ms) = self.pause.turn(now_ms) else {
             return;
-        }
-        self.peer_heard_ms = now_ms;
-        self.ledger.reconcile(router, &heartbeat.held, now_ms);
-        for state in &heartbeat.servers {
-            self.take_server_state(state, now_ms);
-        }
-        let left = heartbeat.state == VmState::Leaving;
-        match self.peers.get(&router) {
-            None => {
-                Event::PEER_JOINED.log(&[("router", &heartbeat.name)]);
-                self.greets = true;
-            }
-            Some(known) if known.heartbeat.incarnation != heartbeat.incarnation => {
-                self.greets = true;
-            }
-            Some(known) if left && !known.left => {
-                Event::PEER_LEAVING.log(&[("router", &heartbeat.name)]);
-            }
-            Some(_) => {}
-        }
-        self.peers.insert(
-            router,
-            Peer {
-                heartbeat,
-                heard_ms: now_ms,
-                left,
-                newer_loads: BTreeMap::new(),
-            },
-        );
-    }
-
-    fn take_server_state(&mut self, state: &ServerState, now_ms: u64) {
-        let entry = self.servers.entry(state.server).or_default();
-        if state.state == VmState::Leaving && entry.leaving != Some(state.report.incarnation) {
-            entry.leaving = Some(state.report.incarnation);
-        }
-        entry.report = state.report;
-        entry.reported_ms = now_ms;
-        entry.failed_reports = if state.reachable {
-            0
-        } else {
-            MAX_FAILED_REPORTS
-        };
-    }
-
-    fn reserve(&mut self, request: &ReserveRequest, now_ms: u64) -> Grant {
-        let Some(pool) = self.pool_of(request.server).map(str::to_owned) else {
-            return Grant::NotSteward;
-        };
-        let live = self.live_servers(&pool);
-        let known = self.servers.get(&request.server);
-        let is_joining = known.is_some_and(|known| known.is_joining(now_ms));
-        if !live.contains(&request.server) || is_joining {
-            return Grant::Full;
-        }
-        let load = self.pool_load(&pool, &live, now_ms);
-        let bound = self.bound;
-        self.ledger.reserve(request, &bound, &load, now_ms)
-    }
-
-    /// Notes servers that begin to take new work; those of the first list did so long ago.
-    fn note_opened(&mut self, now_ms: u64) {
-        let states: Vec<(ServerId, VmState)> = self
-            .listed_servers()
-            .map(|(server, record, ..)| {
-                let known = self.servers.get(&server).cloned().unwrap_or_default();
-                (server, self.server_state(server, record, &known))
-            })
-            .collect();
-        let is_first = self.open_servers.is_empty();
-        for (server, state) in states {
-            let is_new = state == VmState::Live && !self.open_servers.contains(&server);
-            if is_new && !is_first {
-                self.servers.entry(server).or_default().open_since_ms = Some(now_ms);
-            }
-            match state {
-                VmState::Live => self.open_servers.insert(server),
-                VmState::Leaving => self.open_servers.remove(&server),
-            };
-        }
-    }
-
-    /// What a server has yet to compute: its last report, corrected by own sends since.
-    fn backlog_tokens(&self, server: ServerId, known: &Server, now_ms: u64) -> u64 {
-        let own = self.held.values().filter(|held| held.server == server);
-        let sent = own.map(|held| SentTokens {
-            tokens: held.uncached_tokens,
-            age_ms: now_ms.saturating_sub(held.asked_ms),
-        });
-        let age_ms = now_ms.saturating_sub(known.reported_ms);
-        let reported_tokens = known.report.queued_prompt_tokens;
-        backlog_tokens(&PlacementSettings::default(), reported_tokens, age_ms, sent)
-    }
-
-    /// Settles whom this router asks, whom it consents to, and where it is steward itself.
-    fn settle_stewards(&mut self, now_ms: u64) {
-        let me = self.identity.id;
-        let listed: BTreeSet<ServerId> = self.listed_servers().map(|(id, ..)| id).collect();
-        let consents = |server: &ServerId| self.names.consent(*server) == Some(me);
-        let stewarded: Vec<ServerId> = listed.iter().copied().filter(consents).collect();
-        self.names.note_sent(me, now_ms);
-        let mut live: Vec<RouterId> = self.peers.keys().copied().collect();
-        live.push(me);
-        let routers = self
-            .listed
-            .iter()
-            .filter(|record| matches!(record.role, VmRole::Router { .. }));
-        let mut known: BTreeSet<RouterId> = routers
-            .map(|record| RouterId::from_name(&record.name))
-            .collect();
-        known.extend(&live);
-        let known: Vec<RouterId> = known.into_iter().collect();
-        let view = CellView {
-            stewarded: &stewarded,
-            live: &live,
-            known: &known,
         };
-        self.ledger.set_view(&view, now_ms);
-        let may_begin = self.ledger.hears_cell();
-        let candidates = self.steward_candidates();
-        self.names.retain(|server| listed.contains(&server));
-        for server in listed {
-            if let Some(steward) = steward_of(server, &candidates) {
-                self.names.want(server, steward, may_begin, now_ms);
-            }
-        }
-    }
-
-    fn pool_of(&self, server: ServerId) -> Option<&str> {
-        self.listed_servers()
-            .find(|(id, ..)| *id == server)
-            .map(|(_, _, pool, _)| pool)
-    }
-
-    fn pool_servers(&self, pool: &str) -> BTreeSet<ServerId> {
-        let all = self.listed_servers();
-        all.filter(|(_, _, other, _)| *other == pool)
-            .map(|(server, ..)| server)
-            .collect()
+        Event::PAUSED.log(&[("gap_ms", &gap_ms.to_string())]);
+        self.peers.forgive_silence(now_ms);
+        self.ledger = Ledger::new(self.identity.id, ledger_settings(&self.timing));
+        self.book.distrust_earlier();
+        self.urgent_rounds = URGENT_ROUNDS;
+        self.tick(now_ms);
     }
 
-    fn live_servers(&self, pool: &str) -> BTreeSet<ServerId> {
-        let of_pool = self
-            .listed_servers()
-            .filter(|(_, _, other, _)| *other == pool);
-        of_pool
-            .filter(|(server, record, ..)| {
-                let known = self.servers.get(server).cloned().unwrap_or_default();
-                self.server_state(*server, record, &known) == VmState::Live
-            })
-            .map(|(server, ..)| server)
-            .collect()
-    }
-
-    /// A pool's requests in flight. Servers that leave count as long as they hold requests, since
-    /// peers' sums have those too.
-    fn pool_load(&self, pool: &str, live: &BTreeSet<ServerId>, now_ms: u64) -> PoolLoad {
-        let of_pool = self.pool_servers(pool);
-        let own = self
-            .held
-            .values()
-            .filter(|held| of_pool.contains(&held.server));
-        let heard = self
-            .peers
-            .values()
-            .map(|peer| match peer.newer_loads.get(pool) {
-                Some((in_flight, at_ms)) => HeardLoad {
-                    in_flight: *in_flight,
-                    age_ms: now_ms.saturating_sub(*at_ms),
-                },
-                None => HeardLoad {
-                    in_flight: peer.in_flight_on(&of_pool),
-                    age_ms: now_ms.saturating_sub(peer.heard_ms),
-                },
-            });
-        let joining = live.iter().filter(|server| {
-            let known = self.servers.get(*server);
-            known.is_some_and(|known| known.is_joining(now_ms))
-        });
-        let in_flight = self.in_flight_by_server();
-        let holds = |server: &&ServerId| in_flight.get(*server).is_some_and(|count| *count > 0);
-        let holding = of_pool.difference(live).filter(holds).count();
-        PoolLoad {
-            live_servers: (live.len() + holding) as u32,
-            open_servers: (live.len() - joining.count()) as u32,
-            ..pool_load(&DrainSettings::default(), own.count() as u32, heard)
+    /// Settles all that time alone changes. Call it often.
+    pub(crate) fn tick(&mut self, now_ms: u64) {
+        let lost_peers = self.peers.tick(now_ms);
+        self.note_peer_changes(&lost_peers);
+        let lost_servers = self.servers.tick(now_ms);
+        self.note_server_changes(&lost_servers);
+        let leaving = self.own_state() == VmState::Leaving;
+        let stewards = self.peers.steward_candidates(leaving, now_ms);
+        if stewards != self.stewards {
+            self.stewards = stewards;
+            self.changed = true;
+            self.urgent_rounds = URGENT_ROUNDS;
         }
+        self.note_joined(now_ms);
+        self.settle_ledger(now_ms);
+        self.budgets
+            .set_view(self.identity.id, &self.stewards, now_ms);
+        self.note_reach(now_ms);
     }
 
-    /// This router's requests in flight on a server's pool.
-    fn own_in_flight_with(&self, server: ServerId) -> u16 {
-        let Some(pool) = self.pool_of(server) else {
-            return 0;
-        };
-        let of_pool = self.pool_servers(pool);
-        let own = self
-            .held
-            .values()
-            .filter(|held| of_pool.contains(&held.server));
-        u16::try_from(own.count()).unwrap_or(u16::MAX)
+    /// Whether a heartbeat has to go out at once.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.urgent_rounds > 0
     }
 
-    /// Takes in what a peer says of its load beside its heartbeats.
-    fn note_pool_load(&mut self, router: RouterId, server: ServerId, in_flight: u16, now_ms: u64) {
-        let Some(pool) = self.pool_of(server).map(str::to_owned) else {
-            return;
-        };
-        if let Some(peer) = self.peers.get_mut(&router) {
-            peer.newer_loads
-                .insert(pool, (u32::from(in_flight), now_ms));
-        }
+    /// Whether a new snapshot is needed.
+    pub(crate) fn is_changed(&self) -> bool {
+        self.changed
     }
 
-    fn steward(&self, server: ServerId) -> Option<RouterId> {
-        self.names.steward(server)
+    /// A round of heartbeats goes out now.
+    pub(crate) fn clear_urgent(&mut self) {
+        self.urgent_rounds = self.urgent_rounds.saturating_sub(1);
     }
 
-    /// Routers that may be stewards: those heard of and not leaving, or this one alone.
-    fn steward_candidates(&self) -> Vec<RouterId> {
-        let mut candidates: Vec<RouterId> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| !peer.left)
-            .map(|(router, _)| *router)
-            .collect();
-        if !self.stopping || candidates.is_empty() {
-            candidates.push(self.identity.id);
-        }
-        candidates
+    /// A new snapshot is taken now.
+    pub(crate) fn clear_changed(&mut self) {
+        self.changed = false;
     }
 
-    fn listed_servers(&self) -> impl Iterator<Item = (ServerId, &VmRecord, &str, PoolKind)> {
-        self.listed.iter().filter_map(|record| match &record.role {
-            VmRole::Server { pool, kind } => Some((
-                ServerId::from_name(&record.name),
-                record,
-                pool.as_str(),
-                *kind,
-            )),
-            VmRole::Router { .. } => None,
-        })
+    /// Addresses to try while no peer is known.
+    pub(super) fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
     }
 
-    fn server_state(&self, server: ServerId, record: &VmRecord, known: &Server) -> VmState {
-        let closed = is_leaving(record, known)
-            || self.config.is_draining(server)
-            || known.failed_reports >= MAX_FAILED_REPORTS;
-        if closed {
+    /// Whether this router takes new work; once leaving, it is so to its end.
+    pub(super) fn own_state(&self) -> VmState {
+        if self.stopping || self.told_to_leave {
             VmState::Leaving
         } else {
             VmState::Live
         }
     }
 
-    fn in_flight_by_server(&self) -> BTreeMap<ServerId, u32> {
-        let mut counts: BTreeMap<ServerId, u32> = BTreeMap::new();
-        for held in self.held.values() {
-            *counts.entry(held.server).or_default() += 1;
-        }
-        for peer in self.peers.values() {
-            for (server, count) in &peer.heartbeat.in_flight {
-                *counts.entry(*server).or_default() += u32::from(*count);
-            }
-        }
-        for (server, count) in &mut counts {
-            if let Some(exact) = self.ledger.held(*server) {
-                *count = exact;
-            }
-        }
-        counts
+    pub(super) fn platform_reached(&self, now_ms: u64) -> bool {
+        let within_ms = self.timing.isolated_after_ms;
+        self.hearing().platform_reached(within_ms, now_ms)
     }
 
-    fn heartbeat_for(&self, peer: RouterId, now_ms: u64) -> Heartbeat {
-        let mut in_flight: BTreeMap<ServerId, u16> = BTreeMap::new();
-        let mut by_server: BTreeMap<ServerId, Vec<ReservationId>> = BTreeMap::new();
-        for (server, ..) in self.listed_servers() {
-            if self.names.consent(server) == Some(peer) {
-                by_server.insert(server, Vec::new());
-            }
-        }
-        for (reservation, held) in &self.held {
-            let count = in_flight.entry(held.server).or_default();
-            *count = count.saturating_add(1);
-            if let Some(reservations) = by_server.get_mut(&held.server) {
-                reservations.push(*reservation);
+    /// What traffic threads see of a server, to notice whether it changed.
+    pub(super) fn seen_of(
+        &self,
+        server: ServerId,
+        now_ms: u64,
+    ) -> Option<(LoadReport, Option<VmState>)> {
+        let known = self.servers.get(server)?;
+        Some((known.report, self.servers.state(server, now_ms)))
+    }
+
+    pub(super) fn note_peer_changes(&mut self, changes: &[RosterChange]) {
+        for change in changes {
+            self.changed = true;
+            self.urgent_rounds = URGENT_ROUNDS;
+            match change {
+                RosterChange::Joined(name) => Event::PEER_JOINED.log(&[("router", name)]),
+                RosterChange::Leaving(name) => Event::PEER_LEAVING.log(&[("router", name)]),
+                RosterChange::Lost(name) => Event::PEER_LOST.log(&[("router", name)]),
             }
         }
-        let servers = self
-            .listed_servers()
-            .filter(|(server, ..)| self.names.steward(*server) == Some(self.identity.id))
-            .filter_map(|(server, record, ..)| {
-                let known = self.servers.get(&server)?;
-                let fresh =
-                    now_ms.saturating_sub(known.reported_ms) <= self.timing.report_stale_after_ms;
-                let leaving = is_leaving(record, known);
-                let state = if leaving {
-                    VmState::Leaving
-                } else {
-                    VmState::Live
-                };
-                let reachable = known.failed_reports < MAX_FAILED_REPORTS;
-                let known_well = fresh || !reachable;
-                known_well.then_some(ServerState {
-                    server,
-                    state,
-                    reachable,
-                    report: known.report,
-                })
-            })
-            .collect();
-        Heartbeat {
-            router: self.identity.id,
-            name: self.identity.name.clone(),
-            zone: self.identity.zone.clone(),
-            incarnation: self.identity.incarnation,
-            sequence: self.heartbeat_sequence,
-            state: self.own_state(),
-            caller_address: self.identity.caller_address,
-            peer_address: self.identity.peer_address,
-            operator_address: self.identity.operator_address,
-            config_version: self.config.version,
-            in_flight: in_flight.into_iter().collect(),
-            servers,
-            held: HeldSlots {
-                next_reservation: self.next_reservation,
-                by_server: by_server.into_iter().collect(),
-            },
-        }
-    }
-
-    fn own_state(&self) -> VmState {
-        if self.stopping {
-            VmState::Leaving
-        } else {
-            VmState::Live
-        }
-    }
-
-    fn router_views(&self) -> Vec<RouterView> {
-        let own = RouterView {
-            id: self.identity.id,
-            name: self.identity.name.clone(),
-            zone: self.identity.zone.clone(),
-            caller_address: self.identity.caller_address,
-            peer_address: self.identity.peer_address,
-            operator_address: self.identity.operator_address,
-            state: self.own_state(),
-            config_version: self.config.version,
-        };
-        let peers = self.peers.iter().map(|(router, peer)| RouterView {
-            id: *router,
-            name: peer.heartbeat.name.clone(),
-            zone: peer.heartbeat.zone.clone(),
-            caller_address: peer.heartbeat.caller_address,
-            peer_address: peer.heartbeat.peer_address,
-            operator_address: peer.heartbeat.operator_address,
-            state: peer.heartbeat.state,
-            config_version: peer.heartbeat.config_version,
-        });
-        std::iter::once(own).chain(peers).collect()
     }
 
-    fn note_lost_peers(&mut self, now_ms: u64) {
-        let dead_after_ms = self.timing.dead_after_ms;
-        self.peers.retain(|_, peer| {
-            let alive = now_ms.saturating_sub(peer.heard_ms) < dead_after_ms;
-            if !alive && !peer.left {
-                Event::PEER_LOST.log(&[("router", &peer.heartbeat.name)]);
+    pub(super) fn note_server_changes(&mut self, changes: &[RosterChange]) {
+        for change in changes {
+            self.changed = true;
+            match change {
+                RosterChange::Joined(name) => Event::SERVER_JOINED.log(&[("server", name)]),
+                RosterChange::Leaving(name) => {
+                    self.urgent_rounds = URGENT_ROUNDS;
+                    Event::SERVER_LEAVING.log(&[("server", name)]);
+                }
+                RosterChange::Lost(name) => Event::SERVER_LOST.log(&[("server", name)]),
             }
-            alive
-        });
-    }
-
-    fn platform_reached(&self, now_ms: u64) -> bool {
-        self.platform_reached_ms
-            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < self.timing.isolated_after_ms)
-    }
-
-    /// Whether every live router was heard since the start, or had the time to be.
-    fn peers_heard(&self, now_ms: u64) -> bool {
-        let all_heard = self.list_known && self.peers.len() + 1 >= self.listed_routers();
-        all_heard || now_ms >= self.timing.dead_after_ms
-    }
-
-    /// Where to fetch a newer configuration: at the peer that has the newest.
-    ///
-    /// A router that has none waits until it has heard its peers: one of them may have an old view.
-    pub(crate) fn newer_config_at(&self, now_ms: u64) -> Option<SocketAddr> {
-        if self.config.version == 0 && !self.peers_heard(now_ms) {
-            return None;
         }
-        let newest = self
-            .peers
-            .values()
-            .max_by_key(|peer| peer.heartbeat.config_version)?;
-        let newer = newest.heartbeat.config_version > self.config.version;
-        newer.then_some(newest.heartbeat.peer_address)
     }
 
-    /// Live routers by the platform's list and by what is heard, this one included.
-    fn listed_routers(&self) -> usize {
-        let listed = self.listed.iter().filter(|record| {
-            matches!(record.role, VmRole::Router { .. }) && record.state == VmState::Live
-        });
-        let mut routers: BTreeSet<RouterId> = listed
-            .map(|record| RouterId::from_name(&record.name))
-            .collect();
-        for (router, peer) in &self.peers {
-            if peer.left {
-                routers.remove(router);
-            } else {
-                routers.insert(*router);
-            }
+    fn hearing(&self) -> Hearing {
+        Hearing {
+            expects_others: self.peers.expects_others() || !self.seeds.is_empty(),
+            peer_heard_ms: self.peers.heard_ms(),
+            platform_reached_ms: self.platform_reached_ms,
         }
-        routers.insert(self.identity.id);
-        routers.len()
     }
 
-    fn note_isolation(&mut self, now_ms: u64) {
-        let me = self.identity.id;
-        let alone = !self.listed.iter().any(|record| {
-            matches!(record.role, VmRole::Router { .. }) && RouterId::from_name(&record.name) != me
-        });
-        let peers_silent =
-            now_ms.saturating_sub(self.peer_heard_ms) >= self.timing.isolated_after_ms;
-        let isolated = !alone && peers_silent && !self.platform_reached(now_ms);
+    fn note_reach(&mut self, now_ms: u64) {
+        let hearing = self.hearing();
+        let reached = hearing.platform_reached(self.timing.isolated_after_ms, now_ms);
+        if reached != self.platform_was_reached {
+            self.platform_was_reached = reached;
+            self.changed = true;
+        }
+        let heard = self.peers_heard(now_ms);
+        if heard != self.peers_were_heard {
+            self.peers_were_heard = heard;
+            self.changed = true;
+        }
+        let isolated = hearing.is_isolated(self.timing.isolated_after_ms, now_ms);
         if isolated != self.isolated {
             let event = if isolated {
                 Event::ISOLATED
             } else {
                 Event::REJOINED
             };
-            event.log(&[("router", &self.identity.name)]);
+            event.log(&[("router", &self.identity.profile.name)]);
             self.isolated = isolated;
+            self.changed = true;
         }
     }
 }
 
-impl Server {
-    fn is_joining(&self, now_ms: u64) -> bool {
-        self.open_since_ms
-            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) < JOIN_SETTLE_MS)
-    }
-}
-
-impl Peer {
-    fn in_flight_on(&self, servers: &BTreeSet<ServerId>) -> u32 {
-        let counts = self.heartbeat.in_flight.iter();
-        let there = counts.filter(|(server, _)| servers.contains(server));
-        there.map(|(_, count)| u32::from(*count)).sum()
+/// A consent is as old as a router that is taken to be live may be silent.
+fn ledger_settings(timing: &Timing) -> LedgerSettings {
+    LedgerSettings {
+        consent: ConsentSettings {
+            consent_ms: timing.dead_after_ms,
+            ..ConsentSettings::default()
+        },
+        ..LedgerSettings::default()
     }
 }
-
-/// Whether a server itself, or the platform, says that this incarnation is leaving.
-fn is_leaving(record: &VmRecord, known: &Server) -> bool {
-    record.state == VmState::Leaving
-        || known
-            .leaving
-            .is_some_and(|incarnation| incarnation == known.report.incarnation)
-}
--- a/crates/sapphiretrackd/src/dispatch/slots.rs
+++ b/crates/sapphiretrackd/src/dispatch/slots.rs
@@ -7,6 +7,7 @@
     Candidate, Grant, Incarnation, ReservationId, ReserveRequest, SHED_BELOW_SHARE, ServerId,
     WaitSettings, wait_for_room,
 };
+use sapphiretrack_peer::PeerError;
 
 use crate::control::{Begun, Command, ControlHandle, Place, SlotWish, Snapshot};
 use crate::dispatch::Dispatcher;
@@ -137,10 +138,11 @@
                     bound_share: wish.bound_share as f32,
                     in_flight,
                 };
-                self.peers
-                    .reserve(address, request)
-                    .await
-                    .unwrap_or(Grant::NotSteward)
+                let reply = self.peers.reserve(address, request).await;
+                if reply.as_ref().is_err_and(PeerError::is_refused) {
+                    self.control.send(Command::AddressRefused { address });
+                }
+                reply.unwrap_or(Grant::NotSteward)
             }
         };
         (grant == Grant::Granted).then_some(reservation)
