--- a/crates/sapphiretrack-core/src/pool_load.rs
+++ b/crates/sapphiretrack-core/src/pool_load.rs
@@ -24,7 +24,7 @@
     fn default() -> Self {
         Self {
             drain_ms: 4_000,
-            deviations: 2.0,
+            deviations: 3.0,
         }
     }
 }
