--- a/crates/sapphiretrack-bench/src/lib.rs
+++ b/crates/sapphiretrack-bench/src/lib.rs
@@ -8,6 +8,7 @@
 mod open_loop;
 pub mod overhead;
 pub mod overload;
+pub mod policy;
 pub mod report;
 mod site;
 pub mod slopes;
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -30,14 +30,16 @@
 mod pause;
 mod peer_roster;
 mod placement;
+mod pool_load;
 mod rendezvous;
 mod retry;
 mod server_roster;
+mod stewardship;
 
 pub use attempt::{
     AttemptFailure, AttemptLog, NextStep, Repeatable, first_token_timeout_ms, idle_timeout_ms,
 };
-pub use bound::{LoadBound, server_limit};
+pub use bound::{LoadBound, PoolLoad, SHED_BELOW_SHARE, server_limit};
 pub use budget::{
     Amounts, BUDGET_LEASE_MS, BudgetAsk, BudgetGrant, BudgetReply, CustomerBudget, HELD_SHARE,
     Needed, UNSURE_SHARE,
@@ -61,7 +63,7 @@
 pub use ids::{AttemptId, ChatKey, ReservationId, RouterId, ServerId, WorkspaceKey, hash_parts};
 pub use isolation::Hearing;
 pub use lease::{Fencing, HeldLease, LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms};
-pub use ledger::{Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
+pub use ledger::{CellView, Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
 pub use limits::RateLimiter;
 pub use membership::{
     Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, VmRecord, VmRole, VmState,
@@ -80,10 +82,14 @@
     BeatTaken, ListedRouter, PeerBeat, PeerRoster, PeerRosterSettings, RosterPeer, RouterProfile,
 };
 pub use placement::{
-    Candidate, PlacementMemory, PlacementRequest, PlacementSettings, WarmHint, rank_servers,
+    Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
+    SentTokens, WaitSettings, WarmHint, WorkspaceShares, backlog_tokens, rank_servers,
+    wait_for_room,
 };
+pub use pool_load::{DrainSettings, HeardLoad, pool_load};
 pub use rendezvous::{rendezvous_score, top_by_rendezvous};
 pub use retry::{RetryBudget, backoff_ms};
 pub use server_roster::{
     RosterChange, RosterServer, ServerRoster, ServerRosterSettings, ServerSighting,
 };
+pub use stewardship::{ConsentSettings, StewardNames};
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -109,12 +109,8 @@
                     self.fetch_newer_config(now_ms, handle);
                 }
             }
-            Command::Begin {
-                server,
-                bound_share,
-                reply,
-            } => {
-                let begun = self.state.begin(server, bound_share, now_ms);
+            Command::Begin { wish, reply } => {
+                let begun = self.state.begin(wish, now_ms);
                 let reservation = begun.reservation;
                 if reply.send(begun).is_err() {
                     self.end(reservation);
@@ -206,14 +202,13 @@
     }
 
     fn end(&mut self, reservation: sapphiretrack_core::ReservationId) {
-        let Some((steward, server)) = self.state.end(reservation) else {
+        let Some((steward, release)) = self.state.end(reservation) else {
             return;
         };
         let peers = self.peers.clone();
-        let me = self.state.id();
         tokio::spawn(async move {
             // A lost release is settled by the next heartbeat.
-            drop(peers.release(steward, me, server, reservation).await);
+            drop(peers.release(steward, &release).await);
         });
     }
 
