A test fleet is settled when its routers know of the configuration

Cause: a test asked with an unknown key before a router had read the head for the first time, and got the 503 of a router that cannot tell yet instead of the 401 it checks; seen once in a busy run. The check stays as it was; the harness waits until it can be asked.

--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use sapphiretrack_caller::{CallerClient, RequestOptions};
 use sapphiretrack_core::{PoolKind, VmRecord, VmRole, VmState, sha256_hex};
 use sapphiretrack_operator::OperatorClient;
 use sapphiretrack_operator::wire::{ApplyContract, ChangeReply, Status};
@@ -283,6 +284,31 @@
     /// Waits until every router sees all routers and servers.
     pub async fn wait_settled(&self) {
         assert!(self.settles().await, "the fleet is not seen by all");
+        self.wait_configured().await;
+    }
+
+    /// Waits until every router has heard of the configuration, be it an empty one: before, it
+    /// cannot tell whether a key is wrong.
+    async fn wait_configured(&self) {
+        let options = RequestOptions {
+            key: String::from("nobody's key"),
+            ..RequestOptions::default()
+        };
+        let waited = tokio::time::timeout(SETTLE_LIMIT, async {
+            for router in 0..self.routers.len() {
+                let url = self.caller_url(router);
+                let client = CallerClient::new();
+                let ask =
+                    || client.service(&url, http::Method::GET, "plant/x", Bytes::new(), &options);
+                while ask().await.is_ok_and(|answer| answer.status == 503) {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        });
+        assert!(
+            waited.await.is_ok(),
+            "no configuration within {SETTLE_LIMIT:?}"
+        );
     }
 
     /// Whether every router comes to see all routers and servers.
