--- a/crates/sapphiretrack-bench/src/load/texts.rs
+++ b/crates/sapphiretrack-bench/src/load/texts.rs
@@ -18,13 +18,13 @@
     let preamble = filled(&opening, settings.preamble_bytes);
     let mut messages = vec![json!({ "role": "system", "content": preamble })];
     for number in 0..=turn {
-        let opening = format!(
-            "{model}: load {} chat {chat} turn {number}; ",
-            settings.seed
-        );
+        let opening = format!("{model}: load {} chat {chat} turn {number}; ", settings.seed);
         let content = filled(&opening, settings.turn_bytes);
         messages.push(json!({ "role": "user", "content": content }));
     }
+    // A turn that was refused is asked again by a later arrival: the number tells them apart.
+    let content = format!("request {}", arrival.number);
+    messages.push(json!({ "role": "user", "content": content }));
     serde_json::Value::from(messages)
 }
 
--- a/crates/sapphiretrack-bench/src/main.rs
+++ b/crates/sapphiretrack-bench/src/main.rs
@@ -10,11 +10,11 @@
 
   sapphiretrack-bench demo [--seed N]     the whole of it on embedded stand-ins, within a minute
   sapphiretrack-bench limits              over-admission of 1, 9 and 360 limiters against exact counting
-  sapphiretrack-bench load              open-loop load against running routers
   sapphiretrack-bench overhead [--json]   what a router adds to a chat
-  sapphiretrack-bench report            gathers JSON lines of all measurements into one file
-  sapphiretrack-bench slopes            what a router spends, by the size of each thing it holds
-  sapphiretrack-bench soak              a fleet of processes under load and random faults
+  sapphiretrack-bench load                open-loop load against running routers
+  sapphiretrack-bench soak                a fleet of processes under load and random faults
+  sapphiretrack-bench slopes              what a router spends, by the size of each thing it holds
+  sapphiretrack-bench report              gathers JSON lines of all measurements into one file
 
 Exit codes: 0 done and every promise held, 1 a promise was broken, 2 wrong use or cannot run
 ";
@@ -36,9 +36,9 @@
         "limits" => sapphiretrack_bench::limits::run(arguments).map(|()| true),
         "overhead" => sapphiretrack_bench::overhead::run(arguments).map(|()| true),
         "load" => sapphiretrack_bench::load::run(arguments),
-        "report" => sapphiretrack_bench::report::run(arguments).map(|()| true),
-        "slopes" => sapphiretrack_bench::slopes::run(arguments).map(|()| true),
         "soak" => sapphiretrack_bench::soak::run(arguments),
+        "slopes" => sapphiretrack_bench::slopes::run(arguments).map(|()| true),
+        "report" => sapphiretrack_bench::report::run(arguments).map(|()| true),
         _ => Err(format!("there is no command {name:?}; hint: see --help")),
     };
     match held {
--- a/crates/sapphiretrack-bench/src/soak/deployment.rs
+++ b/crates/sapphiretrack-bench/src/soak/deployment.rs
@@ -1,6 +1,6 @@
 //! The two deployments whose sizes the soak has.
 
-use sapphiretrack_core::sha256_hex;
+use sapphiretrack_core::{hash_parts, sha256_hex};
 
 use crate::load::{ClassMix, LoadSettings};
 use crate::soak::settings::SoakSettings;
@@ -94,7 +94,9 @@
             requests_per_s: settings.requests_per_s,
             duration_s: settings.minutes * 60.0,
             max_requests: settings.max_requests,
-            seed: settings.seed,
+            // Equal seeds would give both deployments the same texts, and the check could not
+            // tell whose request a stand-in ran.
+            seed: settings.seed ^ hash_parts(&[self.customer.as_bytes()]),
             classes: classes
                 .map(|(name, _, share, late_ms)| ClassMix::new(name, *share, *late_ms))
                 .collect(),
--- a/crates/sapphiretrack-bench/src/soak/evidence.rs
+++ b/crates/sapphiretrack-bench/src/soak/evidence.rs
@@ -11,8 +11,8 @@
     pub requests: Vec<RequestRecord>,
     /// How often each order ran, over all plain services.
     pub runs: BTreeMap<String, u32>,
-    /// The hashes of the messages of all chats that an engine started.
-    pub started_chats: BTreeSet<String>,
+    /// The answer tags of all chats that an engine started.
+    pub started_tags: BTreeSet<String>,
     /// The planned stops.
     pub stops: Vec<StopRecord>,
     /// Routers that were killed: `http://IP:PORT`.
--- a/crates/sapphiretrack-fakes/src/lib.rs
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -9,7 +9,7 @@
 mod platform;
 mod service;
 
-pub use answer::{answer_tag, expected_answer, messages_hash, token_text};
+pub use answer::{answer_tag, expected_answer, token_text};
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
-pub use platform::{FakePlatform, PlatformFaults, PlatformSettings};
+pub use platform::{FakePlatform, PlatformCalls, PlatformFaults, PlatformSettings};
 pub use service::{FakeService, RunCount, ServiceFaults, ServiceSettings};
