--- a/crates/sapphiretrack-bench/src/load/texts.rs
+++ b/crates/sapphiretrack-bench/src/load/texts.rs
@@ -18,7 +18,10 @@
     let preamble = filled(&opening, settings.preamble_bytes);
     let mut messages = vec![json!({ "role": "system", "content": preamble })];
     for number in 0..=turn {
-        let opening = format!("{model}: load {} chat {chat} turn {number}; ", settings.seed);
+        let opening = format!(
+            "{model}: load {} chat {chat} turn {number}; ",
+            settings.seed
+        );
         let content = filled(&opening, settings.turn_bytes);
         messages.push(json!({ "role": "user", "content": content }));
     }
--- a/crates/sapphiretrack-bench/src/slopes/measures.rs
+++ b/crates/sapphiretrack-bench/src/slopes/measures.rs
@@ -6,7 +6,7 @@
 use sapphiretrack_tests::{Fleet, FleetSettings, get_json};
 use tokio::time::Instant;
 
-use crate::load::{KnownRouters, Load, LoadSettings};
+use crate::load::{ClassMix, KnownRouters, Load, LoadSettings};
 use crate::slopes::line::{Point, Slope, fit};
 use crate::slopes::usage::Usage;
 use crate::soak::{Change, DEPLOYMENTS, SoakSettings};
@@ -186,6 +186,8 @@
             max_requests: streams,
             service_share: 0.0,
             answer_tokens: 25,
+            // The streams last longer than the urgent class's deadline.
+            classes: vec![ClassMix::new("floor", 1.0, 40_000)],
             ..small_load()
         };
         let known = KnownRouters::new(vec![fleet.caller_url(0)]);
