--- a/crates/sapphiretrack-bench/src/lib.rs
+++ b/crates/sapphiretrack-bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measurements of the router fleet.
 
+pub mod cell;
 pub mod demo;
 pub mod limits;
 pub mod load;
--- a/crates/sapphiretrack-bench/src/load/history.rs
+++ b/crates/sapphiretrack-bench/src/load/history.rs
@@ -5,7 +5,7 @@
 /// One request with all its attempts.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RequestRecord {
-    /// What identifies its run at a server: an order's text, or a chat's answer tag.
+    /// What identifies its run at a server: an order's text, or the hash of a chat's messages.
     pub identity: String,
     /// Whether it calls a plain service.
     pub service: bool,
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -196,8 +196,13 @@
 
     /// Starts a router under a name.
     pub async fn add_router(&mut self, name: &str, index: usize) {
+        self.add_router_with(name, index, &[]).await;
+    }
+
+    /// Starts a router under a name, with further flags of its own.
+    pub async fn add_router_with(&mut self, name: &str, index: usize, more: &[String]) {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
-        let member = self.start_router(name, index, [free; 3]).await;
+        let member = self.start_router(name, index, [free; 3], more).await;
         self.routers.push(member);
     }
 
@@ -213,11 +218,17 @@
             unreachable!("routers are routers");
         };
         let addresses = [vm.address, operator_address, peer_address];
-        self.routers[index] = self.start_router(&vm.name, index, addresses).await;
+        self.routers[index] = self.start_router(&vm.name, index, addresses, &[]).await;
     }
 
     /// Starts a router for callers, operators and peers at these addresses.
-    async fn start_router(&self, name: &str, index: usize, addresses: [SocketAddr; 3]) -> Member {
+    async fn start_router(
+        &self,
+        name: &str,
+        index: usize,
+        addresses: [SocketAddr; 3],
+        more: &[String],
+    ) -> Member {
         let [callers, operators, peers] = addresses;
         let mut flags = vec![
             format!("--router-name={name}"),
@@ -231,6 +242,7 @@
             String::from("--entry-ttl-ms=300"),
         ];
         flags.extend(self.settings.router_flags.clone());
+        flags.extend_from_slice(more);
         let process = ChildProcess::start("sapphiretrackd", &flags);
         let line = process.wait_line("event=\"100\"").await;
         let vm = VmRecord {
@@ -274,6 +286,21 @@
         .await
     }
 
+    /// Waits until every router sees all members, and `others` routers that are no members.
+    pub async fn wait_settled_with(&self, others: usize) {
+        let routers = self.routers.len() + others;
+        let servers = self.servers.len();
+        self.wait_status("the fleet and others seen by all", |status| {
+            let live = status
+                .servers
+                .iter()
+                .filter(|server| server.state == "live")
+                .count();
+            status.routers.len() == routers && live == servers
+        })
+        .await;
+    }
+
     /// Waits until the status of every router satisfies a condition.
     pub async fn wait_status<Holds>(&self, what: &str, holds: Holds)
     where
@@ -360,6 +387,14 @@
     );
 }
 
+/// Gets JSON and expects success.
+pub async fn get_json<Body>(url: &str) -> Body
+where
+    Body: DeserializeOwned,
+{
+    serde_json::from_str(&get_text(url).await).expect("the answer is JSON")
+}
+
 /// Gets a text and expects success.
 pub async fn get_text(url: &str) -> String {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
@@ -377,21 +412,6 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
-/// Gets JSON.
-pub async fn get_json<Body>(url: &str) -> Body
-where
-    Body: DeserializeOwned,
-{
-    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
-    let request = http::Request::get(url)
-        .body(Full::default())
-        .expect("the request is good");
-    let response = client.request(request).await.expect("the stand-in answers");
-    let body = response.into_body().collect().await;
-    let text = body.expect("the answer is whole").to_bytes();
-    serde_json::from_slice(&text).expect("the answer is JSON")
-}
-
 async fn start_fake(kind: &str, flags: &[String]) -> (ChildProcess, SocketAddr) {
     let mut arguments = vec![kind.to_owned()];
     arguments.extend_from_slice(flags);
--- a/crates/sapphiretrackd/src/control/mod.rs
+++ b/crates/sapphiretrackd/src/control/mod.rs
@@ -4,15 +4,21 @@
 //! reports) runs in tasks beside the loop and comes back as a [`Command`].
 
 mod budgets;
+mod configuration;
 mod handle;
+mod heartbeats;
+mod orders;
 mod polling;
+mod slots;
 mod snapshot;
 mod state;
 mod thread;
+mod views;
 
 pub(crate) use handle::{
     Begun, BudgetPlace, Command, CommandReceiver, ControlHandle, Place, control_channel,
 };
+pub(crate) use orders::OrderKeeper;
 pub(crate) use snapshot::Snapshot;
 pub(crate) use state::{ControlState, Identity, Timing};
 pub(crate) use thread::{ControlParts, run_control};
--- a/crates/sapphiretrackd/src/dispatch/attempts.rs
+++ b/crates/sapphiretrackd/src/dispatch/attempts.rs
@@ -47,6 +47,7 @@
         error: &BackendError,
         deadline: Instant,
     ) -> Result<(), Refusal> {
+        self.note_leaving(slot, error);
         self.note_attempt_failed(slot, error);
         let failure = if error.is_not_run() {
             AttemptFailure::NotRun
