--- a/crates/sapphiretrack-fakes/src/engine.rs
+++ b/crates/sapphiretrack-fakes/src/engine.rs
@@ -21,7 +21,7 @@
 
 use crate::answer::{answer_tag, messages_hash, token_text};
 use crate::http_server::{
-    FakeFuture, FakeResponse, json, read_bytes, read_json, serve, with_status,
+    FakeFuture, FakeResponse, RunCount, json, read_bytes, read_json, serve, take, with_status,
 };
 use crate::orders::{ArrivedOrder, OrderBook, answer_order};
 
@@ -87,8 +87,17 @@
     pub leaving: bool,
     /// The engine refuses new requests because it is leaving, without its reports saying so.
     pub refuse_as_leaving: bool,
+    /// So many of the next streams carry a piece of another attempt in their middle.
+    pub crossed_pieces: u32,
+    /// So many of the next streams stand still in their middle, and go on late.
+    pub stalled_streams: u32,
+    /// How long they stand still.
+    pub stall_ms: u64,
 }
 
+/// The most different requests whose runs are counted.
+const MAX_COUNTED_REQUESTS: usize = 100_000;
+
 /// The stand-in engine; clones are the same one.
 #[derive(Clone)]
 pub struct FakeEngine {
@@ -115,6 +124,7 @@
     started_requests: u64,
     /// The hashes of the messages of the requests that were started.
     started_chats: BTreeSet<u64>,
+    runs: BTreeMap<String, u32>,
 }
 
 /// A request as the engine reads it.
@@ -128,6 +138,16 @@
     answer_tokens: u32,
     answer_tag: u16,
     messages_hash: u64,
+    messages: String,
+}
+
+/// What goes wrong with a stream, and after how many of its tokens.
+#[derive(Default)]
+struct StreamFaults {
+    after_tokens: u32,
+    cut: bool,
+    crossed_piece: bool,
+    stall: Option<Duration>,
 }
 
 impl FakeEngine {
@@ -182,6 +202,17 @@
         self.shared.lock_orders().arrived().to_vec()
     }
 
+    /// How often each request, by its messages, was started.
+    pub fn runs(&self) -> Vec<RunCount> {
+        let state = self.shared.lock();
+        let runs = state.runs.iter();
+        runs.map(|(order, runs)| RunCount {
+            order: order.clone(),
+            runs: *runs,
+        })
+        .collect()
+    }
+
     /// The load as it stands.
     pub fn load(&self) -> LoadReport {
         let state = self.shared.lock();
@@ -213,6 +244,7 @@
                 answer_order(request, |order| self.shared.lock_orders().take(order)).await
             }
             "/fake/started-chats" => json(&self.started_chats()),
+            "/fake/runs" => json(&self.runs()),
             "/fake/started" => json(&self.started_requests()),
             "/load" => {
                 self.shared.wait_unfrozen().await;
@@ -227,7 +259,7 @@
 
     async fn chat(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let chat = read_chat(request).await?;
-        if !self.shared.take_in(chat.messages_hash) {
+        if !self.shared.take_in(&chat) {
             let mut response = with_status(StatusCode::SERVICE_UNAVAILABLE, "{}");
             let yes = http::HeaderValue::from_static("true");
             if self.shared.lock().faults.refuse_as_leaving {
@@ -267,7 +299,7 @@
 
 impl Shared {
     /// Whether a request is started, or waits for its start.
-    fn take_in(&self, messages_hash: u64) -> bool {
+    fn take_in(&self, chat: &ChatRequest) -> bool {
         let mut state = self.lock();
         if state.faults.refuse_as_leaving {
             return false;
@@ -280,7 +312,10 @@
             return false;
         }
         state.started_requests += 1;
-        state.started_chats.insert(messages_hash);
+        state.started_chats.insert(chat.messages_hash);
+        if state.runs.len() < MAX_COUNTED_REQUESTS {
+            *state.runs.entry(chat.messages.clone()).or_default() += 1;
+        }
         true
     }
 
@@ -299,15 +334,12 @@
         let uncached = u64::from(chat.prompt_tokens - cached_tokens);
         let prefill_us = uncached * self.settings.prefill_us_per_token;
         tokio::time::sleep(Duration::from_micros(prefill_us)).await;
-        let cut_after = self.take_cut();
+        let faults = self.take_stream_faults();
         for index in chat.resume_tokens..chat.answer_tokens {
             self.wait_unfrozen().await;
-            if cut_after == Some(index - chat.resume_tokens) {
-                drop(
-                    frames
-                        .send(Err(std::io::Error::other("cut by the stand-in")))
-                        .await,
-                );
+            if index - chat.resume_tokens == faults.after_tokens
+                && !go_wrong(&faults, chat, &frames).await
+            {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(self.settings.decode_ms)).await;
@@ -363,13 +395,15 @@
         }
     }
 
-    fn take_cut(&self) -> Option<u32> {
-        let mut state = self.lock();
-        if state.faults.cut_streams == 0 {
-            return None;
+    fn take_stream_faults(&self) -> StreamFaults {
+        let faults = &mut self.lock().faults;
+        let stall = take(&mut faults.stalled_streams);
+        StreamFaults {
+            after_tokens: faults.cut_after_tokens,
+            cut: take(&mut faults.cut_streams),
+            crossed_piece: take(&mut faults.crossed_pieces),
+            stall: stall.then(|| Duration::from_millis(faults.stall_ms)),
         }
-        state.faults.cut_streams -= 1;
-        Some(state.faults.cut_after_tokens)
     }
 
     async fn wait_unfrozen(&self) {
@@ -440,6 +474,29 @@
     }
 }
 
+/// Does what goes wrong in the middle of a stream; false if the stream is over.
+async fn go_wrong(faults: &StreamFaults, chat: &ChatRequest, frames: &Frames) -> bool {
+    if let Some(stall) = faults.stall {
+        tokio::time::sleep(stall).await;
+    }
+    if faults.crossed_piece {
+        let piece = chunk(
+            "another-attempt",
+            chat,
+            Some(String::from("foreign ")),
+            None,
+        );
+        if !send_event(frames, &piece).await {
+            return false;
+        }
+    }
+    if faults.cut {
+        let error = std::io::Error::other("cut by the stand-in");
+        drop(frames.send(Err(error)).await);
+    }
+    !faults.cut
+}
+
 async fn read_chat(request: Request<Incoming>) -> Result<ChatRequest, FakeResponse> {
     let headers = request.headers().clone();
     let body = read_bytes(request).await?;
@@ -462,6 +519,7 @@
         answer_tokens: max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
         answer_tag: answer_tag(&value["messages"]),
         messages_hash: messages_hash(&value["messages"]),
+        messages: value["messages"].to_string(),
     })
 }
 
--- a/crates/sapphiretrack-fakes/src/lib.rs
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub use answer::{answer_tag, expected_answer, messages_hash, token_text};
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
+pub use http_server::RunCount;
 pub use orders::ArrivedOrder;
 pub use platform::{FakePlatform, PlatformCalls, PlatformFaults, PlatformSettings};
-pub use service::{FakeService, RunCount, ServiceFaults, ServiceSettings};
+pub use service::{FakeService, ServiceFaults, ServiceSettings};
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -35,6 +35,8 @@
     pub services: usize,
     /// Further flags of each router.
     pub router_flags: Vec<String>,
+    /// How long lookups may be kept.
+    pub entry_ttl_ms: u64,
     /// Further flags of each engine.
     pub engine_flags: Vec<String>,
 }
@@ -46,6 +48,7 @@
             engines: 2,
             services: 1,
             router_flags: Vec::new(),
+            entry_ttl_ms: 300,
             engine_flags: Vec::new(),
         }
     }
@@ -239,7 +242,7 @@
             format!("--platform-url=http://{}", self.platform_address),
             format!("--cell-key={CELL_KEY}"),
             format!("--operator-key-sha256={}", sha256_hex(OPERATOR_KEY)),
-            String::from("--entry-ttl-ms=300"),
+            format!("--entry-ttl-ms={}", self.settings.entry_ttl_ms),
         ];
         flags.extend(self.settings.router_flags.clone());
         flags.extend_from_slice(more);
@@ -317,16 +320,33 @@
     where
         Holds: Fn(&Status) -> bool,
     {
+        for router in 0..self.routers.len() {
+            if !self.router_comes_to(router, &holds).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Waits until the status of one router satisfies a condition.
+    pub async fn wait_status_of<Holds>(&self, router: usize, what: &str, holds: Holds)
+    where
+        Holds: Fn(&Status) -> bool,
+    {
+        assert!(
+            self.router_comes_to(router, &holds).await,
+            "{what}: not within {SETTLE_LIMIT:?}"
+        );
+    }
+
+    async fn router_comes_to<Holds>(&self, router: usize, holds: &Holds) -> bool
+    where
+        Holds: Fn(&Status) -> bool,
+    {
+        let operator = self.operator(router);
         let waited = tokio::time::timeout(SETTLE_LIMIT, async {
-            for router in 0..self.routers.len() {
-                while !self
-                    .operator(router)
-                    .status()
-                    .await
-                    .is_ok_and(|status| holds(&status))
-                {
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                }
+            while !operator.status().await.is_ok_and(|status| holds(&status)) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
             }
         });
         waited.await.is_ok()
