--- a/crates/sapphiretrack-bench/src/main.rs
+++ b/crates/sapphiretrack-bench/src/main.rs
@@ -20,6 +20,14 @@
   sapphiretrack-bench soak                a fleet of processes under load and random faults
   sapphiretrack-bench slopes              what a router spends, by the size of each thing it holds
   sapphiretrack-bench report              gathers JSON lines of all measurements into one file
+  sapphiretrack-bench policy              placement policies on one scenario:
+                                          --scenario NAME --seed N [--seeds N] [--policy NAME] [--json]
+                                          [--routers N] [--servers N] [--workspaces N] [--chats N]
+                                          [--rate-per-s X] [--minutes X] [--report-lag-ms N]
+                                          [--joins-per-min X] [--fails-per-min X] [--load-multiple X]
+                                          [--caller-value-chance X] [--no-sticky] [--subset-servers N]
+                                          [--heartbeat-ms N] [--plot FILE.svg]; or --decision:
+                                          the time of one decision by the number of servers
 
 Exit codes: 0 done and every promise held, 1 a promise was broken, 2 wrong use or cannot run
 ";
@@ -49,6 +57,7 @@
         "soak" => sapphiretrack_bench::soak::run(arguments),
         "slopes" => sapphiretrack_bench::slopes::run(arguments).map(|()| true),
         "report" => sapphiretrack_bench::report::run(arguments).map(|()| true),
+        "policy" => sapphiretrack_bench::policy::run(arguments).map(|()| true),
         _ => Err(format!("there is no command {name:?}; hint: see --help")),
     };
     match held {
--- a/crates/sapphiretrack-fakes/src/lib.rs
+++ b/crates/sapphiretrack-fakes/src/lib.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod engine;
 mod http_server;
+mod kv;
 mod orders;
 mod platform;
 mod service;
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -25,10 +25,8 @@
     },
     /// A traffic thread wants a slot.
     Begin {
-        /// On which server.
-        server: ServerId,
-        /// The part of the bound that the class may fill.
-        bound_share: f64,
+        /// Which.
+        wish: SlotWish,
         /// Where the reply goes.
         reply: oneshot::Sender<Begun>,
     },
@@ -94,6 +92,17 @@
     },
 }
 
+/// A slot that a traffic thread wants.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotWish {
+    /// On which server.
+    pub(crate) server: ServerId,
+    /// The part of the bound that the class may fill.
+    pub(crate) bound_share: f64,
+    /// Prompt tokens that the server is expected to compute.
+    pub(crate) uncached_tokens: u32,
+}
+
 /// The control thread's part of a reservation.
 #[derive(Debug)]
 pub(crate) struct Begun {
@@ -101,6 +110,8 @@
     pub(crate) reservation: ReservationId,
     /// Where the slot is decided.
     pub(crate) place: Place,
+    /// This router's requests in flight on the server's pool, for the steward.
+    pub(crate) in_flight: u16,
 }
 
 /// Where a slot is decided.
@@ -152,13 +163,9 @@
     }
 
     /// Asks for a slot; none if the control thread has ended.
-    pub(crate) async fn begin(&self, server: ServerId, bound_share: f64) -> Option<Begun> {
+    pub(crate) async fn begin(&self, wish: SlotWish) -> Option<Begun> {
         let (reply, receiver) = oneshot::channel();
-        self.send(Command::Begin {
-            server,
-            bound_share,
-            reply,
-        });
+        self.send(Command::Begin { wish, reply });
         receiver.await.ok()
     }
 
--- a/crates/sapphiretrackd/src/control/heartbeats.rs
+++ b/crates/sapphiretrackd/src/control/heartbeats.rs
@@ -5,7 +5,6 @@
 
 use sapphiretrack_core::{
     BeatTaken, HeldSlots, Incarnation, PeerBeat, ReservationId, RouterId, ServerId, ServerSighting,
-    steward_of,
 };
 use sapphiretrack_peer::{Heartbeat, HeartbeatReply, InFlight, ServerState};
 
@@ -126,6 +125,7 @@
             let (in_flight, knows_profile) = self.book.counts_for(router, &counts);
             let mut heartbeat = self.heartbeat(&sightings, now_ms);
             heartbeat.in_flight = in_flight;
+            self.names.note_sent(router, now_ms);
             heartbeat.held = self.held_for(router);
             heartbeat.heard_sequence = self.peers.heard_sequence(router);
             if !knows_profile {
@@ -228,11 +228,12 @@
     fn take_news(&mut self, heartbeat: &Heartbeat, now_ms: u64) {
         let router = heartbeat.router;
         if heartbeat.heard_sequence >= self.book.trusted_from {
-            self.ledger.reconcile(router, &heartbeat.held);
+            self.ledger.reconcile(router, &heartbeat.held, now_ms);
         }
         let in_flight = &heartbeat.in_flight;
         self.changed |= in_flight.whole || !in_flight.counts.is_empty();
         self.book.take_counts(router, in_flight);
+        self.note_peer_loads(router, now_ms);
         self.book.digests.insert(router, heartbeat.list_digest);
         for state in &heartbeat.servers {
             let before = self.seen_of(state.server, now_ms);
@@ -242,6 +243,7 @@
                 reachable: state.reachable,
                 report: state.report,
             };
+            self.note_reported(state.server, now_ms);
             let change = self.servers.take_sighting(&sighting, now_ms);
             self.note_server_changes(change.as_slice());
             self.changed |= self.seen_of(state.server, now_ms) != before;
@@ -321,7 +323,7 @@
             .servers
             .iter()
             .map(|(server, _)| server)
-            .filter(|server| steward_of(*server, &self.stewards) == Some(router))
+            .filter(|server| self.names.consent(*server) == Some(router))
             .map(|server| (server, Vec::new()))
             .collect();
         for (reservation, held) in &self.held {
--- a/crates/sapphiretrackd/src/control/mod.rs
+++ b/crates/sapphiretrackd/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod handle;
 mod heartbeats;
+mod load;
 mod orders;
 mod polling;
 mod slots;
@@ -16,7 +17,7 @@
 mod views;
 
 pub(crate) use handle::{
-    Begun, BudgetPlace, Command, CommandReceiver, ControlHandle, Place, control_channel,
+    Begun, BudgetPlace, Command, CommandReceiver, ControlHandle, Place, SlotWish, control_channel,
 };
 pub(crate) use orders::OrderKeeper;
 pub(crate) use snapshot::Snapshot;
--- a/crates/sapphiretrackd/src/control/slots.rs
+++ b/crates/sapphiretrackd/src/control/slots.rs
@@ -1,20 +1,24 @@
 //! Slots on backend servers: where they are decided, and what this router holds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use sapphiretrack_core::{
-    Grant, PoolKind, ReservationId, ReserveRequest, RosterServer, RouterId, ServerId, VmRole,
-    VmState, steward_of,
+    CellView, Grant, PoolKind, ReservationId, ReserveRequest, RosterServer, RouterId, ServerId,
+    VmRole, VmState, steward_of,
 };
+use sapphiretrack_peer::PeerRequest;
 
 use crate::control::ControlState;
-use crate::control::handle::{Begun, Place};
+use crate::control::handle::{Begun, Place, SlotWish};
 
 /// A slot that this router holds or has asked for.
 pub(super) struct Held {
     pub(super) server: ServerId,
     pub(super) steward: Option<SocketAddr>,
+    /// Prompt tokens that the server is expected to compute.
+    pub(super) uncached_tokens: u32,
+    pub(super) asked_ms: u64,
 }
 
 /// A backend server with its pool.
@@ -27,7 +31,9 @@
 
 impl ControlState {
     /// Starts a reservation on a server.
-    pub(crate) fn begin(&mut self, server: ServerId, bound_share: f64, now_ms: u64) -> Begun {
+    pub(crate) fn begin(&mut self, wish: SlotWish, now_ms: u64) -> Begun {
+        let SlotWish { server, .. } = wish;
+        let in_flight = self.own_in_flight_with(server);
         let reservation = ReservationId(self.next_reservation);
         self.next_reservation = self.next_reservation.wrapping_add(1);
         let router = self.identity.id;
@@ -37,7 +43,8 @@
                     router,
                     reservation,
                     server,
-                    bound_share,
+                    bound_share: wish.bound_share as f32,
+                    in_flight,
                 };
                 Place::Here(self.reserve(&request, now_ms))
             }
@@ -48,22 +55,40 @@
             None => Place::Nowhere,
         };
         let steward = match place {
-            Place::Here(Grant::Granted) => None,
-            Place::Peer(address) => Some(address),
-            Place::Here(_) | Place::Nowhere => return Begun { reservation, place },
+            Place::Here(Grant::Granted) => Some(None),
+            Place::Peer(address) => Some(Some(address)),
+            Place::Here(_) | Place::Nowhere => None,
         };
-        self.changed = true;
-        self.held.insert(reservation, Held { server, steward });
-        Begun { reservation, place }
+        if let Some(steward) = steward {
+            let held = Held {
+                server,
+                steward,
+                uncached_tokens: wish.uncached_tokens,
+                asked_ms: now_ms,
+            };
+            self.changed = true;
+            self.held.insert(reservation, held);
+        }
+        Begun {
+            reservation,
+            place,
+            in_flight,
+        }
     }
 
-    /// Ends a reservation; returns the steward that has to be told, with the server.
-    pub(crate) fn end(&mut self, reservation: ReservationId) -> Option<(SocketAddr, ServerId)> {
+    /// Ends a reservation; returns what the steward has to be told, if it is a peer.
+    pub(crate) fn end(&mut self, reservation: ReservationId) -> Option<(SocketAddr, PeerRequest)> {
         let held = self.held.remove(&reservation)?;
         self.changed = true;
-        self.ledger
-            .release(self.identity.id, held.server, reservation);
-        held.steward.map(|steward| (steward, held.server))
+        let router = self.identity.id;
+        self.ledger.release(router, held.server, reservation);
+        let release = PeerRequest::Release {
+            router,
+            server: held.server,
+            reservation,
+            in_flight: self.own_in_flight_with(held.server),
+        };
+        held.steward.map(|steward| (steward, release))
     }
 
     /// The servers whose load reports this router fetches: those that it is steward of.
@@ -83,31 +108,49 @@
         else {
             return Grant::NotSteward;
         };
-        let in_flight = self.in_flight_by_server();
-        let mut pool_in_flight = 0;
-        let mut live_servers = 0;
-        for server in self.pooled_servers().filter(|server| server.pool == pool) {
-            pool_in_flight += in_flight.get(&server.id).copied().unwrap_or(0);
-            let live = self.server_state(server.id, now_ms) == VmState::Live;
-            if server.id == request.server && !live {
-                return Grant::Full;
-            }
-            live_servers += u32::from(live);
+        let is_open = self.server_state(request.server, now_ms) == VmState::Live
+            && !self.is_joining(request.server, now_ms);
+        if !is_open {
+            return Grant::Full;
         }
         self.changed = true;
+        let load = self.pool_load(&pool, now_ms);
         let bound = self.bound;
-        self.ledger
-            .reserve(request, &bound, pool_in_flight, live_servers)
+        self.ledger.reserve(request, &bound, &load, now_ms)
     }
 
     /// Brings the ledger in line with the view: which servers this router counts, who may hold
     /// slots there, and what it holds itself.
     pub(super) fn settle_ledger(&mut self, now_ms: u64) {
-        let stewarded = self.stewarded();
-        let holders = self.peers.holders(now_ms);
-        self.ledger.set_view(&stewarded, &holders, now_ms);
-        let own = self.held_for(self.identity.id);
-        self.ledger.reconcile(self.identity.id, &own);
+        let me = self.identity.id;
+        let all: BTreeSet<ServerId> = self.servers.iter().map(|(server, _)| server).collect();
+        let consents = |server: &ServerId| self.names.consent(*server) == Some(me);
+        let stewarded: Vec<ServerId> = all.iter().copied().filter(consents).collect();
+        self.names.note_sent(me, now_ms);
+        let mut live: Vec<RouterId> = self.peers.iter().map(|(router, _)| router).collect();
+        live.push(me);
+        let listed = self.list.iter();
+        let routers = listed.filter(|record| matches!(record.role, VmRole::Router { .. }));
+        let mut known: BTreeSet<RouterId> = routers
+            .map(|record| RouterId::from_name(&record.name))
+            .collect();
+        known.extend(&live);
+        let known: Vec<RouterId> = known.into_iter().collect();
+        let view = CellView {
+            stewarded: &stewarded,
+            live: &live,
+            known: &known,
+        };
+        self.ledger.set_view(&view, now_ms);
+        let own = self.held_for(me);
+        self.ledger.reconcile(me, &own, now_ms);
+        let may_begin = self.ledger.hears_cell();
+        self.names.retain(|server| all.contains(&server));
+        for server in all {
+            if let Some(steward) = steward_of(server, &self.stewards) {
+                self.names.want(server, steward, may_begin, now_ms);
+            }
+        }
     }
 
     /// The servers that this router is steward of.
@@ -120,7 +163,7 @@
     }
 
     pub(super) fn steward(&self, server: ServerId) -> Option<RouterId> {
-        steward_of(server, &self.stewards)
+        self.names.steward(server)
     }
 
     pub(super) fn pooled_servers(&self) -> impl Iterator<Item = PooledServer<'_>> {
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -5,16 +5,17 @@
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    FleetConfig, Hearing, Incarnation, KeyIndex, Ledger, LedgerSettings, LoadBound, LoadReport,
-    PauseWatch, PeerRoster, PeerRosterSettings, Refreshed, ReservationId, RosterChange, RouterId,
-    RouterProfile, ServerId, ServerRoster, ServerRosterSettings, VmRecord, VmState, hash_parts,
-    newer_config,
+    ConsentSettings, FleetConfig, Hearing, Incarnation, KeyIndex, Ledger, LedgerSettings,
+    LoadBound, LoadReport, PauseWatch, PeerRoster, PeerRosterSettings, Refreshed, ReservationId,
+    RosterChange, RouterId, RouterProfile, ServerId, ServerRoster, ServerRosterSettings,
+    StewardNames, VmRecord, VmState, hash_parts, newer_config,
 };
 use sapphiretrack_peer::{PeerReply, PeerRequest, VmListReply};
 use sapphiretrack_platform::wire::VmList;
 
 use crate::control::budgets::Budgets;
 use crate::control::heartbeats::HeartbeatBook;
+use crate::control::load::LoadBook;
 use crate::control::slots::Held;
 use crate::events::Event;
 
@@ -52,6 +53,8 @@
     pub(super) peers: PeerRoster,
     pub(super) servers: ServerRoster,
     pub(super) ledger: Ledger,
+    pub(super) names: StewardNames,
+    pub(super) loads: LoadBook,
     pub(super) budgets: Budgets,
     pub(super) held: BTreeMap<ReservationId, Held>,
     pub(super) next_reservation: u32,
@@ -89,7 +92,9 @@
             ..Default::default()
         };
         Self {
-            ledger: Ledger::new(identity.id, LedgerSettings::default()),
+            ledger: Ledger::new(identity.id, ledger_settings(&timing)),
+            names: StewardNames::new(ledger_settings(&timing).consent),
+            loads: LoadBook::default(),
             peers: PeerRoster::new(identity.id, peer_settings),
             servers: ServerRoster::new(server_settings),
             book: HeartbeatBook::new(identity.incarnation),
@@ -199,6 +204,11 @@
         now_ms: u64,
     ) {
         let before = self.seen_of(server, now_ms);
+        if let Some(report) = &report {
+            self.note_reported(server, now_ms);
+            let in_flight = report.running + report.queued;
+            self.ledger.note_report(server, in_flight);
+        }
         let change = self.servers.take_report(server, report, now_ms);
         self.note_server_changes(change.as_slice());
         self.changed |= self.seen_of(server, now_ms) != before;
@@ -245,12 +255,17 @@
             PeerRequest::Heartbeat(heartbeat) => {
                 PeerReply::Heartbeat(self.take_heartbeat(*heartbeat, now_ms))
             }
-            PeerRequest::Reserve(request) => PeerReply::Reserve(self.reserve(&request, now_ms)),
+            PeerRequest::Reserve(request) => {
+                self.note_pool_load(request.router, request.server, request.in_flight, now_ms);
+                PeerReply::Reserve(self.reserve(&request, now_ms))
+            }
             PeerRequest::Release {
                 router,
                 server,
                 reservation,
+                in_flight,
             } => {
+                self.note_pool_load(router, server, in_flight, now_ms);
                 self.changed = true;
                 self.ledger.release(router, server, reservation);
                 PeerReply::Released
@@ -277,7 +292,7 @@
         };
         Event::PAUSED.log(&[("gap_ms", &gap_ms.to_string())]);
         self.peers.forgive_silence(now_ms);
-        self.ledger = Ledger::new(self.identity.id, LedgerSettings::default());
+        self.ledger = Ledger::new(self.identity.id, ledger_settings(&self.timing));
         self.book.distrust_earlier();
         self.urgent_rounds = URGENT_ROUNDS;
         self.tick(now_ms);
@@ -296,6 +311,7 @@
             self.changed = true;
             self.urgent_rounds = URGENT_ROUNDS;
         }
+        self.note_joined(now_ms);
         self.settle_ledger(now_ms);
         self.budgets
             .set_view(self.identity.id, &self.stewards, now_ms);
@@ -410,3 +426,14 @@
         }
     }
 }
+
+/// A consent is as old as a router that is taken to be live may be silent.
+fn ledger_settings(timing: &Timing) -> LedgerSettings {
+    LedgerSettings {
+        consent: ConsentSettings {
+            consent_ms: timing.dead_after_ms,
+            ..ConsentSettings::default()
+        },
+        ..LedgerSettings::default()
+    }
+}
--- a/crates/sapphiretrackd/src/control/views.rs
+++ b/crates/sapphiretrackd/src/control/views.rs
@@ -22,6 +22,8 @@
                 in_flight: in_flight.get(&server.id).copied().unwrap_or(0),
                 report: server.known.report,
                 steward: self.steward(server.id).unwrap_or(self.identity.id),
+                is_joining: self.is_joining(server.id, now_ms),
+                backlog_tokens: self.backlog_tokens(server.id, now_ms),
             };
             let pool = pools
                 .entry(server.pool.to_owned())
--- a/crates/sapphiretrackd/src/dispatch/attempts.rs
+++ b/crates/sapphiretrackd/src/dispatch/attempts.rs
@@ -10,7 +10,7 @@
 
 use crate::control::Snapshot;
 use crate::dispatch::Dispatcher;
-use crate::dispatch::slots::Slot;
+use crate::dispatch::slots::{Slot, WantedSlot};
 use crate::events::Event;
 
 /// When to come back after attempts that failed.
@@ -30,15 +30,23 @@
         let candidates = self.health.filter(candidates, now_ms);
         let pool = request.pool();
         let share = self.health.bound_share(pool, &request.policy, now_ms);
+        let fresh = WantedSlot {
+            pool,
+            bound_share: share,
+            tried: log.tried(),
+            deadline,
+        };
         let reserved = async {
-            let fresh = self
-                .reserve(snapshot, pool, &candidates, share, log.tried())
-                .await;
-            if fresh.is_some() || log.attempts() == 0 {
-                return fresh;
+            let slot = self.reserve(&fresh, &candidates).await;
+            if slot.is_some() || log.attempts() == 0 {
+                return slot;
             }
             // No other server has room: one that failed may do better now.
-            self.reserve(snapshot, pool, &candidates, share, &[]).await
+            let any = WantedSlot {
+                tried: &[],
+                ..fresh
+            };
+            self.reserve(&any, &candidates).await
         };
         match tokio::time::timeout_at(deadline.into(), reserved).await {
             Ok(Some(slot)) => Ok(slot),
--- a/crates/sapphiretrackd/src/dispatch/slots.rs
+++ b/crates/sapphiretrackd/src/dispatch/slots.rs
@@ -1,15 +1,19 @@
 //! Reserves slots on backend servers with their stewards.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
-use sapphiretrack_core::{Candidate, Grant, Incarnation, ReservationId, ReserveRequest, ServerId};
+use sapphiretrack_core::{
+    Candidate, Grant, Incarnation, ReservationId, ReserveRequest, SHED_BELOW_SHARE, ServerId,
+    WaitSettings, wait_for_room,
+};
 use sapphiretrack_peer::PeerError;
 
-use crate::control::{Begun, Command, ControlHandle, Place, Snapshot};
+use crate::control::{Begun, Command, ControlHandle, Place, SlotWish, Snapshot};
 use crate::dispatch::Dispatcher;
 
-/// How many servers are tried for a slot before a request is refused.
-const MAX_TRIED_SERVERS: usize = 8;
+/// How many servers are tried for a slot at a time; those that look full come last.
+const MAX_TRIED_SERVERS: usize = 64;
 
 /// A slot on a server; dropping it gives it back.
 pub(crate) struct Slot {
@@ -17,11 +21,25 @@
     pub(crate) server: ServerId,
     /// Where it takes requests.
     pub(crate) address: SocketAddr,
+    /// Where the chat's cached tokens can be imported from, where that is cheaper.
+    pub(crate) import_from: Option<SocketAddr>,
     /// Its incarnation, as last heard.
     pub(crate) incarnation: Incarnation,
     _reservation: Reservation,
 }
 
+/// What a request needs of a slot.
+pub(crate) struct WantedSlot<'a> {
+    /// The pool.
+    pub(crate) pool: &'a str,
+    /// The part of the bound that the class may fill.
+    pub(crate) bound_share: f64,
+    /// Servers that were tried before.
+    pub(crate) tried: &'a [ServerId],
+    /// When the answer is late.
+    pub(crate) deadline: Instant,
+}
+
 /// Ends a reservation when dropped, granted or not.
 struct Reservation {
     control: ControlHandle,
@@ -37,31 +55,60 @@
 }
 
 impl Dispatcher {
-    /// The first slot that is granted among the candidates, leaving out servers tried before.
+    /// The first slot that is granted among the candidates, leaving out servers tried before;
+    /// waits a moment for room where that is expected to help.
     pub(crate) async fn reserve(
+        &self,
+        wanted: &WantedSlot<'_>,
+        candidates: &[Candidate],
+    ) -> Option<Slot> {
+        let mut waited_ms = 0;
+        loop {
+            let snapshot = self.control.snapshot();
+            if let Some(slot) = self.reserve_now(&snapshot, wanted, candidates).await {
+                return Some(slot);
+            }
+            let pool = snapshot.pools.get(wanted.pool)?;
+            let left = wanted.deadline.saturating_duration_since(Instant::now());
+            let left_ms = left.as_millis() as u64;
+            let settings = WaitSettings::default();
+            // A class that is shed is refused at once.
+            let is_shed = wanted.bound_share < SHED_BELOW_SHARE;
+            let wait = wait_for_room(&settings, pool.in_flight(), waited_ms, left_ms);
+            let wait_ms = wait.filter(|_| !is_shed)?;
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            waited_ms += wait_ms;
+        }
+    }
+
+    async fn reserve_now(
         &self,
         snapshot: &Snapshot,
-        pool: &str,
+        wanted: &WantedSlot<'_>,
         candidates: &[Candidate],
-        bound_share: f64,
-        tried: &[ServerId],
     ) -> Option<Slot> {
-        let pool = snapshot.pools.get(pool)?;
+        let pool = snapshot.pools.get(wanted.pool)?;
         let fresh = candidates
             .iter()
-            .filter(|candidate| !tried.contains(&candidate.server));
+            .filter(|candidate| !wanted.tried.contains(&candidate.server));
         for candidate in fresh.take(MAX_TRIED_SERVERS) {
             let Some(server) = pool.server(candidate.server) else {
                 continue;
             };
-            let Some(reservation) = self
-                .reserve_on(candidate.server, bound_share, snapshot)
-                .await
-            else {
+            let wish = SlotWish {
+                server: candidate.server,
+                bound_share: wanted.bound_share,
+                uncached_tokens: candidate.uncached_tokens,
+            };
+            let Some(reservation) = self.reserve_on(wish, snapshot).await else {
                 continue;
             };
             return Some(Slot {
                 server: server.id,
+                import_from: candidate
+                    .import_from
+                    .and_then(|from| pool.server(from))
+                    .map(|from| from.address),
                 address: server.address,
                 incarnation: server.report.incarnation,
                 _reservation: reservation,
@@ -70,16 +117,12 @@
         None
     }
 
-    async fn reserve_on(
-        &self,
-        server: ServerId,
-        bound_share: f64,
-        snapshot: &Snapshot,
-    ) -> Option<Reservation> {
+    async fn reserve_on(&self, wish: SlotWish, snapshot: &Snapshot) -> Option<Reservation> {
         let Begun {
             reservation: id,
             place,
-        } = self.control.begin(server, bound_share).await?;
+            in_flight,
+        } = self.control.begin(wish).await?;
         let reservation = Reservation {
             control: self.control.clone(),
             id,
@@ -91,8 +134,9 @@
                 let request = ReserveRequest {
                     router: snapshot.me,
                     reservation: id,
-                    server,
-                    bound_share,
+                    server: wish.server,
+                    bound_share: wish.bound_share as f32,
+                    in_flight,
                 };
                 let reply = self.peers.reserve(address, request).await;
                 if reply.as_ref().is_err_and(PeerError::is_refused) {
