--- a/crates/sapphiretrackd/src/control/load.rs
+++ b/crates/sapphiretrackd/src/control/load.rs
@@ -36,9 +36,12 @@
                 .joined_ms
                 .extend(joined.into_iter().map(|server| (server, now_ms)));
         }
-        self.loads
-            .joined_ms
-            .retain(|server, _| open.contains(server));
+        let count_before = self.loads.joined_ms.len();
+        self.loads.joined_ms.retain(|server, at_ms| {
+            open.contains(server) && now_ms.saturating_sub(*at_ms) < JOIN_SETTLE_MS
+        });
+        // Time alone opens a server: without a new snapshot no request would be sent to it.
+        self.changed |= self.loads.joined_ms.len() != count_before;
         self.loads.open = open;
     }
 
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -25,6 +25,8 @@
 const PUBLISH_PERIOD: Duration = Duration::from_millis(20);
 /// The least time between two rounds of heartbeats.
 const URGENT_PERIOD: Duration = Duration::from_millis(20);
+/// How old a snapshot may get though no message changed the state: estimates age by themselves.
+const MAX_SNAPSHOT_AGE: Duration = Duration::from_millis(500);
 /// How often load reports are fetched.
 const REPORT_PERIOD: Duration = Duration::from_millis(250);
 
@@ -73,6 +75,7 @@
     tokio::spawn(keeper.run());
     let mut tick = interval(TICK);
     let mut publish = interval(PUBLISH_PERIOD);
+    let mut republish = interval(MAX_SNAPSHOT_AGE);
     let mut urgent = interval(URGENT_PERIOD);
     let mut heartbeat = interval(Duration::from_millis(parts.heartbeat_ms));
     let mut reports = interval(REPORT_PERIOD);
@@ -85,6 +88,7 @@
             }
             _ = tick.tick() => parts.tick(),
             _ = publish.tick(), if parts.state.is_changed() => parts.publish(&handle),
+            _ = republish.tick() => parts.publish(&handle),
             _ = urgent.tick(), if parts.state.is_urgent() => parts.send_urgent(&handle),
             _ = heartbeat.tick() => parts.send_heartbeats(&handle),
             _ = reports.tick() => parts.fetch_reports(&handle),
