The overhead measurement compares equal requests

Cause: straight to the engine all requests were one chat and always cached, through the router each was a chat of its own and never was; and 200 streams at 1 ms a token were more than two traffic threads carry, far beyond the load of a router at the design size.

--- a/crates/sapphiretrack-bench/src/overhead.rs
+++ b/crates/sapphiretrack-bench/src/overhead.rs
@@ -17,7 +17,12 @@
 /// Requests of each such stream.
 const REQUESTS_PER_STREAM: usize = 10;
 /// Tokens of an answer.
-const ANSWER_TOKENS: u32 = 20;
+const ANSWER_TOKENS: u32 = 8;
+/// The engines' time between two tokens.
+const DECODE_MS: u64 = 5;
+/// The one chat of all requests: straight to the engine there is none, and so its prefix is
+/// always cached; through the router it has to be as well.
+const CHAT: &str = "chat";
 
 /// Times of one way.
 struct Times {
@@ -56,7 +61,7 @@
     };
     let mut site = Site::start(SiteSettings {
         load_bound,
-        decode_ms: 1,
+        decode_ms: DECODE_MS,
         batch_slots: 256,
     })
     .await?;
@@ -76,9 +81,9 @@
         println!("load       way     first token p50   p99      whole p50   p99 (ms)");
     }
     let mut unloaded = [Times::new()?, Times::new()?];
-    for number in 0..UNLOADED_REQUESTS {
+    for _ in 0..UNLOADED_REQUESTS {
         for (way, times) in [&direct, &router].into_iter().zip(&mut unloaded) {
-            times.add(way.send(&format!("chat-{number}")).await?);
+            times.add(way.send().await?);
         }
     }
     print_pair("unloaded", [&direct, &router], &unloaded, json);
@@ -89,12 +94,12 @@
 
 async fn under_load(way: &Way) -> Result<Times, String> {
     let mut tasks = tokio::task::JoinSet::new();
-    for stream in 0..LOADED_STREAMS {
+    for _ in 0..LOADED_STREAMS {
         let way = way.clone();
         tasks.spawn(async move {
             let mut times = Vec::new();
             for _ in 0..REQUESTS_PER_STREAM {
-                times.push(way.send(&format!("stream-{stream}")).await?);
+                times.push(way.send().await?);
             }
             Ok::<_, String>(times)
         });
@@ -109,7 +114,7 @@
 }
 
 impl Way {
-    async fn send(&self, chat: &str) -> Result<(Duration, Duration), String> {
+    async fn send(&self) -> Result<(Duration, Duration), String> {
         let body = serde_json::json!({
             "model": "assistant",
             "stream": true,
@@ -118,7 +123,7 @@
         });
         let options = RequestOptions {
             key: CALLER_KEY.to_owned(),
-            chat: Some(chat.to_owned()),
+            chat: Some(CHAT.to_owned()),
             ..RequestOptions::default()
         };
         let started = Instant::now();
