--- /dev/null
+++ b/crates/sapphiretrackd/src/settings/parse.rs
@@ -0,0 +1,109 @@
+//! Reads settings from the command line and the environment.
+
+use pico_args::Arguments;
+use snafu::{ResultExt, Snafu};
+
+use crate::settings::Settings;
+use crate::settings::check::check;
+use crate::settings::flag::{Flag, flags};
+
+/// Why settings are refused.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// A value cannot be used.
+    #[snafu(display("{flag} (or {variable}) is {value:?}: {problem}; hint: {hint}"))]
+    Value {
+        /// The flag.
+        flag: String,
+        /// The environment variable.
+        variable: String,
+        /// The value.
+        value: String,
+        /// What is wrong with it.
+        problem: String,
+        /// What would be right.
+        hint: &'static str,
+    },
+    /// The command line cannot be read.
+    #[snafu(display("the command line cannot be read: {source}; hint: see --help"))]
+    CommandLine {
+        /// Why.
+        source: pico_args::Error,
+    },
+    /// There is an argument that no flag takes.
+    #[snafu(display("unknown argument {argument:?}; hint: see --help"))]
+    UnknownArgument {
+        /// The argument.
+        argument: String,
+    },
+}
+
+/// Reads the settings: a flag wins over an environment variable, and that over the default.
+pub fn parse_settings<Variable>(
+    mut arguments: Arguments,
+    variable: Variable,
+) -> Result<Settings, SettingsError>
+where
+    Variable: Fn(&str) -> Option<String>,
+{
+    let check_settings = arguments.contains("--check-settings");
+    let mut settings = Settings {
+        check_settings,
+        ..Settings::default()
+    };
+    for flag in flags() {
+        let given: Option<String> = arguments
+            .opt_value_from_str(flag.flag)
+            .context(CommandLineSnafu)?;
+        let Some(value) = given.or_else(|| variable(&flag.variable())) else {
+            continue;
+        };
+        if let Err(problem) = (flag.set)(&mut settings, &value) {
+            return value_error(&flag, &value, &problem);
+        }
+    }
+    if let Some(argument) = arguments.finish().first() {
+        return UnknownArgumentSnafu {
+            argument: argument.to_string_lossy(),
+        }
+        .fail();
+    }
+    check(&settings)?;
+    Ok(settings)
+}
+
+/// The text of `--help`.
+pub fn help_text() -> String {
+    let mut text = String::from(
+        "sapphiretrackd: a router of the fleet\n\n\
+         Each flag can also be set by the environment variable behind it.\n\n",
+    );
+    for flag in flags() {
+        text.push_str(&format!(
+            "  {:<26} {} [{}] ({})\n",
+            flag.flag,
+            flag.help,
+            flag.default_text(),
+            flag.variable()
+        ));
+    }
+    text.push_str(
+        "  --check-settings           check the settings and exit\n  \
+         --help                     print this text\n  \
+         --version                  print the version\n\n\
+         Exit codes: 0 stopped as planned, 1 cannot start, 2 bad settings, 3 stop limit reached\n",
+    );
+    text
+}
+
+/// The refusal of a flag's value.
+pub(super) fn value_error<T>(flag: &Flag, value: &str, problem: &str) -> Result<T, SettingsError> {
+    ValueSnafu {
+        flag: flag.flag,
+        variable: flag.variable(),
+        value,
+        problem,
+        hint: flag.hint,
+    }
+    .fail()
+}
