--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -1,51 +1,34 @@
 //! Starts a router, and stops it as planned.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use dropshot::HttpServer;
-use futures::future::BoxFuture;
-use sapphiretrack_backend::BackendClient;
-use sapphiretrack_caller::{CallerHandlers, RequestToken};
-use sapphiretrack_core::{
-    Contract, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RouterId, RouterProfile,
-    sha256_hex,
-};
+use sapphiretrack_caller::CallerHandlers;
+use sapphiretrack_core::{RouterId, RouterProfile};
 use sapphiretrack_operator::OperatorHandlers;
-use sapphiretrack_operator::wire::StopReply;
-use sapphiretrack_peer::{PeerClient, PeerHandlers, SigningKey};
-use sapphiretrack_platform::{ClaimStore, ConfigurationStore, GoalStore, PlatformClient};
+use sapphiretrack_peer::SigningKey;
+use sapphiretrack_platform::ClaimStore;
 use snafu::{ResultExt, Snafu};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::Notify;
 
-use crate::clock::{Clock, wall_clock_ms};
-use crate::control::{
-    Command, CommandReceiver, ControlHandle, ControlParts, ControlState, Identity, Snapshot,
-    Timing, control_channel, run_control,
-};
-use crate::dispatch::{Dispatcher, Health};
-use crate::entry::entry_reply;
+use crate::clock::wall_clock_ms;
+use crate::control::{Command, ControlHandle, Identity};
 use crate::events::Event;
-use crate::goals::GoalOperations;
-use crate::limits::LimitTable;
-use crate::metrics::{InFlight, Metrics};
-use crate::operations::Operations;
+use crate::metrics::Metrics;
+use crate::parts::{Endpoints, Parts};
 use crate::settings::Settings;
 use crate::signals::stop_signals;
 use crate::sweep::sweep_claims;
 
 /// How often a planned stop looks whether the last request has ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
-/// When to come back to a router that has not got the contracts yet.
-const NO_CONFIG_RETRY_MS: u64 = 1_000;
-/// How long a load report is passed on.
-const REPORT_STALE_AFTER_MS: u64 = 2_000;
 
 /// Why a router did not start.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum DaemonError {
     /// A thread or runtime cannot be had.
     #[snafu(display("the {what} cannot start: {source}"))]
@@ -247,224 +230,6 @@
 }
 
 /// Requests whose answers are not whole on their way.
-fn in_flight(metrics: &Metrics) -> u64 {
+pub(crate) fn in_flight(metrics: &Metrics) -> u64 {
     metrics.in_flight.get().max(0) as u64
 }
-
-/// The endpoints on the traffic threads.
-struct Endpoints {
-    callers: HttpServer<CallerHandlers>,
-    operators: HttpServer<OperatorHandlers>,
-}
-
-/// What the threads of a router share while it starts.
-struct Parts {
-    clock: Clock,
-    control: ControlHandle,
-    commands: CommandReceiver,
-    platform: PlatformClient,
-    peers: PeerClient,
-    backend: BackendClient,
-    metrics: Arc<Metrics>,
-    stop: Arc<Notify>,
-}
-
-impl Parts {
-    fn new(settings: &Settings) -> Self {
-        let (control, commands) = control_channel(RouterId::from_name(&settings.router_name));
-        let key = SigningKey::new(&settings.cell_key);
-        Self {
-            clock: Clock::start(),
-            control,
-            commands,
-            platform: PlatformClient::new(sapphiretrack_platform::Settings {
-                url: settings.platform_url.clone(),
-                timeout_ms: settings.platform_timeout_ms,
-            }),
-            peers: PeerClient::new(sapphiretrack_peer::Settings::default(), key),
-            backend: BackendClient::new(sapphiretrack_backend::Settings::default()),
-            metrics: Arc::new(Metrics::new()),
-            stop: Arc::new(Notify::new()),
-        }
-    }
-
-    fn peer_handlers(&self) -> PeerHandlers {
-        let control = self.control.clone();
-        let metrics = self.metrics.clone();
-        PeerHandlers {
-            handle: Arc::new(move |request| {
-                let control = control.clone();
-                Box::pin(async move { control.peer(request).await })
-            }),
-            rejected: Arc::new(move || {
-                metrics.rejected_peer_messages.inc();
-                Event::PEER_REJECTED.log(&[]);
-            }),
-        }
-    }
-
-    fn start_endpoints(
-        &self,
-        settings: &Settings,
-        traffic: &Runtime,
-    ) -> Result<Endpoints, DaemonError> {
-        let _guard = traffic.enter();
-        let callers = sapphiretrack_caller::start(
-            settings.caller_address,
-            settings.max_body_bytes,
-            tls_files(settings),
-            self.caller_handlers(settings),
-        )
-        .context(CallersSnafu)?;
-        let operators = sapphiretrack_operator::start(
-            settings.operator_address,
-            tls_files(settings),
-            self.operator_handlers(settings),
-        )
-        .context(OperatorsSnafu)?;
-        Ok(Endpoints { callers, operators })
-    }
-
-    fn caller_handlers(&self, settings: &Settings) -> CallerHandlers {
-        let limits = LimitTable::new(
-            self.clock,
-            self.control.clone(),
-            self.peers.clone(),
-            RouterId::from_name(&settings.router_name),
-        );
-        tokio::spawn(limits.clone().renew());
-        let dispatcher = Arc::new(Dispatcher {
-            clock: self.clock,
-            control: self.control.clone(),
-            peers: self.peers.clone(),
-            backend: self.backend.clone(),
-            claims: ClaimStore::new(self.platform.clone()),
-            metrics: self.metrics.clone(),
-            limits,
-            placement: PlacementSettings {
-                bound: settings.load_bound,
-                ..PlacementSettings::default()
-            },
-            memory: Mutex::new(PlacementMemory::new(settings.placement_memory_chats)),
-            shares: Mutex::default(),
-            retries: Mutex::new(Dispatcher::retry_budget()),
-            health: Health::default(),
-        });
-        let for_keys = self.control.clone();
-        let for_entry = self.control.clone();
-        let entry_ttl_ms = settings.entry_ttl_ms;
-        let metrics = self.metrics.clone();
-        let counted = self.metrics.clone();
-        CallerHandlers {
-            authenticate: Arc::new(move |key| contract_of_key(&for_keys.snapshot(), key)),
-            entry: Arc::new(move |zone| {
-                entry_reply(&for_entry.snapshot(), zone, entry_ttl_ms, rand::random())
-            }),
-            begin: Arc::new(move || RequestToken::new(InFlight::begin(&counted))),
-            run: Arc::new(move |request| dispatcher.run(request)),
-            refused: Arc::new(move |refusal| metrics.refused(refusal.code)),
-        }
-    }
-
-    fn operator_handlers(&self, settings: &Settings) -> OperatorHandlers {
-        let operations = Operations {
-            router_name: settings.router_name.clone(),
-            store: ConfigurationStore::new(self.platform.clone()),
-            control: self.control.clone(),
-            metrics: self.metrics.clone(),
-        };
-        let goals = GoalOperations {
-            store: GoalStore::new(self.platform.clone()),
-            control: self.control.clone(),
-        };
-        let goals_for_fencing = goals.clone();
-        let digest = settings.operator_key_sha256.to_lowercase();
-        let stop = self.stop.clone();
-        let metrics = self.metrics.clone();
-        let stop_metrics = self.metrics.clone();
-        let [apply, drain, outcome_of, show, history] = std::array::from_fn(|_| operations.clone());
-        OperatorHandlers {
-            authenticate: Arc::new(move |key| !digest.is_empty() && sha256_hex(key) == digest),
-            apply: Arc::new(move |request| {
-                let operations = apply.clone();
-                Box::pin(async move { operations.apply(request).await })
-            }),
-            drain: Arc::new(move |request| {
-                let operations = drain.clone();
-                Box::pin(async move { operations.drain(request).await })
-            }),
-            outcome_of: Arc::new(move |change_id| {
-                let operations = outcome_of.clone();
-                Box::pin(async move { operations.outcome_of(change_id).await })
-            }),
-            show: Arc::new(move |asked| {
-                let operations = show.clone();
-                Box::pin(async move { operations.show(&asked).await })
-            }),
-            history: Arc::new(move |()| {
-                let operations = history.clone();
-                Box::pin(async move { operations.history().await })
-            }),
-            status: Arc::new(move || operations.status()),
-            stop: Arc::new(move || {
-                stop.notify_one();
-                StopReply {
-                    in_flight: in_flight(&stop_metrics),
-                }
-            }),
-            metrics: Arc::new(move || metrics.encode()),
-            set_goal: Arc::new(move |request| {
-                let goals = goals.clone();
-                Box::pin(async move { goals.set_goal(request).await })
-            }),
-            set_fencing: Arc::new(move |request| {
-                let goals = goals_for_fencing.clone();
-                Box::pin(async move { goals.set_fencing(request).await })
-            }),
-        }
-    }
-
-    fn control_loop(self, settings: &Settings, identity: Identity) -> BoxFuture<'static, ()> {
-        let timing = Timing {
-            dead_after_ms: settings.dead_after_ms,
-            isolated_after_ms: settings.isolated_after_ms,
-            report_stale_after_ms: REPORT_STALE_AFTER_MS,
-        };
-        let parts = ControlParts {
-            clock: self.clock,
-            state: ControlState::new(
-                identity,
-                timing,
-                settings.load_bound,
-                settings.peer_seeds.0.clone(),
-            ),
-            platform: self.platform,
-            peers: self.peers,
-            backend: self.backend,
-            metrics: self.metrics,
-            heartbeat_ms: settings.heartbeat_ms,
-            fetching_config: Arc::default(),
-            read_list: Arc::new(Notify::new()),
-        };
-        run_control(parts, self.control, self.commands)
-    }
-}
-
-/// The contract that lists a key; a router that knows of no configuration cannot say.
-fn contract_of_key(snapshot: &Snapshot, key: &str) -> Result<Arc<Contract>, Refusal> {
-    if let Some(contract) = snapshot.keys.contract_of_key(key) {
-        return Ok(contract.clone());
-    }
-    if !snapshot.config_known {
-        let message = "the router has not got the contracts yet";
-        return Err(
-            Refusal::not_run(RefusalCode::Isolated, message).retry_after(NO_CONFIG_RETRY_MS)
-        );
-    }
-    let message = "no contract lists the key";
-    Err(Refusal::not_run(RefusalCode::BadKey, message))
-}
-
-fn tls_files(settings: &Settings) -> Option<(PathBuf, PathBuf)> {
-    settings.tls_cert.clone().zip(settings.tls_key.clone())
-}
--- a/crates/sapphiretrackd/src/lib.rs
+++ b/crates/sapphiretrackd/src/lib.rs
@@ -11,6 +11,7 @@
 mod logging;
 mod metrics;
 mod operations;
+mod parts;
 mod settings;
 mod signals;
 mod sweep;
