--- a/crates/sapphiretrack-bench/src/claims.rs
+++ b/crates/sapphiretrack-bench/src/claims.rs
@@ -10,18 +10,15 @@
 use sapphiretrack_fakes::{EngineSettings, PlatformFaults};
 
 use crate::open_loop::quantile;
+use crate::run::{block_on, check_all_read};
 use crate::small_fleet::{CALLER_KEY, SmallFleet, SmallFleetSettings, contract_toml};
 
 const REQUESTS: usize = 2_000;
 
 /// Runs the measurement.
-pub fn run(_arguments: Arguments) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .map_err(|error| error.to_string())?;
-    runtime.block_on(async {
+pub fn run(arguments: Arguments) -> Result<(), String> {
+    check_all_read(arguments)?;
+    block_on(2, async {
         let fleet = SmallFleet::start(SmallFleetSettings {
             routers: 3,
             engines: 1,
--- a/crates/sapphiretrack-bench/src/demo/mod.rs
+++ b/crates/sapphiretrack-bench/src/demo/mod.rs
@@ -13,6 +13,7 @@
 use crate::demo::callers::{CallerPlan, run_callers};
 use crate::demo::sample::Sampler;
 use crate::demo::tally::Tally;
+use crate::run::{block_on, check_all_read};
 use crate::site::{Site, SiteSettings};
 
 /// The seed if none is given.
@@ -32,15 +33,8 @@
     let seed: Option<u64> = arguments
         .opt_value_from_str("--seed")
         .map_err(|error| error.to_string())?;
-    if let Some(argument) = arguments.finish().first() {
-        return Err(format!("unknown argument {argument:?}; hint: see --help"));
-    }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(4)
-        .enable_all()
-        .build()
-        .map_err(|error| error.to_string())?;
-    runtime.block_on(show(seed.unwrap_or(DEFAULT_SEED)))
+    check_all_read(arguments)?;
+    block_on(4, show(seed.unwrap_or(DEFAULT_SEED)))
 }
 
 async fn show(seed: u64) -> Result<(), String> {
--- a/crates/sapphiretrack-bench/src/lib.rs
+++ b/crates/sapphiretrack-bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod overload;
 pub mod policy;
 pub mod report;
+mod run;
 mod site;
 pub mod slopes;
 mod small_fleet;
--- a/crates/sapphiretrack-bench/src/limits.rs
+++ b/crates/sapphiretrack-bench/src/limits.rs
@@ -12,6 +12,8 @@
     Admission, BudgetAsk, CustomerBudget, HeldBudget, Limits, RateLimiter, RouterId,
 };
 
+use crate::run::check_all_read;
+
 /// How often a limiter renews its lease.
 const RENEW_MS: u64 = 250;
 const CUSTOMER: &str = "customer-of-the-run";
@@ -339,9 +341,7 @@
 
 /// Runs the measurement and prints a table.
 pub fn run(arguments: Arguments) -> Result<(), String> {
-    if let Some(argument) = arguments.finish().first() {
-        return Err(format!("unknown argument {argument:?}"));
-    }
+    check_all_read(arguments)?;
     println!(
         "limiters  offered  admitted     exact    over %  worst excess  asks/admitted  ask bytes/s a limiter"
     );
--- a/crates/sapphiretrack-bench/src/overhead.rs
+++ b/crates/sapphiretrack-bench/src/overhead.rs
@@ -8,6 +8,7 @@
 use sapphiretrack_caller::{CallerClient, RequestOptions};
 use sapphiretrack_core::LoadBound;
 
+use crate::run::{block_on, check_all_read};
 use crate::site::{CALLER_KEY, Site, SiteSettings};
 
 /// Requests sent one after another, each way.
@@ -41,15 +42,8 @@
 /// Runs the measurement and prints its table, or a JSON object a line with `--json`.
 pub fn run(mut arguments: Arguments) -> Result<(), String> {
     let json = arguments.contains("--json");
-    if let Some(argument) = arguments.finish().first() {
-        return Err(format!("unknown argument {argument:?}; hint: see --help"));
-    }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(4)
-        .enable_all()
-        .build()
-        .map_err(|error| error.to_string())?;
-    runtime.block_on(measure(json))
+    check_all_read(arguments)?;
+    block_on(4, measure(json))
 }
 
 async fn measure(json: bool) -> Result<(), String> {
--- a/crates/sapphiretrack-bench/src/overload.rs
+++ b/crates/sapphiretrack-bench/src/overload.rs
@@ -5,6 +5,7 @@
 use sapphiretrack_fakes::{EngineFaults, EngineSettings};
 
 use crate::open_loop::{Offered, OfferedClass, offer, quantile};
+use crate::run::{block_on, check_all_read};
 use crate::small_fleet::{SmallFleet, SmallFleetSettings, contract_toml};
 
 const ENGINES: usize = 4;
@@ -21,7 +22,8 @@
         .opt_value_from_str("--seconds")
         .map_err(|error| error.to_string())?
         .unwrap_or(15.0);
-    block_on(async move {
+    check_all_read(arguments)?;
+    block_on(2, async move {
         let capacity = measure_capacity().await?;
         println!("capacity of the stand-in engines: {capacity:.0} requests/s, measured");
         let mut base = None;
@@ -60,8 +62,9 @@
 }
 
 /// Runs the measurement of retries while engines fail.
-pub fn run_brown_out(_arguments: Arguments) -> Result<(), String> {
-    block_on(async {
+pub fn run_brown_out(arguments: Arguments) -> Result<(), String> {
+    check_all_read(arguments)?;
+    block_on(2, async {
         for failing in [1, 2, ENGINES] {
             let fleet = start(ENGINES).await?;
             for engine in &fleet.engines[..failing] {
@@ -139,15 +142,3 @@
         seed: 6,
     }
 }
-
-fn block_on<Work>(work: Work) -> Result<(), String>
-where
-    Work: Future<Output = Result<(), String>>,
-{
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .map_err(|error| error.to_string())?
-        .block_on(work)
-}
--- a/crates/sapphiretrack-bench/src/streams.rs
+++ b/crates/sapphiretrack-bench/src/streams.rs
@@ -15,6 +15,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
+use crate::run::{block_on, check_all_read};
 use crate::small_fleet::{CALLER_KEY, contract_toml};
 
 const OPERATOR_KEY: &str = "bench-operator";
@@ -27,12 +28,8 @@
         .opt_value_from_str("--port")
         .map_err(|error| error.to_string())?
         .unwrap_or(PORT);
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .map_err(|error| error.to_string())?;
-    runtime.block_on(async {
+    check_all_read(arguments)?;
+    block_on(2, async {
         let reading = measure_reading(port, &[1_000, 3_000]);
         reading.await?;
         measure_slow(port + 10).await
