--- a/crates/sapphiretrack-core/src/stewardship.rs
+++ b/crates/sapphiretrack-core/src/stewardship.rs
@@ -46,8 +46,6 @@
     steward: RouterId,
     wanted: RouterId,
     at_ms: u64,
-    /// Whether the steward has given its part up for good.
-    is_released: bool,
 }
 
 impl StewardNames {
@@ -71,25 +69,14 @@
                     steward: wanted,
                     wanted,
                     at_ms: now_ms,
-                    is_released: false,
                 };
                 self.servers.insert(server, named);
             }
             return;
         };
         named.wanted = wanted;
-        let has_run_out = now_ms.saturating_sub(named.at_ms) >= handover_ms;
-        if named.steward != wanted && (named.is_released || has_run_out) {
+        if named.steward != wanted && now_ms.saturating_sub(named.at_ms) >= handover_ms {
             named.steward = wanted;
-            named.is_released = false;
-        }
-    }
-
-    /// Notes that a router is leaving: it grants nothing any more, so that the consent to it need
-    /// not run out. Its successor still waits until the leaving router itself consents.
-    pub fn release(&mut self, leaving: RouterId) {
-        for named in self.servers.values_mut() {
-            named.is_released |= named.steward == leaving;
         }
     }
 
--- a/crates/sapphiretrack-core/tests/stewardship.rs
+++ b/crates/sapphiretrack-core/tests/stewardship.rs
@@ -158,22 +158,6 @@
     assert_eq!(names.consent(SERVER), Some(second));
 }
 
-#[test]
-fn a_router_names_the_successor_of_a_leaving_steward_at_once() {
-    let mut names = StewardNames::new(ConsentSettings::default());
-    let (leaving, other, successor) = (RouterId(1), RouterId(2), RouterId(3));
-    names.want(SERVER, leaving, true, 0);
-    names.note_sent(leaving, 1_000);
-    names.release(other);
-    names.want(SERVER, successor, true, 1_001);
-    assert_eq!(names.consent(SERVER), None, "another router left");
-    names.release(leaving);
-    names.want(SERVER, successor, true, 1_002);
-    assert_eq!(names.consent(SERVER), Some(successor));
-    names.want(SERVER, other, true, 1_003);
-    assert_eq!(names.consent(SERVER), None, "the successor has not left");
-}
-
 /// One router of the property test.
 struct Node {
     names: StewardNames,
--- a/crates/sapphiretrackd/src/control/slots.rs
+++ b/crates/sapphiretrackd/src/control/slots.rs
@@ -101,9 +101,6 @@
 
     /// Decides on a slot of a server that this router is steward of.
     pub(super) fn reserve(&mut self, request: &ReserveRequest, now_ms: u64) -> Grant {
-        if self.has_resigned() {
-            return Grant::NotSteward;
-        }
         let Some(pool) = self
             .pooled_servers()
             .find(|server| server.id == request.server)
@@ -149,9 +146,6 @@
         self.ledger.reconcile(me, &own, now_ms);
         let may_begin = self.ledger.hears_cell();
         self.names.retain(|server| all.contains(&server));
-        for router in self.leaving_routers() {
-            self.names.release(router);
-        }
         for server in all {
             if let Some(steward) = steward_of(server, &self.stewards) {
                 self.names.want(server, steward, may_begin, now_ms);
@@ -159,22 +153,6 @@
         }
     }
 
-    /// Routers that grant nothing any more because they are leaving and others are there.
-    fn leaving_routers(&self) -> Vec<RouterId> {
-        let peers = self.peers.iter();
-        let leaving = peers.filter(|(_, peer)| peer.state() == VmState::Leaving);
-        let mut leaving: Vec<RouterId> = leaving.map(|(router, _)| router).collect();
-        if self.has_resigned() {
-            leaving.push(self.identity.id);
-        }
-        leaving
-    }
-
-    /// Whether this router is leaving and others take its stewardships.
-    fn has_resigned(&self) -> bool {
-        self.own_state() == VmState::Leaving && !self.stewards.contains(&self.identity.id)
-    }
-
     /// The servers that this router is steward of.
     pub(super) fn stewarded(&self) -> Vec<ServerId> {
         self.servers
