A refusal met before a server's first report is not forgotten

Cause: a router that was just told of a server places work there before any load report has told the incarnation. A refusal "I am leaving" met then marked incarnation 0, and the first report, with the real incarnation, made the server live again; no router ever closed it.

Ruled out: a request that never met the engine (the same chats find it in each run), a lost heartbeat (no router had it marked, the one that met the refusal included), a slow machine alone (30 s do not help).

Now a mark of an unknown incarnation holds for the incarnation that was reported meanwhile, or for the first that will be; also for servers that no list has named yet.

What stays: a server that restarts between the refusal and its first report heard here is closed in its new incarnation, until it restarts.

--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -66,8 +66,8 @@
 pub use ledger::{CellView, Grant, HeldSlots, Ledger, ReserveRequest, Settings as LedgerSettings};
 pub use limits::RateLimiter;
 pub use membership::{
-    Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, VmRecord, VmRole, VmState,
-    steward_of,
+    Incarnation, LoadReport, PoolKind, PoolView, RouterView, ServerView, UNKNOWN_INCARNATION,
+    VmRecord, VmRole, VmState, steward_of,
 };
 pub use orders::{
     EngineGoal, EngineOrder, EngineRole, EngineState, FencingCheck, MAX_ORDER_DELAY_MS,
--- a/crates/sapphiretrack-core/src/membership.rs
+++ b/crates/sapphiretrack-core/src/membership.rs
@@ -9,6 +9,9 @@
 /// Tells two runs of a VM of the same name apart; drawn at start, larger is later.
 pub type Incarnation = u64;
 
+/// The incarnation of a server that has not reported yet.
+pub const UNKNOWN_INCARNATION: Incarnation = 0;
+
 /// A line of the platform's list of VMs.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct VmRecord {
--- a/crates/sapphiretrack-core/src/placement/warmth.rs
+++ b/crates/sapphiretrack-core/src/placement/warmth.rs
@@ -1,6 +1,6 @@
 //! Evidence of where a chat's prefix is cached.
 
-use crate::{Incarnation, PoolView, ServerId, ServerView};
+use crate::{Incarnation, PoolView, ServerId, ServerView, UNKNOWN_INCARNATION};
 
 /// Where a chat was last served, and how much of it is cached there.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,7 +26,7 @@
 ) -> Option<(ServerId, f64)> {
     let sources = hints.iter().filter_map(|hint| pool.server(hint.server));
     sources
-        .filter(|server| server.report.incarnation != 0)
+        .filter(|server| server.report.incarnation != UNKNOWN_INCARNATION)
         .map(|server| {
             let tokens = expected_warm_tokens(server, hints, prompt_tokens, half_life_ms);
             (server.id, tokens)
@@ -54,5 +54,6 @@
 
 /// Whether the hint is of the server's present run; a server not yet heard gets the benefit.
 fn same_incarnation(server: &ServerView, hint: &WarmHint) -> bool {
-    server.report.incarnation == 0 || hint.incarnation == server.report.incarnation
+    server.report.incarnation == UNKNOWN_INCARNATION
+        || hint.incarnation == server.report.incarnation
 }
--- a/crates/sapphiretrack-core/src/server_roster.rs
+++ b/crates/sapphiretrack-core/src/server_roster.rs
@@ -6,7 +6,10 @@
 
 use std::collections::BTreeMap;
 
-use crate::{Damping, Flaps, Incarnation, LoadReport, ServerId, VmRecord, VmRole, VmState};
+use crate::{
+    Damping, Flaps, Incarnation, LoadReport, ServerId, UNKNOWN_INCARNATION, VmRecord, VmRole,
+    VmState,
+};
 
 /// Load reports that may fail in a row before a server gets no new work.
 const MAX_FAILED_REPORTS: u32 = 3;
@@ -121,8 +124,12 @@
             if !self.servers.contains_key(&id) {
                 changes.push(RosterChange::Joined(record.name.clone()));
                 let mut server = RosterServer::new(record.clone(), now_ms);
-                if let Some(incarnation) = self.early_marks.remove(&id) {
-                    server.mark_left(incarnation, now_ms);
+                match self.early_marks.remove(&id) {
+                    Some(UNKNOWN_INCARNATION) => server.first_is_leaving = true,
+                    Some(incarnation) => {
+                        server.mark_left(incarnation, now_ms);
+                    }
+                    None => {}
                 }
                 self.servers.insert(id, server);
             }
@@ -192,6 +199,9 @@
     }
 
     /// Marks an incarnation as leaving: a request was refused for it, or a peer says so.
+    ///
+    /// A request that met the server before its first report does not know the incarnation; the
+    /// mark then holds for the one that is reported, or for the first that will be.
     pub fn note_leaving(
         &mut self,
         id: ServerId,
@@ -204,8 +214,17 @@
             }
             return None;
         };
-        server
-            .mark_left(incarnation, now_ms)
+        let was_leaving = server.is_leaving();
+        match (incarnation, server.reported_ms) {
+            (UNKNOWN_INCARNATION, None) => server.first_is_leaving = true,
+            (UNKNOWN_INCARNATION, Some(_)) => {
+                server.mark_left(server.report.incarnation, now_ms);
+            }
+            _ => {
+                server.mark_left(incarnation, now_ms);
+            }
+        }
+        (!was_leaving && server.is_leaving())
             .then(|| RosterChange::Leaving(server.record.name.clone()))
     }
 
--- a/crates/sapphiretrack-core/tests/server_roster.rs
+++ b/crates/sapphiretrack-core/tests/server_roster.rs
@@ -1,8 +1,8 @@
 //! The merged view of backend servers: lists that lag and flap, reports, refusals.
 
 use sapphiretrack_core::{
-    LoadReport, PoolKind, RosterChange, ServerId, ServerRoster, ServerSighting, VmRecord, VmRole,
-    VmState,
+    LoadReport, PoolKind, RosterChange, ServerId, ServerRoster, ServerSighting,
+    UNKNOWN_INCARNATION, VmRecord, VmRole, VmState,
 };
 
 fn record(name: &str, state: VmState) -> VmRecord {
@@ -205,3 +205,35 @@
     }
     assert_eq!(held_ms, [0, 2_000, 4_000, 8_000, 16_000]);
 }
+
+/// A router that was just told of a server sends to it before it has heard the incarnation.
+#[test]
+fn a_refusal_met_before_the_first_report_holds_for_the_incarnation_that_is_then_reported() {
+    let before_any_report = |listed_first: bool| {
+        let mut roster = ServerRoster::default();
+        if listed_first {
+            roster.take_list(&list(&["a"]), 0);
+        }
+        roster.note_leaving(id("a"), UNKNOWN_INCARNATION, 1);
+        roster.take_list(&list(&["a"]), 2);
+        roster
+    };
+    for listed_first in [true, false] {
+        let mut roster = before_any_report(listed_first);
+        assert_eq!(roster.state(id("a"), 2), Some(VmState::Leaving));
+        roster.take_report(id("a"), Some(report(7)), 3);
+        assert_eq!(roster.state(id("a"), 3), Some(VmState::Leaving));
+        assert_eq!(roster.new_marks(3), [(id("a"), 7)]);
+        // The next incarnation takes work again.
+        roster.take_report(id("a"), Some(report(8)), 4);
+        assert_eq!(roster.state(id("a"), 4), Some(VmState::Live));
+    }
+}
+
+#[test]
+fn a_refusal_of_an_unknown_incarnation_counts_for_the_one_that_was_reported_meanwhile() {
+    let mut roster = roster();
+    let change = roster.note_leaving(id("a"), UNKNOWN_INCARNATION, 1);
+    assert_eq!(change, Some(RosterChange::Leaving(String::from("a"))));
+    assert_eq!(roster.state(id("a"), 1), Some(VmState::Leaving));
+}
