The tool can wait for a fleet that is starting

Cause: the README's block for three routers, run as written, ended with "the router cannot be reached" and "the lookup names no router": its commands ran before the routers were up. Found by running the page. Ruled out: a fixed pause in the page, which is right on one machine only.

--- a/crates/sapphiretrack-cli/src/command.rs
+++ b/crates/sapphiretrack-cli/src/command.rs
@@ -41,7 +41,7 @@
     RouterStop { name: String },
     ServerList,
     ServerDrain(ServerDrain),
-    Status,
+    Status(StatusWanted),
     Entry { zone: Option<String> },
     Chat(Chat),
     ServerSet(SetGoal),
@@ -80,6 +80,17 @@
     pub(crate) stop: bool,
 }
 
+/// Shows the status of the fleet as one router sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct StatusWanted {
+    /// Whether to wait until the router answers and sees as many live VMs as wanted.
+    pub(crate) wait: bool,
+    /// Live routers to wait for.
+    pub(crate) routers: usize,
+    /// Live backend servers to wait for.
+    pub(crate) servers: usize,
+}
+
 /// Sends one chat.
 #[derive(Clone, Debug)]
 pub(crate) struct Chat {
@@ -127,7 +138,7 @@
             "fencing" => Command::PoolFencing(pool_fencing(&mut arguments)?),
             other => return unknown("pool", other),
         },
-        "status" => Command::Status,
+        "status" => Command::Status(status(&mut arguments)?),
         "entry" => Command::Entry {
             zone: option(&mut arguments, "--zone")?,
         },
@@ -151,6 +162,25 @@
     }
 }
 
+fn status(arguments: &mut Arguments) -> Result<StatusWanted, CliError> {
+    let routers: Option<usize> = arguments
+        .opt_value_from_str("--routers")
+        .context(ArgumentsSnafu)?;
+    let servers: Option<usize> = arguments
+        .opt_value_from_str("--servers")
+        .context(ArgumentsSnafu)?;
+    let wait = arguments.contains("--wait");
+    if !wait && (routers.is_some() || servers.is_some()) {
+        let problem = "--routers and --servers go with --wait";
+        return UsageSnafu { problem }.fail();
+    }
+    Ok(StatusWanted {
+        wait,
+        routers: routers.unwrap_or(1),
+        servers: servers.unwrap_or(0),
+    })
+}
+
 fn server_set(arguments: &mut Arguments) -> Result<SetGoal, CliError> {
     let adapters = option(arguments, "--adapters")?;
     Ok(SetGoal {
--- a/crates/sapphiretrack-cli/src/fleet.rs
+++ b/crates/sapphiretrack-cli/src/fleet.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use sapphiretrack_operator::OperatorClient;
 use sapphiretrack_operator::wire::{DrainServer, SetGoal, Status};
+use sapphiretrack_operator::{OperatorClient, OperatorError};
 use snafu::ResultExt;
 
-use crate::command::{Options, ServerDrain, like};
+use crate::command::{Options, ServerDrain, StatusWanted, like};
 use crate::contracts::{accepted_text, client, client_of, new_change_id, settle};
 use crate::error::{CliError, NoSuchSnafu, RouterSnafu, WaitEndedSnafu};
 use crate::goals::set_goal;
@@ -14,6 +14,8 @@
 
 /// How often `--wait` looks.
 const WAIT_POLL: Duration = Duration::from_millis(100);
+/// The state of a VM that takes new work.
+const LIVE: &str = "live";
 
 /// Lists routers.
 pub(crate) async fn routers(options: &Options) -> Result<String, CliError> {
@@ -34,8 +36,12 @@
 }
 
 /// Shows one router's view.
-pub(crate) async fn status(options: &Options) -> Result<String, CliError> {
-    let status = client(options).status().await.context(RouterSnafu)?;
+pub(crate) async fn status(options: &Options, wanted: &StatusWanted) -> Result<String, CliError> {
+    let status = if wanted.wait {
+        wait_status(options, wanted).await?
+    } else {
+        client(options).status().await.context(RouterSnafu)?
+    };
     if options.json {
         return Ok(json(&status));
     }
@@ -54,6 +60,48 @@
     ))
 }
 
+/// Waits until the router answers and sees as many live routers and servers as wanted.
+async fn wait_status(options: &Options, wanted: &StatusWanted) -> Result<Status, CliError> {
+    let client = client(options);
+    let started = Instant::now();
+    loop {
+        let answer = client.status().await;
+        let is_over = started.elapsed().as_millis() as u64 >= options.wait_limit_ms;
+        let status = match answer {
+            Ok(status) => status,
+            // A router that is still starting refuses connections.
+            Err(OperatorError::Unreachable { .. }) if !is_over => {
+                tokio::time::sleep(WAIT_POLL).await;
+                continue;
+            }
+            Err(error) => return Err(error).context(RouterSnafu),
+        };
+        let (routers, servers) = live_counts(&status);
+        if routers >= wanted.routers && servers >= wanted.servers {
+            return Ok(status);
+        }
+        if is_over {
+            return WaitEndedSnafu {
+                what: "not all are live",
+                wait_limit_ms: options.wait_limit_ms,
+                missing: format!(
+                    "{routers} of {} routers, {servers} of {} servers",
+                    wanted.routers, wanted.servers
+                ),
+            }
+            .fail();
+        }
+        tokio::time::sleep(WAIT_POLL).await;
+    }
+}
+
+/// How many routers and backend servers take new work.
+fn live_counts(status: &Status) -> (usize, usize) {
+    let routers = status.routers.iter().filter(|one| one.state == LIVE);
+    let servers = status.servers.iter().filter(|one| one.state == LIVE);
+    (routers.count(), servers.count())
+}
+
 /// Starts the planned stop of a router.
 pub(crate) async fn stop(options: &Options, name: &str) -> Result<String, CliError> {
     let status = client(options).status().await.context(RouterSnafu)?;
--- a/crates/sapphiretrack-cli/src/main.rs
+++ b/crates/sapphiretrack-cli/src/main.rs
@@ -29,7 +29,7 @@
   sapphiretrack server set NAME [--model M] [--model-version V] [--adapters A,B]
                            [--role mixed|prefill|decode] [--stopped]
   sapphiretrack pool fencing POOL --checks|--ignores
-  sapphiretrack status
+  sapphiretrack status [--wait [--routers N] [--servers N]]
   sapphiretrack entry [--zone ZONE]
   sapphiretrack chat --model MODEL [--workspace W] [--chat C] [--class C] TEXT
 
@@ -45,7 +45,7 @@
   --help, --version
 
 Exit codes: 0 accepted or done, 1 refused, 2 wrong use, 3 unknown: ask again with the change id,
-4 the router cannot be reached, 5 --wait ended before the change was in force everywhere
+4 the router cannot be reached, 5 --wait ended before what it waits for
 ";
 
 #[tokio::main(flavor = "current_thread")]
@@ -86,7 +86,7 @@
         Command::RouterStop { name } => fleet::stop(options, &name).await,
         Command::ServerList => fleet::servers(options).await,
         Command::ServerDrain(drain) => fleet::drain(options, &drain).await,
-        Command::Status => fleet::status(options).await,
+        Command::Status(wanted) => fleet::status(options, &wanted).await,
         Command::Entry { zone } => callers::entry(options, zone.as_deref()).await,
         Command::ServerSet(goal) => goals::set_goal(options, &goal).await,
         Command::PoolFencing(fencing) => goals::set_fencing(options, &fencing).await,
