Callers are served by hyper-util: tokens one by one, closing cuts nothing

Cause: with 200 streams through a router, tokens came in bunches: gap between two tokens p50 0.08 to 0.20 ms, p99 48 ms, straight to the engine 6.3 and 11 to 16 ms. dropshot leaves Nagle's algorithm on; each token waited for the caller's delayed acknowledgement (40 ms). It gives no hold on its sockets.

Found on the way, in dropshot's close: what is in the accept queue is reset, and a connection whose request was not read yet is closed by the graceful shutdown. Either cuts a request that was sent in time; a slow router widens both.

Ruled out: the router's own path as the cause of the bunches (the same code, with the option set on the socket, gives 6.1 ms at p50); a second hop behind a listener of our own; a patched dropshot.

Three tests of the endpoint: with the queue not emptied two of them fail, without the wait for late requests all three. The property test of paths now holds for dotted and escaped paths as well; before, it let the library's own refusals pass. TCP_NODELAY itself has no test: seeing it takes a clock; the bench shows the gaps.

--- a/crates/sapphiretrack-bench/src/overhead.rs
+++ b/crates/sapphiretrack-bench/src/overhead.rs
@@ -28,9 +28,18 @@
 /// Times of one way.
 struct Times {
     first_token_us: Histogram<u64>,
+    token_gap_us: Histogram<u64>,
     whole_us: Histogram<u64>,
 }
 
+/// Times of one request.
+#[derive(Default)]
+struct RequestTimes {
+    first_token: Duration,
+    token_gaps: Vec<Duration>,
+    whole: Duration,
+}
+
 /// One way to an engine.
 #[derive(Clone)]
 struct Way {
@@ -72,12 +81,14 @@
         http: CallerClient::new(),
     };
     if !json {
-        println!("load       way     first token p50   p99      whole p50   p99 (ms)");
+        println!(
+            "load        way     first token p50   p99   token gap p50   p99   whole p50   p99 (ms)"
+        );
     }
     let mut unloaded = [Times::new()?, Times::new()?];
     for _ in 0..UNLOADED_REQUESTS {
         for (way, times) in [&direct, &router].into_iter().zip(&mut unloaded) {
-            times.add(way.send().await?);
+            times.add(&way.send().await?);
         }
     }
     print_pair("unloaded", [&direct, &router], &unloaded, json);
@@ -101,14 +112,14 @@
     let mut all = Times::new()?;
     while let Some(joined) = tasks.join_next().await {
         for times in joined.map_err(|error| error.to_string())?? {
-            all.add(times);
+            all.add(&times);
         }
     }
     Ok(all)
 }
 
 impl Way {
-    async fn send(&self) -> Result<(Duration, Duration), String> {
+    async fn send(&self) -> Result<RequestTimes, String> {
         let body = serde_json::json!({
             "model": "assistant",
             "stream": true,
@@ -121,12 +132,12 @@
             ..RequestOptions::default()
         };
         let started = Instant::now();
-        let mut first_token = None;
+        let mut tokens = Vec::new();
         let body = Bytes::from(body.to_string());
         let answer = self
             .http
             .chat(&self.url, body, &options, |_| {
-                first_token.get_or_insert_with(|| started.elapsed());
+                tokens.push(started.elapsed())
             })
             .await
             .map_err(|error| error.to_string())?;
@@ -136,7 +147,11 @@
                 self.name
             ));
         }
-        Ok((first_token.unwrap_or_default(), started.elapsed()))
+        Ok(RequestTimes {
+            first_token: tokens.first().copied().unwrap_or_default(),
+            token_gaps: tokens.windows(2).map(|pair| pair[1] - pair[0]).collect(),
+            whole: started.elapsed(),
+        })
     }
 }
 
@@ -151,13 +166,17 @@
         };
         Ok(Self {
             first_token_us: histogram()?,
+            token_gap_us: histogram()?,
             whole_us: histogram()?,
         })
     }
 
-    fn add(&mut self, (first_token, whole): (Duration, Duration)) {
-        self.first_token_us += first_token.as_micros() as u64;
-        self.whole_us += whole.as_micros() as u64;
+    fn add(&mut self, request: &RequestTimes) {
+        self.first_token_us += request.first_token.as_micros() as u64;
+        for gap in &request.token_gaps {
+            self.token_gap_us += gap.as_micros() as u64;
+        }
+        self.whole_us += request.whole.as_micros() as u64;
     }
 }
 
@@ -167,6 +186,7 @@
     };
     for (way, times) in ways.iter().zip(times) {
         let first = [0.5, 0.99].map(|quantile| ms(&times.first_token_us, quantile));
+        let gap = [0.5, 0.99].map(|quantile| ms(&times.token_gap_us, quantile));
         let whole = [0.5, 0.99].map(|quantile| ms(&times.whole_us, quantile));
         if json {
             let line = serde_json::json!({
@@ -175,6 +195,8 @@
                 "way": way.name,
                 "first_token_p50_ms": first[0],
                 "first_token_p99_ms": first[1],
+                "token_gap_p50_ms": gap[0],
+                "token_gap_p99_ms": gap[1],
                 "whole_p50_ms": whole[0],
                 "whole_p99_ms": whole[1],
             });
@@ -182,8 +204,8 @@
             continue;
         }
         println!(
-            "{load:<12}{:<8}{:>15.2}{:>8.2}{:>12.2}{:>8.2}",
-            way.name, first[0], first[1], whole[0], whole[1]
+            "{load:<12}{:<8}{:>15.2}{:>6.2}{:>16.2}{:>6.2}{:>12.2}{:>6.2}",
+            way.name, first[0], first[1], gap[0], gap[1], whole[0], whole[1]
         );
     }
     if !json {
--- a/crates/sapphiretrack-caller/src/answer.rs
+++ b/crates/sapphiretrack-caller/src/answer.rs
@@ -5,12 +5,12 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use dropshot::Body;
 use futures::Stream;
-use http::StatusCode;
-use http_body_util::{Full, StreamBody};
+use http::{Response, StatusCode, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, SizeHint};
-use sapphiretrack_core::{Chunk, Outcome, Refusal, STREAM_END};
+use sapphiretrack_core::{Chunk, Outcome, Refusal, RefusalCode, STREAM_END};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::Receiver;
@@ -18,6 +18,9 @@
 use crate::request::RequestToken;
 use crate::server::{OUTCOME_HEADER, WARM_HEADER};
 
+/// The body of an answer; an error in it cuts the connection.
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
 /// The value of the outcome header of a stream: its last event tells the outcome.
 const OUTCOME_IN_STREAM: &str = "in-stream";
 
@@ -107,21 +110,26 @@
 }
 
 /// Writes an answer as an HTTP response; the token is held until its last byte is taken.
-pub(crate) fn respond(
-    answer: Answer,
-    token: RequestToken,
-) -> Result<http::Response<Body>, http::Error> {
-    match answer {
+pub(crate) fn respond(answer: Answer, token: RequestToken) -> Response<AnswerBody> {
+    let spare = token.clone();
+    let response = match answer {
         Answer::Refused(refusal) => respond_refusal(&refusal, token),
         Answer::Whole(whole) => respond_whole(whole, token),
-        Answer::Stream { warm, events } => http::Response::builder()
+        Answer::Stream { warm, events } => Response::builder()
             .status(StatusCode::OK)
-            .header(http::header::CONTENT_TYPE, "text/event-stream")
-            .header(http::header::CACHE_CONTROL, "no-store")
+            .header(header::CONTENT_TYPE, "text/event-stream")
+            .header(header::CACHE_CONTROL, "no-store")
             .header(OUTCOME_HEADER, OUTCOME_IN_STREAM)
             .header(WARM_HEADER, warm)
-            .body(Body::wrap(StreamBody::new(frames(events, token)))),
-    }
+            .body(StreamBody::new(frames(events, token)).boxed_unsync()),
+    };
+    response.unwrap_or_else(|error| {
+        // A header of the backend server's answer that cannot be passed on.
+        let message = format!("the answer cannot be written: {error}");
+        let refusal = Refusal::unknown(RefusalCode::ServerFailed, message);
+        let written = respond_refusal(&refusal, spare);
+        written.unwrap_or_else(|_| Response::new(AnswerBody::default()))
+    })
 }
 
 /// The frames of a stream. If the events stop without an end or error, the body fails, and with
@@ -150,10 +158,10 @@
 fn respond_whole(
     whole: WholeAnswer,
     token: RequestToken,
-) -> Result<http::Response<Body>, http::Error> {
-    let mut builder = http::Response::builder()
+) -> Result<Response<AnswerBody>, http::Error> {
+    let mut builder = Response::builder()
         .status(whole.status)
-        .header(http::header::CONTENT_TYPE, whole.content_type)
+        .header(header::CONTENT_TYPE, whole.content_type)
         .header(OUTCOME_HEADER, Outcome::Complete.as_str());
     if let Some(warm) = whole.warm {
         builder = builder.header(WARM_HEADER, warm);
@@ -164,15 +172,15 @@
 fn respond_refusal(
     refusal: &Refusal,
     token: RequestToken,
-) -> Result<http::Response<Body>, http::Error> {
+) -> Result<Response<AnswerBody>, http::Error> {
     let body = serde_json::to_vec(&ErrorBody::from(refusal)).unwrap_or_default();
-    let mut builder = http::Response::builder()
+    let mut builder = Response::builder()
         .status(refusal.code.http_status())
-        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(header::CONTENT_TYPE, "application/json")
         .header(OUTCOME_HEADER, refusal.outcome.as_str());
     if let Some(retry_after_ms) = refusal.retry_after_ms {
         let seconds = retry_after_ms.div_ceil(1_000).max(1);
-        builder = builder.header(http::header::RETRY_AFTER, seconds);
+        builder = builder.header(header::RETRY_AFTER, seconds);
     }
     builder.body(counted(Bytes::from(body), token))
 }
@@ -183,11 +191,12 @@
     _token: RequestToken,
 }
 
-fn counted(body: Bytes, token: RequestToken) -> Body {
-    Body::wrap(CountedBody {
+fn counted(body: Bytes, token: RequestToken) -> AnswerBody {
+    let body = CountedBody {
         whole: Full::new(body),
         _token: token,
-    })
+    };
+    body.map_err(|never| match never {}).boxed_unsync()
 }
 
 impl http_body::Body for CountedBody {
--- a/crates/sapphiretrack-caller/src/parse.rs
+++ b/crates/sapphiretrack-caller/src/parse.rs
@@ -75,13 +75,16 @@
         service: service.to_owned(),
         method: method.clone(),
         path: format!("/{path}{query}"),
-        content_type: header(headers, http::header::CONTENT_TYPE.as_str())?.map(str::to_owned),
+        content_type: text_header(headers, http::header::CONTENT_TYPE.as_str())?.map(str::to_owned),
         body,
     })
 }
 
 /// A header's value, if it is there and can be used.
-pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+pub(crate) fn text_header<'a>(
+    headers: &'a HeaderMap,
+    name: &str,
+) -> Result<Option<&'a str>, Refusal> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
--- /dev/null
+++ b/crates/sapphiretrack-caller/tests/close.rs
@@ -0,0 +1,128 @@
+//! How the callers' endpoint closes: requests that were sent to it are still answered.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use sapphiretrack_caller::{
+    Answer, CallerHandlers, CallerServer, EntryReply, RequestToken, Settings,
+};
+use sapphiretrack_core::{Refusal, RefusalCode};
+use tokio::runtime::{Builder, Runtime};
+
+const HEALTH: &[u8] = b"GET /healthz HTTP/1.1\r\nhost: router\r\n\r\n";
+
+/// A runtime that only runs while it is told to.
+fn runtime() -> Runtime {
+    let built = Builder::new_current_thread().enable_all().build();
+    built.expect("a runtime")
+}
+
+fn start(runtime: &Runtime, stopping: &Arc<AtomicBool>) -> CallerServer {
+    let stopping = stopping.clone();
+    let handlers = CallerHandlers {
+        authenticate: Arc::new(|_| Err(Refusal::not_run(RefusalCode::BadKey, "no such key"))),
+        entry: Arc::new(|_| EntryReply {
+            addresses: Vec::new(),
+            ttl_ms: 1,
+        }),
+        is_stopping: Arc::new(move || stopping.load(Ordering::Relaxed)),
+        begin: Arc::new(|| RequestToken::new(())),
+        run: Arc::new(|_| {
+            let refusal = Refusal::not_run(RefusalCode::NoServer, "nothing runs here");
+            Box::pin(async { Answer::Refused(refusal) })
+        }),
+        refused: Arc::new(|_| {}),
+    };
+    let _guard = runtime.enter();
+    CallerServer::start(&Settings::default(), handlers).expect("it starts")
+}
+
+fn send(address: SocketAddr, request: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.write_all(request).expect("it is sent");
+    stream
+}
+
+/// Everything until the connection ends; a reset is an error.
+fn read(mut stream: TcpStream) -> std::io::Result<String> {
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).map(|_| answer)
+}
+
+#[test]
+fn a_request_that_nobody_has_read_yet_is_answered_though_the_endpoint_closes() {
+    let runtime = runtime();
+    let server = start(&runtime, &Arc::default());
+    // The runtime stands still: the connections and their requests are only in the kernel.
+    let streams: Vec<TcpStream> = (0..16)
+        .map(|_| send(server.local_address(), HEALTH))
+        .collect();
+    runtime.block_on(server.close());
+    for stream in streams {
+        let answer = read(stream).expect("no reset");
+        assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer:?}");
+        assert!(answer.ends_with("{\"ok\":true}"), "{answer:?}");
+    }
+}
+
+#[test]
+fn a_stopping_router_asks_its_callers_to_close_their_connections() {
+    let runtime = runtime();
+    let stopping = Arc::new(AtomicBool::new(false));
+    let server = start(&runtime, &stopping);
+    let address = server.local_address();
+    let first = std::thread::spawn(move || {
+        let mut stream = send(address, HEALTH);
+        let mut answer = [0; 1_024];
+        let length = stream.read(&mut answer).expect("an answer");
+        (
+            String::from_utf8_lossy(&answer[..length]).into_owned(),
+            stream,
+        )
+    });
+    let wait = || async {
+        while !first.is_finished() {
+            tokio::task::yield_now().await;
+        }
+    };
+    runtime.block_on(wait());
+    let (answer, mut stream) = first.join().expect("no panic");
+    assert!(!answer.contains("connection: close"), "{answer:?}");
+    stopping.store(true, Ordering::Relaxed);
+    stream.write_all(HEALTH).expect("it is sent");
+    runtime.block_on(server.close());
+    let answer = read(stream).expect("no reset");
+    assert!(answer.contains("connection: close\r\n"), "{answer:?}");
+}
+
+#[test]
+fn what_the_http_library_would_refuse_by_itself_gets_a_typed_refusal() {
+    let runtime = runtime();
+    let server = start(&runtime, &Arc::default());
+    let heads = [
+        "GET /v1/services/plant/../x",
+        "GET /v1/services/plant/./x",
+        "GET /v1/services/plant/%2e%2e/x",
+        "GET /../v1/entry",
+        "GET /v1/entry/%ff",
+        "HEAD /v1/services/plant/x",
+        "OPTIONS *",
+        "PURGE /v1/services/plant/x",
+        "TRACE /v1/chat/completions",
+    ];
+    let streams = heads.map(|head| {
+        let request = format!("{head} HTTP/1.1\r\nhost: router\r\nauthorization: Bearer x\r\n\r\n");
+        (head, send(server.local_address(), request.as_bytes()))
+    });
+    runtime.block_on(server.close());
+    for (head, stream) in streams {
+        let answer = read(stream).expect("no reset");
+        assert!(answer.starts_with("HTTP/1.1 4"), "{head}: {answer:?}");
+        assert!(
+            answer.contains("sapphiretrack-outcome: not-run\r\n"),
+            "{head}: {answer:?}"
+        );
+    }
+}
--- a/crates/sapphiretrack-caller/tests/parsers.rs
+++ b/crates/sapphiretrack-caller/tests/parsers.rs
@@ -10,7 +10,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use sapphiretrack_caller::{
-    Answer, CallerHandlers, CallerRequest, EntryReply, RequestToken, WholeAnswer,
+    Answer, CallerHandlers, CallerRequest, CallerServer, EntryReply, RequestToken, Settings,
+    WholeAnswer,
 };
 use sapphiretrack_core::{Contract, Refusal, RefusalCode, parse_contract};
 use tokio::runtime::Runtime;
@@ -36,7 +37,7 @@
     url: String,
     http: Http,
     ran: Arc<Mutex<Vec<CallerRequest>>>,
-    _server: dropshot::HttpServer<CallerHandlers>,
+    _server: CallerServer,
 }
 
 impl Endpoint {
@@ -54,6 +55,7 @@
                 addresses: Vec::new(),
                 ttl_ms: 1,
             }),
+            is_stopping: Arc::new(|| false),
             begin: Arc::new(|| RequestToken::new(())),
             run: Arc::new(move |request| {
                 runs.lock().expect("no panic").push(request);
@@ -69,10 +71,13 @@
             refused: Arc::new(|_| {}),
         };
         let _guard = runtime.enter();
-        let free = "127.0.0.1:0".parse().expect("an address");
-        let server = sapphiretrack_caller::start(free, 10_000, None, handlers).expect("it starts");
+        let settings = Settings {
+            max_body_bytes: 10_000,
+            ..Settings::default()
+        };
+        let server = CallerServer::start(&settings, handlers).expect("it starts");
         Self {
-            url: format!("http://{}", server.local_addr()),
+            url: format!("http://{}", server.local_address()),
             http: Client::builder(TokioExecutor::new()).build_http(),
             ran,
             _server: server,
@@ -172,22 +177,12 @@
         .expect("any headers");
     let mut runner = proptest::test_runner::TestRunner::new(config);
     runner
-        .run(&"[!-~]{0,40}", |rest| {
+        .run(&"[!-~]{0,40}|([.%2eE/]|%2[eE]){1,12}", |rest| {
             let url = format!("{}/v1/services/plant/a{rest}", endpoint.url);
             let request = http::Request::get(url).header("authorization", "Bearer good");
             let Ok(request) = request.body(Full::default()) else {
                 return Ok(());
             };
-            let dotted = rest
-                .split(['/', '?'])
-                .any(|part| matches!(part, "." | ".."));
-            if dotted || rest.contains('%') {
-                // The HTTP library answers some of these itself, without the outcome.
-                let (status, _, _) = endpoint.send(request);
-                let ran = endpoint.take_ran().len();
-                prop_assert!(ran == 1 || (400..500).contains(&status), "{ran} {status}");
-                return Ok(());
-            }
             endpoint.check(request)
         })
         .expect("any paths");
--- a/crates/sapphiretrack-tls/src/lib.rs
+++ b/crates/sapphiretrack-tls/src/lib.rs
@@ -1,4 +1,6 @@
-//! TLS for clients: which certificates are trusted.
+//! TLS: which certificates clients trust, and which one a server shows.
+
+mod identity;
 
 use std::path::{Path, PathBuf};
 
@@ -9,6 +11,8 @@
 use rustls::{ClientConfig, RootCertStore};
 use snafu::{ResultExt, Snafu, ensure};
 
+pub use identity::{Identity, IdentityError};
+
 /// Connects to `http://` and `https://` addresses.
 pub type Connector = HttpsConnector<HttpConnector>;
 
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dropshot::HttpServer;
-use sapphiretrack_caller::CallerHandlers;
+use sapphiretrack_caller::CallerServer;
 use sapphiretrack_core::{RouterId, RouterProfile};
 use sapphiretrack_operator::OperatorHandlers;
 use sapphiretrack_peer::SigningKey;
@@ -74,7 +74,7 @@
     control: ControlHandle,
     metrics: Arc<Metrics>,
     stop: Arc<Notify>,
-    callers: HttpServer<CallerHandlers>,
+    callers: CallerServer,
     operators: HttpServer<OperatorHandlers>,
     peer_address: SocketAddr,
 }
@@ -112,7 +112,7 @@
             profile: RouterProfile {
                 name: settings.router_name.clone(),
                 zone: settings.zone.clone(),
-                caller_address: endpoints.callers.local_addr(),
+                caller_address: endpoints.callers.local_address(),
                 operator_address: endpoints.operators.local_addr(),
                 peer_address,
             },
@@ -156,7 +156,7 @@
 
     /// Where callers are served.
     pub fn caller_address(&self) -> SocketAddr {
-        self.callers.local_addr()
+        self.callers.local_address()
     }
 
     /// Where operators are served.
@@ -203,7 +203,7 @@
             finish_requests(&settings, &metrics, limit).await;
             // Closing ends idle connections and waits for requests that came meanwhile.
             let close = async {
-                drop(callers.close().await);
+                callers.close().await;
                 drop(operators.close().await);
             };
             drop(tokio::time::timeout_at(limit, close).await);
--- a/crates/sapphiretrackd/src/parts.rs
+++ b/crates/sapphiretrackd/src/parts.rs
@@ -6,7 +6,7 @@
 use dropshot::HttpServer;
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
-use sapphiretrack_caller::{CallerHandlers, RequestToken};
+use sapphiretrack_caller::{CallerHandlers, CallerServer, RequestToken};
 use sapphiretrack_core::{
     Contract, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RouterId, sha256_hex,
 };
@@ -40,7 +40,7 @@
 
 /// The endpoints on the traffic threads.
 pub(crate) struct Endpoints {
-    pub(crate) callers: HttpServer<CallerHandlers>,
+    pub(crate) callers: CallerServer,
     pub(crate) operators: HttpServer<OperatorHandlers>,
 }
 
@@ -96,13 +96,13 @@
         traffic: &Runtime,
     ) -> Result<Endpoints, DaemonError> {
         let _guard = traffic.enter();
-        let callers = sapphiretrack_caller::start(
-            settings.caller_address,
-            settings.max_body_bytes,
-            tls_files(settings),
-            self.caller_handlers(settings),
-        )
-        .context(CallersSnafu)?;
+        let caller_settings = sapphiretrack_caller::Settings {
+            address: settings.caller_address,
+            max_body_bytes: settings.max_body_bytes,
+            tls: tls_files(settings),
+        };
+        let callers = CallerServer::start(&caller_settings, self.caller_handlers(settings))
+            .context(CallersSnafu)?;
         let operators = sapphiretrack_operator::start(
             settings.operator_address,
             tls_files(settings),
@@ -139,6 +139,7 @@
         });
         let for_keys = self.control.clone();
         let for_entry = self.control.clone();
+        let for_stop = self.control.clone();
         let entry_ttl_ms = settings.entry_ttl_ms;
         let metrics = self.metrics.clone();
         let counted = self.metrics.clone();
@@ -147,6 +148,7 @@
             entry: Arc::new(move |zone| {
                 entry_reply(&for_entry.snapshot(), zone, entry_ttl_ms, rand::random())
             }),
+            is_stopping: Arc::new(move || for_stop.snapshot().stopping),
             begin: Arc::new(move || RequestToken::new(InFlight::begin(&counted))),
             run: Arc::new(move |request| dispatcher.run(request)),
             refused: Arc::new(move |refusal| metrics.refused(refusal.code)),
