A steward that has ended or resigned is replaced without the wait for its consents

Cause, of the gap: a router that names another steward first lets its consent to the one before run out (3.5 s), and the new steward waits 3 s for a lost holder. Both protect against a steward that may still grant; one whose process has ended, or that has given its part up, grants nothing. Change: a refused connection proves that the run that was dialled has ended, a heartbeat of a newer run that the one before has. Consent to an ended run binds no longer, it is no holder to wait for, and it counts among the electorate only as long as its own consents can (3.5 s). Where it had not just said what it holds, the server has to report first, so that its requests count as unlisted ones. A leaving router goes on granting until each successor, not leaving itself, has heard that it leaves; then it resigns for the rest of its run and says so in a section of its heartbeats. A silent router keeps today's waits. A router that takes on a newer incarnation forgets its ledger. Found on the way: the slots of a lost router that the list no longer names were counted for ever. Ruled out: to release at the state "leaving" alone (it may be its own steward still), and to trust a refusal whose connection was begun before the router's present run was heard of. The tests of stewards got the new parameters; what they demand is as before.

--- a/crates/sapphiretrack-bench/src/policy/router.rs
+++ b/crates/sapphiretrack-bench/src/policy/router.rs
@@ -168,7 +168,7 @@
     pub(crate) fn take_report(&mut self, server: usize, report: LoadReport, now_ms: u64) {
         self.reported_ms = now_ms;
         self.ledger
-            .note_report(self.servers[server], report.running + report.queued);
+            .note_report(self.servers[server], report.running + report.queued, now_ms);
         self.view.servers[server].report = report;
     }
 
@@ -203,6 +203,7 @@
             stewarded: &stewarded,
             live: &live,
             known: &self.all,
+            ended: &[],
         };
         self.ledger.set_view(&view, now_ms);
         let may_begin = self.ledger.hears_cell();
--- /dev/null
+++ b/crates/sapphiretrack-core/src/endings.rs
@@ -0,0 +1,54 @@
+//! Runs of routers that are proven to have ended, so that nothing has to run out for them.
+
+use std::collections::BTreeMap;
+
+use crate::{Incarnation, RouterId};
+
+/// The most runs that are remembered.
+const MAX_REMEMBERED: usize = 1_024;
+
+/// Which routers' newest known runs have ended.
+///
+/// The proof is a refused connection at the address where that run listened. Silence proves
+/// nothing: a router that is frozen or cut off may go on granting.
+#[derive(Debug, Default)]
+pub struct Endings {
+    runs: BTreeMap<RouterId, Incarnation>,
+}
+
+impl Endings {
+    /// Notes a refused connection. `dialled` is the newest run known when the connection was
+    /// begun, `newest` the newest run known now; tells whether the end is news.
+    ///
+    /// A run that was heard of only after the connection was begun is not proven to have ended.
+    pub fn note_refused(
+        &mut self,
+        router: RouterId,
+        dialled: Incarnation,
+        newest: Incarnation,
+    ) -> bool {
+        if dialled != newest || self.has_ended(router, newest) {
+            return false;
+        }
+        if self.runs.len() >= MAX_REMEMBERED {
+            self.runs.pop_first();
+        }
+        self.runs.insert(router, newest);
+        true
+    }
+
+    /// Notes a heartbeat: whoever refused for this router, it was not this run's end.
+    pub fn note_heard(&mut self, router: RouterId) {
+        self.runs.remove(&router);
+    }
+
+    /// Whether the newest known run of a router has ended.
+    pub fn has_ended(&self, router: RouterId, newest: Incarnation) -> bool {
+        self.runs.get(&router) == Some(&newest)
+    }
+
+    /// The routers whose last known run has ended.
+    pub fn routers(&self) -> impl Iterator<Item = RouterId> {
+        self.runs.keys().copied()
+    }
+}
--- a/crates/sapphiretrack-core/src/ledger.rs
+++ b/crates/sapphiretrack-core/src/ledger.rs
@@ -82,6 +82,8 @@
     pub live: &'a [RouterId],
     /// All routers there may be: listed ones and those heard of lately.
     pub known: &'a [RouterId],
+    /// Routers whose last known run is proven to have ended; live ones among them do not count.
+    pub ended: &'a [RouterId],
 }
 
 /// The slots of the servers that this router is steward of.
@@ -90,8 +92,8 @@
     settings: Settings,
     me: RouterId,
     servers: BTreeMap<ServerId, ServerSlots>,
-    /// Known routers that are not heard of, and since when.
-    lost_since_ms: BTreeMap<RouterId, u64>,
+    /// Routers that were known and are not heard of.
+    lost: BTreeMap<RouterId, Lost>,
     /// Everyone who may hold a slot that this router did not grant.
     holders: BTreeSet<RouterId>,
     /// Routers of whom most have to consent.
@@ -101,6 +103,14 @@
     orphans_until_ms: u64,
 }
 
+/// A router that is not heard of.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    since_ms: u64,
+    /// Since when it is proven to have ended.
+    ended_ms: Option<u64>,
+}
+
 /// The slots of one server.
 #[derive(Debug, Default)]
 struct ServerSlots {
@@ -109,6 +119,7 @@
     consents: BTreeMap<RouterId, u64>,
     /// Requests that the server last reported beyond those listed.
     unlisted: u32,
+    reported_ms: Option<u64>,
     /// Whether all holders were heard under the present consent; no grant before.
     is_whole: bool,
 }
@@ -120,7 +131,7 @@
             settings,
             me,
             servers: BTreeMap::new(),
-            lost_since_ms: BTreeMap::new(),
+            lost: BTreeMap::new(),
             holders: BTreeSet::new(),
             electorate: 1,
             hears_cell: false,
@@ -142,8 +153,9 @@
         self.servers.retain(|server, slots| {
             view.stewarded.contains(server) || slots.fresh_consents(consent_ms, now_ms) > 0
         });
+        let start = self.start(now_ms);
         for slots in self.servers.values_mut() {
-            slots.settle(&self.holders, self.electorate, consent_ms, now_ms);
+            slots.settle(&start, now_ms);
         }
     }
 
@@ -166,11 +178,11 @@
         load: &PoolLoad,
         now_ms: u64,
     ) -> Grant {
-        let consent_ms = self.settings.consent.consent_ms;
+        let start = self.start(now_ms);
         let Some(entry) = self.servers.get_mut(&request.server) else {
             return Grant::NotSteward;
         };
-        entry.settle(&self.holders, self.electorate, consent_ms, now_ms);
+        entry.settle(&start, now_ms);
         if !entry.is_whole {
             return Grant::NotSteward;
         }
@@ -199,8 +211,9 @@
     }
 
     /// Takes in how many requests a server itself reports.
-    pub fn note_report(&mut self, server: ServerId, reported: u32) {
+    pub fn note_report(&mut self, server: ServerId, reported: u32, now_ms: u64) {
         if let Some(entry) = self.servers.get_mut(&server) {
+            entry.reported_ms = Some(now_ms);
             entry.unlisted = reported.saturating_sub(entry.count());
         }
     }
@@ -216,27 +229,45 @@
         slots.is_whole.then(|| slots.count())
     }
 
-    fn note_lost_routers(&mut self, view: &CellView<'_>, now_ms: u64) {
-        for router in view.live {
-            self.lost_since_ms.remove(router);
-        }
-        for router in view.known {
-            if !view.live.contains(router) {
-                self.lost_since_ms.entry(*router).or_insert(now_ms);
-            }
-        }
+    /// What a new steward needs now.
+    fn start(&self, now_ms: u64) -> Start {
         let grace_ms = self.settings.dead_holder_grace_ms;
-        let electorate_ms = self.settings.electorate_ms;
+        let lately = |lost: &Lost| now_ms.saturating_sub(lost.since_ms) < grace_ms;
+        let lost = self.lost.iter().filter(|(_, lost)| lately(lost));
+        Start {
+            holders: self.holders.clone(),
+            electorate: self.electorate,
+            consent_ms: self.settings.consent.consent_ms,
+            lost: lost
+                .map(|(router, lost)| (*router, lost.since_ms))
+                .collect(),
+        }
+    }
+
+    fn note_lost_routers(&mut self, view: &CellView<'_>, now_ms: u64) {
+        self.update_lost(view, now_ms);
+        let Settings {
+            dead_holder_grace_ms: grace_ms,
+            electorate_ms,
+            orphans_ms,
+            consent,
+        } = self.settings;
         let mut voters = view.live.len();
         self.holders = view.live.iter().copied().collect();
-        for (router, since_ms) in &self.lost_since_ms {
-            let lost_ms = now_ms.saturating_sub(*since_ms);
-            voters += usize::from(lost_ms < electorate_ms);
-            if lost_ms < grace_ms {
-                self.holders.insert(*router);
-                self.orphans_until_ms = now_ms + self.settings.orphans_ms;
+        for (router, lost) in &self.lost {
+            let lost_for_ms = now_ms.saturating_sub(lost.since_ms);
+            // The consents of a run that has ended can still be counted for so long.
+            let has_run_out = lost
+                .ended_ms
+                .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) >= consent.handover_ms());
+            voters += usize::from(lost_for_ms < electorate_ms && !has_run_out);
+            if lost_for_ms < grace_ms {
+                self.orphans_until_ms = now_ms + orphans_ms;
+                if lost.ended_ms.is_none() {
+                    self.holders.insert(*router);
+                }
             }
-            if lost_ms >= electorate_ms {
+            if lost_for_ms >= electorate_ms {
                 for slots in self.servers.values_mut() {
                     slots.held.remove(router);
                 }
@@ -247,10 +278,39 @@
         let hears_holders = self.holders.iter().all(|holder| view.live.contains(holder));
         self.hears_cell = hears_holders && view.live.len() * 2 > self.electorate;
         let known = view.known;
-        self.lost_since_ms.retain(|router, since_ms| {
-            known.contains(router) || now_ms.saturating_sub(*since_ms) < electorate_ms
+        self.lost.retain(|router, lost| {
+            known.contains(router) || now_ms.saturating_sub(lost.since_ms) < electorate_ms
         });
     }
+
+    /// Notes who is heard of no longer, listed or not, and who has ended.
+    fn update_lost(&mut self, view: &CellView<'_>, now_ms: u64) {
+        for router in view.live {
+            self.lost.remove(router);
+        }
+        let known = view.known.iter().chain(&self.holders);
+        for router in known.filter(|router| !view.live.contains(router)) {
+            let lost = self.lost.entry(*router).or_insert(Lost {
+                since_ms: now_ms,
+                ended_ms: None,
+            });
+            if view.ended.contains(router) {
+                lost.ended_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+}
+
+/// What a steward needs to start.
+struct Start {
+    /// Routers that may hold slots that this one did not grant.
+    holders: BTreeSet<RouterId>,
+    /// Routers of whom most have to consent.
+    electorate: usize,
+    consent_ms: u64,
+    /// Routers lost lately, and when. What one held is known if it had just said so; else the
+    /// server has to have reported since, so that its requests count as unlisted ones.
+    lost: Vec<(RouterId, u64)>,
 }
 
 impl ServerSlots {
@@ -265,19 +325,21 @@
 
     /// Sees whether this router may grant: it starts when every possible holder has just
     /// consented and said what it holds, and goes on while most consent.
-    fn settle(
-        &mut self,
-        holders: &BTreeSet<RouterId>,
-        electorate: usize,
-        consent_ms: u64,
-        now_ms: u64,
-    ) {
-        let has_most = self.fresh_consents(consent_ms, now_ms) * 2 > electorate;
+    fn settle(&mut self, start: &Start, now_ms: u64) {
+        let consent_ms = start.consent_ms;
+        let has_most = self.fresh_consents(consent_ms, now_ms) * 2 > start.electorate;
         let is_fresh = |router: &RouterId| {
             self.consents
                 .get(router)
                 .is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < consent_ms)
         };
-        self.is_whole = has_most && (self.is_whole || holders.iter().all(is_fresh));
+        let reported_after = |lost_ms: u64| {
+            self.reported_ms
+                .is_some_and(|reported_ms| reported_ms > lost_ms)
+        };
+        let mut lost = start.lost.iter();
+        let is_counted = lost.all(|(router, at_ms)| is_fresh(router) || reported_after(*at_ms));
+        let may_start = is_counted && start.holders.iter().all(is_fresh);
+        self.is_whole = has_most && (self.is_whole || may_start);
     }
 }
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -12,6 +12,7 @@
 mod claim;
 mod config;
 mod contract;
+mod endings;
 mod entry;
 mod fair_share;
 mod flap;
@@ -32,6 +33,7 @@
 mod placement;
 mod pool_load;
 mod rendezvous;
+mod resignation;
 mod retry;
 mod server_roster;
 mod stewardship;
@@ -56,6 +58,7 @@
     ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, contract_differences,
     parse_contract, sha256_hex,
 };
+pub use endings::Endings;
 pub use entry::{EntryCandidate, entry_addresses};
 pub use fair_share::{Demand, FULL_FOR_MS, PoolShares, fair_shares};
 pub use flap::{Damping, Flaps};
@@ -88,6 +91,7 @@
 };
 pub use pool_load::{DrainSettings, HeardLoad, pool_load};
 pub use rendezvous::{rendezvous_score, top_by_rendezvous};
+pub use resignation::Resignation;
 pub use retry::{RetryBudget, backoff_ms};
 pub use server_roster::{
     RosterChange, RosterServer, ServerRoster, ServerRosterSettings, ServerSighting,
--- a/crates/sapphiretrack-core/src/stewardship.rs
+++ b/crates/sapphiretrack-core/src/stewardship.rs
@@ -45,7 +45,8 @@
 struct Named {
     steward: RouterId,
     wanted: RouterId,
-    at_ms: u64,
+    /// When the steward was last told; none if it cannot count this consent any more.
+    told_ms: Option<u64>,
 }
 
 impl StewardNames {
@@ -68,18 +69,33 @@
                 let named = Named {
                     steward: wanted,
                     wanted,
-                    at_ms: now_ms,
+                    told_ms: Some(now_ms),
                 };
                 self.servers.insert(server, named);
             }
             return;
         };
         named.wanted = wanted;
-        if named.steward != wanted && now_ms.saturating_sub(named.at_ms) >= handover_ms {
+        let runs_on = |told_ms: u64| now_ms.saturating_sub(told_ms) < handover_ms;
+        if named.steward != wanted && !named.told_ms.is_some_and(runs_on) {
             named.steward = wanted;
         }
     }
 
+    /// Notes that a router's run can grant nothing any more: it has ended or resigned. Consent to
+    /// it need not run out. Tells whether that changes anything.
+    ///
+    /// A later run of the router does not count what was sent to this one.
+    pub fn release(&mut self, router: RouterId) -> bool {
+        let mut changes = false;
+        for named in self.servers.values_mut() {
+            if named.steward == router {
+                changes |= named.told_ms.take().is_some();
+            }
+        }
+        changes
+    }
+
     /// Forgets servers that are gone for good.
     pub fn retain<Keep>(&mut self, keep: Keep)
     where
@@ -103,7 +119,7 @@
     pub fn note_sent(&mut self, steward: RouterId, now_ms: u64) {
         for named in self.servers.values_mut() {
             if named.steward == steward && named.wanted == steward {
-                named.at_ms = now_ms;
+                named.told_ms = Some(now_ms);
             }
         }
     }
--- a/crates/sapphiretrack-core/tests/stewardship.rs
+++ b/crates/sapphiretrack-core/tests/stewardship.rs
@@ -44,6 +44,7 @@
         stewarded: &[SERVER],
         live,
         known,
+        ended: &[],
     }
 }
 
@@ -114,10 +115,10 @@
     ledger.set_view(&view(&[routers[0], routers[2]], &known), after_ms);
     assert_eq!(ledger.held(SERVER), Some(0));
     // The server itself still reports two requests that no router lists.
-    ledger.note_report(SERVER, 2);
+    ledger.note_report(SERVER, 2, after_ms);
     let request = ask(routers[0], 9);
     assert_eq!(reserve(&mut ledger, &request, after_ms), Grant::Full);
-    ledger.note_report(SERVER, 1);
+    ledger.note_report(SERVER, 1, after_ms);
     assert_eq!(reserve(&mut ledger, &request, after_ms), Grant::Granted);
 }
 
@@ -195,6 +196,7 @@
                     stewarded: if is_own { &stewarded } else { &[] },
                     live: &routers,
                     known: &routers,
+                    ended: &[],
                 };
                 node.ledger.set_view(&view, now_ms);
             }
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -68,6 +68,27 @@
     pub body: Vec<u8>,
 }
 
+impl Section {
+    /// The sender has resigned: it is leaving, and in this run it grants no slot any more.
+    pub const RESIGNED: u16 = 1;
+
+    /// The section that says that the sender has resigned.
+    pub fn resigned() -> Self {
+        Self {
+            kind: Self::RESIGNED,
+            body: Vec::new(),
+        }
+    }
+}
+
+impl Heartbeat {
+    /// Whether the sender grants no slot any more in this run.
+    pub fn has_resigned(&self) -> bool {
+        let mut sections = self.sections.iter();
+        sections.any(|section| section.kind == Section::RESIGNED)
+    }
+}
+
 /// What a router knows first-hand of a backend server that it watches.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServerState {
--- a/crates/sapphiretrack-peer/tests/wire.rs
+++ b/crates/sapphiretrack-peer/tests/wire.rs
@@ -87,6 +87,22 @@
     assert_eq!(key.open(&too_old), Opened::Foreign);
 }
 
+#[test]
+fn a_heartbeat_tells_that_its_sender_has_resigned() {
+    let key = SigningKey::new("the key of the cell");
+    assert!(!heartbeat().has_resigned());
+    let resigned = Heartbeat {
+        sections: vec![Section::resigned()],
+        ..heartbeat()
+    };
+    let call = PeerRequest::Heartbeat(Box::new(resigned));
+    let signed = key.sign(&call).expect("it is encoded");
+    let Opened::Request(PeerRequest::Heartbeat(read)) = key.open(&signed) else {
+        panic!("it is not a heartbeat");
+    };
+    assert!(read.has_resigned());
+}
+
 #[test]
 fn an_idle_heartbeat_is_small() {
     let key = SigningKey::new("the key of the cell");
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -77,6 +77,8 @@
     PeerRefused {
         /// The peer.
         router: RouterId,
+        /// The newest run of it that was known when the connection was begun.
+        incarnation: Incarnation,
     },
     /// Nothing listens at the address of a steward.
     AddressRefused {
--- a/crates/sapphiretrackd/src/control/heartbeats.rs
+++ b/crates/sapphiretrackd/src/control/heartbeats.rs
@@ -5,8 +5,9 @@
 
 use sapphiretrack_core::{
     BeatTaken, HeldSlots, Incarnation, PeerBeat, ReservationId, RouterId, ServerId, ServerSighting,
+    VmState,
 };
-use sapphiretrack_peer::{Heartbeat, HeartbeatReply, InFlight, ServerState};
+use sapphiretrack_peer::{Heartbeat, HeartbeatReply, InFlight, Section, ServerState};
 
 use crate::control::ControlState;
 use crate::control::state::URGENT_ROUNDS;
@@ -18,6 +19,8 @@
 pub(crate) struct Outgoing {
     /// The peer; none for an address of the settings whose router is not known yet.
     pub(crate) router: Option<RouterId>,
+    /// The newest run of it that is known now; 0 for none.
+    pub(crate) incarnation: Incarnation,
     pub(crate) address: SocketAddr,
     pub(crate) heartbeat: Heartbeat,
 }
@@ -117,6 +120,9 @@
     /// The heartbeat for each peer, with where it goes.
     pub(crate) fn heartbeats(&mut self, now_ms: u64) -> Vec<Outgoing> {
         self.book.sequence += 1;
+        if self.own_state() == VmState::Leaving {
+            self.resignation.note_leaving(self.book.sequence);
+        }
         let targets = self.peers.targets();
         let sightings = self.own_sightings(now_ms);
         let counts = self.own_counts();
@@ -133,6 +139,7 @@
             }
             outgoing.push(Outgoing {
                 router: Some(router),
+                incarnation: self.peers.known_incarnation(router),
                 address,
                 heartbeat,
             });
@@ -154,11 +161,18 @@
             config_version: heartbeat.config_version,
             profile: heartbeat.profile.as_deref().cloned(),
         };
+        let run_before = self.peers.known_incarnation(router);
         let version_before = self.peers.get(router).map(|peer| peer.config_version);
         let taken = self.peers.take_beat(&beat, now_ms);
         if let BeatTaken::Taken { change } = &taken {
             self.note_peer_changes(change.as_slice());
-            if change.is_some() {
+            self.endings.note_heard(router);
+            self.resignation
+                .note_heard(router, heartbeat.heard_sequence);
+            let is_other_run = heartbeat.incarnation != run_before;
+            let grants_no_more = heartbeat.has_resigned() || is_other_run;
+            let is_released = grants_no_more && self.release(router);
+            if change.is_some() || is_released {
                 // A heartbeat that makes this router a steward says what its sender holds there.
                 self.tick(now_ms);
             }
@@ -200,6 +214,8 @@
             // This VM's clock was set back: peers take its heartbeats only as a later run's.
             self.identity.incarnation = reply.known_incarnation + 1;
             self.book.sequence = self.book.sequence.max(self.identity.incarnation);
+            // Peers that heard of this run take the end of its earlier number for its own end.
+            self.forget_ledger();
             self.urgent_rounds = URGENT_ROUNDS;
         }
     }
@@ -275,10 +291,15 @@
             left_servers: self.servers.new_marks(now_ms),
             list_digest: self.list_digest,
             suspects: self.peers.lately_lost(now_ms),
-            sections: Vec::new(),
+            sections: self.sections(),
         }
     }
 
+    fn sections(&self) -> Vec<Section> {
+        let has_resigned = self.resignation.has_resigned();
+        has_resigned.then(Section::resigned).into_iter().collect()
+    }
+
     /// Heartbeats to the addresses of the settings; their answers bring the first peers.
     fn seed_heartbeats(&self, sightings: &[ServerState], now_ms: u64) -> Vec<Outgoing> {
         let seeds = self.seeds().iter();
@@ -288,6 +309,7 @@
             heartbeat.in_flight.whole = true;
             Outgoing {
                 router: None,
+                incarnation: 0,
                 address: *address,
                 heartbeat,
             }
--- a/crates/sapphiretrackd/src/control/mod.rs
+++ b/crates/sapphiretrackd/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod budgets;
 mod configuration;
+mod endings;
 mod handle;
 mod heartbeats;
 mod load;
--- a/crates/sapphiretrackd/src/control/slots.rs
+++ b/crates/sapphiretrackd/src/control/slots.rs
@@ -101,6 +101,9 @@
 
     /// Decides on a slot of a server that this router is steward of.
     pub(super) fn reserve(&mut self, request: &ReserveRequest, now_ms: u64) -> Grant {
+        if self.resignation.has_resigned() {
+            return Grant::NotSteward;
+        }
         let Some(pool) = self
             .pooled_servers()
             .find(|server| server.id == request.server)
@@ -136,16 +139,21 @@
             .collect();
         known.extend(&live);
         let known: Vec<RouterId> = known.into_iter().collect();
+        let ended: Vec<RouterId> = self.endings.routers().collect();
         let view = CellView {
             stewarded: &stewarded,
             live: &live,
             known: &known,
+            ended: &ended,
         };
         self.ledger.set_view(&view, now_ms);
         let own = self.held_for(me);
         self.ledger.reconcile(me, &own, now_ms);
         let may_begin = self.ledger.hears_cell();
         self.names.retain(|server| all.contains(&server));
+        if self.resignation.has_resigned() {
+            self.names.release(me);
+        }
         for server in all {
             if let Some(steward) = steward_of(server, &self.stewards) {
                 self.names.want(server, steward, may_begin, now_ms);
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    ConsentSettings, FleetConfig, Hearing, Incarnation, KeyIndex, Ledger, LedgerSettings,
+    ConsentSettings, Endings, FleetConfig, Hearing, Incarnation, KeyIndex, Ledger, LedgerSettings,
     LoadBound, LoadReport, PauseWatch, PeerRoster, PeerRosterSettings, Refreshed, ReservationId,
-    RosterChange, RouterId, RouterProfile, ServerId, ServerRoster, ServerRosterSettings,
-    StewardNames, VmRecord, VmState, hash_parts, newer_config,
+    Resignation, RosterChange, RouterId, RouterProfile, ServerId, ServerRoster,
+    ServerRosterSettings, StewardNames, VmRecord, VmState, hash_parts, newer_config,
 };
 use sapphiretrack_peer::{PeerReply, PeerRequest, VmListReply};
 use sapphiretrack_platform::wire::VmList;
@@ -54,6 +54,10 @@
     pub(super) servers: ServerRoster,
     pub(super) ledger: Ledger,
     pub(super) names: StewardNames,
+    /// Peers' runs that are proven to have ended.
+    pub(super) endings: Endings,
+    /// Whether this router, leaving, has given its stewardships up.
+    pub(super) resignation: Resignation,
     pub(super) loads: LoadBook,
     pub(super) budgets: Budgets,
     pub(super) held: BTreeMap<ReservationId, Held>,
@@ -94,6 +98,8 @@
         Self {
             ledger: Ledger::new(identity.id, ledger_settings(&timing)),
             names: StewardNames::new(ledger_settings(&timing).consent),
+            endings: Endings::default(),
+            resignation: Resignation::default(),
             loads: LoadBook::default(),
             peers: PeerRoster::new(identity.id, peer_settings),
             servers: ServerRoster::new(server_settings),
@@ -207,7 +213,7 @@
         if let Some(report) = &report {
             self.note_reported(server, now_ms);
             let in_flight = report.running + report.queued;
-            self.ledger.note_report(server, in_flight);
+            self.ledger.note_report(server, in_flight, now_ms);
         }
         let change = self.servers.take_report(server, report, now_ms);
         self.note_server_changes(change.as_slice());
@@ -225,23 +231,6 @@
         self.note_server_changes(change.as_slice());
     }
 
-    /// Notes that nothing listens at a peer's address.
-    pub(crate) fn note_peer_refused(&mut self, router: RouterId, now_ms: u64) {
-        let change = self.peers.note_refused(router, now_ms);
-        self.note_peer_changes(change.as_slice());
-    }
-
-    /// Notes that nothing listens at a steward's address.
-    pub(crate) fn note_address_refused(&mut self, address: SocketAddr, now_ms: u64) {
-        let found = self
-            .peers
-            .iter()
-            .find(|(_, peer)| peer.profile.peer_address == address);
-        if let Some(router) = found.map(|(router, _)| router) {
-            self.note_peer_refused(router, now_ms);
-        }
-    }
-
     /// Begins the planned stop.
     pub(crate) fn stop(&mut self) {
         self.stopping = true;
@@ -292,8 +281,7 @@
         };
         Event::PAUSED.log(&[("gap_ms", &gap_ms.to_string())]);
         self.peers.forgive_silence(now_ms);
-        self.ledger = Ledger::new(self.identity.id, ledger_settings(&self.timing));
-        self.book.distrust_earlier();
+        self.forget_ledger();
         self.urgent_rounds = URGENT_ROUNDS;
         self.tick(now_ms);
     }
@@ -311,6 +299,7 @@
             self.changed = true;
             self.urgent_rounds = URGENT_ROUNDS;
         }
+        self.settle_resignation();
         self.note_joined(now_ms);
         self.settle_ledger(now_ms);
         self.budgets
@@ -428,7 +417,7 @@
 }
 
 /// A consent is as old as a router that is taken to be live may be silent.
-fn ledger_settings(timing: &Timing) -> LedgerSettings {
+pub(super) fn ledger_settings(timing: &Timing) -> LedgerSettings {
     LedgerSettings {
         consent: ConsentSettings {
             consent_ms: timing.dead_after_ms,
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -147,14 +147,14 @@
                 self.send_urgent(handle);
                 self.publish(handle);
             }
-            Command::PeerRefused { router } => {
-                self.state.note_peer_refused(router, now_ms);
-                self.state.tick(now_ms);
-            }
-            Command::AddressRefused { address } => {
-                self.state.note_address_refused(address, now_ms);
+            Command::PeerRefused {
+                router,
+                incarnation,
+            } => {
+                self.state.note_peer_refused(router, incarnation, now_ms);
                 self.state.tick(now_ms);
             }
+            Command::AddressRefused { address } => self.state.note_address_refused(address),
             Command::ServerLeaving {
                 server,
                 incarnation,
@@ -268,6 +268,7 @@
 async fn send_heartbeat(peers: PeerClient, handle: ControlHandle, outgoing: Outgoing) {
     let Outgoing {
         router,
+        incarnation,
         address,
         heartbeat,
     } = outgoing;
@@ -280,7 +281,10 @@
             answer,
         }),
         (Err(error), Some(router)) if error.is_refused() => {
-            handle.send(Command::PeerRefused { router });
+            handle.send(Command::PeerRefused {
+                router,
+                incarnation,
+            });
         }
         (Err(_), _) => {}
     }
