A planned stop closes when no caller can still come by a lookup

A lookup answered by a peer that had not heard of the stop yet, or whose answer was on its way, is kept for a time to live from its arrival at the caller: such requests come after the close began. The close then breaks what no token counts: connections without a byte read (the library cancels them while it looks for the HTTP version), kept connections with half a head (idle to it), and connections that wait to be accepted.

Now the stop also outlasts the time in which each peer has heard of it or counts the router as dead, and a quiet time to live; requests that go on coming put it off by two at most. Answers during the stop end their connections.

New tests, seen failing before: requests_that_come_late_to_a_stopping_router_are_served ("half a head on a kept connection: cut by Ok(0)"), a_stop_cuts_no_caller_that_keeps_to_its_lookups.

--- a/crates/sapphiretrack-caller/src/server.rs
+++ b/crates/sapphiretrack-caller/src/server.rs
@@ -13,7 +13,8 @@
     RawRequest, RequestContext, ServerBuilder, endpoint,
 };
 use futures::future::BoxFuture;
-use http::{HeaderMap, Response};
+use http::header::CONNECTION;
+use http::{HeaderMap, HeaderValue, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use sapphiretrack_core::{Contract, Refusal, RefusalCode};
 use schemars::JsonSchema;
@@ -57,6 +58,9 @@
     pub begin: Arc<dyn Fn() -> RequestToken + Send + Sync>,
     /// Runs a request.
     pub run: Run,
+    /// Whether the router is on a planned stop: answers then end their connections, so that no
+    /// caller keeps one that is about to close.
+    pub stopping: Arc<dyn Fn() -> bool + Send + Sync>,
     /// Told of each refusal that was decided here.
     pub refused: Arc<dyn Fn(&Refusal) + Send + Sync>,
 }
@@ -187,7 +191,12 @@
         (handlers.refused)(&refusal);
         Answer::Refused(refusal)
     });
-    Ok(respond(answer, token)?)
+    let mut response = respond(answer, token)?;
+    if (handlers.stopping)() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
 }
 
 fn entry(handlers: &CallerHandlers, headers: &HeaderMap) -> Result<Answer, Refusal> {
--- a/crates/sapphiretrack-caller/tests/parsers.rs
+++ b/crates/sapphiretrack-caller/tests/parsers.rs
@@ -66,6 +66,7 @@
                     })
                 })
             }),
+            stopping: Arc::new(|| false),
             refused: Arc::new(|_| {}),
         };
         let _guard = runtime.enter();
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -35,6 +35,7 @@
 mod retry;
 mod server_roster;
 mod stewardship;
+mod stop;
 
 pub use attempt::{
     AttemptFailure, AttemptLog, NextStep, Repeatable, first_token_timeout_ms, idle_timeout_ms,
@@ -93,3 +94,4 @@
     RosterChange, RosterServer, ServerRoster, ServerRosterSettings, ServerSighting,
 };
 pub use stewardship::{ConsentSettings, StewardNames};
+pub use stop::StopTiming;
--- /dev/null
+++ b/crates/sapphiretrack-tests/tests/planned_stop.rs
@@ -0,0 +1,161 @@
+//! Planned stops under callers that keep to their lookups' time to live.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use sapphiretrack_caller::{CallerClient, ClientError, RequestOptions};
+use sapphiretrack_tests::{CALLER_KEY, Fleet, FleetSettings, contract_toml};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Longer than the lookups' time to live of a test fleet, shorter than a dead peer's time.
+const PAST_TTL: Duration = Duration::from_millis(700);
+
+async fn fleet(routers: usize) -> Fleet {
+    let settings = FleetSettings {
+        routers,
+        engines: 1,
+        ..FleetSettings::default()
+    };
+    let fleet = Fleet::start(settings).await;
+    fleet.apply_contract(&contract_toml(100_000), 0).await;
+    fleet
+}
+
+fn request_text() -> String {
+    format!(
+        "GET /v1/services/plant/pallets/7 HTTP/1.1\r\nhost: router\r\n\
+         authorization: Bearer {CALLER_KEY}\r\n\r\n"
+    )
+}
+
+/// Reads one answer with a content length; what came of it if the connection broke.
+async fn read_answer(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let read = stream.read(&mut buffer).await;
+        let Ok(count @ 1..) = read else {
+            return format!("cut by {read:?}");
+        };
+        text.extend_from_slice(&buffer[..count]);
+        let shown = String::from_utf8_lossy(&text);
+        if let Some((head, body)) = shown.split_once("\r\n\r\n")
+            && body.len() >= content_length(head)
+        {
+            return shown.into_owned();
+        }
+    }
+}
+
+fn content_length(head: &str) -> usize {
+    let line = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        name.eq_ignore_ascii_case("content-length")
+            .then(|| value.trim().parse().ok())?
+    });
+    line.expect("the answer has a length")
+}
+
+fn assert_complete(what: &str, answer: &str) {
+    assert!(
+        answer.starts_with("HTTP/1.1 200") && answer.contains("sapphiretrack-outcome: complete"),
+        "{what}: {answer}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_come_late_to_a_stopping_router_are_served() {
+    let mut fleet = fleet(1).await;
+    let address: SocketAddr = fleet.routers[0].vm.address;
+    let text = request_text();
+    let (first_half, second_half) = text.split_at(text.len() / 2);
+    let mut kept = TcpStream::connect(address).await.expect("connects");
+    kept.write_all(text.as_bytes()).await.expect("is sent");
+    assert_complete("before the stop", &read_answer(&mut kept).await);
+    let mut silent = TcpStream::connect(address).await.expect("connects");
+    fleet.routers[0].process.signal("TERM").await;
+    fleet.routers[0].process.wait_line("event=\"101\"").await;
+    kept.write_all(first_half.as_bytes())
+        .await
+        .expect("is sent");
+    tokio::time::sleep(PAST_TTL).await;
+    drop(kept.write_all(second_half.as_bytes()).await);
+    drop(silent.write_all(text.as_bytes()).await);
+    let kept = read_answer(&mut kept).await;
+    let silent = read_answer(&mut silent).await;
+    assert_complete("half a head on a kept connection", &kept);
+    assert_complete("a connection without a byte", &silent);
+    let late = TcpStream::connect(address).await;
+    let mut late = late.expect("a late caller connects");
+    late.write_all(text.as_bytes()).await.expect("is sent");
+    assert_complete("a late connection", &read_answer(&mut late).await);
+    assert_eq!(fleet.routers[0].process.wait().await, Some(0));
+}
+
+/// Sends requests to the address of a lookup that is kept for its time to live, no longer, and
+/// returns how many were cut.
+async fn careful_caller(lookups: String, address: SocketAddr, stop: Arc<AtomicBool>) -> u64 {
+    let (client, options) = (
+        CallerClient::new(),
+        RequestOptions {
+            key: CALLER_KEY.to_owned(),
+            ..RequestOptions::default()
+        },
+    );
+    let mut cut = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let Ok(reply) = client.entry(&lookups, None).await else {
+            continue;
+        };
+        let until = Instant::now() + Duration::from_millis(reply.ttl_ms);
+        if !reply.addresses.contains(&address.to_string()) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        }
+        let url = format!("http://{address}");
+        while Instant::now() < until {
+            let path = "plant/pallets/7";
+            let answered = client
+                .service(&url, Method::GET, path, Bytes::new(), &options)
+                .await;
+            if let Err(ClientError::Broken { reason, .. }) = &answered {
+                eprintln!("cut: {reason}");
+                cut += 1;
+            }
+        }
+    }
+    cut
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stop_cuts_no_caller_that_keeps_to_its_lookups() {
+    const CALLERS: usize = 32;
+    const ROUNDS: usize = 2;
+    let mut fleet = fleet(2).await;
+    for round in 0..ROUNDS {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (lookups, address) = (fleet.caller_url(0), fleet.routers[1].vm.address);
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|_| tokio::spawn(careful_caller(lookups.clone(), address, stop.clone())))
+            .collect();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.routers[1].process.signal("TERM").await;
+        let code = fleet.routers[1].process.wait().await;
+        stop.store(true, Ordering::Relaxed);
+        let mut cut = 0;
+        for caller in callers {
+            cut += caller.await.expect("no panic");
+        }
+        assert_eq!((code, cut), (Some(0), 0), "round {round}");
+        fleet.routers.pop();
+        fleet.add_router(&format!("router-of-{round}"), 1).await;
+        fleet.publish().await;
+        fleet.wait_settled().await;
+    }
+}
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -21,11 +21,9 @@
 use crate::parts::{Endpoints, Parts};
 use crate::settings::Settings;
 use crate::signals::stop_signals;
+use crate::stopping::Stopping;
 use crate::sweep::sweep_claims;
 
-/// How often a planned stop looks whether the last request has ended.
-const STOP_POLL: Duration = Duration::from_millis(20);
-
 /// Why a router did not start.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -74,6 +72,7 @@
     control: ControlHandle,
     metrics: Arc<Metrics>,
     stop: Arc<Notify>,
+    stopping: Arc<Stopping>,
     callers: HttpServer<CallerHandlers>,
     operators: HttpServer<OperatorHandlers>,
     peer_address: SocketAddr,
@@ -117,9 +116,10 @@
                 peer_address,
             },
         };
-        let (control, stop, metrics) = (
+        let (control, stop, stopping, metrics) = (
             parts.control.clone(),
             parts.stop.clone(),
+            parts.stopping.clone(),
             parts.metrics.clone(),
         );
         let control_loop = parts.control_loop(&settings, identity);
@@ -141,6 +141,7 @@
             control,
             metrics,
             stop,
+            stopping,
             callers,
             operators,
             peer_address,
@@ -182,6 +183,7 @@
             control,
             metrics,
             stop,
+            stopping,
             callers,
             operators,
             ..
@@ -200,7 +202,7 @@
             Event::STOPPING.log(&[("router", &settings.router_name)]);
             control.send(Command::Stop);
             let limit = tokio::time::Instant::now() + Duration::from_millis(settings.stop_limit_ms);
-            finish_requests(&settings, &metrics, limit).await;
+            stopping.serve_on(&settings, &metrics, limit).await;
             // Closing ends idle connections and waits for requests that came meanwhile.
             let close = async {
                 drop(callers.close().await);
@@ -220,15 +222,6 @@
     }
 }
 
-/// Serves through the lookups' time to live and to the last request's end, up to the limit.
-async fn finish_requests(settings: &Settings, metrics: &Metrics, limit: tokio::time::Instant) {
-    let ttl = Duration::from_millis(settings.entry_ttl_ms);
-    tokio::time::sleep_until(limit.min(tokio::time::Instant::now() + ttl)).await;
-    while in_flight(metrics) > 0 && tokio::time::Instant::now() < limit {
-        tokio::time::sleep(STOP_POLL).await;
-    }
-}
-
 /// Requests whose answers are not whole on their way.
 pub(crate) fn in_flight(metrics: &Metrics) -> u64 {
     metrics.in_flight.get().max(0) as u64
--- a/crates/sapphiretrackd/src/lib.rs
+++ b/crates/sapphiretrackd/src/lib.rs
@@ -14,6 +14,7 @@
 mod parts;
 mod settings;
 mod signals;
+mod stopping;
 mod sweep;
 
 pub use daemon::{Daemon, DaemonError, StopReport};
--- a/crates/sapphiretrackd/src/parts.rs
+++ b/crates/sapphiretrackd/src/parts.rs
@@ -32,6 +32,7 @@
 use crate::metrics::{InFlight, Metrics};
 use crate::operations::Operations;
 use crate::settings::Settings;
+use crate::stopping::Stopping;
 
 /// When to come back to a router that has not got the contracts yet.
 const NO_CONFIG_RETRY_MS: u64 = 1_000;
@@ -54,14 +55,16 @@
     pub(crate) backend: BackendClient,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) stop: Arc<Notify>,
+    pub(crate) stopping: Arc<Stopping>,
 }
 
 impl Parts {
     pub(crate) fn new(settings: &Settings) -> Self {
         let (control, commands) = control_channel(RouterId::from_name(&settings.router_name));
         let key = SigningKey::new(&settings.cell_key);
+        let clock = Clock::start();
         Self {
-            clock: Clock::start(),
+            clock,
             control,
             commands,
             platform: PlatformClient::new(sapphiretrack_platform::Settings {
@@ -72,6 +75,7 @@
             backend: BackendClient::new(sapphiretrack_backend::Settings::default()),
             metrics: Arc::new(Metrics::new()),
             stop: Arc::new(Notify::new()),
+            stopping: Arc::new(Stopping::new(clock)),
         }
     }
 
@@ -142,13 +146,18 @@
         let entry_ttl_ms = settings.entry_ttl_ms;
         let metrics = self.metrics.clone();
         let counted = self.metrics.clone();
+        let (arrivals, stopping) = (self.stopping.clone(), self.stopping.clone());
         CallerHandlers {
             authenticate: Arc::new(move |key| contract_of_key(&for_keys.snapshot(), key)),
             entry: Arc::new(move |zone| {
                 entry_reply(&for_entry.snapshot(), zone, entry_ttl_ms, rand::random())
             }),
             begin: Arc::new(move || RequestToken::new(InFlight::begin(&counted))),
-            run: Arc::new(move |request| dispatcher.run(request)),
+            run: Arc::new(move |request| {
+                arrivals.note_arrival();
+                dispatcher.run(request)
+            }),
+            stopping: Arc::new(move || stopping.has_begun()),
             refused: Arc::new(move |refusal| metrics.refused(refusal.code)),
         }
     }
