--- a/crates/sapphiretrack-fakes/src/platform.rs
+++ b/crates/sapphiretrack-fakes/src/platform.rs
@@ -62,6 +62,9 @@
     pub older_reads: bool,
     /// Reads of the table give values that are no values of the fleet.
     pub wrong_reads: bool,
+    /// Transactions that write a row with this prefix wait, without effect, until this is taken
+    /// back; empty for none.
+    pub hold_writes_to: String,
 }
 
 /// Calls that the platform answered or cut.
@@ -73,6 +76,8 @@
     pub writes: u64,
     /// Reads of the list of VMs.
     pub lists: u64,
+    /// Transactions that were held before their effect.
+    pub held: u64,
 }
 
 /// The stand-in platform; clones are the same one.
@@ -266,6 +271,7 @@
 
     async fn transact(&self, request: Request<Incoming>) -> Result<FakeResponse, FakeResponse> {
         let transaction: TransactRequest = read_json(request).await?;
+        self.wait_unheld(&transaction).await;
         let (reply, delay_ms) = {
             let mut state = self.lock();
             if !state.take_write(self.settings.writes_per_s) {
@@ -284,6 +290,19 @@
         Ok(json(&reply))
     }
 
+    /// Waits while writes to a row of the transaction are held. A caller that leaves ends the
+    /// wait, and the transaction never takes effect.
+    async fn wait_unheld(&self, transaction: &TransactRequest) {
+        const POLL: Duration = Duration::from_millis(5);
+        if !self.lock().faults.holds(transaction) {
+            return;
+        }
+        self.lock().calls.held += 1;
+        while self.lock().faults.holds(transaction) {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
     fn get_object(&self, name: &str) -> FakeResponse {
         let mut state = self.lock();
         if !state.take_read(self.settings.reads_per_s) {
@@ -326,6 +345,16 @@
     }
 }
 
+impl PlatformFaults {
+    fn holds(&self, transaction: &TransactRequest) -> bool {
+        let prefix = self.hold_writes_to.as_str();
+        let held = |write: &Write| match write {
+            Write::Put { key, .. } | Write::Delete { key } => key.starts_with(prefix),
+        };
+        !prefix.is_empty() && transaction.writes.iter().any(held)
+    }
+}
+
 impl PlatformCalls {
     fn count(&mut self, method: &str, path: &str) {
         match (method, path) {
