--- a/crates/sapphiretrack-caller/src/server.rs
+++ b/crates/sapphiretrack-caller/src/server.rs
@@ -55,7 +55,8 @@
     pub authenticate: Authenticate,
     /// Which routers a caller of an availability zone connects to.
     pub entry: LookUp,
-    /// Whether the router is stopping: then it asks callers to close their connections.
+    /// Whether the router is on a planned stop: answers then end their connections, so that no
+    /// caller keeps one that is about to close.
     pub is_stopping: Arc<dyn Fn() -> bool + Send + Sync>,
     /// Counts a request as in flight from its head on.
     pub begin: Arc<dyn Fn() -> RequestToken + Send + Sync>,
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -37,6 +37,7 @@
 mod retry;
 mod server_roster;
 mod stewardship;
+mod stop;
 
 pub use attempt::{
     AttemptFailure, AttemptLog, NextStep, Repeatable, first_token_timeout_ms, idle_timeout_ms,
@@ -97,3 +98,4 @@
     RosterChange, RosterServer, ServerRoster, ServerRosterSettings, ServerSighting,
 };
 pub use stewardship::{ConsentSettings, StewardNames};
+pub use stop::StopTiming;
