A request waits for a steward that changes instead of being refused

Cause: a server whose steward answers that it is none, or that cannot be asked, counted as full; with nothing in flight on the pool a request was refused at once, though the next steward starts within some tenths of a second. Change: a request that met such a server tries again after 40 ms and then ever rarer, within the limits of the wait for room (2 s altogether, half of what is left to its deadline). Shed classes are refused at once, as before. Ruled out: tries at a fixed period; while nobody can grant, each request would ask 50 times. Tests: a pool of one engine whose steward is killed, or stops as planned, with chats one after another at another router. Conclusion: no refusal at one steward's death or planned stop; where most routers are gone, requests now wait up to 2 s before they are refused.

--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -87,7 +87,7 @@
 pub use placement::{
     Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
     SentTokens, WaitSettings, WarmHint, WorkspaceShares, backlog_tokens, rank_servers,
-    wait_for_room,
+    wait_for_room, wait_for_steward,
 };
 pub use pool_load::{DrainSettings, HeardLoad, pool_load};
 pub use rendezvous::{rendezvous_score, top_by_rendezvous};
--- a/crates/sapphiretrack-core/src/placement/mod.rs
+++ b/crates/sapphiretrack-core/src/placement/mod.rs
@@ -14,5 +14,5 @@
 pub use ranking::{Candidate, PlacementRequest, rank_servers};
 pub use settings::PlacementSettings;
 pub use shares::WorkspaceShares;
-pub use wait::{WaitSettings, wait_for_room};
+pub use wait::{WaitSettings, wait_for_room, wait_for_steward};
 pub use warmth::WarmHint;
--- a/crates/sapphiretrack-core/src/placement/wait.rs
+++ b/crates/sapphiretrack-core/src/placement/wait.rs
@@ -43,3 +43,14 @@
     let allowed_ms = settings.longest_ms.saturating_sub(waited_ms);
     (wait_ms <= allowed_ms.min(by_deadline_ms)).then_some(wait_ms)
 }
+
+/// After how long a request tries again that found a server whose slots nobody counts just now:
+/// its steward is changing. None if it is refused.
+///
+/// The tries get rarer, since a change is over soon or takes long.
+pub fn wait_for_steward(settings: &WaitSettings, waited_ms: u64, left_ms: u64) -> Option<u64> {
+    let wait_ms = waited_ms.max(settings.shortest_ms);
+    let by_deadline_ms = (left_ms as f64 * settings.deadline_part) as u64;
+    let allowed_ms = settings.longest_ms.saturating_sub(waited_ms);
+    (wait_ms <= allowed_ms.min(by_deadline_ms)).then_some(wait_ms)
+}
--- a/crates/sapphiretrack-core/tests/placement.rs
+++ b/crates/sapphiretrack-core/tests/placement.rs
@@ -7,7 +7,7 @@
     PlacementMemory, PlacementRequest, PlacementSettings, PoolKind, PoolLoad, PoolView, RouterId,
     SHED_BELOW_SHARE, SentTokens, ServerId, ServerView, VmState, WaitSettings, WarmHint,
     WorkspaceKey, WorkspaceShares, backlog_tokens, pool_load, rank_servers, server_limit,
-    wait_for_room,
+    wait_for_room, wait_for_steward,
 };
 
 fn server(id: u64) -> ServerView {
@@ -186,6 +186,20 @@
     assert_eq!(wait_for_room(&settings, 100, 0, 150), None);
 }
 
+#[test]
+fn a_wait_for_a_steward_gets_longer_and_ends() {
+    let settings = WaitSettings::default();
+    let mut waited_ms = 0;
+    let mut waits = Vec::new();
+    while let Some(wait_ms) = wait_for_steward(&settings, waited_ms, 60_000) {
+        waits.push(wait_ms);
+        waited_ms += wait_ms;
+    }
+    assert_eq!(waits, [40, 40, 80, 160, 320, 640]);
+    assert_eq!(wait_for_steward(&settings, 0, 79), None);
+    assert_eq!(wait_for_steward(&settings, 0, 80), Some(40));
+}
+
 #[test]
 fn the_backlog_is_the_report_worked_off_and_own_sends_since() {
     let settings = PlacementSettings::default();
--- /dev/null
+++ b/crates/sapphiretrack-tests/tests/steward_changes.rs
@@ -0,0 +1,76 @@
+//! The router that counts the slots of a pool's only server goes: no request is refused for it.
+
+use bytes::Bytes;
+use sapphiretrack_caller::{CallerClient, ReadAnswer, RequestOptions};
+use sapphiretrack_tests::{CALLER_KEY, Fleet, FleetSettings, contract_toml};
+
+/// Enough to meet the change, and the time after it.
+const CHATS: usize = 40;
+
+async fn chat(url: &str) -> ReadAnswer {
+    let body = Bytes::from_static(
+        b"{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":1,\
+          \"messages\":[{\"role\":\"user\",\"content\":\"how warm is the mill\"}]}",
+    );
+    let options = RequestOptions {
+        key: CALLER_KEY.to_owned(),
+        chat: Some(String::from("mill")),
+        ..RequestOptions::default()
+    };
+    let answer = CallerClient::new().chat(url, body, &options, |_| {}).await;
+    answer.expect("the router answers")
+}
+
+async fn start() -> Fleet {
+    let fleet = Fleet::start(FleetSettings {
+        routers: 4,
+        engines: 1,
+        entry_ttl_ms: 1_000,
+        ..FleetSettings::default()
+    })
+    .await;
+    fleet.apply_contract(&contract_toml(100_000), 0).await;
+    fleet
+}
+
+/// The steward of the engine, and the URL of a router that is not it and can reach it.
+async fn steward_and_entry(fleet: &Fleet) -> (usize, String) {
+    let engine = &fleet.servers[0].vm.name;
+    let status = fleet.operator(0).status().await.expect("a status");
+    let mut servers = status.servers.iter();
+    let line = servers.find(|line| line.name == *engine);
+    let name = &line.expect("the engine is there").steward;
+    let mut routers = fleet.routers.iter();
+    let steward = routers.position(|router| router.vm.name == *name);
+    let steward = steward.expect("the steward is there");
+    let url = fleet.caller_url((steward + 1) % fleet.routers.len());
+    while chat(&url).await.outcome != "complete" {}
+    (steward, url)
+}
+
+async fn chat_on(url: &str) {
+    for number in 0..CHATS {
+        let answer = chat(url).await;
+        assert_eq!(answer.outcome, "complete", "chat {number}: {answer:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_request_is_refused_when_a_steward_is_killed() {
+    let mut fleet = start().await;
+    let (steward, url) = steward_and_entry(&fleet).await;
+    let mut killed = fleet.routers.remove(steward);
+    killed.process.kill().await;
+    chat_on(&url).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_request_is_refused_when_a_steward_stops_as_planned() {
+    let mut fleet = start().await;
+    let (steward, url) = steward_and_entry(&fleet).await;
+    let mut leaving = fleet.routers.remove(steward);
+    leaving.process.signal("TERM").await;
+    chat_on(&url).await;
+    assert_eq!(leaving.process.wait().await, Some(0));
+    chat_on(&url).await;
+}
--- a/crates/sapphiretrackd/src/dispatch/slots.rs
+++ b/crates/sapphiretrackd/src/dispatch/slots.rs
@@ -5,7 +5,7 @@
 
 use sapphiretrack_core::{
     Candidate, Grant, Incarnation, ReservationId, ReserveRequest, SHED_BELOW_SHARE, ServerId,
-    WaitSettings, wait_for_room,
+    WaitSettings, wait_for_room, wait_for_steward,
 };
 use sapphiretrack_peer::PeerError;
 
@@ -56,38 +56,53 @@
 
 impl Dispatcher {
     /// The first slot that is granted among the candidates, leaving out servers tried before;
-    /// waits a moment for room where that is expected to help.
+    /// waits a moment for room, or for a steward that changes, where that is expected to help.
     pub(crate) async fn reserve(
         &self,
         wanted: &WantedSlot<'_>,
         candidates: &[Candidate],
     ) -> Option<Slot> {
+        let since = Instant::now();
         let mut waited_ms = 0;
         loop {
             let snapshot = self.control.snapshot();
-            if let Some(slot) = self.reserve_now(&snapshot, wanted, candidates).await {
-                return Some(slot);
-            }
+            let refusal = match self.reserve_now(&snapshot, wanted, candidates).await {
+                Ok(slot) => return Some(slot),
+                Err(refusal) => refusal,
+            };
             let pool = snapshot.pools.get(wanted.pool)?;
             let left = wanted.deadline.saturating_duration_since(Instant::now());
             let left_ms = left.as_millis() as u64;
             let settings = WaitSettings::default();
             // A class that is shed is refused at once.
             let is_shed = wanted.bound_share < SHED_BELOW_SHARE;
-            let wait = wait_for_room(&settings, pool.in_flight(), waited_ms, left_ms);
+            let for_room = wait_for_room(&settings, pool.in_flight(), waited_ms, left_ms);
+            let for_steward = match refusal {
+                Grant::NotSteward => {
+                    let tried_ms = since.elapsed().as_millis() as u64;
+                    wait_for_steward(&settings, tried_ms, left_ms)
+                }
+                Grant::Granted | Grant::Full => None,
+            };
+            let wait = for_room.into_iter().chain(for_steward).min();
             let wait_ms = wait.filter(|_| !is_shed)?;
             tokio::time::sleep(Duration::from_millis(wait_ms)).await;
             waited_ms += wait_ms;
         }
     }
 
+    /// One round over the candidates. If there is no slot, tells whether all that were tried are
+    /// full, or some server's steward could not decide.
     async fn reserve_now(
         &self,
         snapshot: &Snapshot,
         wanted: &WantedSlot<'_>,
         candidates: &[Candidate],
-    ) -> Option<Slot> {
-        let pool = snapshot.pools.get(wanted.pool)?;
+    ) -> Result<Slot, Grant> {
+        let mut refusal = Grant::Full;
+        let Some(pool) = snapshot.pools.get(wanted.pool) else {
+            return Err(refusal);
+        };
         let fresh = candidates
             .iter()
             .filter(|candidate| !wanted.tried.contains(&candidate.server));
@@ -100,10 +115,15 @@
                 bound_share: wanted.bound_share,
                 uncached_tokens: candidate.uncached_tokens,
             };
-            let Some(reservation) = self.reserve_on(wish, snapshot).await else {
-                continue;
+            let reservation = match self.reserve_on(wish, snapshot).await {
+                Ok(reservation) => reservation,
+                Err(Grant::NotSteward) => {
+                    refusal = Grant::NotSteward;
+                    continue;
+                }
+                Err(_) => continue,
             };
-            return Some(Slot {
+            return Ok(Slot {
                 server: server.id,
                 import_from: candidate
                     .import_from
@@ -114,15 +134,15 @@
                 _reservation: reservation,
             });
         }
-        None
+        Err(refusal)
     }
 
-    async fn reserve_on(&self, wish: SlotWish, snapshot: &Snapshot) -> Option<Reservation> {
+    async fn reserve_on(&self, wish: SlotWish, snapshot: &Snapshot) -> Result<Reservation, Grant> {
         let Begun {
             reservation: id,
             place,
             in_flight,
-        } = self.control.begin(wish).await?;
+        } = self.control.begin(wish).await.ok_or(Grant::Full)?;
         let reservation = Reservation {
             control: self.control.clone(),
             id,
@@ -145,6 +165,9 @@
                 reply.unwrap_or(Grant::NotSteward)
             }
         };
-        (grant == Grant::Granted).then_some(reservation)
+        match grant {
+            Grant::Granted => Ok(reservation),
+            refusal => Err(refusal),
+        }
     }
 }
