A refusal that turned out to be wrong proves nothing any more for that run

Cause: a packet filter that rejects connections looks like a process that has ended, and peers would take the consents to a live steward back at each heartbeat that they dial. Change: a run that was heard after a refusal is remembered; further refusals for it are no proof of its end, and the waits for silent routers hold. A later run is judged anew. Ruled out: to ask for a second refusal; a filter refuses that one too.

--- a/crates/sapphiretrack-core/src/endings.rs
+++ b/crates/sapphiretrack-core/src/endings.rs
@@ -10,10 +10,13 @@
 /// Which routers' newest known runs have ended.
 ///
 /// The proof is a refused connection at the address where that run listened. Silence proves
-/// nothing: a router that is frozen or cut off may go on granting.
+/// nothing: a router that is frozen or cut off may go on granting. Where a refusal turns out to be
+/// wrong, as from a packet filter, further ones for that run prove nothing.
 #[derive(Debug, Default)]
 pub struct Endings {
     runs: BTreeMap<RouterId, Incarnation>,
+    /// Runs that were heard after a refusal.
+    disproved: BTreeMap<RouterId, Incarnation>,
 }
 
 impl Endings {
@@ -27,19 +30,19 @@
         dialled: Incarnation,
         newest: Incarnation,
     ) -> bool {
-        if dialled != newest || self.has_ended(router, newest) {
+        let is_disproved = self.disproved.get(&router) == Some(&newest);
+        if dialled != newest || is_disproved || self.has_ended(router, newest) {
             return false;
         }
-        if self.runs.len() >= MAX_REMEMBERED {
-            self.runs.pop_first();
-        }
-        self.runs.insert(router, newest);
+        remember(&mut self.runs, router, newest);
         true
     }
 
     /// Notes a heartbeat: whoever refused for this router, it was not this run's end.
-    pub fn note_heard(&mut self, router: RouterId) {
-        self.runs.remove(&router);
+    pub fn note_heard(&mut self, router: RouterId, run: Incarnation) {
+        if self.runs.remove(&router) == Some(run) {
+            remember(&mut self.disproved, router, run);
+        }
     }
 
     /// Whether the newest known run of a router has ended.
@@ -52,3 +55,10 @@
         self.runs.keys().copied()
     }
 }
+
+fn remember(runs: &mut BTreeMap<RouterId, Incarnation>, router: RouterId, run: Incarnation) {
+    if runs.len() >= MAX_REMEMBERED {
+        runs.pop_first();
+    }
+    runs.insert(router, run);
+}
--- a/crates/sapphiretrack-core/tests/steward_changes.rs
+++ b/crates/sapphiretrack-core/tests/steward_changes.rs
@@ -145,10 +145,22 @@
     assert!(!endings.note_refused(router, 20, 20), "it is no news");
     assert!(endings.has_ended(router, 20));
     assert!(!endings.has_ended(router, 30));
-    endings.note_heard(router);
+    endings.note_heard(router, 30);
     assert!(!endings.has_ended(router, 20));
 }
 
+#[test]
+fn refusals_for_a_run_that_was_heard_after_one_prove_nothing() {
+    let mut endings = Endings::default();
+    let router = RouterId(1);
+    assert!(endings.note_refused(router, 20, 20));
+    endings.note_heard(router, 20);
+    assert!(!endings.has_ended(router, 20));
+    assert!(!endings.note_refused(router, 20, 20), "it was wrong before");
+    endings.note_heard(router, 30);
+    assert!(endings.note_refused(router, 30, 30), "a later run");
+}
+
 #[test]
 fn a_leaving_router_resigns_when_all_its_successors_know_that_it_leaves() {
     let (first, second) = (RouterId(1), RouterId(2));
@@ -368,7 +380,7 @@
                 }
                 let receiver = &mut self.nodes[to];
                 receiver.heard_ms[from] = Some(now_ms);
-                receiver.endings.note_heard(router);
+                receiver.endings.note_heard(router, run);
                 if has_resigned || receiver.known_run[from] != run {
                     receiver.names.release(router);
                 }
--- a/crates/sapphiretrackd/src/control/heartbeats.rs
+++ b/crates/sapphiretrackd/src/control/heartbeats.rs
@@ -166,7 +166,7 @@
         let taken = self.peers.take_beat(&beat, now_ms);
         if let BeatTaken::Taken { change } = &taken {
             self.note_peer_changes(change.as_slice());
-            self.endings.note_heard(router);
+            self.endings.note_heard(router, heartbeat.incarnation);
             self.resignation
                 .note_heard(router, heartbeat.heard_sequence);
             let is_other_run = heartbeat.incarnation != run_before;
