Where all routers leave they go on granting, and a request waits for its budget's steward too

Cause: a leaving router that saw no router stay made itself the steward of everything. Where all leave at once each named itself, nobody had the consent of most, and callers that were still served were refused. Where budgets changed their steward a request was refused though the next one answers soon; and a refused connection to that steward was told to nobody. Change: where no router stays, those that have not resigned stay the candidates, for all routers alike. A request asks for its budget again, ever rarer, as it does for a slot; that time is taken off its deadline. A refused connection to a budget's steward is looked into at once. Tests: chats go on for longer than consents last while all four routers leave. What a heartbeat says stands in a file of its own; the roster's tests got the new parameters, what they demand is as before.

--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -29,6 +29,7 @@
 mod overload;
 mod path;
 mod pause;
+mod peer_beat;
 mod peer_roster;
 mod placement;
 mod pool_load;
@@ -81,9 +82,8 @@
 pub use overload::{DrainRate, ShedControl};
 pub use path::{check_path, prefix_covers};
 pub use pause::{MAX_TURN_GAP_MS, PauseWatch};
-pub use peer_roster::{
-    BeatTaken, ListedRouter, PeerBeat, PeerRoster, PeerRosterSettings, RosterPeer, RouterProfile,
-};
+pub use peer_beat::{BeatTaken, PeerBeat, RouterProfile};
+pub use peer_roster::{ListedRouter, PeerRoster, PeerRosterSettings, RosterPeer};
 pub use placement::{
     Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
     SentTokens, WaitSettings, WarmHint, WorkspaceShares, backlog_tokens, rank_servers,
--- a/crates/sapphiretrack-core/src/peer_roster.rs
+++ b/crates/sapphiretrack-core/src/peer_roster.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
-
-use crate::{Damping, Flaps, Incarnation, RosterChange, RouterId, VmRecord, VmRole, VmState};
+use crate::{
+    BeatTaken, Damping, Flaps, Incarnation, PeerBeat, RosterChange, RouterId, RouterProfile,
+    VmRecord, VmRole, VmState,
+};
 
 /// Routers whose last heartbeat is remembered after they are gone, so that a replay of it does
 /// not bring them back.
@@ -22,52 +23,6 @@
     pub damping: Damping,
 }
 
-/// What seldom changes about a router; it travels only to peers that do not have it.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct RouterProfile {
-    /// Its name.
-    pub name: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// Where callers reach it.
-    pub caller_address: SocketAddr,
-    /// Where peers reach it.
-    pub peer_address: SocketAddr,
-    /// Where operators reach it.
-    pub operator_address: SocketAddr,
-}
-
-/// What a heartbeat says about its sender.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PeerBeat {
-    /// Who.
-    pub router: RouterId,
-    /// Which run of it.
-    pub incarnation: Incarnation,
-    /// Rises with each heartbeat of an incarnation.
-    pub sequence: u64,
-    /// Whether it takes new work.
-    pub state: VmState,
-    /// The configuration version that it has in force.
-    pub config_version: u64,
-    /// Its profile, if it was sent along.
-    pub profile: Option<RouterProfile>,
-}
-
-/// What came of a heartbeat.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum BeatTaken {
-    /// It was taken in.
-    Taken {
-        /// What is worth an event.
-        change: Option<RosterChange>,
-    },
-    /// It is older than one that was taken in before: replayed, late, or of an earlier run.
-    Stale,
-    /// The sender's profile is not known: it has to send it along.
-    NeedsProfile,
-}
-
 /// A peer that is heard of.
 #[derive(Clone, Debug)]
 pub struct RosterPeer {
@@ -79,6 +34,7 @@
     /// When it last answered a call of this router, or was first heard.
     answered_ms: u64,
     state: VmState,
+    has_resigned: bool,
 }
 
 /// What is remembered of a router, heard of or gone.
@@ -184,6 +140,7 @@
             heard_ms: now_ms,
             answered_ms: answered_ms.unwrap_or(now_ms),
             state,
+            has_resigned: beat.has_resigned,
         };
         self.peers.insert(beat.router, peer);
         self.introduced.remove(&beat.router);
@@ -298,20 +255,34 @@
     /// The routers that may count slots, this one among them unless it is leaving.
     ///
     /// Left out are peers that leave, that are held back for flapping, and that are heard but do
-    /// not answer. A router with nobody else stays its own steward.
-    pub fn steward_candidates(&self, leaving: bool, now_ms: u64) -> Vec<RouterId> {
-        let mut candidates: Vec<RouterId> = self
-            .peers
-            .iter()
-            .filter(|(router, peer)| self.may_count(**router, peer, now_ms))
-            .map(|(router, _)| *router)
-            .collect();
-        if !leaving || candidates.is_empty() {
+    /// not answer. Where nobody is left, leaving ones that have not resigned go on. A router with
+    /// nobody else stays its own steward.
+    pub fn steward_candidates(
+        &self,
+        own: VmState,
+        has_resigned: bool,
+        now_ms: u64,
+    ) -> Vec<RouterId> {
+        let mut candidates = self.counting_peers(VmState::Live, now_ms);
+        if own == VmState::Live {
             candidates.push(self.me);
         }
+        if candidates.is_empty() {
+            candidates = self.counting_peers(VmState::Leaving, now_ms);
+            if !has_resigned || candidates.is_empty() {
+                candidates.push(self.me);
+            }
+        }
         candidates
     }
 
+    fn counting_peers(&self, state: VmState, now_ms: u64) -> Vec<RouterId> {
+        let peers = self.peers.iter().filter(|(router, peer)| {
+            peer.state == state && !peer.has_resigned && self.may_count(**router, peer, now_ms)
+        });
+        peers.map(|(router, _)| *router).collect()
+    }
+
     /// The routers that may hold slots: this one, all that are heard, and those of the list that
     /// had no time yet to be heard.
     pub fn holders(&self, now_ms: u64) -> Vec<RouterId> {
@@ -426,7 +397,7 @@
             .traces
             .get(&router)
             .is_none_or(|trace| trace.flaps.is_usable(&self.settings.damping, now_ms));
-        peer.state == VmState::Live && answers && steady
+        answers && steady
     }
 
     fn bound_traces(&mut self) {
--- a/crates/sapphiretrack-core/tests/peer_roster.rs
+++ b/crates/sapphiretrack-core/tests/peer_roster.rs
@@ -27,6 +27,7 @@
         incarnation,
         sequence,
         state: VmState::Live,
+        has_resigned: false,
         config_version: 1,
         profile: Some(profile(name)),
     }
@@ -105,7 +106,10 @@
         roster.get(id("a")).map(|peer| peer.state()),
         Some(VmState::Leaving)
     );
-    assert_eq!(roster.steward_candidates(false, 300), [id("me")]);
+    assert_eq!(
+        roster.steward_candidates(VmState::Live, false, 300),
+        [id("me")]
+    );
 }
 
 #[test]
@@ -115,16 +119,25 @@
         roster.take_beat(&beat("a", 1, half_second + 1), half_second * 500);
     }
     assert!(roster.get(id("a")).is_some());
-    assert_eq!(roster.steward_candidates(false, 4_500), [id("me")]);
+    assert_eq!(
+        roster.steward_candidates(VmState::Live, false, 4_500),
+        [id("me")]
+    );
     roster.note_answer(id("a"), 1, 4_600);
-    assert_eq!(roster.steward_candidates(false, 4_600).len(), 2);
+    assert_eq!(
+        roster.steward_candidates(VmState::Live, false, 4_600).len(),
+        2
+    );
 }
 
 #[test]
 fn a_router_that_restarts_again_and_again_is_held_back_from_stewardship() {
     let mut roster = roster();
-    let is_candidate =
-        |roster: &PeerRoster, now_ms| roster.steward_candidates(false, now_ms).contains(&id("a"));
+    let is_candidate = |roster: &PeerRoster, now_ms| {
+        roster
+            .steward_candidates(VmState::Live, false, now_ms)
+            .contains(&id("a"))
+    };
     for incarnation in 1..=4 {
         let now_ms = incarnation * 1_000;
         roster.take_beat(&beat("a", incarnation, incarnation), now_ms);
@@ -275,3 +288,20 @@
     assert!(firsts[1].abs_diff(firsts[7]) < 300, "{firsts:?}");
     assert!(entry_addresses(&[], Some("zone-1"), 1).is_empty());
 }
+
+#[test]
+fn where_all_routers_leave_those_that_have_not_resigned_go_on_counting() {
+    let mut roster = roster();
+    for (name, has_resigned) in [("a", false), ("b", true)] {
+        let leaving = PeerBeat {
+            state: VmState::Leaving,
+            has_resigned,
+            ..beat(name, 1, 1)
+        };
+        roster.take_beat(&leaving, 0);
+    }
+    let candidates = |own, has_resigned| roster.steward_candidates(own, has_resigned, 1);
+    assert_eq!(candidates(VmState::Live, false), [id("me")]);
+    assert_eq!(candidates(VmState::Leaving, false), [id("a"), id("me")]);
+    assert_eq!(candidates(VmState::Leaving, true), [id("a")]);
+}
--- a/crates/sapphiretrack-tests/tests/steward_changes.rs
+++ b/crates/sapphiretrack-tests/tests/steward_changes.rs
@@ -1,5 +1,7 @@
 //! The router that counts the slots of a pool's only server goes: no request is refused for it.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use sapphiretrack_caller::{CallerClient, ReadAnswer, RequestOptions};
 use sapphiretrack_tests::{CALLER_KEY, Fleet, FleetSettings, contract_toml};
@@ -21,11 +23,11 @@
     answer.expect("the router answers")
 }
 
-async fn start() -> Fleet {
+async fn start(entry_ttl_ms: u64) -> Fleet {
     let fleet = Fleet::start(FleetSettings {
         routers: 4,
         engines: 1,
-        entry_ttl_ms: 1_000,
+        entry_ttl_ms,
         ..FleetSettings::default()
     })
     .await;
@@ -48,8 +50,8 @@
     (steward, url)
 }
 
-async fn chat_on(url: &str) {
-    for number in 0..CHATS {
+async fn chat_on(url: &str, chats: usize) {
+    for number in 0..chats {
         let answer = chat(url).await;
         assert_eq!(answer.outcome, "complete", "chat {number}: {answer:?}");
     }
@@ -57,20 +59,34 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_request_is_refused_when_a_steward_is_killed() {
-    let mut fleet = start().await;
+    let mut fleet = start(1_000).await;
     let (steward, url) = steward_and_entry(&fleet).await;
     let mut killed = fleet.routers.remove(steward);
     killed.process.kill().await;
-    chat_on(&url).await;
+    chat_on(&url, CHATS).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_request_is_refused_when_a_steward_stops_as_planned() {
-    let mut fleet = start().await;
+    let mut fleet = start(1_000).await;
     let (steward, url) = steward_and_entry(&fleet).await;
     let mut leaving = fleet.routers.remove(steward);
     leaving.process.signal("TERM").await;
-    chat_on(&url).await;
+    chat_on(&url, CHATS).await;
     assert_eq!(leaving.process.wait().await, Some(0));
-    chat_on(&url).await;
+    chat_on(&url, CHATS).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn routers_that_all_leave_at_once_go_on_granting() {
+    let fleet = start(20_000).await;
+    let (_, url) = steward_and_entry(&fleet).await;
+    for router in &fleet.routers {
+        router.process.signal("TERM").await;
+    }
+    for _ in 0..CHATS {
+        chat_on(&url, 1).await;
+        // Longer altogether than consents last.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
 }
--- a/crates/sapphiretrackd/src/control/heartbeats.rs
+++ b/crates/sapphiretrackd/src/control/heartbeats.rs
@@ -158,6 +158,7 @@
             incarnation: heartbeat.incarnation,
             sequence: heartbeat.sequence,
             state: heartbeat.state,
+            has_resigned: heartbeat.has_resigned(),
             config_version: heartbeat.config_version,
             profile: heartbeat.profile.as_deref().cloned(),
         };
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -292,8 +292,9 @@
         self.note_peer_changes(&lost_peers);
         let lost_servers = self.servers.tick(now_ms);
         self.note_server_changes(&lost_servers);
-        let leaving = self.own_state() == VmState::Leaving;
-        let stewards = self.peers.steward_candidates(leaving, now_ms);
+        let has_resigned = self.resignation.has_resigned();
+        let own = self.own_state();
+        let stewards = self.peers.steward_candidates(own, has_resigned, now_ms);
         if stewards != self.stewards {
             self.stewards = stewards;
             self.changed = true;
--- a/crates/sapphiretrackd/src/dispatch/mod.rs
+++ b/crates/sapphiretrackd/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod whole;
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
 
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
@@ -67,11 +68,15 @@
         })
     }
 
-    async fn run_admitted(self: Arc<Self>, request: CallerRequest) -> Answer {
+    async fn run_admitted(self: Arc<Self>, mut request: CallerRequest) -> Answer {
+        let since = Instant::now();
         let place = match self.admit(&request).await {
             Ok(place) => place,
             Err(refusal) => return Answer::Refused(refusal),
         };
+        // The time that it took to get in is part of the request's time.
+        let waited_ms = since.elapsed().as_millis() as u64;
+        request.policy.deadline_ms = request.policy.deadline_ms.saturating_sub(waited_ms);
         let pool = request.pool().to_owned();
         let answer = self.clone().run_placed(request, place).await;
         if matches!(&answer, Answer::Refused(refusal) if refusal.code == RefusalCode::Overloaded) {
@@ -108,7 +113,12 @@
         };
         let place = self
             .limits
-            .enter(&request.contract, request.pool(), tokens)
+            .enter(
+                &request.contract,
+                request.pool(),
+                tokens,
+                request.policy.deadline_ms,
+            )
             .await?;
         self.lock_retries().note_request();
         Ok(place)
--- a/crates/sapphiretrackd/src/limits.rs
+++ b/crates/sapphiretrackd/src/limits.rs
@@ -6,13 +6,13 @@
 
 use sapphiretrack_core::{
     Admission, BudgetAsk, BudgetGrant, BudgetReply, Contract, HeldBudget, PoolShares, Refusal,
-    RefusalCode, RouterId, Shortage,
+    RefusalCode, RouterId, Shortage, WaitSettings, wait_for_steward,
 };
-use sapphiretrack_peer::PeerClient;
+use sapphiretrack_peer::{PeerClient, PeerError};
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::{Clock, wall_clock_ms};
-use crate::control::{BudgetPlace, ControlHandle};
+use crate::control::{BudgetPlace, Command, ControlHandle};
 
 /// How often leases are renewed and unused chunks given back.
 const RENEW_PERIOD: Duration = Duration::from_millis(250);
@@ -80,8 +80,9 @@
         contract: &Contract,
         pool: &str,
         tokens: u32,
+        deadline_ms: u64,
     ) -> Result<InFlightPlace, Refusal> {
-        let budget = self.enter_budget(contract, tokens).await?;
+        let budget = self.enter_budget(contract, tokens, deadline_ms).await?;
         let weight = f64::from(contract.limits.in_flight);
         let now_ms = self.clock.now_ms();
         let mut pools = self.lock_pools();
@@ -112,6 +113,7 @@
         &self,
         contract: &Contract,
         tokens: u32,
+        deadline_ms: u64,
     ) -> Result<BudgetPlaceTaken, Refusal> {
         let entry = self.entry(&contract.customer);
         let tokens = f64::from(tokens);
@@ -123,19 +125,7 @@
         if let Some(decided) = self.decide_here(&entry, contract, tokens) {
             return decided;
         }
-        let asked_ms = self.clock.now_ms();
-        let ask = entry
-            .lock()
-            .ask(self.router, &contract.customer, Some(tokens));
-        let grant = self.ask_steward(ask).await;
-        let now_ms = self.clock.now_ms();
-        let mut held = entry.lock();
-        let admitted = match grant {
-            Some(grant) => held.take_grant(&grant, tokens, asked_ms, now_ms),
-            None => Err(held.no_steward(now_ms)),
-        };
-        drop(held);
-        match admitted {
+        match self.ask_for(&entry, tokens, deadline_ms).await {
             Ok(()) => Ok(BudgetPlaceTaken {
                 entry: entry.clone(),
             }),
@@ -143,6 +133,33 @@
         }
     }
 
+    /// Asks the steward; again and ever rarer while none answers, since it may be changing.
+    async fn ask_for(
+        &self,
+        entry: &CustomerEntry,
+        tokens: f64,
+        deadline_ms: u64,
+    ) -> Result<(), Shortage> {
+        let began_ms = self.clock.now_ms();
+        loop {
+            let asked_ms = self.clock.now_ms();
+            let ask = entry.lock().ask(self.router, &entry.customer, Some(tokens));
+            let grant = self.ask_steward(ask).await;
+            let now_ms = self.clock.now_ms();
+            if let Some(grant) = grant {
+                let mut held = entry.lock();
+                return held.take_grant(&grant, tokens, asked_ms, now_ms);
+            }
+            let waited_ms = now_ms.saturating_sub(began_ms);
+            let left_ms = deadline_ms.saturating_sub(waited_ms);
+            let wait = wait_for_steward(&WaitSettings::default(), waited_ms, left_ms);
+            let Some(wait_ms) = wait else {
+                return Err(entry.lock().no_steward(now_ms));
+            };
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        }
+    }
+
     /// Charges generated tokens.
     pub(crate) fn charge_tokens(&self, customer: &str, tokens: u32, now_ms: u64) {
         self.entry(customer)
@@ -207,7 +224,13 @@
     async fn ask_steward(&self, ask: BudgetAsk) -> Option<BudgetGrant> {
         let reply = match self.control.lease_budget(ask).await? {
             BudgetPlace::Here(reply) => reply,
-            BudgetPlace::Peer(address, ask) => self.peers.lease_budget(address, ask).await.ok()?,
+            BudgetPlace::Peer(address, ask) => {
+                let reply = self.peers.lease_budget(address, ask).await;
+                if reply.as_ref().is_err_and(PeerError::is_refused) {
+                    self.control.send(Command::AddressRefused { address });
+                }
+                reply.ok()?
+            }
         };
         match reply {
             BudgetReply::Answered(grant) => Some(grant),
