Peer messages of any form: property tests of the decoder and the socket

Valid requests and replies arrive unchanged; damaged ones are foreign; made-up bytes, signed or not, of any release are foreign, later or a whole request and never a panic; each arbitrary frame on the socket is counted once, is not handled and ends its connection.

--- /dev/null
+++ b/crates/sapphiretrack-peer/tests/arbitrary.rs
@@ -0,0 +1,322 @@
+//! Peer messages of any form: what is valid arrives unchanged, all else is dropped and counted.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+use sapphiretrack_core::{
+    Amounts, BudgetAsk, Grant, HeldSlots, LoadReport, ReservationId, ReserveRequest, RouterId,
+    RouterProfile, ServerId, VmState,
+};
+use sapphiretrack_peer::{
+    ConfigReply, Heartbeat, HeartbeatReply, InFlight, Opened, PROTOCOL_VERSION, PeerHandlers,
+    PeerReply, PeerRequest, Section, ServerState, Signed, SigningKey, VmListReply, serve,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+fn key() -> SigningKey {
+    SigningKey::new("the key of the cell")
+}
+
+fn vm_state() -> impl Strategy<Value = VmState> {
+    prop_oneof![Just(VmState::Live), Just(VmState::Leaving)]
+}
+
+fn server_state() -> impl Strategy<Value = ServerState> {
+    let report = (any::<u64>(), any::<u32>(), any::<u32>(), any::<bool>());
+    (any::<u64>(), vm_state(), any::<bool>(), report).prop_map(
+        |(server, state, reachable, (incarnation, running, queued, leaving))| ServerState {
+            server: ServerId(server),
+            state,
+            reachable,
+            report: LoadReport {
+                incarnation,
+                running,
+                queued,
+                queued_prompt_tokens: incarnation,
+                leaving,
+            },
+        },
+    )
+}
+
+fn profile() -> impl Strategy<Value = Box<RouterProfile>> {
+    let address = any::<SocketAddr>().prop_map(|address| match address {
+        // Scope and flow are no part of an address on the wire.
+        SocketAddr::V6(v6) => SocketAddr::from((*v6.ip(), v6.port())),
+        SocketAddr::V4(_) => address,
+    });
+    (".{0,20}", ".{0,20}", address).prop_map(|(name, zone, address)| {
+        Box::new(RouterProfile {
+            name,
+            zone,
+            caller_address: address,
+            peer_address: address,
+            operator_address: address,
+        })
+    })
+}
+
+fn held() -> impl Strategy<Value = HeldSlots> {
+    let by_server = vec((any::<u64>(), vec(any::<u32>(), 0..4)), 0..4);
+    (any::<u32>(), by_server).prop_map(|(next_reservation, by_server)| HeldSlots {
+        next_reservation,
+        by_server: by_server
+            .into_iter()
+            .map(|(server, ids)| {
+                (
+                    ServerId(server),
+                    ids.into_iter().map(ReservationId).collect(),
+                )
+            })
+            .collect(),
+    })
+}
+
+fn heartbeat() -> impl Strategy<Value = Heartbeat> {
+    let numbers = (any::<u64>(), any::<u64>(), any::<u64>(), any::<u64>());
+    let counts = vec((any::<u64>(), any::<u16>()), 0..4);
+    let sections = vec((any::<u16>(), vec(any::<u8>(), 0..20)), 0..3);
+    let left = vec((any::<u64>(), any::<u64>()), 0..3);
+    let parts = (option::of(profile()), vec(server_state(), 0..3), held());
+    (numbers, vm_state(), counts, sections, left, parts).prop_map(
+        |((router, incarnation, sequence, digest), state, counts, sections, left, parts)| {
+            let (profile, servers, held) = parts;
+            let counts = counts.into_iter().map(|(id, count)| (ServerId(id), count));
+            Heartbeat {
+                router: RouterId(router),
+                incarnation,
+                sequence,
+                heard_sequence: digest,
+                state,
+                config_version: sequence,
+                profile,
+                in_flight: InFlight {
+                    whole: digest % 2 == 0,
+                    counts: counts.collect(),
+                },
+                servers,
+                held,
+                left_servers: left
+                    .into_iter()
+                    .map(|(id, run)| (ServerId(id), run))
+                    .collect(),
+                list_digest: digest,
+                suspects: vec![RouterId(digest)],
+                sections: sections
+                    .into_iter()
+                    .map(|(kind, body)| Section { kind, body })
+                    .collect(),
+            }
+        },
+    )
+}
+
+fn amounts() -> impl Strategy<Value = Amounts> {
+    (-1e9..1e9, -1e9..1e9).prop_map(|(requests, tokens)| Amounts { requests, tokens })
+}
+
+fn budget_ask() -> impl Strategy<Value = BudgetAsk> {
+    let need = option::of(0.0..1e9);
+    let amounts = (amounts(), amounts(), amounts());
+    (any::<u64>(), ".{0,20}", amounts, need, any::<u32>()).prop_map(
+        |(router, customer, (held, returned, ahead), need_tokens, in_flight)| BudgetAsk {
+            router: RouterId(router),
+            customer,
+            sequence: router,
+            held,
+            returned,
+            need_tokens,
+            ahead,
+            in_flight,
+            slots_ahead: in_flight,
+        },
+    )
+}
+
+fn request() -> impl Strategy<Value = PeerRequest> {
+    let ids = (any::<u64>(), any::<u32>(), any::<u64>(), any::<u16>());
+    let reserve = (ids, 0.0_f32..1.0).prop_map(
+        |((router, reservation, server, in_flight), bound_share)| {
+            PeerRequest::Reserve(ReserveRequest {
+                router: RouterId(router),
+                reservation: ReservationId(reservation),
+                server: ServerId(server),
+                bound_share,
+                in_flight,
+            })
+        },
+    );
+    let release = ids.prop_map(
+        |(router, reservation, server, in_flight)| PeerRequest::Release {
+            router: RouterId(router),
+            server: ServerId(server),
+            reservation: ReservationId(reservation),
+            in_flight,
+        },
+    );
+    let since = (any::<u64>(), ".{0,20}");
+    prop_oneof![
+        heartbeat().prop_map(|beat| PeerRequest::Heartbeat(Box::new(beat))),
+        reserve,
+        release,
+        Just(PeerRequest::FetchConfig),
+        since.prop_map(|(version, change_id)| PeerRequest::FetchConfigSince { version, change_id }),
+        budget_ask().prop_map(PeerRequest::LeaseBudget),
+        Just(PeerRequest::FetchVmList),
+    ]
+}
+
+fn reply() -> impl Strategy<Value = PeerReply> {
+    let grant = prop_oneof![
+        Just(Grant::Granted),
+        Just(Grant::Full),
+        Just(Grant::NotSteward)
+    ];
+    let beat = (any::<u64>(), any::<bool>(), any::<u64>());
+    prop_oneof![
+        beat.prop_map(|(config_version, wants_whole, known_incarnation)| {
+            PeerReply::Heartbeat(HeartbeatReply {
+                config_version,
+                wants_whole,
+                known_incarnation,
+                introduced: Vec::new(),
+            })
+        }),
+        grant.prop_map(PeerReply::Reserve),
+        Just(PeerReply::Released),
+        ".{0,40}".prop_map(|config_json| PeerReply::Config(ConfigReply { config_json })),
+        ".{0,40}".prop_map(PeerReply::ConfigChanges),
+        ".{0,40}".prop_map(|vms_json| PeerReply::VmList(VmListReply { vms_json })),
+        Just(PeerReply::Rejected),
+        Just(PeerReply::Unsupported),
+    ]
+}
+
+/// A change of encoded bytes.
+#[derive(Clone, Debug)]
+enum Damage {
+    Flip(prop::sample::Index, u8),
+    Cut(prop::sample::Index),
+    Insert(prop::sample::Index, Vec<u8>),
+}
+
+fn damage() -> impl Strategy<Value = Damage> {
+    let index = any::<prop::sample::Index>;
+    prop_oneof![
+        (index(), 1..=255_u8).prop_map(|(at, bits)| Damage::Flip(at, bits)),
+        index().prop_map(Damage::Cut),
+        (index(), vec(any::<u8>(), 1..12)).prop_map(|(at, bytes)| Damage::Insert(at, bytes)),
+    ]
+}
+
+fn damaged(mut body: Vec<u8>, damage: &Damage) -> Vec<u8> {
+    match damage {
+        Damage::Flip(at, bits) => {
+            let at = at.index(body.len());
+            body[at] ^= bits;
+        }
+        Damage::Cut(at) => body.truncate(at.index(body.len())),
+        Damage::Insert(at, bytes) => {
+            let at = at.index(body.len());
+            body.splice(at..at, bytes.iter().copied());
+        }
+    }
+    body
+}
+
+proptest! {
+    #[test]
+    fn valid_requests_and_replies_arrive_unchanged(request in request(), reply in reply()) {
+        let signed = key().sign(&request).expect("it is encoded");
+        prop_assert_eq!(key().open(&signed), Opened::Request(request));
+        let answer = key().sign_reply(&signed, &reply).expect("it is encoded");
+        prop_assert_eq!(key().open_reply(&signed, &answer), Some(reply));
+    }
+
+    #[test]
+    fn a_damaged_message_is_foreign_and_one_that_is_damaged_and_signed_does_no_harm(
+        request in request(),
+        reply in reply(),
+        damage in damage(),
+    ) {
+        let signed = key().sign(&request).expect("it is encoded");
+        let body = damaged(signed.body.clone(), &damage);
+        let unsigned = Signed { body: body.clone(), ..signed.clone() };
+        prop_assert_eq!(key().open(&unsigned), Opened::Foreign);
+        // A faulty router of the cell signs what it makes up: it may decode, it must not panic.
+        let genuine = key().sign_body(PROTOCOL_VERSION, body);
+        prop_assert!(!matches!(key().open(&genuine), Opened::Later));
+        let answer = key().sign_reply(&signed, &reply).expect("it is encoded");
+        let body = damaged(answer.body.clone(), &damage);
+        let unsigned = Signed { body, ..answer };
+        prop_assert_eq!(key().open_reply(&signed, &unsigned), None);
+    }
+
+    #[test]
+    fn arbitrary_bytes_of_any_release_are_foreign_or_later_or_a_whole_request(
+        version in any::<u16>(),
+        signature in any::<[u8; 16]>(),
+        body in vec(any::<u8>(), 0..300),
+    ) {
+        let unsigned = Signed { version, signature, body: body.clone() };
+        prop_assert_eq!(key().open(&unsigned), Opened::Foreign);
+        let request = key().sign(&PeerRequest::FetchConfig).expect("it is encoded");
+        prop_assert_eq!(key().open_reply(&request, &unsigned), None);
+        let genuine = key().sign_body(version, body);
+        match key().open(&genuine) {
+            // What it holds can be passed on: it is a message like any other.
+            Opened::Request(opened) => prop_assert!(key().sign(&opened).is_ok()),
+            Opened::Later => prop_assert!(version > PROTOCOL_VERSION),
+            Opened::Foreign => prop_assert!(version <= PROTOCOL_VERSION),
+        }
+    }
+}
+
+/// Sends one frame on a connection of its own and waits until the server closed it.
+async fn send_frame(address: SocketAddr, payload: &[u8]) {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let length = u32::try_from(payload.len()).expect("it is short");
+    stream
+        .write_all(&[&length.to_be_bytes(), payload].concat())
+        .await
+        .expect("it is sent");
+    let mut rest = Vec::new();
+    let closed = tokio::time::timeout(Duration::from_secs(60), stream.read_to_end(&mut rest));
+    drop(closed.await.expect("the server closes the connection"));
+}
+
+#[test]
+fn arbitrary_frames_on_the_socket_are_counted_one_by_one() {
+    let runtime = tokio::runtime::Runtime::new().expect("it starts");
+    let (handled, rejected) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let (handles, rejects) = (handled.clone(), rejected.clone());
+    let handlers = PeerHandlers {
+        handle: Arc::new(move |_| {
+            handles.fetch_add(1, Ordering::Relaxed);
+            Box::pin(async { PeerReply::Released })
+        }),
+        rejected: Arc::new(move || {
+            rejects.fetch_add(1, Ordering::Relaxed);
+        }),
+    };
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (address, accepting) = runtime
+        .block_on(serve(free, key(), handlers))
+        .expect("it listens");
+    runtime.spawn(accepting);
+    // A first word of the envelope that names no kind of message.
+    let frame = (2_u32.., vec(any::<u8>(), 0..200))
+        .prop_map(|(kind, rest)| [&kind.to_le_bytes(), rest.as_slice()].concat());
+    proptest!(ProptestConfig::with_cases(64), |(frame in frame)| {
+        let before = rejected.load(Ordering::Relaxed);
+        runtime.block_on(send_frame(address, &frame));
+        prop_assert_eq!(rejected.load(Ordering::Relaxed), before + 1);
+    });
+    assert_eq!(handled.load(Ordering::Relaxed), 0);
+}
