--- a/crates/sapphiretrack-peer/tests/arbitrary.rs
+++ b/crates/sapphiretrack-peer/tests/arbitrary.rs
@@ -141,8 +141,8 @@
 
 fn request() -> impl Strategy<Value = PeerRequest> {
     let ids = (any::<u64>(), any::<u32>(), any::<u64>(), any::<u16>());
-    let reserve = (ids, 0.0_f32..1.0).prop_map(
-        |((router, reservation, server, in_flight), bound_share)| {
+    let reserve =
+        (ids, 0.0_f32..1.0).prop_map(|((router, reservation, server, in_flight), bound_share)| {
             PeerRequest::Reserve(ReserveRequest {
                 router: RouterId(router),
                 reservation: ReservationId(reservation),
@@ -150,8 +150,7 @@
                 bound_share,
                 in_flight,
             })
-        },
-    );
+        });
     let release = ids.prop_map(
         |(router, reservation, server, in_flight)| PeerRequest::Release {
             router: RouterId(router),
