A customer's requests go on while the router that keeps its budget is paused

Cause: a router asks the customer's steward for nearly every request of a customer that is not busy, and for each chunk of a busy one. A paused steward answers nothing: each question waits 0.4 s, then everything is refused for 0.1 s, then the next question waits, until the steward counts as dead (3 s) and the next one answers. Found along the way: a router that slept until others had taken its budgets over came back with its buckets refilled for the whole time, a second burst.

Now each router has its part of a quarter of each contract (rates, burst, places), to use from the first missing answer for at most 5 s. What it admits so is told to the same steward as a debt when it answers again, and to another one not at all: that one's bucket lacks the silence. Questions that only find out whether the steward answers carry no debt, since it may read many at once. A router that stood still for nearly the time after which it counts as dead forgets its budgets.

Ruled out: a standby steward (two counters, and a pause that outlasts the switch has both); holding the quarter back for good (a customer would have three quarters of its contract).

--- a/crates/sapphiretrack-core/src/held_budget.rs
+++ b/crates/sapphiretrack-core/src/held_budget.rs
@@ -1,6 +1,7 @@
 //! What one router holds of a customer's budget, and what it may admit with it.
 
 use crate::budget::{Amounts, BUDGET_LEASE_MS, BudgetAsk, BudgetGrant, Needed};
+use crate::emergency::{EmergencyBudget, EmergencyPart};
 use crate::{Limits, RouterId};
 
 /// The holder stops this much before the steward forgets the lease.
@@ -60,6 +61,9 @@
     sequence: u64,
     expires_ms: u64,
     refused: Option<Refused>,
+    /// The steward that answered last.
+    steward: Option<RouterId>,
+    emergency: Option<EmergencyBudget>,
 }
 
 /// The steward's last refusal, kept for a moment so that a surge does not ask for each request.
@@ -89,6 +93,9 @@
             self.begin(tokens);
             return Admission::Admitted;
         }
+        if let Some(admission) = self.admit_in_emergency(tokens, limits, now_ms) {
+            return admission;
+        }
         match self.refused {
             // A smaller request may have better luck.
             Some(refused) if now_ms < refused.until_ms && tokens >= refused.tokens => {
@@ -101,6 +108,7 @@
     /// The question to the steward, for a waiting request's tokens or only to renew.
     pub fn ask(&mut self, router: RouterId, customer: &str, need_tokens: Option<f64>) -> BudgetAsk {
         self.sequence += 1;
+        self.take_over_emergency();
         let returned = std::mem::take(&mut self.returned);
         let factor = if self.is_busy() { AHEAD_FACTOR } else { 0.0 };
         let wanted = |spent: f64, held: f64| (spent * factor - held.max(0.0)).max(0.0);
@@ -134,6 +142,9 @@
         asked_ms: u64,
         now_ms: u64,
     ) -> Result<(), Shortage> {
+        if let Some(emergency) = &mut self.emergency {
+            emergency.end_silence();
+        }
         self.held.requests += grant.added.requests;
         self.held.tokens += grant.added.tokens;
         self.slots = grant.slots;
@@ -161,20 +172,38 @@
         Err(shortage)
     }
 
-    /// Notes that the steward did not answer.
-    pub fn no_steward(&mut self, now_ms: u64) -> Shortage {
+    /// Notes who answers. Another steward is not told of what was admitted without one: its bucket
+    /// starts with an eighth and lacks the time of the silence.
+    pub fn answered_by(&mut self, steward: RouterId) {
+        if self.steward.replace(steward) != Some(steward)
+            && let Some(emergency) = &mut self.emergency
+        {
+            let _not_told = emergency.take_spent();
+        }
+    }
+
+    /// Notes that the steward did not answer; for a bounded time [`Self::try_admit`] then decides
+    /// with this router's part of the emergency share.
+    pub fn no_steward(&mut self, part: EmergencyPart, limits: &Limits, now_ms: u64) {
+        self.emergency
+            .get_or_insert_with(|| EmergencyBudget::new(part, limits, now_ms))
+            .note_silence(part, limits, now_ms);
         let shortage = Shortage::NoSteward {
             retry_after_ms: NO_STEWARD_RETRY_MS,
         };
         self.refuse(shortage, 0.0, now_ms);
-        shortage
     }
 
     /// Counts tokens that a request used beyond its estimate.
     pub fn charge_tokens(&mut self, tokens: f64, now_ms: u64) {
         self.drop_expired(now_ms);
-        self.held.tokens -= tokens;
         self.spent.tokens += tokens;
+        match &mut self.emergency {
+            Some(emergency) if emergency.is_in_use(now_ms) => {
+                emergency.charge_tokens(tokens, now_ms);
+            }
+            _ => self.held.tokens -= tokens,
+        }
     }
 
     /// Lets a request out.
@@ -204,10 +233,16 @@
         let due = self.is_busy()
             || self.returned != Amounts::default()
             || self.held != Amounts::default()
+            || self
+                .emergency
+                .as_ref()
+                .is_some_and(EmergencyBudget::has_news)
             || (self.in_flight > 0 && lease_ends);
         let ask = due.then(|| self.ask(router, customer, None));
         self.spent = Amounts::default();
         self.peak_in_flight = self.in_flight;
+        self.emergency
+            .take_if(|emergency| emergency.is_unused(now_ms));
         ask
     }
 
@@ -222,6 +257,43 @@
             && self.held == Amounts::default()
             && self.returned == Amounts::default()
             && self.spent == Amounts::default()
+            && self.emergency.is_none()
+    }
+
+    /// Decides while the steward does not answer; none if it does, or is missed for too long.
+    fn admit_in_emergency(
+        &mut self,
+        tokens: f64,
+        limits: &Limits,
+        now_ms: u64,
+    ) -> Option<Admission> {
+        let emergency = self.emergency.as_mut()?;
+        if !emergency.is_in_use(now_ms) {
+            return None;
+        }
+        Some(
+            match emergency.try_admit(tokens, self.in_flight, limits, now_ms) {
+                Ok(()) => {
+                    self.begin(tokens);
+                    Admission::Admitted
+                }
+                Err(wait_ms) => Admission::Refused(Shortage::NoSteward {
+                    retry_after_ms: wait_ms.max(NO_STEWARD_RETRY_MS),
+                }),
+            },
+        )
+    }
+
+    /// Once the steward answers again, what was admitted without it becomes a debt. Questions that
+    /// only find out whether it answers carry none: it may read many of them at once.
+    fn take_over_emergency(&mut self) {
+        if let Some(emergency) = &mut self.emergency
+            && !emergency.is_silent()
+        {
+            let spent = emergency.take_spent();
+            self.held.requests -= spent.requests;
+            self.held.tokens -= spent.tokens;
+        }
     }
 
     /// Drops what is no longer the router's: after the lease, or when the contract has changed.
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -12,6 +12,7 @@
 mod claim;
 mod config;
 mod contract;
+mod emergency;
 mod entry;
 mod fair_share;
 mod flap;
@@ -56,6 +57,7 @@
     ClassPolicy, Contract, ContractError, Limits, NonIdempotentRule, contract_differences,
     parse_contract, sha256_hex,
 };
+pub use emergency::{EMERGENCY_MS, EMERGENCY_SHARE, EmergencyPart};
 pub use entry::{EntryCandidate, entry_addresses};
 pub use fair_share::{Demand, FULL_FOR_MS, PoolShares, fair_shares};
 pub use flap::{Damping, Flaps};
--- a/crates/sapphiretrackd/src/control/budgets.rs
+++ b/crates/sapphiretrackd/src/control/budgets.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use sapphiretrack_core::{
-    BUDGET_LEASE_MS, BudgetAsk, BudgetReply, Contract, CustomerBudget, RouterId, ServerId,
-    hash_parts, steward_of,
+    BUDGET_LEASE_MS, BudgetAsk, BudgetReply, Contract, CustomerBudget, MAX_TURN_GAP_MS, RouterId,
+    ServerId, hash_parts, steward_of,
 };
 
 use crate::control::ControlState;
@@ -34,6 +34,15 @@
         });
     }
 
+    /// Notes that this router stood still. After a long time others may have kept its budgets:
+    /// what the buckets gained in it may have been given out already.
+    pub(crate) fn note_pause(&mut self, gap_ms: u64, dead_after_ms: u64, now_ms: u64) {
+        if gap_ms + MAX_TURN_GAP_MS >= dead_after_ms {
+            self.customers.clear();
+            self.stewards_changed_ms = now_ms;
+        }
+    }
+
     /// Answers a router about a customer whose steward this one is.
     pub(crate) fn answer(
         &mut self,
@@ -62,9 +71,13 @@
     /// Answers a question about a budget, or tells where to ask it.
     pub(crate) fn lease_budget(&mut self, ask: BudgetAsk, now_ms: u64) -> BudgetPlace {
         let steward = budget_steward(&ask.customer, &self.stewards);
-        let peer = steward.and_then(|steward| self.peers.get(steward));
+        let peer = steward.and_then(|steward| Some((steward, self.peers.get(steward)?)));
         match peer {
-            Some(peer) => BudgetPlace::Peer(peer.profile.peer_address, ask),
+            Some((steward, peer)) => BudgetPlace::Peer {
+                steward,
+                address: peer.profile.peer_address,
+                ask,
+            },
             None => BudgetPlace::Here(self.keep_budget(&ask, now_ms)),
         }
     }
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -131,7 +131,14 @@
     /// Here: this router is the customer's steward.
     Here(BudgetReply),
     /// At the customer's steward, which has to be asked.
-    Peer(SocketAddr, BudgetAsk),
+    Peer {
+        /// The steward.
+        steward: RouterId,
+        /// Where it is reached.
+        address: SocketAddr,
+        /// The question.
+        ask: BudgetAsk,
+    },
 }
 
 /// Where the control thread takes its messages from.
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -292,6 +292,8 @@
         };
         Event::PAUSED.log(&[("gap_ms", &gap_ms.to_string())]);
         self.peers.forgive_silence(now_ms);
+        self.budgets
+            .note_pause(gap_ms, self.timing.dead_after_ms, now_ms);
         self.ledger = Ledger::new(self.identity.id, ledger_settings(&self.timing));
         self.book.distrust_earlier();
         self.urgent_rounds = URGENT_ROUNDS;
--- a/crates/sapphiretrackd/src/limits.rs
+++ b/crates/sapphiretrackd/src/limits.rs
@@ -1,12 +1,12 @@
 //! Enforces the limits of contracts on this router, with what it leases from their stewards.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use sapphiretrack_core::{
-    Admission, BudgetAsk, BudgetGrant, BudgetReply, Contract, HeldBudget, PoolShares, Refusal,
-    RefusalCode, RouterId, Shortage,
+    Admission, BudgetAsk, BudgetGrant, BudgetReply, Contract, EmergencyPart, HeldBudget,
+    NO_STEWARD_RETRY_MS, PoolShares, Refusal, RefusalCode, RouterId, Shortage, VmState,
 };
 use sapphiretrack_peer::PeerClient;
 use tokio::time::MissedTickBehavior;
@@ -127,13 +127,18 @@
         let ask = entry
             .lock()
             .ask(self.router, &contract.customer, Some(tokens));
-        let grant = self.ask_steward(ask).await;
+        let Some((steward, grant)) = self.ask_steward(ask).await else {
+            self.note_no_steward(&entry, contract);
+            let decided = self.decide_here(&entry, contract, tokens);
+            let shortage = Shortage::NoSteward {
+                retry_after_ms: NO_STEWARD_RETRY_MS,
+            };
+            return decided.unwrap_or_else(|| Err(refusal(contract, shortage)));
+        };
         let now_ms = self.clock.now_ms();
         let mut held = entry.lock();
-        let admitted = match grant {
-            Some(grant) => held.take_grant(&grant, tokens, asked_ms, now_ms),
-            None => Err(held.no_steward(now_ms)),
-        };
+        held.answered_by(steward);
+        let admitted = held.take_grant(&grant, tokens, asked_ms, now_ms);
         drop(held);
         match admitted {
             Ok(()) => Ok(BudgetPlaceTaken {
@@ -143,6 +148,27 @@
         }
     }
 
+    /// From now on this router's part of the emergency share decides, until a steward answers.
+    fn note_no_steward(&self, entry: &CustomerEntry, contract: &Contract) {
+        let part = EmergencyPart::new(self.router, &self.live_routers(), &entry.customer);
+        let now_ms = self.clock.now_ms();
+        entry.lock().no_steward(part, &contract.limits, now_ms);
+    }
+
+    /// The routers that are heard or listed as live, without order.
+    fn live_routers(&self) -> BTreeSet<RouterId> {
+        let snapshot = self.control.snapshot();
+        let heard = snapshot.routers.iter();
+        let heard = heard.filter(|router| router.state == VmState::Live);
+        let listed = snapshot.listed_others.iter();
+        let listed = listed.map(|vm| RouterId::from_name(&vm.name));
+        heard
+            .map(|router| router.id)
+            .chain(listed)
+            .chain([self.router])
+            .collect()
+    }
+
     /// Charges generated tokens.
     pub(crate) fn charge_tokens(&self, customer: &str, tokens: u32, now_ms: u64) {
         self.entry(customer)
@@ -179,11 +205,14 @@
             .lock()
             .end_period(self.router, &entry.customer, &contract.limits, asked_ms);
         let Some(ask) = ask else { return };
-        if let Some(grant) = self.ask_steward(ask).await {
-            let now_ms = self.clock.now_ms();
-            // Nothing waits for this answer, so it refuses nothing.
-            let _nothing_waits = entry.lock().take_grant(&grant, 0.0, asked_ms, now_ms);
-        }
+        let Some((steward, grant)) = self.ask_steward(ask).await else {
+            return self.note_no_steward(entry, contract);
+        };
+        let now_ms = self.clock.now_ms();
+        let mut held = entry.lock();
+        held.answered_by(steward);
+        // Nothing waits for this answer, so it refuses nothing.
+        let _nothing_waits = held.take_grant(&grant, 0.0, asked_ms, now_ms);
     }
 
     /// Decides without the steward; none if that has to be asked.
@@ -204,13 +233,21 @@
         }
     }
 
-    async fn ask_steward(&self, ask: BudgetAsk) -> Option<BudgetGrant> {
-        let reply = match self.control.lease_budget(ask).await? {
-            BudgetPlace::Here(reply) => reply,
-            BudgetPlace::Peer(address, ask) => self.peers.lease_budget(address, ask).await.ok()?,
+    /// The steward and its answer; none if it does not answer, or is not one.
+    async fn ask_steward(&self, ask: BudgetAsk) -> Option<(RouterId, BudgetGrant)> {
+        let (steward, reply) = match self.control.lease_budget(ask).await? {
+            BudgetPlace::Here(reply) => (self.router, reply),
+            BudgetPlace::Peer {
+                steward,
+                address,
+                ask,
+            } => {
+                let reply = self.peers.lease_budget(address, ask).await.ok()?;
+                (steward, reply)
+            }
         };
         match reply {
-            BudgetReply::Answered(grant) => Some(grant),
+            BudgetReply::Answered(grant) => Some((steward, grant)),
             BudgetReply::NotSteward => None,
         }
     }
