A router asks a customer's steward less often

Cause: a busy router renewed in each quarter of a second whether it needed to or not; its chunk was sized by the part of a period that had gone by; places were leased without any ahead, so that each longer request asked for one; and in a surge each refusal was forgotten after 20 to 100 ms.

Now the size follows a smoothed pace, a chunk is renewed early only when less than half a period's requests are left and there was no refusal, places come with the chunk, a refusal is repeated for 0.2 to 0.4 s (and says when that ends), and chunks ahead are a fifth of a burst instead of a tenth.

--- a/crates/sapphiretrack-core/src/budget.rs
+++ b/crates/sapphiretrack-core/src/budget.rs
@@ -12,7 +12,7 @@
 use crate::{Limits, RateLimiter, RouterId};
 
 /// The part of a burst that routers may hold in chunks ahead.
-pub const HELD_SHARE: f64 = 0.1;
+pub const HELD_SHARE: f64 = 0.2;
 /// The part of a budget that a steward starts with while it may not know what others hold; one
 /// request at least.
 pub const UNSURE_SHARE: f64 = 0.125;
--- a/crates/sapphiretrack-core/src/held_budget.rs
+++ b/crates/sapphiretrack-core/src/held_budget.rs
@@ -1,5 +1,7 @@
 //! What one router holds of a customer's budget, and what it may admit with it.
 
+use std::ops::RangeInclusive;
+
 use crate::budget::{Amounts, BUDGET_LEASE_MS, BudgetAsk, BudgetGrant, Needed};
 use crate::emergency::{EmergencyBudget, EmergencyPart};
 use crate::{Limits, RouterId};
@@ -9,11 +11,14 @@
 /// How much more than it spent in the last period a router asks to hold ahead.
 const AHEAD_FACTOR: f64 = 1.25;
 /// Requests in a period from which on a router holds a chunk ahead; below, it asks for each.
-const BUSY_REQUESTS: f64 = 4.0;
+const BUSY_REQUESTS: f64 = 2.0;
+/// A busy router renews early when it has less than this part of a period's requests left.
+const LOW_SHARE: f64 = 0.5;
 /// A lease is renewed when it has no more than this left.
 const RENEW_BEFORE_END_MS: u64 = 600;
-/// How long a refusal is repeated without asking the steward again.
-const REFUSAL_KEPT_MS: u64 = 100;
+/// How long a refusal is repeated without asking the steward again: for as long as the steward
+/// says, within these bounds.
+const REFUSAL_KEPT_MS: RangeInclusive<u64> = 200..=400;
 /// When to come back if the steward did not answer.
 pub const NO_STEWARD_RETRY_MS: u64 = 250;
 
@@ -58,6 +63,8 @@
     in_flight: u32,
     peak_in_flight: u32,
     spent: Amounts,
+    /// What was spent in a period of late; nothing after one without requests.
+    usual: Amounts,
     sequence: u64,
     expires_ms: u64,
     refused: Option<Refused>,
@@ -99,7 +106,7 @@
         match self.refused {
             // A smaller request may have better luck.
             Some(refused) if now_ms < refused.until_ms && tokens >= refused.tokens => {
-                Admission::Refused(refused.shortage)
+                Admission::Refused(refused.shortage.in_ms(refused.until_ms - now_ms))
             }
             _ => Admission::Ask,
         }
@@ -111,7 +118,12 @@
         self.take_over_emergency();
         let returned = std::mem::take(&mut self.returned);
         let factor = if self.is_busy() { AHEAD_FACTOR } else { 0.0 };
-        let wanted = |spent: f64, held: f64| (spent * factor - held.max(0.0)).max(0.0);
+        let wanted = |pace: f64, held: f64| (pace * factor - held.max(0.0)).max(0.0).ceil();
+        let pace = self.pace();
+        let ahead = Amounts {
+            requests: wanted(pace.requests, self.held.requests),
+            tokens: wanted(pace.tokens, self.held.tokens),
+        };
         BudgetAsk {
             router,
             customer: customer.to_owned(),
@@ -119,13 +131,10 @@
             held: self.held,
             returned,
             need_tokens,
-            ahead: Amounts {
-                requests: wanted(self.spent.requests, self.held.requests),
-                tokens: wanted(self.spent.tokens, self.held.tokens),
-            },
+            ahead,
             in_flight: self.in_flight,
             slots_ahead: if self.is_busy() {
-                self.peak_in_flight.saturating_sub(self.in_flight)
+                self.peak_in_flight.saturating_sub(self.in_flight) + ahead.requests as u32
             } else {
                 0
             },
@@ -225,14 +234,23 @@
         now_ms: u64,
     ) -> Option<BudgetAsk> {
         self.settle(limits, now_ms);
+        self.note_pace();
         if !self.is_busy() {
             self.give_all_back();
         }
-        // Requests that only run are told just often enough that the steward goes on counting them.
+        // What only runs or lies ready is told just often enough that the steward goes on counting.
         let lease_ends = now_ms + RENEW_BEFORE_END_MS >= self.expires_ms;
-        let due = self.is_busy()
+        let is_low = self.held.requests < self.usual.requests * LOW_SHARE
+            || self.held.tokens < self.usual.tokens * LOW_SHARE;
+        // After a refusal there is nothing to have.
+        let is_refused = self
+            .refused
+            .is_some_and(|refused| now_ms < refused.until_ms);
+        let is_low = is_low && !is_refused;
+        let due = (self.is_busy() && (is_low || lease_ends))
             || self.returned != Amounts::default()
-            || self.held != Amounts::default()
+            || self.held.requests < 0.0
+            || self.held.tokens < 0.0
             || self
                 .emergency
                 .as_ref()
@@ -248,7 +266,27 @@
 
     /// Whether a chunk ahead is worth its messages.
     fn is_busy(&self) -> bool {
-        self.spent.requests >= BUSY_REQUESTS
+        self.pace().requests >= BUSY_REQUESTS
+    }
+
+    /// What a period takes.
+    fn pace(&self) -> Amounts {
+        Amounts {
+            requests: self.spent.requests.max(self.usual.requests),
+            tokens: self.spent.tokens.max(self.usual.tokens),
+        }
+    }
+
+    fn note_pace(&mut self) {
+        let usual = |before: f64, spent: f64| (before + spent) / 2.0;
+        self.usual = if self.spent.requests > 0.0 {
+            Amounts {
+                requests: usual(self.usual.requests, self.spent.requests),
+                tokens: usual(self.usual.tokens, self.spent.tokens),
+            }
+        } else {
+            Amounts::default()
+        };
     }
 
     /// Whether nothing is held and nothing runs.
@@ -334,7 +372,9 @@
     }
 
     fn refuse(&mut self, shortage: Shortage, tokens: f64, now_ms: u64) {
-        let kept_ms = shortage.retry_after_ms().min(REFUSAL_KEPT_MS);
+        let kept_ms = shortage
+            .retry_after_ms()
+            .clamp(*REFUSAL_KEPT_MS.start(), *REFUSAL_KEPT_MS.end());
         self.refused = Some(Refused {
             shortage,
             tokens,
@@ -344,6 +384,15 @@
 }
 
 impl Shortage {
+    /// The same, to come back after `retry_after_ms` at the earliest.
+    fn in_ms(self, retry_after_ms: u64) -> Self {
+        match self {
+            Self::Rate { .. } => Self::Rate { retry_after_ms },
+            Self::InFlight { .. } => Self::InFlight { retry_after_ms },
+            Self::NoSteward { .. } => Self::NoSteward { retry_after_ms },
+        }
+    }
+
     /// When to come back.
     pub fn retry_after_ms(self) -> u64 {
         match self {
