--- a/crates/sapphiretrack-bench/src/limits.rs
+++ b/crates/sapphiretrack-bench/src/limits.rs
@@ -3,13 +3,13 @@
 //! Any number of limiters share one customer's contract. Time is virtual and an answer of the
 //! steward takes no time; what can go wrong between limiter and steward is part of the plan.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use pico_args::Arguments;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sapphiretrack_core::{
-    Admission, BudgetAsk, CustomerBudget, HeldBudget, Limits, RateLimiter, RouterId,
+    Admission, BudgetAsk, CustomerBudget, EmergencyPart, HeldBudget, Limits, RateLimiter, RouterId,
 };
 
 use crate::run::check_all_read;
@@ -20,6 +20,10 @@
 /// How long each run of the table is.
 const RUN_S: f64 = 60.0;
 const MS_PER_S: f64 = 1_000.0;
+/// The seed of the tables' runs.
+const SEED: u64 = 7;
+/// How many limiters the tables of many customers and of silence have.
+const ROUTERS: usize = 9;
 
 /// One run.
 #[derive(Clone, Debug)]
@@ -68,6 +72,13 @@
         /// How far.
         step_ms: i64,
     },
+    /// The steward stands still, and answers nobody.
+    PausedSteward {
+        /// From when.
+        from_ms: u64,
+        /// Until when.
+        until_ms: u64,
+    },
     /// Another steward takes over and knows nothing.
     NewSteward {
         /// When.
@@ -108,6 +119,8 @@
     pub ask_bytes: u64,
     /// Requests admitted in the last second of the run.
     pub admitted_in_last_s: u64,
+    /// Requests admitted while the steward stood still.
+    pub admitted_in_pause: u64,
 }
 
 impl LimitsResult {
@@ -168,7 +181,9 @@
     limits: Limits,
     offered: f64,
     limiters: Vec<Limiter>,
+    ids: BTreeSet<RouterId>,
     steward: CustomerBudget,
+    steward_id: RouterId,
     exact: [RateLimiter; 2],
     /// Falls below zero when any span of time had more than burst and rate.
     allowance: f64,
@@ -188,7 +203,9 @@
         Self {
             random: ChaCha8Rng::seed_from_u64(run.seed),
             limiters: (0..run.limiters).map(limiter).collect(),
+            ids: (1..=run.limiters as u64).map(RouterId).collect(),
             steward: CustomerBudget::new(&limits, true, 0),
+            steward_id: RouterId(1),
             exact: [
                 RateLimiter::new(limits.requests_per_s, limits.burst_s, 0),
                 RateLimiter::new(limits.tokens_per_s, limits.burst_s, 0),
@@ -238,6 +255,7 @@
                 } if at_ms == now_ms => self.limiters[limiter].clock_step_ms += step_ms,
                 LimiterFault::NewSteward { at_ms } if at_ms == now_ms => {
                     self.steward = CustomerBudget::new(&self.limits, false, now_ms);
+                    self.steward_id.0 += 1;
                 }
                 LimiterFault::NewOffered { at_ms, offered } if at_ms == now_ms => {
                     self.offered = offered;
@@ -270,11 +288,14 @@
         let ask = limiter
             .held
             .end_period(limiter.id, CUSTOMER, &self.limits, local_ms);
-        let Some(ask) = ask.filter(|_| !is_cut(run, index, now_ms)) else {
-            return;
-        };
+        let Some(ask) = ask else { return };
+        if is_cut(run, index, now_ms) {
+            let part = EmergencyPart::new(limiter.id, &self.ids, CUSTOMER);
+            return limiter.held.no_steward(part, &self.limits, local_ms);
+        }
         self.result.note_ask(&ask);
         let grant = self.steward.answer(&ask, &self.limits, 1.0, now_ms);
+        limiter.held.answered_by(self.steward_id);
         let _nothing_waits = limiter.held.take_grant(&grant, 0.0, local_ms, local_ms);
     }
 
@@ -293,13 +314,16 @@
             Admission::Admitted => true,
             Admission::Refused(_) => false,
             Admission::Ask if is_cut(run, index, now_ms) => {
-                limiter.held.no_steward(local_ms);
-                false
+                let part = EmergencyPart::new(limiter.id, &self.ids, CUSTOMER);
+                limiter.held.no_steward(part, &self.limits, local_ms);
+                let admission = limiter.held.try_admit(tokens, &self.limits, local_ms);
+                admission == Admission::Admitted
             }
             Admission::Ask => {
                 let ask = limiter.held.ask(limiter.id, CUSTOMER, Some(tokens));
                 self.result.note_ask(&ask);
                 let grant = self.steward.answer(&ask, &self.limits, 1.0, now_ms);
+                limiter.held.answered_by(self.steward_id);
                 let taken = limiter.held.take_grant(&grant, tokens, local_ms, local_ms);
                 taken.is_ok()
             }
@@ -308,6 +332,7 @@
             limiter.ends_ms.push_back(now_ms + runs_ms);
             self.allowance -= 1.0;
             self.result.admitted += 1;
+            self.result.admitted_in_pause += u64::from(is_paused(run, now_ms));
             if now_ms + 1_000 >= run.duration_ms {
                 self.result.admitted_in_last_s += 1;
             }
@@ -336,10 +361,17 @@
             until_ms,
         } => limiter == index && (from_ms..until_ms).contains(&now_ms),
         _ => false,
+    }) || is_paused(run, now_ms)
+}
+
+fn is_paused(run: &LimitsRun, now_ms: u64) -> bool {
+    run.faults.iter().any(|fault| match *fault {
+        LimiterFault::PausedSteward { from_ms, until_ms } => (from_ms..until_ms).contains(&now_ms),
+        _ => false,
     })
 }
 
-/// Runs the measurement and prints a table.
+/// Runs the measurement and prints its tables.
 pub fn run(arguments: Arguments) -> Result<(), String> {
     check_all_read(arguments)?;
     println!(
@@ -347,21 +379,92 @@
     );
     for limiters in [1, 9, 360] {
         for offered in [0.8, 1.0, 5.0] {
-            let run = LimitsRun {
-                duration_ms: (RUN_S * MS_PER_S) as u64,
-                ..LimitsRun::new(limiters, offered, 7)
-            };
-            let result = run.run();
-            println!(
-                "{limiters:>8}  {offered:>7.1}  {:>8}  {:>8}  {:>8.2}  {:>12.1}  {:>13.2}  {:>20.0}",
-                result.admitted,
-                result.exact,
-                result.over_percent(),
-                result.worst_excess.max(0.0),
-                result.asks as f64 / result.admitted.max(1) as f64,
-                result.ask_bytes as f64 / limiters as f64 / RUN_S,
-            );
+            print_run(limiters, offered);
         }
     }
+    println!("\ncustomers  limiters  offered  asks/s a limiter  ask bytes/s a limiter");
+    for (customers, offered) in [(1, 1.0), (5, 0.8), (5, 1.0), (5, 5.0), (20, 0.1)] {
+        print_customers(customers, offered);
+    }
+    println!("\na surge of five times the rate over nine limiters; the steward:");
+    for (name, faults) in silences() {
+        print_silence(name, faults);
+    }
     Ok(())
 }
+
+fn print_run(limiters: usize, offered: f64) {
+    let run = LimitsRun {
+        duration_ms: (RUN_S * MS_PER_S) as u64,
+        ..LimitsRun::new(limiters, offered, SEED)
+    };
+    let result = run.run();
+    println!(
+        "{limiters:>8}  {offered:>7.1}  {:>8}  {:>8}  {:>8.2}  {:>12.1}  {:>13.2}  {:>20.0}",
+        result.admitted,
+        result.exact,
+        result.over_percent(),
+        result.worst_excess.max(0.0),
+        result.asks as f64 / result.admitted.max(1) as f64,
+        result.ask_bytes as f64 / limiters as f64 / RUN_S,
+    );
+}
+
+/// Many customers over nine limiters, each with the same contract and its own arrivals.
+fn print_customers(customers: u64, offered: f64) {
+    let runs = (0..customers).map(|customer| {
+        let run = LimitsRun {
+            duration_ms: (RUN_S * MS_PER_S) as u64,
+            ..LimitsRun::new(ROUTERS, offered, SEED + customer)
+        };
+        run.run()
+    });
+    let (asks, ask_bytes) = runs.fold((0, 0), |(asks, bytes), result| {
+        (asks + result.asks, bytes + result.ask_bytes)
+    });
+    let a_limiter = |count: u64| count as f64 / ROUTERS as f64 / RUN_S;
+    println!(
+        "{customers:>9}  {ROUTERS:>8}  {offered:>7.1}  {:>16.1}  {:>21.0}",
+        a_limiter(asks),
+        a_limiter(ask_bytes),
+    );
+}
+
+/// A surge of which some do not reach the steward for 3, 5 or 8 seconds.
+fn silences() -> Vec<(&'static str, Vec<LimiterFault>)> {
+    let from_ms = 20_000;
+    let cut = |limiter| LimiterFault::Cut {
+        limiter,
+        from_ms,
+        until_ms: from_ms + 8_000,
+    };
+    let pause = |for_ms| LimiterFault::PausedSteward {
+        from_ms,
+        until_ms: from_ms + for_ms,
+    };
+    vec![
+        ("answers all", Vec::new()),
+        ("one of nine cut off for 8 s", vec![cut(0)]),
+        ("eight of nine cut off for 8 s", (0..8).map(cut).collect()),
+        ("stands still for 3 s", vec![pause(3_000)]),
+        ("stands still for 8 s", vec![pause(8_000)]),
+    ]
+}
+
+fn print_silence(name: &str, faults: Vec<LimiterFault>) {
+    let run = LimitsRun {
+        duration_ms: (RUN_S * MS_PER_S) as u64,
+        faults,
+        ..LimitsRun::new(ROUTERS, 5.0, SEED)
+    };
+    let result = run.run();
+    println!(
+        "{name}: admitted {}, exact {}, over {:.2}%, worst excess {:.1}, in flight {}, in the pause {}",
+        result.admitted,
+        result.exact,
+        result.over_percent(),
+        result.worst_excess.max(0.0),
+        result.worst_in_flight_excess,
+        result.admitted_in_pause,
+    );
+}
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -281,6 +281,8 @@
         };
         Event::PAUSED.log(&[("gap_ms", &gap_ms.to_string())]);
         self.peers.forgive_silence(now_ms);
+        self.budgets
+            .note_pause(gap_ms, self.timing.dead_after_ms, now_ms);
         self.forget_ledger();
         self.urgent_rounds = URGENT_ROUNDS;
         self.tick(now_ms);
--- a/crates/sapphiretrackd/src/limits.rs
+++ b/crates/sapphiretrackd/src/limits.rs
@@ -1,12 +1,13 @@
 //! Enforces the limits of contracts on this router, with what it leases from their stewards.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use sapphiretrack_core::{
-    Admission, BudgetAsk, BudgetGrant, BudgetReply, Contract, HeldBudget, PoolShares, Refusal,
-    RefusalCode, RouterId, Shortage, WaitSettings, wait_for_steward,
+    Admission, BudgetAsk, BudgetGrant, BudgetReply, Contract, EmergencyPart, HeldBudget,
+    NO_STEWARD_RETRY_MS, PoolShares, Refusal, RefusalCode, RouterId, Shortage, VmState,
+    WaitSettings, wait_for_steward,
 };
 use sapphiretrack_peer::{PeerClient, PeerError};
 use tokio::time::MissedTickBehavior;
@@ -125,7 +126,7 @@
         if let Some(decided) = self.decide_here(&entry, contract, tokens) {
             return decided;
         }
-        match self.ask_for(&entry, tokens, deadline_ms).await {
+        match self.ask_for(&entry, contract, tokens, deadline_ms).await {
             Ok(()) => Ok(BudgetPlaceTaken {
                 entry: entry.clone(),
             }),
@@ -133,10 +134,12 @@
         }
     }
 
-    /// Asks the steward; again and ever rarer while none answers, since it may be changing.
+    /// Asks the steward; again and ever rarer while none answers, since it may be changing, and
+    /// while this router's part of the emergency share does not decide.
     async fn ask_for(
         &self,
-        entry: &CustomerEntry,
+        entry: &Arc<CustomerEntry>,
+        contract: &Contract,
         tokens: f64,
         deadline_ms: u64,
     ) -> Result<(), Shortage> {
@@ -144,22 +147,52 @@
         loop {
             let asked_ms = self.clock.now_ms();
             let ask = entry.lock().ask(self.router, &entry.customer, Some(tokens));
-            let grant = self.ask_steward(ask).await;
+            let answer = self.ask_steward(ask).await;
             let now_ms = self.clock.now_ms();
-            if let Some(grant) = grant {
+            if let Some((steward, grant)) = answer {
                 let mut held = entry.lock();
+                held.answered_by(steward);
                 return held.take_grant(&grant, tokens, asked_ms, now_ms);
             }
+            self.note_no_steward(entry, contract);
+            match entry.lock().try_admit(tokens, &contract.limits, now_ms) {
+                Admission::Admitted => return Ok(()),
+                Admission::Refused(shortage) => return Err(shortage),
+                Admission::Ask => {}
+            }
             let waited_ms = now_ms.saturating_sub(began_ms);
             let left_ms = deadline_ms.saturating_sub(waited_ms);
             let wait = wait_for_steward(&WaitSettings::default(), waited_ms, left_ms);
             let Some(wait_ms) = wait else {
-                return Err(entry.lock().no_steward(now_ms));
+                return Err(Shortage::NoSteward {
+                    retry_after_ms: NO_STEWARD_RETRY_MS,
+                });
             };
             tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         }
     }
 
+    /// From now on this router's part of the emergency share decides, until a steward answers.
+    fn note_no_steward(&self, entry: &CustomerEntry, contract: &Contract) {
+        let part = EmergencyPart::new(self.router, &self.live_routers(), &entry.customer);
+        let now_ms = self.clock.now_ms();
+        entry.lock().no_steward(part, &contract.limits, now_ms);
+    }
+
+    /// The routers that are heard or listed as live, without order.
+    fn live_routers(&self) -> BTreeSet<RouterId> {
+        let snapshot = self.control.snapshot();
+        let heard = snapshot.routers.iter();
+        let heard = heard.filter(|router| router.state == VmState::Live);
+        let listed = snapshot.listed_others.iter();
+        let listed = listed.map(|vm| RouterId::from_name(&vm.name));
+        heard
+            .map(|router| router.id)
+            .chain(listed)
+            .chain([self.router])
+            .collect()
+    }
+
     /// Charges generated tokens.
     pub(crate) fn charge_tokens(&self, customer: &str, tokens: u32, now_ms: u64) {
         self.entry(customer)
@@ -196,11 +229,14 @@
             .lock()
             .end_period(self.router, &entry.customer, &contract.limits, asked_ms);
         let Some(ask) = ask else { return };
-        if let Some(grant) = self.ask_steward(ask).await {
-            let now_ms = self.clock.now_ms();
-            // Nothing waits for this answer, so it refuses nothing.
-            let _nothing_waits = entry.lock().take_grant(&grant, 0.0, asked_ms, now_ms);
-        }
+        let Some((steward, grant)) = self.ask_steward(ask).await else {
+            return self.note_no_steward(entry, contract);
+        };
+        let now_ms = self.clock.now_ms();
+        let mut held = entry.lock();
+        held.answered_by(steward);
+        // Nothing waits for this answer, so it refuses nothing.
+        let _nothing_waits = held.take_grant(&grant, 0.0, asked_ms, now_ms);
     }
 
     /// Decides without the steward; none if that has to be asked.
@@ -221,19 +257,24 @@
         }
     }
 
-    async fn ask_steward(&self, ask: BudgetAsk) -> Option<BudgetGrant> {
-        let reply = match self.control.lease_budget(ask).await? {
-            BudgetPlace::Here(reply) => reply,
-            BudgetPlace::Peer(address, ask) => {
+    /// The steward and its answer; none if it does not answer, or is not one.
+    async fn ask_steward(&self, ask: BudgetAsk) -> Option<(RouterId, BudgetGrant)> {
+        let (steward, reply) = match self.control.lease_budget(ask).await? {
+            BudgetPlace::Here(reply) => (self.router, reply),
+            BudgetPlace::Peer {
+                steward,
+                address,
+                ask,
+            } => {
                 let reply = self.peers.lease_budget(address, ask).await;
                 if reply.as_ref().is_err_and(PeerError::is_refused) {
                     self.control.send(Command::AddressRefused { address });
                 }
-                reply.ok()?
+                (steward, reply.ok()?)
             }
         };
         match reply {
-            BudgetReply::Answered(grant) => Some(grant),
+            BudgetReply::Answered(grant) => Some((steward, grant)),
             BudgetReply::NotSteward => None,
         }
     }
