What is known of warm chats can be told, and is merged by age

Cause: the placement memory could neither be listed nor take in what another router knows; remembering always overwrote.

--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -82,9 +82,9 @@
     BeatTaken, ListedRouter, PeerBeat, PeerRoster, PeerRosterSettings, RosterPeer, RouterProfile,
 };
 pub use placement::{
-    Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
-    SentTokens, WaitSettings, WarmHint, WorkspaceShares, backlog_tokens, rank_servers,
-    wait_for_room,
+    Candidate, LostRouters, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest,
+    PlacementSettings, SentTokens, WaitSettings, WarmChat, WarmHint, WarmList, WorkspaceShares,
+    backlog_tokens, keep_newest, rank_servers, wait_for_room,
 };
 pub use pool_load::{DrainSettings, HeardLoad, pool_load};
 pub use rendezvous::{rendezvous_score, top_by_rendezvous};
--- a/crates/sapphiretrack-core/src/placement/mod.rs
+++ b/crates/sapphiretrack-core/src/placement/mod.rs
@@ -1,18 +1,22 @@
 //! Which backend server gets a request.
 
 mod backlog;
+mod lost_routers;
 mod memory;
 mod ranking;
 mod settings;
 mod shares;
 mod subset;
 mod wait;
+mod warm_list;
 mod warmth;
 
 pub use backlog::{SentTokens, backlog_tokens};
+pub use lost_routers::LostRouters;
 pub use memory::{MEMORY_BYTES_PER_CHAT, PlacementMemory};
 pub use ranking::{Candidate, PlacementRequest, rank_servers};
 pub use settings::PlacementSettings;
 pub use shares::WorkspaceShares;
 pub use wait::{WaitSettings, wait_for_room};
+pub use warm_list::{WarmChat, WarmList, keep_newest};
 pub use warmth::WarmHint;
