Where chats are warm survives a router that goes

Cause: the placement memory was each router's own and died with it.

A restarted router reads its own, peers read those of a router that went without a word. Missing, damaged, foreign, other format: events 522 and 523, at the cost of warmth only. The hand-over is sent as of protocol version 3, so that a release of version 2 answers it as unsupported.

Ruled out: telling one successor, or splitting by rendezvous of the chat: a caller may come back to any router of the cell.

--- a/crates/sapphiretrack-peer/src/client.rs
+++ b/crates/sapphiretrack-peer/src/client.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use sapphiretrack_core::{BudgetAsk, BudgetReply, Grant, ReserveRequest};
+use sapphiretrack_core::{BudgetAsk, BudgetReply, Grant, ReserveRequest, WarmList};
 use snafu::{IntoError, ResultExt};
 use tarpc::client::{Config, RpcError};
 use tarpc::context;
@@ -27,6 +27,8 @@
     pub call_timeout_ms: u64,
     /// How long fetching a whole configuration may take.
     pub fetch_timeout_ms: u64,
+    /// How long one part of a hand-over may take.
+    pub hand_over_timeout_ms: u64,
 }
 
 impl Default for Settings {
@@ -34,6 +36,7 @@
         Self {
             call_timeout_ms: 400,
             fetch_timeout_ms: 5_000,
+            hand_over_timeout_ms: 1_000,
         }
     }
 }
@@ -141,6 +144,16 @@
         }
     }
 
+    /// Hands over where chats are warm; tells how many of them were news to the peer.
+    pub async fn hand_over(&self, peer: SocketAddr, list: WarmList) -> Result<u32, PeerError> {
+        let timeout_ms = self.settings.hand_over_timeout_ms;
+        let request = PeerRequest::HandOver(list);
+        match self.call_within(peer, &request, timeout_ms).await? {
+            PeerReply::TakenOver { chats } => Ok(chats),
+            _ => RejectedSnafu.fail(),
+        }
+    }
+
     async fn call(&self, peer: SocketAddr, request: &PeerRequest) -> Result<PeerReply, PeerError> {
         self.call_within(peer, request, self.settings.call_timeout_ms)
             .await
--- a/crates/sapphiretrack-peer/src/lib.rs
+++ b/crates/sapphiretrack-peer/src/lib.rs
@@ -11,6 +11,7 @@
 pub use server::{PeerHandlers, serve};
 pub use signing::{Opened, Signed, SigningKey};
 pub use wire::{
-    ConfigReply, ConfigUpdate, Heartbeat, HeartbeatReply, InFlight, OLDEST_PROTOCOL_VERSION,
-    PROTOCOL_VERSION, PeerReply, PeerRequest, Section, ServerState, VmListReply,
+    ConfigReply, ConfigUpdate, Heartbeat, HeartbeatReply, InFlight, MAX_HANDED_CHATS,
+    OLDEST_PROTOCOL_VERSION, PROTOCOL_VERSION, PeerReply, PeerRequest, Section, ServerState,
+    VmListReply,
 };
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -8,15 +8,18 @@
 
 use sapphiretrack_core::{
     BudgetAsk, BudgetReply, Grant, HeldSlots, Incarnation, LoadReport, ReservationId,
-    ReserveRequest, RouterId, RouterProfile, ServerId, VmState,
+    ReserveRequest, RouterId, RouterProfile, ServerId, VmState, WarmList,
 };
 use serde::{Deserialize, Serialize};
 
 /// The version of the messages that this release sends.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 /// The oldest version that this release understands.
 pub const OLDEST_PROTOCOL_VERSION: u16 = 2;
 
+/// Chats of one hand-over; more are passed over, so that taking them in never holds a router up.
+pub const MAX_HANDED_CHATS: usize = 1_024;
+
 /// What a router tells each peer of its cell, again and again.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
@@ -148,6 +151,8 @@
     LeaseBudget(BudgetAsk),
     /// Asks for the receiver's list of VMs, for a router that cannot reach the platform.
     FetchVmList,
+    /// Hands over where chats are warm, at most [`MAX_HANDED_CHATS`] of them; since version 3.
+    HandOver(WarmList),
 }
 
 /// The reply to a call.
@@ -171,4 +176,9 @@
     VmList(VmListReply),
     /// The call is of a later release than the receiver.
     Unsupported,
+    /// To a hand-over.
+    TakenOver {
+        /// Chats of which the receiver knew nothing as new.
+        chats: u32,
+    },
 }
--- a/crates/sapphiretrack-peer/tests/wire.rs
+++ b/crates/sapphiretrack-peer/tests/wire.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use sapphiretrack_core::{HeldSlots, RouterId, VmState};
+use sapphiretrack_core::{HeldSlots, RouterId, VmState, WarmList};
 use sapphiretrack_peer::{
     Heartbeat, HeartbeatReply, InFlight, OLDEST_PROTOCOL_VERSION, Opened, PROTOCOL_VERSION,
     PeerClient, PeerError, PeerHandlers, PeerReply, PeerRequest, Section, Settings, SigningKey,
@@ -87,6 +87,17 @@
     assert_eq!(key.open(&too_old), Opened::Foreign);
 }
 
+#[test]
+fn a_hand_over_is_told_as_of_a_later_release_than_those_that_lack_it() {
+    // Releases of version 2 lack the call; what they cannot read of a later one is no malformed
+    // message to them.
+    let key = SigningKey::new("the key of the cell");
+    let call = PeerRequest::HandOver(WarmList::default());
+    let signed = key.sign(&call).expect("it is encoded");
+    assert!(signed.version > 2, "version {}", signed.version);
+    assert_eq!(key.open(&signed), Opened::Request(call));
+}
+
 #[test]
 fn an_idle_heartbeat_is_small() {
     let key = SigningKey::new("the key of the cell");
--- a/crates/sapphiretrack-platform/src/error.rs
+++ b/crates/sapphiretrack-platform/src/error.rs
@@ -49,6 +49,15 @@
         /// The newest version that is known.
         newest_version: u64,
     },
+    /// A router has no snapshot of its placement memory.
+    #[snafu(display("there is no snapshot; chats may find their prefix cold once"))]
+    NoWarmSnapshot,
+    /// A snapshot of a placement memory cannot be used.
+    #[snafu(display("the snapshot is not used: {problem}; chats may find their prefix cold once"))]
+    BadWarmSnapshot {
+        /// What is wrong with it.
+        problem: &'static str,
+    },
     /// The snapshot of the configuration is damaged.
     #[snafu(display("the snapshot of the configuration cannot be used: {problem}"))]
     BadSnapshot {
--- a/crates/sapphiretrack-platform/src/lib.rs
+++ b/crates/sapphiretrack-platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod leases;
 mod snapshot;
 mod transaction;
+mod warm;
 pub mod wire;
 
 pub use claims::{ClaimStore, ClaimWritten, Swept};
@@ -18,3 +19,4 @@
 pub use error::{ApplyError, PlatformError};
 pub use goals::{EngineGoals, GoalStore};
 pub use leases::{LeaseStore, LeaseWritten, StoredLease};
+pub use warm::{WarmPart, WarmSnapshot, WarmStore};
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -275,6 +275,8 @@
                 self.config_since(version, &change_id)
             }
             PeerRequest::LeaseBudget(ask) => PeerReply::Budget(self.keep_budget(&ask, now_ms)),
+            // What is known of warm chats is no control state: it is taken in before this.
+            PeerRequest::HandOver(_) => PeerReply::Unsupported,
             PeerRequest::FetchVmList => match serde_json::to_string(&self.list) {
                 Ok(vms_json) => PeerReply::VmList(VmListReply { vms_json }),
                 Err(_) => PeerReply::Rejected,
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -17,15 +17,23 @@
 use crate::clock::wall_clock_ms;
 use crate::control::{Command, ControlHandle, Identity};
 use crate::events::Event;
+use crate::hand_over::HandOver;
 use crate::metrics::Metrics;
 use crate::parts::{Endpoints, Parts};
 use crate::settings::Settings;
 use crate::signals::stop_signals;
 use crate::sweep::sweep_claims;
+use crate::warm_memory::WARM_FOR_MS;
+use crate::warm_snapshots::WarmSnapshots;
 
 /// How often a planned stop looks whether the last request has ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// How long a planned stop waits for what is passed on, after the last request.
+const PASS_ON_WAIT: Duration = Duration::from_secs(1);
+/// Ages are kept in whole seconds.
+const AGE_ROUNDING_MS: u64 = 1_000;
+
 /// Why a router did not start.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -74,6 +82,8 @@
     control: ControlHandle,
     metrics: Arc<Metrics>,
     stop: Arc<Notify>,
+    hand_over: HandOver,
+    snapshots: WarmSnapshots,
     callers: HttpServer<CallerHandlers>,
     operators: HttpServer<OperatorHandlers>,
     peer_address: SocketAddr,
@@ -106,6 +116,8 @@
         let endpoints = parts.start_endpoints(&settings, &traffic)?;
         let claims = ClaimStore::new(parts.platform.clone());
         traffic.spawn(sweep_claims(claims, parts.control.clone()));
+        let (hand_over, snapshots) = (parts.hand_over(), parts.warm_snapshots(&settings));
+        traffic.spawn(snapshots.clone().run());
         let identity = Identity {
             id: RouterId::from_name(&settings.router_name),
             incarnation: wall_clock_ms(),
@@ -141,6 +153,8 @@
             control,
             metrics,
             stop,
+            hand_over,
+            snapshots,
             callers,
             operators,
             peer_address,
@@ -182,6 +196,8 @@
             control,
             metrics,
             stop,
+            hand_over,
+            snapshots,
             callers,
             operators,
             ..
@@ -200,7 +216,11 @@
             Event::STOPPING.log(&[("router", &settings.router_name)]);
             control.send(Command::Stop);
             let limit = tokio::time::Instant::now() + Duration::from_millis(settings.stop_limit_ms);
+            let told = tokio::spawn(pass_on(hand_over, snapshots, settings.entry_ttl_ms));
             finish_requests(&settings, &metrics, limit).await;
+            // What is not passed on by then costs warmth only.
+            let told_by = limit.min(tokio::time::Instant::now() + PASS_ON_WAIT);
+            drop(tokio::time::timeout_at(told_by, told).await);
             // Closing ends idle connections and waits for requests that came meanwhile.
             let close = async {
                 drop(callers.close().await);
@@ -220,6 +240,16 @@
     }
 }
 
+/// Passes on where chats are warm: at once for chats that come back elsewhere, and what came
+/// meanwhile when callers have left.
+async fn pass_on(hand_over: HandOver, snapshots: WarmSnapshots, entry_ttl_ms: u64) {
+    let began = tokio::time::Instant::now();
+    hand_over.clone().tell_peers(WARM_FOR_MS).await;
+    tokio::time::sleep_until(began + Duration::from_millis(entry_ttl_ms)).await;
+    let since_ms = began.elapsed().as_millis() as u64 + AGE_ROUNDING_MS;
+    tokio::join!(hand_over.tell_peers(since_ms), snapshots.write_last());
+}
+
 /// Serves through the lookups' time to live and to the last request's end, up to the limit.
 async fn finish_requests(settings: &Settings, metrics: &Metrics, limit: tokio::time::Instant) {
     let ttl = Duration::from_millis(settings.entry_ttl_ms);
--- a/crates/sapphiretrackd/src/dispatch/chat.rs
+++ b/crates/sapphiretrackd/src/dispatch/chat.rs
@@ -223,8 +223,7 @@
             return Vec::new();
         };
         let told = self.request.warm.as_deref().and_then(read_warm);
-        let now_ms = self.dispatcher.clock.now_ms();
-        let remembered = self.dispatcher.lock_memory().recall(self.chat, now_ms);
+        let remembered = self.dispatcher.memory.recall(self.chat);
         let warm: Vec<WarmHint> = told.into_iter().chain(remembered).collect();
         let workspace = workspace_key(&self.request);
         let placement = PlacementRequest {
@@ -331,10 +330,7 @@
             tokens: self.call().map_or(0, |call| call.prompt_tokens),
             age_ms: 0,
         };
-        let now_ms = self.dispatcher.clock.now_ms();
-        self.dispatcher
-            .lock_memory()
-            .remember(self.chat, hint, now_ms);
+        self.dispatcher.memory.remember(self.chat, hint);
         let metrics = &self.dispatcher.metrics;
         let labels = metrics.labels(&self.request.contract.customer, &self.request.class);
         metrics.first_token(&labels, self.started_at.elapsed().as_secs_f64());
--- a/crates/sapphiretrackd/src/dispatch/mod.rs
+++ b/crates/sapphiretrackd/src/dispatch/mod.rs
@@ -16,8 +16,8 @@
 use sapphiretrack_backend::BackendClient;
 use sapphiretrack_caller::{Answer, CallerRequest, Target};
 use sapphiretrack_core::{
-    AttemptId, ChatKey, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RetryBudget,
-    WorkspaceKey, WorkspaceShares,
+    AttemptId, ChatKey, PlacementSettings, Refusal, RefusalCode, RetryBudget, WorkspaceKey,
+    WorkspaceShares,
 };
 use sapphiretrack_peer::PeerClient;
 use sapphiretrack_platform::ClaimStore;
@@ -27,6 +27,7 @@
 pub(crate) use crate::dispatch::health::Health;
 use crate::limits::{InFlightPlace, LimitTable};
 use crate::metrics::Metrics;
+use crate::warm_memory::WarmMemory;
 
 /// When to come back after a refusal of an isolated router.
 const ISOLATED_RETRY_MS: u64 = 1_000;
@@ -43,7 +44,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) limits: LimitTable,
     pub(crate) placement: PlacementSettings,
-    pub(crate) memory: Mutex<PlacementMemory>,
+    pub(crate) memory: Arc<WarmMemory>,
     pub(crate) shares: Mutex<WorkspaceShares>,
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) health: Health,
@@ -132,10 +133,6 @@
         let mut shares = shares.unwrap_or_else(PoisonError::into_inner);
         shares.note(workspace, self.clock.now_ms())
     }
-
-    fn lock_memory(&self) -> std::sync::MutexGuard<'_, PlacementMemory> {
-        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 fn workspace_key(request: &CallerRequest) -> WorkspaceKey {
--- a/crates/sapphiretrackd/src/events.rs
+++ b/crates/sapphiretrackd/src/events.rs
@@ -87,6 +87,19 @@
     /// Claims past their retention were deleted.
     pub const CLAIMS_SWEPT: Self = Self::new(504, Level::Info, "old claims deleted");
 
+    /// Peers were told where chats are warm, at the planned stop.
+    pub const MEMORY_HANDED_OVER: Self =
+        Self::new(520, Level::Info, "placement memory handed over");
+    /// A snapshot of a placement memory was taken in, this router's own or that of one that died.
+    pub const MEMORY_READ: Self = Self::new(521, Level::Info, "placement snapshot taken in");
+    /// A router has no snapshot: it is new, or ended before it wrote one.
+    pub const MEMORY_MISSING: Self = Self::new(522, Level::Info, "no placement snapshot");
+    /// A snapshot is damaged, another router's or of another format, or was not read.
+    pub const MEMORY_NOT_USED: Self = Self::new(523, Level::Warn, "placement snapshot not used");
+    /// This router's snapshot could not be written.
+    pub const MEMORY_NOT_WRITTEN: Self =
+        Self::new(524, Level::Warn, "placement snapshot not written");
+
     /// All events, by number.
     pub const ALL: &'static [Self] = &[
         Self::STARTED,
@@ -118,6 +131,11 @@
         Self::ORDER_TAKEN,
         Self::ORDER_REFUSED,
         Self::ORDER_LOST,
+        Self::MEMORY_HANDED_OVER,
+        Self::MEMORY_READ,
+        Self::MEMORY_MISSING,
+        Self::MEMORY_NOT_USED,
+        Self::MEMORY_NOT_WRITTEN,
     ];
 
     const fn new(number: u16, level: Level, text: &'static str) -> Self {
--- a/crates/sapphiretrackd/src/lib.rs
+++ b/crates/sapphiretrackd/src/lib.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod events;
 mod goals;
+mod hand_over;
 mod limits;
 mod logging;
 mod metrics;
@@ -15,6 +16,8 @@
 mod settings;
 mod signals;
 mod sweep;
+mod warm_memory;
+mod warm_snapshots;
 
 pub use daemon::{Daemon, DaemonError, StopReport};
 pub use events::Event;
--- a/crates/sapphiretrackd/src/parts.rs
+++ b/crates/sapphiretrackd/src/parts.rs
@@ -7,13 +7,15 @@
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
 use sapphiretrack_caller::{CallerHandlers, RequestToken};
-use sapphiretrack_core::{
-    Contract, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RouterId, sha256_hex,
-};
+use sapphiretrack_core::{Contract, PlacementSettings, Refusal, RefusalCode, RouterId, sha256_hex};
 use sapphiretrack_operator::OperatorHandlers;
 use sapphiretrack_operator::wire::StopReply;
-use sapphiretrack_peer::{PeerClient, PeerHandlers, SigningKey};
-use sapphiretrack_platform::{ClaimStore, ConfigurationStore, GoalStore, PlatformClient};
+use sapphiretrack_peer::{
+    MAX_HANDED_CHATS, PeerClient, PeerHandlers, PeerReply, PeerRequest, SigningKey,
+};
+use sapphiretrack_platform::{
+    ClaimStore, ConfigurationStore, GoalStore, PlatformClient, WarmStore,
+};
 use snafu::ResultExt;
 use tokio::runtime::Runtime;
 use tokio::sync::Notify;
@@ -28,10 +30,13 @@
 use crate::entry::entry_reply;
 use crate::events::Event;
 use crate::goals::GoalOperations;
+use crate::hand_over::HandOver;
 use crate::limits::LimitTable;
 use crate::metrics::{InFlight, Metrics};
 use crate::operations::Operations;
 use crate::settings::Settings;
+use crate::warm_memory::WarmMemory;
+use crate::warm_snapshots::WarmSnapshots;
 
 /// When to come back to a router that has not got the contracts yet.
 const NO_CONFIG_RETRY_MS: u64 = 1_000;
@@ -54,14 +59,17 @@
     pub(crate) backend: BackendClient,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) stop: Arc<Notify>,
+    pub(crate) memory: Arc<WarmMemory>,
 }
 
 impl Parts {
     pub(crate) fn new(settings: &Settings) -> Self {
         let (control, commands) = control_channel(RouterId::from_name(&settings.router_name));
         let key = SigningKey::new(&settings.cell_key);
+        let clock = Clock::start();
         Self {
-            clock: Clock::start(),
+            clock,
+            memory: Arc::new(WarmMemory::new(clock, settings.placement_memory_chats)),
             control,
             commands,
             platform: PlatformClient::new(sapphiretrack_platform::Settings {
@@ -78,10 +86,20 @@
     pub(crate) fn peer_handlers(&self) -> PeerHandlers {
         let control = self.control.clone();
         let metrics = self.metrics.clone();
+        let memory = self.memory.clone();
         PeerHandlers {
             handle: Arc::new(move |request| {
-                let control = control.clone();
-                Box::pin(async move { control.peer(request).await })
+                let (control, memory) = (control.clone(), memory.clone());
+                Box::pin(async move {
+                    match request {
+                        PeerRequest::HandOver(mut list) => {
+                            list.chats.truncate(MAX_HANDED_CHATS);
+                            let chats = memory.merge(&list, 0) as u32;
+                            PeerReply::TakenOver { chats }
+                        }
+                        request => control.peer(request).await,
+                    }
+                })
             }),
             rejected: Arc::new(move || {
                 metrics.rejected_peer_messages.inc();
@@ -90,6 +108,26 @@
         }
     }
 
+    pub(crate) fn hand_over(&self) -> HandOver {
+        HandOver {
+            control: self.control.clone(),
+            memory: self.memory.clone(),
+            peers: self.peers.clone(),
+        }
+    }
+
+    pub(crate) fn warm_snapshots(&self, settings: &Settings) -> WarmSnapshots {
+        WarmSnapshots {
+            me: RouterId::from_name(&settings.router_name),
+            name: settings.router_name.clone(),
+            clock: self.clock,
+            control: self.control.clone(),
+            memory: self.memory.clone(),
+            store: WarmStore::new(self.platform.clone()),
+            period_ms: settings.memory_snapshot_ms,
+        }
+    }
+
     pub(crate) fn start_endpoints(
         &self,
         settings: &Settings,
@@ -132,7 +170,7 @@
                 bound: settings.load_bound,
                 ..PlacementSettings::default()
             },
-            memory: Mutex::new(PlacementMemory::new(settings.placement_memory_chats)),
+            memory: self.memory.clone(),
             shares: Mutex::default(),
             retries: Mutex::new(Dispatcher::retry_budget()),
             health: Health::default(),
--- a/crates/sapphiretrackd/src/settings/flag.rs
+++ b/crates/sapphiretrackd/src/settings/flag.rs
@@ -188,6 +188,12 @@
             "chats whose place is remembered",
             "use a number above 0"
         ),
+        flag!(
+            "memory-snapshot-ms",
+            memory_snapshot_ms,
+            "how often where chats are warm is written to the platform; 0 for never",
+            "use milliseconds"
+        ),
         flag!(
             "load-multiple",
             load_bound.load_multiple,
--- a/crates/sapphiretrackd/src/settings/mod.rs
+++ b/crates/sapphiretrackd/src/settings/mod.rs
@@ -53,6 +53,8 @@
     pub isolated_after_ms: u64,
     /// How many chats the placement memory holds.
     pub placement_memory_chats: usize,
+    /// How often where chats are warm is written to the platform; 0 for never.
+    pub memory_snapshot_ms: u64,
     /// When a planned stop gives up waiting for the last request.
     pub stop_limit_ms: u64,
     /// The load bound of each pool.
@@ -113,6 +115,7 @@
             dead_after_ms: 3_000,
             isolated_after_ms: 10_000,
             placement_memory_chats: 100_000,
+            memory_snapshot_ms: 30_000,
             stop_limit_ms: 600_000,
             load_bound: LoadBound::default(),
             traffic_threads: 2,
