--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -88,9 +88,9 @@
 pub use peer_beat::{BeatTaken, PeerBeat, RouterProfile};
 pub use peer_roster::{ListedRouter, PeerRoster, PeerRosterSettings, RosterPeer};
 pub use placement::{
-    Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
-    SentTokens, WaitSettings, WarmHint, WorkspaceShares, backlog_tokens, rank_servers,
-    wait_for_room, wait_for_steward,
+    Candidate, LostRouters, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest,
+    PlacementSettings, SentTokens, WaitSettings, WarmChat, WarmHint, WarmList, WorkspaceShares,
+    backlog_tokens, keep_newest, rank_servers, wait_for_room, wait_for_steward,
 };
 pub use pool_load::{DrainSettings, HeardLoad, pool_load};
 pub use rendezvous::{rendezvous_score, top_by_rendezvous};
--- a/crates/sapphiretrackd/src/daemon.rs
+++ b/crates/sapphiretrackd/src/daemon.rs
@@ -17,12 +17,17 @@
 use crate::clock::wall_clock_ms;
 use crate::control::{Command, ControlHandle, Identity};
 use crate::events::Event;
+use crate::hand_over::{HandOver, pass_on};
 use crate::metrics::Metrics;
 use crate::parts::{Endpoints, Parts};
 use crate::settings::Settings;
 use crate::signals::stop_signals;
 use crate::stopping::Stopping;
 use crate::sweep::sweep_claims;
+use crate::warm_snapshots::WarmSnapshots;
+
+/// How long a planned stop waits for what is passed on, after the last request.
+const PASS_ON_WAIT: Duration = Duration::from_secs(1);
 
 /// Why a router did not start.
 #[derive(Debug, Snafu)]
@@ -73,6 +78,8 @@
     metrics: Arc<Metrics>,
     stop: Arc<Notify>,
     stopping: Arc<Stopping>,
+    hand_over: HandOver,
+    snapshots: WarmSnapshots,
     callers: CallerServer,
     operators: HttpServer<OperatorHandlers>,
     peer_address: SocketAddr,
@@ -105,6 +112,8 @@
         let endpoints = parts.start_endpoints(&settings, &traffic)?;
         let claims = ClaimStore::new(parts.platform.clone());
         traffic.spawn(sweep_claims(claims, parts.control.clone()));
+        let (hand_over, snapshots) = (parts.hand_over(), parts.warm_snapshots(&settings));
+        traffic.spawn(snapshots.clone().run());
         let identity = Identity {
             id: RouterId::from_name(&settings.router_name),
             incarnation: wall_clock_ms(),
@@ -142,6 +151,8 @@
             metrics,
             stop,
             stopping,
+            hand_over,
+            snapshots,
             callers,
             operators,
             peer_address,
@@ -184,6 +195,8 @@
             metrics,
             stop,
             stopping,
+            hand_over,
+            snapshots,
             callers,
             operators,
             ..
@@ -202,7 +215,11 @@
             Event::STOPPING.log(&[("router", &settings.router_name)]);
             control.send(Command::Stop);
             let limit = tokio::time::Instant::now() + Duration::from_millis(settings.stop_limit_ms);
+            let told = tokio::spawn(pass_on(hand_over, snapshots, settings.entry_ttl_ms));
             stopping.serve_on(&settings, &metrics, limit).await;
+            // What is not passed on by then costs warmth only.
+            let told_by = limit.min(tokio::time::Instant::now() + PASS_ON_WAIT);
+            drop(tokio::time::timeout_at(told_by, told).await);
             // Closing ends idle connections and waits for requests that came meanwhile.
             let close = async {
                 callers.close().await;
--- a/crates/sapphiretrackd/src/lib.rs
+++ b/crates/sapphiretrackd/src/lib.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod events;
 mod goals;
+mod hand_over;
 mod limits;
 mod logging;
 mod metrics;
@@ -16,6 +17,8 @@
 mod signals;
 mod stopping;
 mod sweep;
+mod warm_memory;
+mod warm_snapshots;
 
 pub use daemon::{Daemon, DaemonError, StopReport};
 pub use events::Event;
--- a/crates/sapphiretrackd/src/parts.rs
+++ b/crates/sapphiretrackd/src/parts.rs
@@ -7,13 +7,15 @@
 use futures::future::BoxFuture;
 use sapphiretrack_backend::BackendClient;
 use sapphiretrack_caller::{CallerHandlers, CallerServer, RequestToken};
-use sapphiretrack_core::{
-    Contract, PlacementMemory, PlacementSettings, Refusal, RefusalCode, RouterId, sha256_hex,
-};
+use sapphiretrack_core::{Contract, PlacementSettings, Refusal, RefusalCode, RouterId, sha256_hex};
 use sapphiretrack_operator::OperatorHandlers;
 use sapphiretrack_operator::wire::StopReply;
-use sapphiretrack_peer::{PeerClient, PeerHandlers, SigningKey};
-use sapphiretrack_platform::{ClaimStore, ConfigurationStore, GoalStore, PlatformClient};
+use sapphiretrack_peer::{
+    MAX_HANDED_CHATS, PeerClient, PeerHandlers, PeerReply, PeerRequest, SigningKey,
+};
+use sapphiretrack_platform::{
+    ClaimStore, ConfigurationStore, GoalStore, PlatformClient, WarmStore,
+};
 use snafu::ResultExt;
 use tokio::runtime::Runtime;
 use tokio::sync::Notify;
@@ -28,11 +30,14 @@
 use crate::entry::entry_reply;
 use crate::events::Event;
 use crate::goals::GoalOperations;
+use crate::hand_over::HandOver;
 use crate::limits::LimitTable;
 use crate::metrics::{InFlight, Metrics};
 use crate::operations::Operations;
 use crate::settings::Settings;
 use crate::stopping::Stopping;
+use crate::warm_memory::WarmMemory;
+use crate::warm_snapshots::WarmSnapshots;
 
 /// When to come back to a router that has not got the contracts yet.
 const NO_CONFIG_RETRY_MS: u64 = 1_000;
@@ -56,6 +61,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) stop: Arc<Notify>,
     pub(crate) stopping: Arc<Stopping>,
+    pub(crate) memory: Arc<WarmMemory>,
 }
 
 impl Parts {
@@ -65,6 +71,7 @@
         let clock = Clock::start();
         Self {
             clock,
+            memory: Arc::new(WarmMemory::new(clock, settings.placement_memory_chats)),
             control,
             commands,
             platform: PlatformClient::new(sapphiretrack_platform::Settings {
@@ -82,10 +89,20 @@
     pub(crate) fn peer_handlers(&self) -> PeerHandlers {
         let control = self.control.clone();
         let metrics = self.metrics.clone();
+        let memory = self.memory.clone();
         PeerHandlers {
             handle: Arc::new(move |request| {
-                let control = control.clone();
-                Box::pin(async move { control.peer(request).await })
+                let (control, memory) = (control.clone(), memory.clone());
+                Box::pin(async move {
+                    match request {
+                        PeerRequest::HandOver(mut list) => {
+                            list.chats.truncate(MAX_HANDED_CHATS);
+                            let chats = memory.merge(&list, 0) as u32;
+                            PeerReply::TakenOver { chats }
+                        }
+                        request => control.peer(request).await,
+                    }
+                })
             }),
             rejected: Arc::new(move || {
                 metrics.rejected_peer_messages.inc();
@@ -94,6 +111,26 @@
         }
     }
 
+    pub(crate) fn hand_over(&self) -> HandOver {
+        HandOver {
+            control: self.control.clone(),
+            memory: self.memory.clone(),
+            peers: self.peers.clone(),
+        }
+    }
+
+    pub(crate) fn warm_snapshots(&self, settings: &Settings) -> WarmSnapshots {
+        WarmSnapshots {
+            me: RouterId::from_name(&settings.router_name),
+            name: settings.router_name.clone(),
+            clock: self.clock,
+            control: self.control.clone(),
+            memory: self.memory.clone(),
+            store: WarmStore::new(self.platform.clone()),
+            period_ms: settings.memory_snapshot_ms,
+        }
+    }
+
     pub(crate) fn start_endpoints(
         &self,
         settings: &Settings,
@@ -136,7 +173,7 @@
                 bound: settings.load_bound,
                 ..PlacementSettings::default()
             },
-            memory: Mutex::new(PlacementMemory::new(settings.placement_memory_chats)),
+            memory: self.memory.clone(),
             shares: Mutex::default(),
             retries: Mutex::new(Dispatcher::retry_budget()),
             health: Health::default(),
