Contracts with equal tables share them

Cause of the memory for 24,000 contracts: each had its own pool names and class table. A B-tree holds room for eleven entries in its first node, so two pools and two classes took about 0.8 kB and their names as much again in small pieces. Old and new configuration share their contracts already, and the key index holds digests and pointers, so those were not it.

Tables that are equal are now kept once: while the configuration is read, so that copies never pile up, after a scan of the rows, and for a changed contract. Applying several changes copies the map of contracts once less.

--- a/crates/sapphiretrack-core/src/config.rs
+++ b/crates/sapphiretrack-core/src/config.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::shared_tables::{self, SharedTables};
 use crate::{Change, Contract, HistoryEntry, ServerId};
 
 /// How many of the last changes a configuration carries along.
@@ -23,6 +24,7 @@
     /// Rises with each accepted change; 0 before the first.
     pub version: u64,
     /// The contract of each customer, by customer name.
+    #[serde(deserialize_with = "shared_tables::deserialize")]
     pub contracts: BTreeMap<String, Arc<Contract>>,
     /// The names of backend servers that operators are draining.
     pub draining: BTreeSet<String>,
@@ -33,6 +35,14 @@
 }
 
 impl FleetConfig {
+    /// Keeps equal tables of the contracts once; for one that was not read as a whole.
+    pub fn share_tables(&mut self) {
+        let mut tables = SharedTables::default();
+        for contract in self.contracts.values_mut() {
+            tables.share(Arc::make_mut(contract));
+        }
+    }
+
     /// Whether an operator is draining this backend server.
     pub fn is_draining(&self, server: ServerId) -> bool {
         self.draining
@@ -53,8 +63,10 @@
         next.version = entry.version;
         match &entry.change {
             Change::Contract { contract, .. } => {
-                let contract = Arc::new(contract.as_ref().clone());
-                next.contracts.insert(contract.customer.clone(), contract);
+                let mut contract = contract.as_ref().clone();
+                SharedTables::of(&self.contracts).share(&mut contract);
+                let customer = contract.customer.clone();
+                next.contracts.insert(customer, Arc::new(contract));
             }
             Change::Drain {
                 server,
@@ -79,11 +91,12 @@
 
     /// The configuration after a row of changes; none if one of them does not follow.
     pub fn after_all(&self, entries: &[Arc<HistoryEntry>]) -> Option<Self> {
-        let mut config = self.clone();
-        for entry in entries {
-            config = config.after(entry)?;
-        }
-        Some(config)
+        let Some((first, rest)) = entries.split_first() else {
+            return Some(self.clone());
+        };
+        let first = self.after(first)?;
+        rest.iter()
+            .try_fold(first, |config, entry| config.after(entry))
     }
 
     /// The changes that lead from an older version to this one, if they are still known.
--- a/crates/sapphiretrack-core/src/contract.rs
+++ b/crates/sapphiretrack-core/src/contract.rs
@@ -1,6 +1,7 @@
 //! Contracts: what a customer may place, how urgent it is, and what may never run twice.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -18,13 +19,13 @@
     /// SHA-256 of each key that the customer's callers may use, as lower-case hex.
     pub caller_keys_sha256: Vec<String>,
     /// The pools that the customer may use: models and plain services by name.
-    pub pools: BTreeSet<String>,
+    pub pools: Arc<BTreeSet<String>>,
     /// The class of requests that name none.
     pub default_class: String,
     /// How much work the customer may place.
     pub limits: Limits,
     /// How urgent each kind of request is.
-    pub classes: BTreeMap<String, ClassPolicy>,
+    pub classes: Arc<BTreeMap<String, ClassPolicy>>,
     /// Which requests are non-idempotent: they run at most once.
     #[serde(default)]
     pub non_idempotent: Vec<NonIdempotentRule>,
@@ -217,7 +218,7 @@
             hint: "name one of the [classes]",
         }
     );
-    for (name, class) in &contract.classes {
+    for (name, class) in contract.classes.as_ref() {
         ensure!(
             class.deadline_ms > 0,
             ValueSnafu {
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -35,6 +35,7 @@
 mod rendezvous;
 mod retry;
 mod server_roster;
+mod shared_tables;
 mod stewardship;
 
 pub use attempt::{
--- a/crates/sapphiretrack-core/tests/config.rs
+++ b/crates/sapphiretrack-core/tests/config.rs
@@ -133,10 +133,23 @@
     let old = contract("plant-a", "k");
     let mut new = old.clone();
     new.limits.in_flight = 9;
-    new.pools.insert(String::from("plant"));
+    Arc::make_mut(&mut new.pools).insert(String::from("plant"));
     let expected = [
         "limits.in_flight: 4 -> 9",
         "pools: [\"assistant\"] -> [\"assistant\", \"plant\"]",
     ];
     assert_eq!(contract_differences(&old, &new), expected);
 }
+
+#[test]
+fn contracts_with_equal_tables_share_them_once_they_are_read() {
+    let text = toml::to_string(&after(3)).expect("it has a text form");
+    let config: FleetConfig = toml::from_str(&text).expect("it reads back");
+    assert_eq!(config, after(3));
+    let mut contracts = config.contracts.values();
+    let first = contracts.next().expect("there are three");
+    for contract in contracts {
+        assert!(Arc::ptr_eq(&contract.classes, &first.classes));
+        assert!(Arc::ptr_eq(&contract.pools, &first.pools));
+    }
+}
--- a/crates/sapphiretrack-platform/src/configuration.rs
+++ b/crates/sapphiretrack-platform/src/configuration.rs
@@ -341,6 +341,7 @@
                 let customer = parsed.contract.customer.clone();
                 config.contracts.insert(customer, parsed.contract);
             }
+            config.share_tables();
             let last = self.platform.get(&history_key(after.version)).await?;
             if let Some(row) = &last {
                 config.recent.push_back(Arc::new(read_row(row)?));
--- a/crates/sapphiretrack-tests/benches/configuration.rs
+++ b/crates/sapphiretrack-tests/benches/configuration.rs
@@ -17,6 +17,8 @@
 const ROUTERS: usize = 9;
 const CHANGES: u32 = 200;
 const CUSTOMERS: u32 = 24_000;
+/// How many different tables of classes the customers have.
+const CLASS_TABLES: u32 = 24;
 const IDLE: Duration = Duration::from_secs(20);
 const POLL: Duration = Duration::from_millis(5);
 
@@ -222,10 +224,17 @@
 
 fn many_customers() -> FleetConfig {
     let contract = parse_contract(&contract_toml(10)).expect("the contract is good");
-    let named = |number: u32| Contract {
-        customer: format!("customer-{number:05}"),
-        caller_keys_sha256: vec![sapphiretrack_core::sha256_hex(&number.to_string())],
-        ..contract.clone()
+    let named = |number: u32| {
+        let mut classes = contract.classes.as_ref().clone();
+        for class in classes.values_mut() {
+            class.deadline_ms += u64::from(number % CLASS_TABLES);
+        }
+        Contract {
+            customer: format!("customer-{number:05}"),
+            caller_keys_sha256: vec![sapphiretrack_core::sha256_hex(&number.to_string())],
+            classes: Arc::new(classes),
+            ..contract.clone()
+        }
     };
     let contracts = (0..CUSTOMERS).map(named);
     let last = HistoryEntry {
