--- a/crates/sapphiretrack-core/src/fair_share.rs
+++ b/crates/sapphiretrack-core/src/fair_share.rs
@@ -47,6 +47,9 @@
 pub struct PoolShares {
     customers: BTreeMap<String, CustomerShare>,
     full_until_ms: u64,
+    /// What this router had in flight when the pool last refused: while requests end one by one,
+    /// less than that does not mean that there is room for less.
+    room: u32,
 }
 
 /// What one customer has and wants of a pool.
@@ -84,18 +87,21 @@
     /// Notes that the pool refused a request for want of room.
     pub fn note_full(&mut self, now_ms: u64) {
         self.full_until_ms = now_ms + FULL_FOR_MS;
+        self.room = self.in_flight();
         self.customers.retain(|_, share| {
             share.in_flight > 0 || now_ms.saturating_sub(share.asked_ms) < WANTS_FOR_MS
         });
     }
 
-    /// Whether one more request leaves the customer within its share of what is in flight now.
+    fn in_flight(&self) -> u32 {
+        self.customers.values().map(|share| share.in_flight).sum()
+    }
+
+    /// Whether one more request leaves the customer within its share of what there is room for.
     fn is_below_share(&self, customer: &str, now_ms: u64) -> bool {
         let mut demands = Vec::new();
         let mut own = None;
-        let mut in_flight = 0;
         for (name, share) in &self.customers {
-            in_flight += share.in_flight;
             let wants = now_ms.saturating_sub(share.asked_ms) < WANTS_FOR_MS;
             if name == customer {
                 own = Some((demands.len(), share.in_flight));
@@ -116,7 +122,8 @@
         if demands.len() == 1 || own_in_flight == 0 {
             return true;
         }
-        let shares = fair_shares(f64::from(in_flight), &demands);
+        let room = self.in_flight().max(self.room);
+        let shares = fair_shares(f64::from(room), &demands);
         f64::from(own_in_flight) < shares[index]
     }
 }
--- a/crates/sapphiretrack-core/tests/fair_share.rs
+++ b/crates/sapphiretrack-core/tests/fair_share.rs
@@ -98,3 +98,22 @@
     assert!(shares.try_enter("quiet", 1.0, 1));
     assert!(shares.try_enter("loud", 1.0, FULL_FOR_MS));
 }
+
+#[test]
+fn shares_are_of_the_room_that_there_was_and_not_of_what_is_left_in_flight() {
+    let mut shares = PoolShares::default();
+    for _ in 0..9 {
+        assert!(shares.try_enter("loud", 1.0, 0));
+    }
+    assert!(shares.try_enter("quiet", 1.0, 0));
+    shares.note_full(0);
+    for _ in 0..6 {
+        shares.leave("loud");
+    }
+    let mut entered = |customer: &str| {
+        let entered = (0..10).filter(|_| shares.try_enter(customer, 1.0, 1));
+        entered.count()
+    };
+    assert_eq!(entered("quiet"), 4);
+    assert_eq!(entered("loud"), 2);
+}
