--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -38,6 +38,7 @@
 mod resignation;
 mod retry;
 mod server_roster;
+mod shared_tables;
 mod stewardship;
 mod stop;
 
