Detection of a flapping router is measured

A router is killed and started again under its name, four times a trial, with no pause between; the measure is when each other router noticed each death.

--- a/crates/sapphiretrack-bench/src/cell/command.rs
+++ b/crates/sapphiretrack-bench/src/cell/command.rs
@@ -11,7 +11,9 @@
 use sapphiretrack_core::VmRole;
 use serde_json::json;
 
-use crate::cell::detection::{RouterFate, engine_leaving, engine_silent, router_fate, steward_gap};
+use crate::cell::detection::{
+    RouterFate, engine_leaving, engine_silent, router_fate, router_flapping, steward_gap,
+};
 use crate::cell::routers::{CALLER_KEY, Cell};
 use crate::cell::usage::{SocketBytes, SocketKey, sockets, usage_of};
 
@@ -181,6 +183,11 @@
         }
         print_times(&format!("router {fate:?}"), routers, times);
     }
+    let mut flapping = Vec::new();
+    for _ in 0..trials {
+        flapping.extend(router_flapping(&mut cell).await?);
+    }
+    print_times("router flapping, each death", routers, flapping);
     let mut silent = Vec::new();
     for trial in 0..trials.min(ENGINES / 2) {
         silent.extend(engine_silent(&cell, trial).await?);
--- a/crates/sapphiretrack-bench/src/cell/detection.rs
+++ b/crates/sapphiretrack-bench/src/cell/detection.rs
@@ -50,6 +50,30 @@
     times.ok_or_else(|| format!("{fate:?} was not noticed by all"))
 }
 
+/// How often a flapping router goes down in one trial.
+const DOWNS: usize = 4;
+
+/// The last router dies and starts again under its name, several times with no pause between;
+/// returns when each other router noticed each death.
+pub(crate) async fn router_flapping(cell: &mut Cell) -> Result<Vec<f64>, String> {
+    let mut times = Vec::new();
+    for _ in 0..DOWNS {
+        let victim = cell.routers.pop().ok_or("there is no router")?;
+        let name = format!("router=\"{}\"", victim.name);
+        let since = Instant::now();
+        victim.signal("KILL")?;
+        for router in &cell.routers {
+            let noticed = router.wait_event(PEER_LOST, &name, since);
+            let (after, _) = noticed.ok_or("a death was not noticed by all")?;
+            times.push(after.as_secs_f64() * 1_000.0);
+        }
+        cell.start_again(&victim.name)?;
+        cell.publish();
+        cell.wait_settled().await?;
+    }
+    Ok(times)
+}
+
 /// An engine says that it is leaving; returns when each router closed it.
 pub(crate) async fn engine_leaving(cell: &Cell, engine: usize) -> Result<Vec<f64>, String> {
     let since = Instant::now();
--- a/crates/sapphiretrack-bench/src/cell/routers.rs
+++ b/crates/sapphiretrack-bench/src/cell/routers.rs
@@ -183,6 +183,14 @@
         Ok(())
     }
 
+    /// Starts a router anew under a name that one had before.
+    pub(crate) fn start_again(&mut self, name: &str) -> Result<(), String> {
+        let router = RouterProcess::start(name, self.started, &self.platform)?;
+        self.started += 1;
+        self.routers.push(router);
+        Ok(())
+    }
+
     /// Gives the platform the list as it stands.
     pub(crate) fn publish(&self) {
         let routers = self.routers.iter().map(|router| router.vm.clone());
