Urgent requests have room at the ceiling, and waits leave time for the answer

Cause of refused urgent requests under overload: the rule that a class which is not shed may fill a server to one above the mean also held at the ceiling. In the first second, before any answer tells of the overload, all classes filled each engine to its ceiling (8 running, 24 queued, seen in a trial with prints); the urgent found no slot though the engine would have served it first. Each class now stops at its share of the ceiling. Second: waits for room took half of what was left, try by try; they add up to half of the deadline now.

Ruled out: the steward (all refusals of the urgent were Full, none NotSteward).

Tests, seen failing before: lower_classes_leave_headroom_at_the_ceiling_too, waits_add_up_to_no_more_than_their_part_of_the_deadline.

--- a/crates/sapphiretrack-core/src/bound.rs
+++ b/crates/sapphiretrack-core/src/bound.rs
@@ -49,7 +49,8 @@
 ///
 /// A class that is not shed gets at least one request above the likely mean, as far as the
 /// bound allows it: the emptiest server is at the mean or under it, so that headroom alone
-/// never refuses work while the pool could take it.
+/// never refuses work while the pool could take it. Not so at the ceiling: what urgent classes
+/// are left there is theirs, or lower ones would fill it in the first second of an overload.
 pub fn server_limit(bound: &LoadBound, load: &PoolLoad, share: f64) -> u32 {
     let least = f64::from(load.least_in_flight.saturating_add(1));
     let least_mean = least / f64::from(load.live_servers.max(1));
@@ -60,9 +61,13 @@
         .max(bound.floor_requests)
         .min(bound.ceiling_requests);
     let by_class = (f64::from(whole) * share.clamp(0.0, 1.0)).floor() as u32;
+    let below_ceiling = (f64::from(bound.ceiling_requests) * share.clamp(0.0, 1.0)).floor() as u32;
     let above_mean = match share < SHED_BELOW_SHARE {
         true => 0,
-        false => (mean.floor() as u32).saturating_add(1).min(whole),
+        false => (mean.floor() as u32)
+            .saturating_add(1)
+            .min(whole)
+            .min(below_ceiling),
     };
     by_class.max(above_mean).max(1)
 }
--- a/crates/sapphiretrack-core/src/placement/wait.rs
+++ b/crates/sapphiretrack-core/src/placement/wait.rs
@@ -7,7 +7,8 @@
     pub hold_ms: u64,
     /// The longest time that a request waits for room altogether.
     pub longest_ms: u64,
-    /// The part of the time left to the deadline that may go into waiting.
+    /// The part of the time to the deadline, as it was before the first wait, that may go into
+    /// waiting altogether.
     pub deadline_part: f64,
     /// The shortest time between two tries.
     pub shortest_ms: u64,
@@ -39,7 +40,10 @@
     }
     let next_end_ms = settings.hold_ms / u64::from(pool_in_flight);
     let wait_ms = next_end_ms.max(settings.shortest_ms);
-    let by_deadline_ms = (left_ms as f64 * settings.deadline_part) as u64;
+    // A part of what is left, try by try, would add up to almost all of it.
+    let whole_ms = waited_ms.saturating_add(left_ms);
+    let for_waiting_ms = (whole_ms as f64 * settings.deadline_part) as u64;
+    let by_deadline_ms = for_waiting_ms.saturating_sub(waited_ms);
     let allowed_ms = settings.longest_ms.saturating_sub(waited_ms);
     (wait_ms <= allowed_ms.min(by_deadline_ms)).then_some(wait_ms)
 }
--- a/crates/sapphiretrack-core/tests/placement.rs
+++ b/crates/sapphiretrack-core/tests/placement.rs
@@ -125,7 +125,9 @@
             assert!(f64::from(limit) <= multiple.max(f64::from(bound.floor_requests)));
             let emptiest = in_flight / 12;
             let is_shed = share < SHED_BELOW_SHARE;
-            assert!(is_shed || emptiest < limit || limit == bound.ceiling_requests);
+            let ceiling = (f64::from(bound.ceiling_requests) * share).floor() as u32;
+            assert!(limit <= ceiling);
+            assert!(is_shed || emptiest < limit || limit == ceiling);
         }
     }
 }
@@ -186,6 +188,34 @@
     assert_eq!(wait_for_room(&settings, 100, 0, 150), None);
 }
 
+#[test]
+fn waits_add_up_to_no_more_than_their_part_of_the_deadline() {
+    let settings = WaitSettings::default();
+    for (deadline_ms, in_flight) in [(1_000, 32), (2_000, 32), (2_000, 128), (3_000, 500)] {
+        let mut waited_ms = 0;
+        while let Some(wait_ms) =
+            wait_for_room(&settings, in_flight, waited_ms, deadline_ms - waited_ms)
+        {
+            waited_ms += wait_ms;
+        }
+        assert!(waited_ms > 0);
+        assert!(waited_ms <= deadline_ms / 2, "{waited_ms} of {deadline_ms}");
+    }
+}
+
+#[test]
+fn lower_classes_leave_headroom_at_the_ceiling_too() {
+    let bound = LoadBound::default();
+    let load = PoolLoad {
+        least_in_flight: 10_000,
+        in_flight: 10_000,
+        live_servers: 12,
+        open_servers: 12,
+    };
+    let limits = [1.0, 0.9, 0.81].map(|share| server_limit(&bound, &load, share));
+    assert_eq!(limits, [64, 57, 51]);
+}
+
 #[test]
 fn the_backlog_is_the_report_worked_off_and_own_sends_since() {
     let settings = PlacementSettings::default();
