A place noted before its server's first report counts after it

Cause: a router that places on a server whose load report it has not heard yet notes incarnation 0 for the chat. Once the report is there, that never fits: the note, and the value that the caller got, are worth nothing.

Ruled out: the hand-over (event 520 told 12 chats, 2 peers, both took all), age, full servers.

Seen failing: a_place_noted_before_its_server_was_first_heard_counts_after_that.

--- a/crates/sapphiretrack-core/tests/placement.rs
+++ b/crates/sapphiretrack-core/tests/placement.rs
@@ -5,8 +5,8 @@
 use sapphiretrack_core::{
     ChatKey, DrainSettings, HeardLoad, LoadBound, LoadReport, MEMORY_BYTES_PER_CHAT,
     PlacementMemory, PlacementRequest, PlacementSettings, PoolKind, PoolLoad, PoolView, RouterId,
-    SHED_BELOW_SHARE, SentTokens, ServerId, ServerView, VmState, WaitSettings, WarmHint,
-    WorkspaceKey, WorkspaceShares, backlog_tokens, pool_load, rank_servers, server_limit,
+    SHED_BELOW_SHARE, SentTokens, ServerId, ServerView, UNKNOWN_INCARNATION, VmState, WaitSettings,
+    WarmHint, WorkspaceKey, WorkspaceShares, backlog_tokens, pool_load, rank_servers, server_limit,
     wait_for_room,
 };
 
@@ -97,6 +97,16 @@
     );
 }
 
+#[test]
+fn a_place_noted_before_its_server_was_first_heard_counts_after_that() {
+    let warm = [WarmHint {
+        incarnation: UNKNOWN_INCARNATION,
+        ..hint(3)
+    }];
+    let ranked = rank_servers(&PlacementSettings::default(), &pool(12), &request(&warm));
+    assert!(ranked[0].warm && ranked[0].server == ServerId(3));
+}
+
 #[test]
 fn joining_and_leaving_servers_take_nothing_new() {
     let mut pool = pool(4);
--- a/crates/sapphiretrack-tests/tests/warm_memory.rs
+++ b/crates/sapphiretrack-tests/tests/warm_memory.rs
@@ -141,8 +141,9 @@
     warm_chats(&fleet, 0).await;
     fleet.routers[0].process.signal("TERM").await;
     assert_eq!(fleet.routers[0].process.wait().await, Some(0));
+    let lines = fleet.routers[0].process.wait_lines().await.join("\n");
     let cold = cold_chats(&fleet, 1).await;
-    assert!(cold.is_empty(), "cold: {cold:?}");
+    assert!(cold.is_empty(), "cold: {cold:?}; the stop:\n{lines}");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
