A steward starts with a view, its own consent, and a report since a router was lost

Cause: three ways in which a ledger could grant too early. Before its first view it took itself for the whole cell. A router that does not itself hold it for steward does not fetch the server's reports, and counted none of what a lost router's requests take. Once the 3 s for a silent router were over, no report was asked for. Change: without a view nothing is granted; the starting steward's own consent is needed; where what a lost router held is not known, a report since is needed as long as that router counts (15 s). Silence taken as an end is now found by the property.

--- a/crates/sapphiretrack-core/src/ledger.rs
+++ b/crates/sapphiretrack-core/src/ledger.rs
@@ -133,7 +133,8 @@
             servers: BTreeMap::new(),
             lost: BTreeMap::new(),
             holders: BTreeSet::new(),
-            electorate: 1,
+            // Before the first view nobody can be most of the cell.
+            electorate: usize::MAX,
             hears_cell: false,
             orphans_until_ms: 0,
         }
@@ -231,11 +232,14 @@
 
     /// What a new steward needs now.
     fn start(&self, now_ms: u64) -> Start {
-        let grace_ms = self.settings.dead_holder_grace_ms;
-        let lately = |lost: &Lost| now_ms.saturating_sub(lost.since_ms) < grace_ms;
+        let electorate_ms = self.settings.electorate_ms;
+        let lately = |lost: &Lost| now_ms.saturating_sub(lost.since_ms) < electorate_ms;
         let lost = self.lost.iter().filter(|(_, lost)| lately(lost));
+        // Without its own consent this router does not fetch the server's reports.
+        let mut holders = self.holders.clone();
+        holders.insert(self.me);
         Start {
-            holders: self.holders.clone(),
+            holders,
             electorate: self.electorate,
             consent_ms: self.settings.consent.consent_ms,
             lost: lost
@@ -303,7 +307,7 @@
 
 /// What a steward needs to start.
 struct Start {
-    /// Routers that may hold slots that this one did not grant.
+    /// This router and those that may hold slots that it did not grant: all have to consent.
     holders: BTreeSet<RouterId>,
     /// Routers of whom most have to consent.
     electorate: usize,
--- a/crates/sapphiretrack-core/tests/steward_changes.rs
+++ b/crates/sapphiretrack-core/tests/steward_changes.rs
@@ -69,6 +69,13 @@
     assert_eq!(names.consent(SERVER), None, "the successor goes on");
 }
 
+#[test]
+fn a_ledger_that_has_no_view_yet_grants_nothing() {
+    let mut ledger = Ledger::new(RouterId(1), LedgerSettings::default());
+    ledger.reconcile(RouterId(2), &listing(&[], 0), 0);
+    assert_eq!(reserve(&mut ledger, RouterId(2), 1, 0), Grant::NotSteward);
+}
+
 #[test]
 fn a_new_steward_waits_for_a_report_and_not_for_a_holder_that_has_ended() {
     let routers = [RouterId(1), RouterId(2), RouterId(3)];
@@ -228,6 +235,8 @@
     Nothing,
     Wants(usize),
     Cut(usize),
+    /// The routers of the mask, and the others, hear only each other; mask 0 heals everything.
+    Splits(usize),
     Dies,
     Resigns,
     /// A refusal arrives that was met by a connection to the run before.
@@ -236,10 +245,11 @@
 
 fn happening() -> impl Strategy<Value = (usize, Happening)> {
     let what = prop_oneof![
-        4 => Just(Happening::Nothing),
-        4 => (0..ROUTERS).prop_map(Happening::Wants),
-        1 => (0..ROUTERS).prop_map(Happening::Cut),
-        1 => Just(Happening::Dies),
+        24 => Just(Happening::Nothing),
+        8 => (0..ROUTERS).prop_map(Happening::Wants),
+        2 => (0..ROUTERS).prop_map(Happening::Cut),
+        1 => (0..1_usize << ROUTERS).prop_map(Happening::Splits),
+        2 => Just(Happening::Dies),
         1 => Just(Happening::Resigns),
         1 => (0..ROUTERS).prop_map(Happening::LateRefusal),
     ];
@@ -287,6 +297,14 @@
             Happening::Nothing => {}
             Happening::Wants(whom) => self.wanted[who] = whom,
             Happening::Cut(whom) => self.is_cut[who][whom] ^= true,
+            Happening::Splits(mask) => {
+                let side = |router: usize| mask >> router & 1;
+                for (from, cuts) in self.is_cut.iter_mut().enumerate() {
+                    for (to, is_cut) in cuts.iter_mut().enumerate() {
+                        *is_cut = side(from) != side(to);
+                    }
+                }
+            }
             Happening::Dies if down < 2 && node.is_up() => {
                 let orphans = std::mem::take(&mut node.held).into_iter();
                 self.orphans.extend(orphans.map(|_| now_ms + 2_000));
