Stewards that refuse say their load, and are asked again with the load of now

Ruled out: the wait (refused only after waiting as long as the deadline allows), closed servers, a steward that sees its server closed (none).

Change: a refusal for want of room carries the steward's own count, its server's slots and the live servers that it knows. An asker refused by all knows the load of now and asks once more where that leaves room; the steward takes the higher of both least counts and of both numbers of servers. A steward that did not answer is passed over for 1 s or until it is heard, one that does not count a server for 250 ms. New variants stand at the end of the messages: an older release takes the refusal as one without counts, and is not asked again. In the daemon a slot counts as in flight once it is granted, so that what routers tell is the least.

--- a/crates/sapphiretrack-bench/src/policy/messages.rs
+++ b/crates/sapphiretrack-bench/src/policy/messages.rs
@@ -1,6 +1,6 @@
 //! Counts the encoded sizes of the messages that routers really send.
 
-use sapphiretrack_core::{Grant, LoadReport};
+use sapphiretrack_core::{FullServer, Grant, LoadReport};
 use sapphiretrack_peer::{HeartbeatReply, PeerReply, PeerRequest, SigningKey};
 
 /// The request that fetches a load report.
@@ -37,8 +37,11 @@
         self.bytes += size.unwrap_or_default();
     }
 
-    pub(crate) fn count_reply_to_reserve(&mut self) {
-        self.count_reply(&PeerReply::Reserve(Grant::Granted));
+    pub(crate) fn count_reply_to_reserve(&mut self, grant: Grant, full: FullServer) {
+        match grant {
+            Grant::Full => self.count_reply(&PeerReply::Full(full)),
+            decided => self.count_reply(&PeerReply::Reserve(decided)),
+        }
     }
 
     pub(crate) fn count_reply_to_release(&mut self) {
--- a/crates/sapphiretrack-bench/src/policy/router.rs
+++ b/crates/sapphiretrack-bench/src/policy/router.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 
 use sapphiretrack_core::{
-    Candidate, CellView, ChatKey, ConsentSettings, DrainSettings, Grant, HeardLoad, HeldSlots,
-    Ledger, LedgerSettings, LoadReport, PlacementMemory, PlacementRequest, PlacementSettings,
-    PoolKind, PoolLoad, PoolView, ReservationId, ReserveRequest, RouterId, SentTokens, ServerId,
-    ServerView, StewardNames, VmState, WarmHint, WorkspaceKey, WorkspaceShares, backlog_tokens,
-    pool_load, rank_servers, steward_of,
+    AskMemory, AskSettings, Candidate, CellView, ChatKey, ConsentSettings, DrainSettings,
+    FullServer, Grant, HeardLoad, HeldSlots, Ledger, LedgerSettings, LoadReport, PlacementMemory,
+    PlacementRequest, PlacementSettings, PoolKind, PoolLoad, PoolView, ReservationId,
+    ReserveRequest, RouterId, SentTokens, ServerId, ServerView, StewardNames, ToldLoad, VmState,
+    WarmHint, WorkspaceKey, WorkspaceShares, ask_again, backlog_tokens, pool_load, rank_servers,
+    steward_of,
 };
 use sapphiretrack_peer::{Heartbeat, InFlight, ServerState};
 
@@ -27,6 +28,7 @@
     placement: PlacementSettings,
     drain: DrainSettings,
     names: StewardNames,
+    asks: AskMemory,
     ledger: Ledger,
     memory: PlacementMemory,
     shares: WorkspaceShares,
@@ -50,6 +52,8 @@
     pub(crate) import_from: Option<usize>,
     /// Prompt tokens that the server is expected to compute.
     pub(crate) uncached_tokens: u32,
+    /// What is told to a steward that is asked again.
+    pub(crate) told: Option<ToldLoad>,
 }
 
 /// The candidates by their places in the list of servers.
@@ -60,6 +64,7 @@
             server: position(candidate.server)?,
             import_from: candidate.import_from.and_then(position),
             uncached_tokens: candidate.uncached_tokens,
+            told: None,
         })
     });
     found.collect()
@@ -102,6 +107,7 @@
             placement,
             drain: DrainSettings::default(),
             names: StewardNames::new(consent),
+            asks: AskMemory::new(AskSettings::default()),
             ledger: Ledger::new(all[index], LedgerSettings::default()),
             memory: PlacementMemory::new(MEMORY_CHATS),
             shares: WorkspaceShares::default(),
@@ -243,6 +249,41 @@
         self.memory.remember(ChatKey(chat), place, now_ms);
     }
 
+    /// Whether a steward that refused is worth asking again, and what it is told.
+    pub(crate) fn ask_again(&self, full: FullServer, share: f64, now_ms: u64) -> Option<ToldLoad> {
+        let load = self.pool_load(now_ms);
+        ask_again(&self.placement.bound, &load, share, full)
+    }
+
+    /// Notes a steward that did not answer.
+    pub(crate) fn note_silent(&mut self, steward: usize, now_ms: u64) {
+        self.asks.note_silent(self.all[steward], now_ms);
+    }
+
+    /// Notes a refusal by another router that does not count the server's slots.
+    pub(crate) fn note_not_steward(&mut self, steward: usize, server: usize, now_ms: u64) {
+        let (steward, server) = (self.all[steward], self.servers[server]);
+        if steward != self.id {
+            self.asks.note_not_steward(steward, server, now_ms);
+        }
+    }
+
+    /// Notes what a steward that refused for want of room says of its own load.
+    pub(crate) fn note_full(&mut self, steward: usize, full: FullServer, now_ms: u64) {
+        if self.all[steward] != self.id {
+            self.note_pool_load(self.all[steward], u32::from(full.in_flight), now_ms);
+        }
+    }
+
+    /// What a refusal for want of room tells the asker.
+    pub(crate) fn full_server(&self, server: ServerId, now_ms: u64) -> FullServer {
+        FullServer {
+            held: self.ledger.held(server).unwrap_or(0) as u16,
+            in_flight: self.pool_in_flight() as u16,
+            live_servers: self.pool_load(now_ms).live_servers as u16,
+        }
+    }
+
     /// Begins a reservation: whom to ask, and what.
     pub(crate) fn begin(
         &mut self,
@@ -267,7 +308,8 @@
             in_flight: self.pool_in_flight() as u16,
         };
         let steward = self.names.steward(self.servers[server]);
-        let index = self.all.iter().position(|id| Some(*id) == steward);
+        let asked = steward.filter(|id| self.asks.may_ask(*id, self.servers[server], now_ms));
+        let index = self.all.iter().position(|id| Some(*id) == asked);
         (index, request)
     }
 
@@ -277,7 +319,14 @@
     }
 
     /// Decides about a slot, as steward.
-    pub(crate) fn reserve(&mut self, request: &ReserveRequest, now_ms: u64) -> Grant {
+    ///
+    /// `told` is what the asker knows of the pool's load.
+    pub(crate) fn reserve(
+        &mut self,
+        request: &ReserveRequest,
+        told: Option<ToldLoad>,
+        now_ms: u64,
+    ) -> Grant {
         self.note_pool_load(request.router, u32::from(request.in_flight), now_ms);
         let Some(server) = self.servers.iter().position(|id| *id == request.server) else {
             return Grant::NotSteward;
@@ -285,7 +334,7 @@
         if !self.is_open(server) {
             return Grant::Full;
         }
-        let load = self.pool_load(now_ms);
+        let load = self.pool_load(now_ms).with_told(told.unwrap_or_default());
         let bound = self.placement.bound;
         self.ledger.reserve(request, &bound, &load, now_ms)
     }
@@ -388,6 +437,7 @@
     ) -> Vec<usize> {
         let peer = &mut self.peers[from];
         peer.heard_ms = now_ms;
+        self.asks.note_heard(heartbeat.router);
         if heartbeat.in_flight.whole {
             peer.in_flight.fill(0);
         }
--- a/crates/sapphiretrack-bench/src/policy/world.rs
+++ b/crates/sapphiretrack-bench/src/policy/world.rs
@@ -6,9 +6,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sapphiretrack_core::{
-    ChatKey, Grant, LoadReport, PlacementRequest, PoolKind, PoolLoad, PoolView, ReservationId,
-    ReserveRequest, RouterId, ServerId, VmState, WaitSettings, WarmHint, WorkspaceKey,
-    WorkspaceShares, rank_servers, server_limit, wait_for_room,
+    ChatKey, FullServer, Grant, LoadReport, PlacementRequest, PoolKind, PoolLoad, PoolView,
+    ReservationId, ReserveRequest, RouterId, ServerId, VmState, WaitSettings, WarmHint,
+    WorkspaceKey, WorkspaceShares, rank_servers, server_limit, wait_for_room, with_most_servers,
 };
 use sapphiretrack_peer::{Heartbeat, PeerRequest};
 
@@ -47,7 +47,7 @@
         request: u32,
         router: usize,
         ask: ReserveRequest,
-        server: usize,
+        wanted: Try,
     },
     Finish {
         server: usize,
@@ -96,6 +96,9 @@
 struct Pending {
     order: Vec<Try>,
     next: usize,
+    /// Servers whose stewards refused for want of room, until they are asked again.
+    full: Vec<(Try, FullServer)>,
+    asks_again: bool,
     reservation: Option<ReservationId>,
     steward: Option<usize>,
     placed_on: usize,
@@ -269,8 +272,8 @@
                 request,
                 router,
                 ask,
-                server,
-            } => self.ask(request, router, &ask, server),
+                wanted,
+            } => self.ask(request, router, &ask, wanted),
             Event::Finish {
                 server,
                 incarnation,
@@ -354,6 +357,8 @@
         let pending = &mut self.pending[request as usize];
         pending.order = order;
         pending.next = 0;
+        pending.full.clear();
+        pending.asks_again = false;
         pending.had_room = had_room;
         self.try_next(request);
     }
@@ -388,6 +393,7 @@
                     server,
                     import_from: None,
                     uncached_tokens: 0,
+                    told: None,
                 };
                 order.into_iter().map(no_import).collect()
             }
@@ -434,7 +440,7 @@
         let turn = self.turn(request);
         let pending = &mut self.pending[request as usize];
         let Some(wanted) = pending.order.get(pending.next).copied() else {
-            return self.wait_or_refuse(request);
+            return self.end_round(request);
         };
         pending.next += 1;
         pending.import_from = wanted.import_from;
@@ -450,10 +456,12 @@
         };
         self.pending[request as usize].steward = Some(steward);
         if steward == turn.router {
-            return self.ask(request, steward, &ask, server);
+            return self.ask(request, steward, &ask, wanted);
         }
-        self.meter.count(&PeerRequest::Reserve(ask));
-        self.meter.count_reply_to_reserve();
+        self.meter.count(&match wanted.told {
+            None => PeerRequest::Reserve(ask),
+            Some(told) => PeerRequest::ReserveAgain { request: ask, told },
+        });
         let at_us = self.now_us + self.scenario.peer_delay_us;
         self.schedule(
             at_us,
@@ -461,23 +469,61 @@
                 request,
                 router: steward,
                 ask,
-                server,
+                wanted,
             },
         );
     }
 
+    /// A round of questions has ended without a grant: stewards that refused are asked once more
+    /// where the counts that came with the refusals are expected to help.
+    fn end_round(&mut self, request: u32) {
+        let router = &self.routers[self.turn(request).router];
+        let (share, now_ms) = (self.share(request), self.now_ms());
+        let pending = &mut self.pending[request as usize];
+        let mut full = std::mem::take(&mut pending.full);
+        with_most_servers(full.iter_mut().map(|(_, refusal)| refusal));
+        if pending.asks_again {
+            return self.wait_or_refuse(request);
+        }
+        let again = full.into_iter().filter_map(|(wanted, full)| {
+            let told = router.ask_again(full, share, now_ms)?;
+            Some(Try {
+                told: Some(told),
+                ..wanted
+            })
+        });
+        pending.order = again.collect();
+        pending.next = 0;
+        pending.asks_again = true;
+        self.try_next(request);
+    }
+
     /// A steward decides.
-    fn ask(&mut self, request: u32, steward: usize, ask: &ReserveRequest, server: usize) {
+    fn ask(&mut self, request: u32, steward: usize, ask: &ReserveRequest, wanted: Try) {
         let router = self.turn(request).router;
         let now_ms = self.now_ms();
         if self.cut[router][steward] > 0 {
             self.routers[router].end(ask.reservation);
+            self.routers[router].note_silent(steward, now_ms + CALL_TIMEOUT_US / 1_000);
             return self.try_later(request, CALL_TIMEOUT_US);
         }
-        let grant = self.routers[steward].reserve(ask, now_ms);
-        if grant == Grant::Granted {
-            self.pending[request as usize].reservation = Some(ask.reservation);
-            return self.enter(request, server);
+        let grant = self.routers[steward].reserve(ask, wanted.told, now_ms);
+        let full = self.routers[steward].full_server(ask.server, now_ms);
+        if steward != router {
+            self.meter.count_reply_to_reserve(grant, full);
+        }
+        match grant {
+            Grant::Granted => {
+                self.pending[request as usize].reservation = Some(ask.reservation);
+                return self.enter(request, wanted.server);
+            }
+            Grant::Full => {
+                self.routers[router].note_full(steward, full, now_ms);
+                self.pending[request as usize].full.push((wanted, full));
+            }
+            Grant::NotSteward => {
+                self.routers[router].note_not_steward(steward, wanted.server, now_ms);
+            }
         }
         self.routers[router].end(ask.reservation);
         let back_us = if router == steward {
--- a/crates/sapphiretrack-bench/tests/policy.rs
+++ b/crates/sapphiretrack-bench/tests/policy.rs
@@ -53,3 +53,17 @@
     assert!(ours.warm_token_fraction > least_loaded.warm_token_fraction + 0.1);
     assert!(ours.skew < rendezvous.skew - 0.1);
 }
+
+#[test]
+fn urgent_requests_find_the_room_that_there_is() {
+    for (name, seed) in [
+        (ScenarioName::Churn, 9),
+        (ScenarioName::Monterrey, 2),
+        (ScenarioName::Teranga, 8),
+    ] {
+        let measures = measure(&Scenario::named(name), Policy::Sapphiretrack, seed);
+        let failed = measures.urgent_failed_with_room;
+        assert!(failed <= 8, "{} seed {seed}: {failed}", name.name());
+        assert_eq!(measures.bound_breaches, 0, "{} seed {seed}", name.name());
+    }
+}
--- a/crates/sapphiretrack-core/src/bound.rs
+++ b/crates/sapphiretrack-core/src/bound.rs
@@ -41,6 +41,31 @@
     pub open_servers: u32,
 }
 
+/// What an asker knows of a pool's load, for a steward whose own counts are older.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldLoad {
+    /// Requests in flight on the pool, at the least.
+    pub least_in_flight: u32,
+    /// Live servers, by whichever router knows the most.
+    pub live_servers: u32,
+}
+
+impl PoolLoad {
+    /// The same with what another router knows.
+    ///
+    /// Both counts of requests are bounds from below, so the higher one holds; a server counts as
+    /// soon as one of both knows it.
+    pub fn with_told(self, told: ToldLoad) -> Self {
+        let least_in_flight = self.least_in_flight.max(told.least_in_flight);
+        Self {
+            least_in_flight,
+            in_flight: self.in_flight.max(least_in_flight),
+            live_servers: self.live_servers.max(told.live_servers),
+            ..self
+        }
+    }
+}
+
 /// The number of requests that a server may hold, as its pool stands.
 ///
 /// `share` is the part of the bound that a class may fill: urgent classes get 1.0, lower ones
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -39,7 +39,7 @@
 pub use attempt::{
     AttemptFailure, AttemptLog, NextStep, Repeatable, first_token_timeout_ms, idle_timeout_ms,
 };
-pub use bound::{LoadBound, PoolLoad, SHED_BELOW_SHARE, server_limit};
+pub use bound::{LoadBound, PoolLoad, SHED_BELOW_SHARE, ToldLoad, server_limit};
 pub use budget::{
     Amounts, BUDGET_LEASE_MS, BudgetAsk, BudgetGrant, BudgetReply, CustomerBudget, HELD_SHARE,
     Needed, UNSURE_SHARE,
@@ -82,9 +82,9 @@
     BeatTaken, ListedRouter, PeerBeat, PeerRoster, PeerRosterSettings, RosterPeer, RouterProfile,
 };
 pub use placement::{
-    Candidate, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings,
-    SentTokens, WaitSettings, WarmHint, WorkspaceShares, backlog_tokens, rank_servers,
-    wait_for_room,
+    AskMemory, AskSettings, Candidate, FullServer, MEMORY_BYTES_PER_CHAT, PlacementMemory,
+    PlacementRequest, PlacementSettings, SentTokens, WaitSettings, WarmHint, WorkspaceShares,
+    ask_again, backlog_tokens, rank_servers, wait_for_room, with_most_servers,
 };
 pub use pool_load::{DrainSettings, HeardLoad, pool_load};
 pub use rendezvous::{rendezvous_score, top_by_rendezvous};
--- a/crates/sapphiretrack-core/src/placement/mod.rs
+++ b/crates/sapphiretrack-core/src/placement/mod.rs
@@ -1,5 +1,7 @@
 //! Which backend server gets a request.
 
+mod again;
+mod ask_memory;
 mod backlog;
 mod memory;
 mod ranking;
@@ -9,6 +11,8 @@
 mod wait;
 mod warmth;
 
+pub use again::{FullServer, ask_again, with_most_servers};
+pub use ask_memory::{AskMemory, AskSettings};
 pub use backlog::{SentTokens, backlog_tokens};
 pub use memory::{MEMORY_BYTES_PER_CHAT, PlacementMemory};
 pub use ranking::{Candidate, PlacementRequest, rank_servers};
--- a/crates/sapphiretrack-core/tests/placement.rs
+++ b/crates/sapphiretrack-core/tests/placement.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use sapphiretrack_core::{
-    ChatKey, DrainSettings, HeardLoad, LoadBound, LoadReport, MEMORY_BYTES_PER_CHAT,
-    PlacementMemory, PlacementRequest, PlacementSettings, PoolKind, PoolLoad, PoolView, RouterId,
-    SHED_BELOW_SHARE, SentTokens, ServerId, ServerView, VmState, WaitSettings, WarmHint,
-    WorkspaceKey, WorkspaceShares, backlog_tokens, pool_load, rank_servers, server_limit,
-    wait_for_room,
+    AskMemory, AskSettings, ChatKey, DrainSettings, FullServer, HeardLoad, LoadBound, LoadReport,
+    MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest, PlacementSettings, PoolKind,
+    PoolLoad, PoolView, RouterId, SHED_BELOW_SHARE, SentTokens, ServerId, ServerView, ToldLoad,
+    VmState, WaitSettings, WarmHint, WorkspaceKey, WorkspaceShares, ask_again, backlog_tokens,
+    pool_load, rank_servers, server_limit, wait_for_room, with_most_servers,
 };
 
 fn server(id: u64) -> ServerView {
@@ -235,3 +235,51 @@
     let later = shares.note(WorkspaceKey(1_000), 120_000);
     assert_eq!(homes(later), settings.subset_servers);
 }
+
+#[test]
+fn a_steward_that_refused_by_old_counts_is_told_the_load_of_now() {
+    let bound = LoadBound::default();
+    let now = PoolLoad {
+        least_in_flight: 95,
+        in_flight: 95,
+        live_servers: 12,
+        open_servers: 12,
+    };
+    let old = PoolLoad {
+        least_in_flight: 70,
+        ..now
+    };
+    let mut refusals = [8, 10].map(|held| FullServer {
+        held,
+        live_servers: 12,
+        ..FullServer::default()
+    });
+    assert_eq!(server_limit(&bound, &old, 1.0), 8);
+    let told = ask_again(&bound, &now, 1.0, refusals[0]).expect("there is room");
+    assert_eq!(server_limit(&bound, &old.with_told(told), 1.0), 10);
+    // What the steward knows itself is never lowered.
+    assert_eq!(now.with_told(ToldLoad::default()), now);
+    assert_eq!(ask_again(&bound, &now, 1.0, refusals[1]), None);
+    // A server that only one steward knows counts for all.
+    refusals[1].live_servers = 14;
+    with_most_servers(refusals.iter_mut());
+    assert_eq!(ask_again(&bound, &now, 1.0, refusals[0]), None);
+}
+
+#[test]
+fn a_steward_that_did_not_help_is_passed_over_for_a_moment() {
+    let settings = AskSettings::default();
+    let mut memory = AskMemory::new(settings);
+    let [one, other] = [RouterId(1), RouterId(2)];
+    let [first, second] = [ServerId(1), ServerId(2)];
+    memory.note_silent(one, 0);
+    memory.note_not_steward(other, first, 0);
+    assert!(!memory.may_ask(one, first, settings.silent_ms - 1));
+    assert!(!memory.may_ask(other, first, settings.not_steward_ms - 1));
+    assert!(memory.may_ask(other, second, 0));
+    assert!(memory.may_ask(one, first, settings.silent_ms));
+    assert!(memory.may_ask(other, first, settings.not_steward_ms));
+    memory.note_silent(one, 2_000);
+    memory.note_heard(one);
+    assert!(memory.may_ask(one, first, 2_000));
+}
--- a/crates/sapphiretrack-peer/src/client.rs
+++ b/crates/sapphiretrack-peer/src/client.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use sapphiretrack_core::{BudgetAsk, BudgetReply, Grant, ReserveRequest};
+use sapphiretrack_core::{BudgetAsk, BudgetReply, FullServer, Grant, ReserveRequest, ToldLoad};
 use snafu::{IntoError, ResultExt};
 use tarpc::client::{Config, RpcError};
 use tarpc::context;
@@ -38,6 +38,15 @@
     }
 }
 
+/// A steward's answer to a question for a slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SlotReply {
+    /// Its decision.
+    Decided(Grant),
+    /// It has no room, and says why.
+    Full(FullServer),
+}
+
 /// Calls peers; clones share connections.
 #[derive(Clone)]
 pub struct PeerClient {
@@ -81,14 +90,20 @@
         }
     }
 
-    /// Asks a steward for a slot.
+    /// Asks a steward for a slot; again with what the asker knows of the pool's load.
     pub async fn reserve(
         &self,
         peer: SocketAddr,
         request: ReserveRequest,
-    ) -> Result<Grant, PeerError> {
-        match self.call(peer, &PeerRequest::Reserve(request)).await? {
-            PeerReply::Reserve(grant) => Ok(grant),
+        told: Option<ToldLoad>,
+    ) -> Result<SlotReply, PeerError> {
+        let call = match told {
+            None => PeerRequest::Reserve(request),
+            Some(told) => PeerRequest::ReserveAgain { request, told },
+        };
+        match self.call(peer, &call).await? {
+            PeerReply::Reserve(grant) => Ok(SlotReply::Decided(grant)),
+            PeerReply::Full(full) => Ok(SlotReply::Full(full)),
             _ => RejectedSnafu.fail(),
         }
     }
--- a/crates/sapphiretrack-peer/src/lib.rs
+++ b/crates/sapphiretrack-peer/src/lib.rs
@@ -6,7 +6,7 @@
 mod signing;
 mod wire;
 
-pub use client::{PeerClient, Settings};
+pub use client::{PeerClient, Settings, SlotReply};
 pub use error::PeerError;
 pub use server::{PeerHandlers, serve};
 pub use signing::{Opened, Signed, SigningKey};
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 
 use sapphiretrack_core::{
-    BudgetAsk, BudgetReply, Grant, HeldSlots, Incarnation, LoadReport, ReservationId,
-    ReserveRequest, RouterId, RouterProfile, ServerId, VmState,
+    BudgetAsk, BudgetReply, FullServer, Grant, HeldSlots, Incarnation, LoadReport, ReservationId,
+    ReserveRequest, RouterId, RouterProfile, ServerId, ToldLoad, VmState,
 };
 use serde::{Deserialize, Serialize};
 
@@ -148,6 +148,13 @@
     LeaseBudget(BudgetAsk),
     /// Asks for the receiver's list of VMs, for a router that cannot reach the platform.
     FetchVmList,
+    /// Asks the receiver again, as steward, after it refused for want of room.
+    ReserveAgain {
+        /// The question.
+        request: ReserveRequest,
+        /// What the sender knows of the pool's load.
+        told: ToldLoad,
+    },
 }
 
 /// The reply to a call.
@@ -171,4 +178,6 @@
     VmList(VmListReply),
     /// The call is of a later release than the receiver.
     Unsupported,
+    /// To a reservation that finds no room.
+    Full(FullServer),
 }
--- a/crates/sapphiretrack-peer/tests/wire.rs
+++ b/crates/sapphiretrack-peer/tests/wire.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use sapphiretrack_core::{HeldSlots, RouterId, VmState};
+use sapphiretrack_core::{
+    FullServer, Grant, HeldSlots, ReservationId, ReserveRequest, RouterId, ServerId, ToldLoad,
+    VmState,
+};
 use sapphiretrack_peer::{
     Heartbeat, HeartbeatReply, InFlight, OLDEST_PROTOCOL_VERSION, Opened, PROTOCOL_VERSION,
     PeerClient, PeerError, PeerHandlers, PeerReply, PeerRequest, Section, Settings, SigningKey,
-    serve,
+    SlotReply, serve,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -161,3 +164,46 @@
         .expect_err("nobody listens");
     assert!(refused.is_refused(), "{refused}");
 }
+
+#[tokio::test]
+async fn a_refusal_for_want_of_room_brings_counts_and_can_be_asked_again() {
+    let full = FullServer {
+        held: 8,
+        in_flight: 11,
+        live_servers: 12,
+    };
+    let handlers = PeerHandlers {
+        handle: Arc::new(move |call| {
+            Box::pin(async move {
+                match call {
+                    PeerRequest::ReserveAgain { told, .. } if told.live_servers == 12 => {
+                        PeerReply::Reserve(Grant::Granted)
+                    }
+                    _ => PeerReply::Full(full),
+                }
+            })
+        }),
+        rejected: Arc::new(|| {}),
+    };
+    let free = "127.0.0.1:0".parse().expect("an address");
+    let (address, accepting) = serve(free, SigningKey::new("the key of the cell"), handlers)
+        .await
+        .expect("it listens");
+    tokio::spawn(accepting);
+    let client = PeerClient::new(Settings::default(), SigningKey::new("the key of the cell"));
+    let ask = ReserveRequest {
+        router: RouterId(1),
+        reservation: ReservationId(1),
+        server: ServerId(1),
+        bound_share: 1.0,
+        in_flight: 10,
+    };
+    let told = ToldLoad {
+        least_in_flight: 95,
+        live_servers: 12,
+    };
+    let first = client.reserve(address, ask, None).await.expect("a reply");
+    let again = client.reserve(address, ask, Some(told)).await;
+    assert_eq!(first, SlotReply::Full(full));
+    assert_eq!(again.expect("a reply"), SlotReply::Decided(Grant::Granted));
+}
--- a/crates/sapphiretrackd/src/control/handle.rs
+++ b/crates/sapphiretrackd/src/control/handle.rs
@@ -5,8 +5,8 @@
 
 use arc_swap::ArcSwap;
 use sapphiretrack_core::{
-    BudgetAsk, BudgetReply, FleetConfig, Grant, Incarnation, LoadReport, ReservationId, RouterId,
-    ServerId,
+    BudgetAsk, BudgetReply, FleetConfig, FullServer, Grant, Incarnation, LoadReport, ReservationId,
+    RouterId, ServerId, ToldLoad,
 };
 use sapphiretrack_peer::{HeartbeatReply, PeerReply, PeerRequest};
 use sapphiretrack_platform::wire::VmList;
@@ -30,6 +30,18 @@
         /// Where the reply goes.
         reply: oneshot::Sender<Begun>,
     },
+    /// A peer granted a slot that this router asked for.
+    Granted {
+        /// The reservation.
+        reservation: ReservationId,
+    },
+    /// A peer did not grant a slot that this router asked for; its end follows.
+    Refused {
+        /// The reservation.
+        reservation: ReservationId,
+        /// Why.
+        refusal: SlotRefusal,
+    },
     /// A slot, or the wish for one, has ended.
     End {
         /// The reservation.
@@ -92,6 +104,19 @@
     },
 }
 
+/// Why a peer did not grant a slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum SlotRefusal {
+    /// The server has no room.
+    Full(FullServer),
+    /// The peer does not count the server's slots.
+    NotSteward,
+    /// The peer did not answer.
+    Silent,
+    /// The peer is of an earlier release, which gives no counts and cannot be asked again.
+    Unexplained,
+}
+
 /// A slot that a traffic thread wants.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SlotWish {
@@ -101,6 +126,9 @@
     pub(crate) bound_share: f64,
     /// Prompt tokens that the server is expected to compute.
     pub(crate) uncached_tokens: u32,
+    /// The server's steward refused for want of room: it is asked again if this router now knows
+    /// of a load that leaves room.
+    pub(crate) refusal: Option<FullServer>,
 }
 
 /// The control thread's part of a reservation.
@@ -112,6 +140,8 @@
     pub(crate) place: Place,
     /// This router's requests in flight on the server's pool, for the steward.
     pub(crate) in_flight: u16,
+    /// The pool's load, for a steward that is asked again.
+    pub(crate) told: Option<ToldLoad>,
 }
 
 /// Where a slot is decided.
--- a/crates/sapphiretrackd/src/control/heartbeats.rs
+++ b/crates/sapphiretrackd/src/control/heartbeats.rs
@@ -163,6 +163,7 @@
                 self.tick(now_ms);
             }
             self.changed |= version_before != Some(heartbeat.config_version);
+            self.asks.note_heard(router);
             self.take_news(&heartbeat, now_ms);
         }
         HeartbeatReply {
@@ -310,7 +311,7 @@
 
     fn own_counts(&self) -> Counts {
         let mut counts = Counts::new();
-        for held in self.held.values() {
+        for held in self.held.values().filter(|held| held.is_granted) {
             let count = counts.entry(held.server).or_default();
             *count = count.saturating_add(1);
         }
--- a/crates/sapphiretrackd/src/control/load.rs
+++ b/crates/sapphiretrackd/src/control/load.rs
@@ -137,11 +137,12 @@
 
     fn own_in_flight(&self, pool: &str) -> u32 {
         let of_pool = |server: ServerId| self.pool_of(server).is_some_and(|of| of == pool);
-        let own = self.held.values().filter(|held| of_pool(held.server));
-        own.count() as u32
+        // A slot that is only asked for may be refused: with it the load would not be the least.
+        let granted = self.held.values().filter(|held| held.is_granted);
+        granted.filter(|held| of_pool(held.server)).count() as u32
     }
 
-    fn pool_of(&self, server: ServerId) -> Option<String> {
+    pub(super) fn pool_of(&self, server: ServerId) -> Option<String> {
         let mut servers = self.pooled_servers();
         let found = servers.find(|known| known.id == server)?;
         Some(found.pool.to_owned())
--- a/crates/sapphiretrackd/src/control/mod.rs
+++ b/crates/sapphiretrackd/src/control/mod.rs
@@ -17,7 +17,8 @@
 mod views;
 
 pub(crate) use handle::{
-    Begun, BudgetPlace, Command, CommandReceiver, ControlHandle, Place, SlotWish, control_channel,
+    BudgetPlace, Command, CommandReceiver, ControlHandle, Place, SlotRefusal, SlotWish,
+    control_channel,
 };
 pub(crate) use orders::OrderKeeper;
 pub(crate) use snapshot::Snapshot;
--- a/crates/sapphiretrackd/src/control/slots.rs
+++ b/crates/sapphiretrackd/src/control/slots.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 
 use sapphiretrack_core::{
-    CellView, Grant, PoolKind, ReservationId, ReserveRequest, RosterServer, RouterId, ServerId,
-    VmRole, VmState, steward_of,
+    CellView, FullServer, Grant, PoolKind, ReservationId, ReserveRequest, RosterServer, RouterId,
+    ServerId, ToldLoad, VmRole, VmState, ask_again, steward_of,
 };
-use sapphiretrack_peer::PeerRequest;
+use sapphiretrack_peer::{PeerReply, PeerRequest};
 
 use crate::control::ControlState;
-use crate::control::handle::{Begun, Place, SlotWish};
+use crate::control::handle::{Begun, Place, SlotRefusal, SlotWish};
 
 /// A slot that this router holds or has asked for.
 pub(super) struct Held {
@@ -19,6 +19,8 @@
     /// Prompt tokens that the server is expected to compute.
     pub(super) uncached_tokens: u32,
     pub(super) asked_ms: u64,
+    /// Whether its steward has granted it.
+    pub(super) is_granted: bool,
 }
 
 /// A backend server with its pool.
@@ -37,7 +39,11 @@
         let reservation = ReservationId(self.next_reservation);
         self.next_reservation = self.next_reservation.wrapping_add(1);
         let router = self.identity.id;
+        let told = self.load_to_tell(&wish, now_ms);
+        let is_hopeless = wish.refusal.is_some() && told.is_none();
+        let may_ask = |steward: &RouterId| self.asks.may_ask(*steward, server, now_ms);
         let place = match self.steward(server) {
+            _ if is_hopeless => Place::Nowhere,
             Some(steward) if steward == router => {
                 let request = ReserveRequest {
                     router,
@@ -46,9 +52,9 @@
                     bound_share: wish.bound_share as f32,
                     in_flight,
                 };
-                Place::Here(self.reserve(&request, now_ms))
+                Place::Here(self.reserve(&request, told, now_ms))
             }
-            Some(steward) => match self.peers.get(steward) {
+            Some(steward) => match self.peers.get(steward).filter(|_| may_ask(&steward)) {
                 Some(peer) => Place::Peer(peer.profile.peer_address),
                 None => Place::Nowhere,
             },
@@ -65,6 +71,7 @@
                 steward,
                 uncached_tokens: wish.uncached_tokens,
                 asked_ms: now_ms,
+                is_granted: steward.is_none(),
             };
             self.changed = true;
             self.held.insert(reservation, held);
@@ -73,6 +80,71 @@
             reservation,
             place,
             in_flight,
+            told,
+        }
+    }
+
+    /// What a steward that refused is told when it is asked again; none if that would not help.
+    fn load_to_tell(&self, wish: &SlotWish, now_ms: u64) -> Option<ToldLoad> {
+        let refusal = wish.refusal?;
+        let pool = self.pool_of(wish.server)?;
+        let load = self.pool_load(&pool, now_ms);
+        ask_again(&self.bound, &load, wish.bound_share, refusal)
+    }
+
+    /// Notes that a peer granted a slot.
+    pub(crate) fn note_granted(&mut self, reservation: ReservationId) {
+        if let Some(held) = self.held.get_mut(&reservation) {
+            held.is_granted = true;
+        }
+    }
+
+    /// Notes why a peer did not grant a slot.
+    pub(crate) fn note_refused(
+        &mut self,
+        reservation: ReservationId,
+        refusal: SlotRefusal,
+        now_ms: u64,
+    ) {
+        let Some(held) = self.held.get(&reservation) else {
+            return;
+        };
+        let (server, address) = (held.server, held.steward);
+        let steward = self
+            .peers
+            .iter()
+            .find(|(_, peer)| Some(peer.profile.peer_address) == address)
+            .map(|(router, _)| router);
+        let Some(steward) = steward else { return };
+        match refusal {
+            SlotRefusal::Full(full) => self.note_pool_load(steward, server, full.in_flight, now_ms),
+            SlotRefusal::NotSteward => self.asks.note_not_steward(steward, server, now_ms),
+            SlotRefusal::Unexplained => {}
+            SlotRefusal::Silent => self.asks.note_silent(steward, now_ms),
+        }
+    }
+
+    /// What a refusal for want of room tells the asker.
+    fn full_server(&self, server: ServerId, now_ms: u64) -> FullServer {
+        let pool = self.pool_of(server).unwrap_or_default();
+        FullServer {
+            held: self.ledger.held(server).unwrap_or(0) as u16,
+            in_flight: self.own_in_flight_with(server),
+            live_servers: self.pool_load(&pool, now_ms).live_servers as u16,
+        }
+    }
+
+    /// Decides on a peer's question for a slot; `told` is what it knows of the pool's load.
+    pub(super) fn reserve_for_peer(
+        &mut self,
+        request: &ReserveRequest,
+        told: Option<ToldLoad>,
+        now_ms: u64,
+    ) -> PeerReply {
+        self.note_pool_load(request.router, request.server, request.in_flight, now_ms);
+        match self.reserve(request, told, now_ms) {
+            Grant::Full => PeerReply::Full(self.full_server(request.server, now_ms)),
+            decided => PeerReply::Reserve(decided),
         }
     }
 
@@ -100,7 +172,7 @@
     }
 
     /// Decides on a slot of a server that this router is steward of.
-    pub(super) fn reserve(&mut self, request: &ReserveRequest, now_ms: u64) -> Grant {
+    fn reserve(&mut self, request: &ReserveRequest, told: Option<ToldLoad>, now_ms: u64) -> Grant {
         let Some(pool) = self
             .pooled_servers()
             .find(|server| server.id == request.server)
@@ -114,7 +186,9 @@
             return Grant::Full;
         }
         self.changed = true;
-        let load = self.pool_load(&pool, now_ms);
+        let load = self
+            .pool_load(&pool, now_ms)
+            .with_told(told.unwrap_or_default());
         let bound = self.bound;
         self.ledger.reserve(request, &bound, &load, now_ms)
     }
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    ConsentSettings, FleetConfig, Hearing, Incarnation, KeyIndex, Ledger, LedgerSettings,
-    LoadBound, LoadReport, PauseWatch, PeerRoster, PeerRosterSettings, Refreshed, ReservationId,
-    RosterChange, RouterId, RouterProfile, ServerId, ServerRoster, ServerRosterSettings,
-    StewardNames, VmRecord, VmState, hash_parts, newer_config,
+    AskMemory, AskSettings, ConsentSettings, FleetConfig, Hearing, Incarnation, KeyIndex, Ledger,
+    LedgerSettings, LoadBound, LoadReport, PauseWatch, PeerRoster, PeerRosterSettings, Refreshed,
+    ReservationId, RosterChange, RouterId, RouterProfile, ServerId, ServerRoster,
+    ServerRosterSettings, StewardNames, VmRecord, VmState, hash_parts, newer_config,
 };
 use sapphiretrack_peer::{PeerReply, PeerRequest, VmListReply};
 use sapphiretrack_platform::wire::VmList;
@@ -54,6 +54,7 @@
     pub(super) servers: ServerRoster,
     pub(super) ledger: Ledger,
     pub(super) names: StewardNames,
+    pub(super) asks: AskMemory,
     pub(super) loads: LoadBook,
     pub(super) budgets: Budgets,
     pub(super) held: BTreeMap<ReservationId, Held>,
@@ -94,6 +95,7 @@
         Self {
             ledger: Ledger::new(identity.id, ledger_settings(&timing)),
             names: StewardNames::new(ledger_settings(&timing).consent),
+            asks: AskMemory::new(AskSettings::default()),
             loads: LoadBook::default(),
             peers: PeerRoster::new(identity.id, peer_settings),
             servers: ServerRoster::new(server_settings),
@@ -255,9 +257,9 @@
             PeerRequest::Heartbeat(heartbeat) => {
                 PeerReply::Heartbeat(self.take_heartbeat(*heartbeat, now_ms))
             }
-            PeerRequest::Reserve(request) => {
-                self.note_pool_load(request.router, request.server, request.in_flight, now_ms);
-                PeerReply::Reserve(self.reserve(&request, now_ms))
+            PeerRequest::Reserve(request) => self.reserve_for_peer(&request, None, now_ms),
+            PeerRequest::ReserveAgain { request, told } => {
+                self.reserve_for_peer(&request, Some(told), now_ms)
             }
             PeerRequest::Release {
                 router,
--- a/crates/sapphiretrackd/src/control/thread.rs
+++ b/crates/sapphiretrackd/src/control/thread.rs
@@ -120,6 +120,11 @@
                     self.end(reservation);
                 }
             }
+            Command::Granted { reservation } => self.state.note_granted(reservation),
+            Command::Refused {
+                reservation,
+                refusal,
+            } => self.state.note_refused(reservation, refusal, now_ms),
             Command::End { reservation } => self.end(reservation),
             Command::VmList(list) => self.state.take_vm_list(list, now_ms),
             Command::Platform { reached } => self.state.note_platform(reached, now_ms),
--- a/crates/sapphiretrackd/src/dispatch/slots.rs
+++ b/crates/sapphiretrackd/src/dispatch/slots.rs
@@ -4,17 +4,20 @@
 use std::time::{Duration, Instant};
 
 use sapphiretrack_core::{
-    Candidate, Grant, Incarnation, ReservationId, ReserveRequest, SHED_BELOW_SHARE, ServerId,
-    WaitSettings, wait_for_room,
+    Candidate, FullServer, Grant, Incarnation, ReservationId, ReserveRequest, SHED_BELOW_SHARE,
+    ServerId, ToldLoad, WaitSettings, wait_for_room, with_most_servers,
 };
-use sapphiretrack_peer::PeerError;
+use sapphiretrack_peer::{PeerError, SlotReply};
 
-use crate::control::{Begun, Command, ControlHandle, Place, SlotWish, Snapshot};
+use crate::control::{Command, ControlHandle, Place, SlotRefusal, SlotWish, Snapshot};
 use crate::dispatch::Dispatcher;
 
 /// How many servers are tried for a slot at a time; those that look full come last.
 const MAX_TRIED_SERVERS: usize = 64;
 
+/// A server to ask for a slot; with the refusal if its steward had no room before.
+type Asked = (Candidate, Option<FullServer>);
+
 /// A slot on a server; dropping it gives it back.
 pub(crate) struct Slot {
     /// The server.
@@ -65,8 +68,9 @@
         let mut waited_ms = 0;
         loop {
             let snapshot = self.control.snapshot();
-            if let Some(slot) = self.reserve_now(&snapshot, wanted, candidates).await {
-                return Some(slot);
+            let slot = self.reserve_twice(&snapshot, wanted, candidates).await;
+            if slot.is_some() {
+                return slot;
             }
             let pool = snapshot.pools.get(wanted.pool)?;
             let left = wanted.deadline.saturating_duration_since(Instant::now());
@@ -81,17 +85,38 @@
         }
     }
 
-    async fn reserve_now(
+    /// Asks for a slot on each candidate, and once more where the refusals brought counts that
+    /// leave room.
+    async fn reserve_twice(
         &self,
         snapshot: &Snapshot,
         wanted: &WantedSlot<'_>,
         candidates: &[Candidate],
     ) -> Option<Slot> {
-        let pool = snapshot.pools.get(wanted.pool)?;
         let fresh = candidates
             .iter()
             .filter(|candidate| !wanted.tried.contains(&candidate.server));
-        for candidate in fresh.take(MAX_TRIED_SERVERS) {
+        let fresh = fresh.take(MAX_TRIED_SERVERS).copied();
+        let first: Vec<Asked> = fresh.map(|candidate| (candidate, None)).collect();
+        let mut full = Vec::new();
+        let slot = self.reserve_now(snapshot, wanted, &first, &mut full).await;
+        if slot.is_some() {
+            return slot;
+        }
+        let mut again = std::mem::take(&mut full);
+        with_most_servers(again.iter_mut().filter_map(|(_, refusal)| refusal.as_mut()));
+        self.reserve_now(snapshot, wanted, &again, &mut full).await
+    }
+
+    async fn reserve_now(
+        &self,
+        snapshot: &Snapshot,
+        wanted: &WantedSlot<'_>,
+        asked: &[Asked],
+        full: &mut Vec<Asked>,
+    ) -> Option<Slot> {
+        let pool = snapshot.pools.get(wanted.pool)?;
+        for (candidate, refusal) in asked {
             let Some(server) = pool.server(candidate.server) else {
                 continue;
             };
@@ -99,9 +124,14 @@
                 server: candidate.server,
                 bound_share: wanted.bound_share,
                 uncached_tokens: candidate.uncached_tokens,
+                refusal: *refusal,
             };
-            let Some(reservation) = self.reserve_on(wish, snapshot).await else {
-                continue;
+            let reservation = match self.reserve_on(wish, snapshot).await? {
+                Ok(reservation) => reservation,
+                Err(refusal) => {
+                    full.extend(refusal.map(|refusal| (*candidate, Some(refusal))));
+                    continue;
+                }
             };
             return Some(Slot {
                 server: server.id,
@@ -117,34 +147,69 @@
         None
     }
 
-    async fn reserve_on(&self, wish: SlotWish, snapshot: &Snapshot) -> Option<Reservation> {
-        let Begun {
-            reservation: id,
-            place,
-            in_flight,
-        } = self.control.begin(wish).await?;
+    /// A reservation on a server, or what its steward tells if it has no room;
+    /// nothing at all if the control thread has ended.
+    async fn reserve_on(
+        &self,
+        wish: SlotWish,
+        snapshot: &Snapshot,
+    ) -> Option<Result<Reservation, Option<FullServer>>> {
+        let begun = self.control.begin(wish).await?;
         let reservation = Reservation {
             control: self.control.clone(),
-            id,
+            id: begun.reservation,
         };
-        let grant = match place {
-            Place::Here(grant) => grant,
-            Place::Nowhere => Grant::NotSteward,
+        Some(match begun.place {
+            Place::Here(Grant::Granted) => Ok(reservation),
+            // What is held here is known here, when it is asked again.
+            Place::Here(Grant::Full) => Err(Some(FullServer::default())),
+            Place::Here(Grant::NotSteward) | Place::Nowhere => Err(None),
             Place::Peer(address) => {
                 let request = ReserveRequest {
                     router: snapshot.me,
-                    reservation: id,
+                    reservation: begun.reservation,
                     server: wish.server,
                     bound_share: wish.bound_share as f32,
-                    in_flight,
+                    in_flight: begun.in_flight,
                 };
-                let reply = self.peers.reserve(address, request).await;
-                if reply.as_ref().is_err_and(PeerError::is_refused) {
-                    self.control.send(Command::AddressRefused { address });
+                match self.ask_steward(address, request, begun.told).await {
+                    Ok(()) => Ok(reservation),
+                    Err(SlotRefusal::Full(full)) => Err(Some(full)),
+                    Err(_) => Err(None),
                 }
-                reply.unwrap_or(Grant::NotSteward)
             }
+        })
+    }
+
+    /// Asks a peer for a slot, and tells the control thread of the answer.
+    async fn ask_steward(
+        &self,
+        address: SocketAddr,
+        request: ReserveRequest,
+        told: Option<ToldLoad>,
+    ) -> Result<(), SlotRefusal> {
+        let reservation = request.reservation;
+        let reply = self.peers.reserve(address, request, told).await;
+        if reply.as_ref().is_err_and(PeerError::is_refused) {
+            self.control.send(Command::AddressRefused { address });
+        }
+        let refusal = match reply {
+            Ok(SlotReply::Decided(Grant::Granted)) => {
+                self.control.send(Command::Granted { reservation });
+                return Ok(());
+            }
+            Ok(SlotReply::Full(full)) => SlotRefusal::Full(full),
+            Ok(SlotReply::Decided(Grant::NotSteward)) => SlotRefusal::NotSteward,
+            Ok(SlotReply::Decided(Grant::Full)) | Err(PeerError::Rejected) => {
+                SlotRefusal::Unexplained
+            }
+            Err(_) => SlotRefusal::Silent,
+        };
+        let refused = Command::Refused {
+            reservation,
+            refusal,
         };
-        (grant == Grant::Granted).then_some(reservation)
+        self.control.send(refused);
+        Err(refusal)
     }
 }
