--- a/crates/sapphiretrack-bench/src/policy/world.rs
+++ b/crates/sapphiretrack-bench/src/policy/world.rs
@@ -106,6 +106,8 @@
     cached_tokens: u32,
     first_token_us: u64,
     retries: u32,
+    /// When its server failed after the first token had gone out.
+    resumed_us: Option<u64>,
     waited_ms: u64,
     had_room: bool,
 }
@@ -719,7 +721,11 @@
         let turn = self.turn(request);
         let in_flight = self.engines.iter().map(Engine::in_flight).sum();
         let deadline_ms = deadline_ms(turn.is_urgent);
-        let since_us = self.now_us - (START_US + turn.at_us);
+        // The deadline is for the first token; an answer that goes on elsewhere has as long for
+        // the next one.
+        let pending = &self.pending[request as usize];
+        let began_us = pending.resumed_us.unwrap_or(START_US + turn.at_us);
+        let since_us = self.now_us - began_us;
         let left_ms = (deadline_ms as u64).saturating_sub(since_us / 1_000);
         let pending = &mut self.pending[request as usize];
         let waited_ms = pending.waited_ms;
@@ -862,8 +868,9 @@
             self.give_back(request);
             // A first token that went out before the failure stays out.
             let pending = &mut self.pending[request as usize];
-            if pending.first_token_us > self.now_us {
-                pending.first_token_us = u64::MAX;
+            match pending.first_token_us > self.now_us {
+                true => pending.first_token_us = u64::MAX,
+                false => pending.resumed_us = Some(self.now_us),
             }
             self.pending[request as usize].retries += 1;
             if self.pending[request as usize].retries > MAX_RETRIES {
