--- /dev/null
+++ b/crates/sapphiretrack-bench/src/policy/router/load.rs
@@ -0,0 +1,75 @@
+//! What a router knows of its pool's load.
+
+use sapphiretrack_core::{
+    HeardLoad, LoadReport, PoolLoad, RouterId, SentTokens, backlog_tokens, pool_load,
+};
+
+use super::Router;
+
+impl Router {
+    /// Takes in a server's load report.
+    pub(crate) fn take_report(&mut self, server: usize, report: LoadReport, now_ms: u64) {
+        self.reported_ms = now_ms;
+        self.ledger
+            .note_report(self.servers[server], report.running + report.queued);
+        self.view.servers[server].report = report;
+    }
+
+    /// This router's requests in flight.
+    pub(crate) fn pool_in_flight(&self) -> u32 {
+        self.own.iter().sum()
+    }
+
+    pub(super) fn seen_in_flight(&self, server: usize) -> u32 {
+        let heard = self.peers.iter().map(|peer| peer.in_flight[server]);
+        heard.sum::<u32>() + self.own[server]
+    }
+
+    pub(super) fn note_pool_load(&mut self, router: RouterId, in_flight: u32, now_ms: u64) {
+        let Some(index) = self.all.iter().position(|id| *id == router) else {
+            return;
+        };
+        let peer = &mut self.peers[index];
+        peer.pool_in_flight = in_flight;
+        peer.pool_heard_ms = now_ms;
+    }
+
+    pub(super) fn pool_load(&self, now_ms: u64) -> PoolLoad {
+        let own = self.pool_in_flight();
+        let others = self
+            .all
+            .iter()
+            .zip(&self.peers)
+            .filter(|(id, _)| **id != self.id);
+        let heard = others.map(|(_, peer)| HeardLoad {
+            in_flight: peer.pool_in_flight,
+            age_ms: now_ms.saturating_sub(peer.pool_heard_ms),
+        });
+        let holding = (0..self.servers.len()).filter(|server| !self.is_live(*server));
+        let holding = holding
+            .filter(|server| self.seen_in_flight(*server) > 0)
+            .count();
+        PoolLoad {
+            live_servers: self.view.live_count() + holding as u32,
+            open_servers: self.view.open_count(),
+            ..pool_load(&self.drain, own, heard)
+        }
+    }
+
+    /// What others held when last heard, and what this router holds now.
+    pub(super) fn correct_loads(&mut self, now_ms: u64) {
+        for (server, view) in self.view.servers.iter_mut().enumerate() {
+            let heard: u32 = self.peers.iter().map(|peer| peer.in_flight[server]).sum();
+            let counted = self.ledger.held(view.id);
+            view.in_flight = counted.unwrap_or(heard + self.own[server]);
+            let own = self.held.values().filter(|held| held.server == server);
+            let sent = own.map(|held| SentTokens {
+                tokens: held.uncached_tokens,
+                age_ms: now_ms.saturating_sub(held.asked_ms),
+            });
+            let age_ms = now_ms.saturating_sub(self.reported_ms);
+            let reported_tokens = view.report.queued_prompt_tokens;
+            view.backlog_tokens = backlog_tokens(&self.placement, reported_tokens, age_ms, sent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-bench/src/policy/world/telling.rs
@@ -0,0 +1,77 @@
+//! What routers tell each other and servers tell routers.
+
+use sapphiretrack_core::LoadReport;
+use sapphiretrack_peer::PeerRequest;
+
+use crate::policy::policies::Policy;
+
+use super::World;
+use super::event::Event;
+
+impl World<'_> {
+    pub(super) fn send_heartbeats(&mut self, router: usize) {
+        let now_ms = self.now_ms();
+        self.routers[router].tick(now_ms);
+        for to in (0..self.scenario.routers).filter(|to| *to != router) {
+            let heartbeat = Box::new(self.routers[router].heartbeat(to, now_ms));
+            let message = PeerRequest::Heartbeat(heartbeat);
+            self.meter.count(&message);
+            self.meter.count_reply_to_heartbeat();
+            let PeerRequest::Heartbeat(heartbeat) = message else {
+                continue;
+            };
+            if self.cut[router][to] == 0 {
+                self.routers[router].note_answered(to);
+                let at_us = self.now_us + self.scenario.peer_delay_us;
+                self.schedule(
+                    at_us,
+                    Event::Hear {
+                        from: router,
+                        to,
+                        heartbeat,
+                    },
+                );
+            }
+        }
+        let period_us = self.scenario.heartbeat_ms * 1_000;
+        self.schedule(self.now_us + period_us, Event::Heartbeat { router });
+    }
+
+    /// Routers get the servers' reports of now, and so see them late until the next.
+    pub(super) fn report(&mut self) {
+        for server in 0..self.ids.len() {
+            let engine = &self.engines[server];
+            if !engine.is_up {
+                continue;
+            }
+            let report = LoadReport {
+                incarnation: engine.incarnation,
+                running: engine.in_flight(),
+                queued_prompt_tokens: engine.backlog_tokens(self.now_us),
+                leaving: engine.is_leaving,
+                ..LoadReport::default()
+            };
+            for router in &mut self.routers {
+                router.take_report(server, report, self.now_us / 1_000);
+            }
+        }
+        match self.policy {
+            Policy::Sapphiretrack => {
+                let watched: usize = self
+                    .routers
+                    .iter()
+                    .map(|router| router.watched().count())
+                    .sum();
+                self.meter.count_probes(watched);
+            }
+            Policy::LeastLoaded => self
+                .meter
+                .count_probes(self.routers.len() * self.scenario.servers),
+            _ => {}
+        }
+        self.schedule(
+            self.now_us + self.scenario.report_lag_ms * 1_000,
+            Event::Report,
+        );
+    }
+}
