Exchanged vectors alone are measured as a policy

Conclusion: vectors a heartbeat old keep no bound; they stay what a router ranks by, and the steward decides.

--- a/crates/sapphiretrack-bench/src/policy/policies.rs
+++ b/crates/sapphiretrack-bench/src/policy/policies.rs
@@ -19,6 +19,8 @@
     Rendezvous,
     /// The chat's first rendezvous server under a bound that each router keeps alone.
     BoundedRendezvous,
+    /// The placement of this project under the bound by what peers last said, without stewards.
+    ExchangedVectors,
     /// The placement of this project, as the daemon runs it.
     Sapphiretrack,
     /// The same placement with perfect, instant knowledge of everything.
@@ -26,13 +28,19 @@
 }
 
 impl Policy {
+    /// Whether routers tell each other their load.
+    pub(crate) fn exchanges_heartbeats(self) -> bool {
+        matches!(self, Self::ExchangedVectors | Self::Sapphiretrack)
+    }
+
     /// All of them.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Random,
         Self::RoundRobin,
         Self::LeastLoaded,
         Self::Rendezvous,
         Self::BoundedRendezvous,
+        Self::ExchangedVectors,
         Self::Sapphiretrack,
         Self::Oracle,
     ];
@@ -45,6 +53,7 @@
             Self::LeastLoaded => "least_loaded",
             Self::Rendezvous => "rendezvous",
             Self::BoundedRendezvous => "bounded_rendezvous",
+            Self::ExchangedVectors => "exchanged_vectors",
             Self::Sapphiretrack => "sapphiretrack",
             Self::Oracle => "oracle",
         }
--- a/crates/sapphiretrack-bench/src/policy/router/load.rs
+++ b/crates/sapphiretrack-bench/src/policy/router/load.rs
@@ -1,7 +1,7 @@
 //! What a router knows of its pool's load.
 
 use sapphiretrack_core::{
-    HeardLoad, LoadReport, PoolLoad, RouterId, SentTokens, backlog_tokens, pool_load,
+    HeardLoad, LoadReport, PoolLoad, RouterId, SentTokens, backlog_tokens, pool_load, server_limit,
 };
 
 use super::Router;
@@ -20,6 +20,12 @@
         self.own.iter().sum()
     }
 
+    /// Whether a server is under its bound by what this router has heard.
+    pub(crate) fn seems_to_have_room(&self, server: usize, share: f64, now_ms: u64) -> bool {
+        let load = self.pool_load(now_ms);
+        self.seen_in_flight(server) < server_limit(&self.placement.bound, &load, share)
+    }
+
     pub(super) fn seen_in_flight(&self, server: usize) -> u32 {
         let heard = self.peers.iter().map(|peer| peer.in_flight[server]);
         heard.sum::<u32>() + self.own[server]
--- a/crates/sapphiretrack-bench/src/policy/world/asking.rs
+++ b/crates/sapphiretrack-bench/src/policy/world/asking.rs
@@ -139,7 +139,7 @@
         let pending = &mut self.pending[request as usize];
         let waited_ms = pending.waited_ms;
         let wait = wait_for_room(&WaitSettings::default(), in_flight, waited_ms, left_ms);
-        let knows_bound = matches!(self.policy, Policy::Sapphiretrack | Policy::Oracle);
+        let knows_bound = self.policy == Policy::Oracle || self.policy.exchanges_heartbeats();
         match wait.filter(|_| knows_bound) {
             Some(wait_ms) => {
                 pending.waited_ms += wait_ms;
--- a/crates/sapphiretrack-bench/src/policy/world/mod.rs
+++ b/crates/sapphiretrack-bench/src/policy/world/mod.rs
@@ -163,6 +163,8 @@
         }
         if self.policy == Policy::Sapphiretrack {
             self.schedule(0, Event::Tick);
+        }
+        if self.policy.exchanges_heartbeats() {
             for router in 0..self.scenario.routers {
                 let period_us = self.scenario.heartbeat_ms * 1_000;
                 let offset_us = period_us * router as u64 / self.scenario.routers as u64;
--- a/crates/sapphiretrack-bench/src/policy/world/ordering.rs
+++ b/crates/sapphiretrack-bench/src/policy/world/ordering.rs
@@ -22,6 +22,13 @@
                 let told = self.values.get(&turn.chat).copied().filter(|_| is_told);
                 self.routers[turn.router].rank(turn, told, share, now_ms)
             }
+            Policy::ExchangedVectors => {
+                let told = self.values.get(&turn.chat).copied().filter(|_| is_told);
+                let router = &mut self.routers[turn.router];
+                let mut order = router.rank(turn, told, share, now_ms);
+                order.retain(|one| router.seems_to_have_room(one.server, share, now_ms));
+                order
+            }
             simple => {
                 let router = &self.routers[turn.router];
                 let live = (0..self.ids.len()).filter(|server| router.is_open(*server));
--- a/crates/sapphiretrack-bench/src/policy/world/telling.rs
+++ b/crates/sapphiretrack-bench/src/policy/world/telling.rs
@@ -11,7 +11,9 @@
 impl World<'_> {
     pub(super) fn send_heartbeats(&mut self, router: usize) {
         let now_ms = self.now_ms();
-        self.routers[router].tick(now_ms);
+        if self.policy == Policy::Sapphiretrack {
+            self.routers[router].tick(now_ms);
+        }
         for to in (0..self.scenario.routers).filter(|to| *to != router) {
             let heartbeat = Box::new(self.routers[router].heartbeat(to, now_ms));
             let message = PeerRequest::Heartbeat(heartbeat);
@@ -64,6 +66,7 @@
                     .sum();
                 self.meter.count_probes(watched);
             }
+            Policy::ExchangedVectors => self.meter.count_probes(self.scenario.servers),
             Policy::LeastLoaded => self
                 .meter
                 .count_probes(self.routers.len() * self.scenario.servers),
--- a/crates/sapphiretrack-bench/tests/policy.rs
+++ b/crates/sapphiretrack-bench/tests/policy.rs
@@ -38,6 +38,7 @@
         Policy::Random,
         Policy::Rendezvous,
         Policy::BoundedRendezvous,
+        Policy::ExchangedVectors,
     ] {
         let measures = measure(&short(ScenarioName::Steady), policy, 1);
         assert!(measures.bound_breaches > 100, "{}", policy.name());
