--- a/crates/sapphiretrack-bench/tests/policy.rs
+++ b/crates/sapphiretrack-bench/tests/policy.rs
@@ -38,6 +38,7 @@
         Policy::Random,
         Policy::Rendezvous,
         Policy::BoundedRendezvous,
+        Policy::ExchangedVectors,
     ] {
         let measures = measure(&short(ScenarioName::Steady), policy, 1);
         assert!(measures.bound_breaches > 100, "{}", policy.name());
@@ -54,6 +55,20 @@
     assert!(ours.skew < rendezvous.skew - 0.1);
 }
 
+#[test]
+fn urgent_requests_find_the_room_that_there_is() {
+    for (name, seed) in [
+        (ScenarioName::Churn, 9),
+        (ScenarioName::Monterrey, 2),
+        (ScenarioName::Teranga, 8),
+    ] {
+        let measures = measure(&Scenario::named(name), Policy::Sapphiretrack, seed);
+        let failed = measures.urgent_failed_with_room;
+        assert!(failed <= 6, "{} seed {seed}: {failed}", name.name());
+        assert_eq!(measures.bound_breaches, 0, "{} seed {seed}", name.name());
+    }
+}
+
 #[test]
 fn a_hand_over_and_a_snapshot_keep_reuse_that_a_lost_memory_loses() {
     let returns_warm = |replaced| {
--- a/crates/sapphiretrack-core/src/lib.rs
+++ b/crates/sapphiretrack-core/src/lib.rs
@@ -45,7 +45,7 @@
 pub use attempt::{
     AttemptFailure, AttemptLog, NextStep, Repeatable, first_token_timeout_ms, idle_timeout_ms,
 };
-pub use bound::{LoadBound, PoolLoad, SHED_BELOW_SHARE, server_limit};
+pub use bound::{LoadBound, PoolLoad, SHED_BELOW_SHARE, ToldLoad, server_limit};
 pub use budget::{
     Amounts, BUDGET_LEASE_MS, BudgetAsk, BudgetGrant, BudgetReply, CustomerBudget, HELD_SHARE,
     Needed, UNSURE_SHARE,
@@ -89,11 +89,12 @@
 pub use peer_beat::{BeatTaken, PeerBeat, RouterProfile};
 pub use peer_roster::{ListedRouter, PeerRoster, PeerRosterSettings, RosterPeer};
 pub use placement::{
-    Candidate, LostRouters, MEMORY_BYTES_PER_CHAT, PlacementMemory, PlacementRequest,
-    PlacementSettings, SentTokens, WaitSettings, WarmChat, WarmHint, WarmList, WorkspaceShares,
-    backlog_tokens, keep_newest, rank_servers, wait_for_room, wait_for_steward,
+    AskMemory, AskSettings, Candidate, FullServer, LostRouters, MEMORY_BYTES_PER_CHAT,
+    PlacementMemory, PlacementRequest, PlacementSettings, SentTokens, WaitSettings, WarmChat,
+    WarmHint, WarmList, WorkspaceShares, ask_again, backlog_tokens, keep_newest, rank_servers,
+    wait_for_room, wait_for_steward, with_most_servers,
 };
-pub use pool_load::{DrainSettings, HeardLoad, pool_load};
+pub use pool_load::{DrainSettings, HeardLoad, JOIN_SETTLE_MS, pool_load};
 pub use rendezvous::{rendezvous_score, top_by_rendezvous};
 pub use resignation::Resignation;
 pub use retry::{RetryBudget, backoff_ms};
--- a/crates/sapphiretrack-core/src/placement/mod.rs
+++ b/crates/sapphiretrack-core/src/placement/mod.rs
@@ -1,5 +1,7 @@
 //! Which backend server gets a request.
 
+mod again;
+mod ask_memory;
 mod backlog;
 mod lost_routers;
 mod memory;
@@ -11,6 +13,8 @@
 mod warm_list;
 mod warmth;
 
+pub use again::{FullServer, ask_again, with_most_servers};
+pub use ask_memory::{AskMemory, AskSettings};
 pub use backlog::{SentTokens, backlog_tokens};
 pub use lost_routers::LostRouters;
 pub use memory::{MEMORY_BYTES_PER_CHAT, PlacementMemory};
--- a/crates/sapphiretrack-peer/src/wire.rs
+++ b/crates/sapphiretrack-peer/src/wire.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 
 use sapphiretrack_core::{
-    BudgetAsk, BudgetReply, Grant, HeldSlots, Incarnation, LoadReport, ReservationId,
-    ReserveRequest, RouterId, RouterProfile, ServerId, VmState, WarmList,
+    BudgetAsk, BudgetReply, FullServer, Grant, HeldSlots, Incarnation, LoadReport, ReservationId,
+    ReserveRequest, RouterId, RouterProfile, ServerId, ToldLoad, VmState, WarmList,
 };
 use serde::{Deserialize, Serialize};
 
@@ -174,6 +174,13 @@
     FetchVmList,
     /// Hands over where chats are warm, at most [`MAX_HANDED_CHATS`] of them; since version 3.
     HandOver(WarmList),
+    /// Asks the receiver again, as steward, after it refused for want of room.
+    ReserveAgain {
+        /// The question.
+        request: ReserveRequest,
+        /// What the sender knows of the pool's load.
+        told: ToldLoad,
+    },
 }
 
 /// The reply to a call.
@@ -202,4 +209,6 @@
         /// Chats of which the receiver knew nothing as new.
         chats: u32,
     },
+    /// To a reservation that finds no room.
+    Full(FullServer),
 }
--- a/crates/sapphiretrackd/src/control/load.rs
+++ b/crates/sapphiretrackd/src/control/load.rs
@@ -3,16 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sapphiretrack_core::{
-    DrainSettings, HeardLoad, PlacementSettings, PoolLoad, RouterId, SentTokens, ServerId, VmState,
-    backlog_tokens, pool_load,
+    DrainSettings, HeardLoad, JOIN_SETTLE_MS, PlacementSettings, PoolLoad, RouterId, SentTokens,
+    ServerId, VmState, backlog_tokens, pool_load,
 };
 
 use crate::control::ControlState;
 
-/// How long a server that joined counts for the load bound before it takes requests; longer than
-/// a heartbeat, so that its pool's stewards have heard of it.
-const JOIN_SETTLE_MS: u64 = 2_500;
-
 /// What peers said of their load, and which servers have joined lately.
 #[derive(Default)]
 pub(super) struct LoadBook {
@@ -137,11 +133,12 @@
 
     fn own_in_flight(&self, pool: &str) -> u32 {
         let of_pool = |server: ServerId| self.pool_of(server).is_some_and(|of| of == pool);
-        let own = self.held.values().filter(|held| of_pool(held.server));
-        own.count() as u32
+        // A slot that is only asked for may be refused: with it the load would not be the least.
+        let granted = self.held.values().filter(|held| held.is_granted);
+        granted.filter(|held| of_pool(held.server)).count() as u32
     }
 
-    fn pool_of(&self, server: ServerId) -> Option<String> {
+    pub(super) fn pool_of(&self, server: ServerId) -> Option<String> {
         let mut servers = self.pooled_servers();
         let found = servers.find(|known| known.id == server)?;
         Some(found.pool.to_owned())
--- a/crates/sapphiretrackd/src/control/state.rs
+++ b/crates/sapphiretrackd/src/control/state.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use sapphiretrack_core::{
-    ConsentSettings, Endings, FleetConfig, Hearing, Incarnation, KeyIndex, Ledger, LedgerSettings,
-    LoadBound, LoadReport, PauseWatch, PeerRoster, PeerRosterSettings, Refreshed, ReservationId,
-    Resignation, RosterChange, RouterId, RouterProfile, ServerId, ServerRoster,
-    ServerRosterSettings, StewardNames, VmRecord, VmState, hash_parts, newer_config,
+    AskMemory, AskSettings, ConsentSettings, Endings, FleetConfig, Hearing, Incarnation, KeyIndex,
+    Ledger, LedgerSettings, LoadBound, LoadReport, PauseWatch, PeerRoster, PeerRosterSettings,
+    Refreshed, ReservationId, Resignation, RosterChange, RouterId, RouterProfile, ServerId,
+    ServerRoster, ServerRosterSettings, StewardNames, VmRecord, VmState, hash_parts, newer_config,
 };
 use sapphiretrack_peer::{PeerReply, PeerRequest, VmListReply};
 use sapphiretrack_platform::wire::VmList;
@@ -58,6 +58,7 @@
     pub(super) endings: Endings,
     /// Whether this router, leaving, has given its stewardships up.
     pub(super) resignation: Resignation,
+    pub(super) asks: AskMemory,
     pub(super) loads: LoadBook,
     pub(super) budgets: Budgets,
     pub(super) held: BTreeMap<ReservationId, Held>,
@@ -100,6 +101,7 @@
             names: StewardNames::new(ledger_settings(&timing).consent),
             endings: Endings::default(),
             resignation: Resignation::default(),
+            asks: AskMemory::new(AskSettings::default()),
             loads: LoadBook::default(),
             peers: PeerRoster::new(identity.id, peer_settings),
             servers: ServerRoster::new(server_settings),
@@ -244,9 +246,9 @@
             PeerRequest::Heartbeat(heartbeat) => {
                 PeerReply::Heartbeat(self.take_heartbeat(*heartbeat, now_ms))
             }
-            PeerRequest::Reserve(request) => {
-                self.note_pool_load(request.router, request.server, request.in_flight, now_ms);
-                PeerReply::Reserve(self.reserve(&request, now_ms))
+            PeerRequest::Reserve(request) => self.reserve_for_peer(&request, None, now_ms),
+            PeerRequest::ReserveAgain { request, told } => {
+                self.reserve_for_peer(&request, Some(told), now_ms)
             }
             PeerRequest::Release {
                 router,
--- a/crates/sapphiretrackd/src/dispatch/slots.rs
+++ b/crates/sapphiretrackd/src/dispatch/slots.rs
@@ -4,17 +4,20 @@
 use std::time::{Duration, Instant};
 
 use sapphiretrack_core::{
-    Candidate, Grant, Incarnation, ReservationId, ReserveRequest, SHED_BELOW_SHARE, ServerId,
-    WaitSettings, wait_for_room, wait_for_steward,
+    Candidate, FullServer, Grant, Incarnation, ReservationId, ReserveRequest, SHED_BELOW_SHARE,
+    ServerId, ToldLoad, WaitSettings, wait_for_room, wait_for_steward, with_most_servers,
 };
-use sapphiretrack_peer::PeerError;
+use sapphiretrack_peer::{PeerError, SlotReply};
 
-use crate::control::{Begun, Command, ControlHandle, Place, SlotWish, Snapshot};
+use crate::control::{Command, ControlHandle, Place, SlotRefusal, SlotWish, Snapshot};
 use crate::dispatch::Dispatcher;
 
 /// How many servers are tried for a slot at a time; those that look full come last.
 const MAX_TRIED_SERVERS: usize = 64;
 
+/// A server to ask for a slot; with the refusal if its steward had no room before.
+type Asked = (Candidate, Option<FullServer>);
+
 /// A slot on a server; dropping it gives it back.
 pub(crate) struct Slot {
     /// The server.
@@ -40,6 +43,15 @@
     pub(crate) deadline: Instant,
 }
 
+/// What came of a round over candidates without a slot.
+#[derive(Default)]
+struct Refused {
+    /// The full ones, with what their stewards told.
+    full: Vec<Asked>,
+    /// Whether nobody counts the slots of some server just now.
+    lacks_steward: bool,
+}
+
 /// Ends a reservation when dropped, granted or not.
 struct Reservation {
     control: ControlHandle,
@@ -66,9 +78,9 @@
         let mut waited_ms = 0;
         loop {
             let snapshot = self.control.snapshot();
-            let refusal = match self.reserve_now(&snapshot, wanted, candidates).await {
+            let lacks_steward = match self.reserve_twice(&snapshot, wanted, candidates).await {
                 Ok(slot) => return Some(slot),
-                Err(refusal) => refusal,
+                Err(refused) => refused.lacks_steward,
             };
             let pool = snapshot.pools.get(wanted.pool)?;
             let left = wanted.deadline.saturating_duration_since(Instant::now());
@@ -77,13 +89,10 @@
             // A class that is shed is refused at once.
             let is_shed = wanted.bound_share < SHED_BELOW_SHARE;
             let for_room = wait_for_room(&settings, pool.in_flight(), waited_ms, left_ms);
-            let for_steward = match refusal {
-                Grant::NotSteward => {
-                    let tried_ms = since.elapsed().as_millis() as u64;
-                    wait_for_steward(&settings, tried_ms, left_ms)
-                }
-                Grant::Granted | Grant::Full => None,
-            };
+            let tried_ms = since.elapsed().as_millis() as u64;
+            let for_steward = lacks_steward
+                .then(|| wait_for_steward(&settings, tried_ms, left_ms))
+                .flatten();
             let wait = for_room.into_iter().chain(for_steward).min();
             let wait_ms = wait.filter(|_| !is_shed)?;
             tokio::time::sleep(Duration::from_millis(wait_ms)).await;
@@ -91,22 +100,40 @@
         }
     }
 
-    /// One round over the candidates. If there is no slot, tells whether all that were tried are
-    /// full, or some server's steward could not decide.
-    async fn reserve_now(
+    /// Asks for a slot on each candidate, and once more where the refusals brought counts that
+    /// leave room.
+    async fn reserve_twice(
         &self,
         snapshot: &Snapshot,
         wanted: &WantedSlot<'_>,
         candidates: &[Candidate],
-    ) -> Result<Slot, Grant> {
-        let mut refusal = Grant::Full;
-        let Some(pool) = snapshot.pools.get(wanted.pool) else {
-            return Err(refusal);
-        };
+    ) -> Result<Slot, Refused> {
         let fresh = candidates
             .iter()
             .filter(|candidate| !wanted.tried.contains(&candidate.server));
-        for candidate in fresh.take(MAX_TRIED_SERVERS) {
+        let fresh = fresh.take(MAX_TRIED_SERVERS).copied();
+        let first: Vec<Asked> = fresh.map(|candidate| (candidate, None)).collect();
+        let mut refused = match self.reserve_now(snapshot, wanted, &first).await {
+            Ok(slot) => return Ok(slot),
+            Err(refused) => refused,
+        };
+        let mut again = std::mem::take(&mut refused.full);
+        with_most_servers(again.iter_mut().filter_map(|(_, counts)| counts.as_mut()));
+        let slot = self.reserve_now(snapshot, wanted, &again).await;
+        slot.map_err(|_| refused)
+    }
+
+    async fn reserve_now(
+        &self,
+        snapshot: &Snapshot,
+        wanted: &WantedSlot<'_>,
+        asked: &[Asked],
+    ) -> Result<Slot, Refused> {
+        let mut refused = Refused::default();
+        let Some(pool) = snapshot.pools.get(wanted.pool) else {
+            return Err(refused);
+        };
+        for (candidate, refusal) in asked {
             let Some(server) = pool.server(candidate.server) else {
                 continue;
             };
@@ -114,14 +141,19 @@
                 server: candidate.server,
                 bound_share: wanted.bound_share,
                 uncached_tokens: candidate.uncached_tokens,
+                refusal: *refusal,
             };
             let reservation = match self.reserve_on(wish, snapshot).await {
                 Ok(reservation) => reservation,
-                Err(Grant::NotSteward) => {
-                    refusal = Grant::NotSteward;
+                Err(SlotRefusal::Full(counts)) => {
+                    refused.full.push((*candidate, Some(counts)));
+                    continue;
+                }
+                Err(SlotRefusal::Unexplained) => continue,
+                Err(SlotRefusal::NotSteward | SlotRefusal::Silent) => {
+                    refused.lacks_steward = true;
                     continue;
                 }
-                Err(_) => continue,
             };
             return Ok(Slot {
                 server: server.id,
@@ -134,40 +166,70 @@
                 _reservation: reservation,
             });
         }
-        Err(refusal)
+        Err(refused)
     }
 
-    async fn reserve_on(&self, wish: SlotWish, snapshot: &Snapshot) -> Result<Reservation, Grant> {
-        let Begun {
-            reservation: id,
-            place,
-            in_flight,
-        } = self.control.begin(wish).await.ok_or(Grant::Full)?;
+    /// A reservation on a server, or why there is none.
+    async fn reserve_on(
+        &self,
+        wish: SlotWish,
+        snapshot: &Snapshot,
+    ) -> Result<Reservation, SlotRefusal> {
+        // Without the control thread nothing is decided any more.
+        let begun = self.control.begin(wish).await;
+        let begun = begun.ok_or(SlotRefusal::Unexplained)?;
         let reservation = Reservation {
             control: self.control.clone(),
-            id,
+            id: begun.reservation,
         };
-        let grant = match place {
-            Place::Here(grant) => grant,
-            Place::Nowhere => Grant::NotSteward,
+        match begun.place {
+            Place::Here(Grant::Granted) => Ok(reservation),
+            // What is held here is known here, when it is asked again.
+            Place::Here(Grant::Full) => Err(SlotRefusal::Full(FullServer::default())),
+            Place::Here(Grant::NotSteward) | Place::Nowhere => Err(SlotRefusal::NotSteward),
             Place::Peer(address) => {
                 let request = ReserveRequest {
                     router: snapshot.me,
-                    reservation: id,
+                    reservation: begun.reservation,
                     server: wish.server,
                     bound_share: wish.bound_share as f32,
-                    in_flight,
+                    in_flight: begun.in_flight,
                 };
-                let reply = self.peers.reserve(address, request).await;
-                if reply.as_ref().is_err_and(PeerError::is_refused) {
-                    self.control.send(Command::AddressRefused { address });
-                }
-                reply.unwrap_or(Grant::NotSteward)
+                let asked = self.ask_steward(address, request, begun.told).await;
+                asked.map(|()| reservation)
             }
-        };
-        match grant {
-            Grant::Granted => Ok(reservation),
-            refusal => Err(refusal),
         }
     }
+
+    /// Asks a peer for a slot, and tells the control thread of the answer.
+    async fn ask_steward(
+        &self,
+        address: SocketAddr,
+        request: ReserveRequest,
+        told: Option<ToldLoad>,
+    ) -> Result<(), SlotRefusal> {
+        let reservation = request.reservation;
+        let reply = self.peers.reserve(address, request, told).await;
+        if reply.as_ref().is_err_and(PeerError::is_refused) {
+            self.control.send(Command::AddressRefused { address });
+        }
+        let refusal = match reply {
+            Ok(SlotReply::Decided(Grant::Granted)) => {
+                self.control.send(Command::Granted { reservation });
+                return Ok(());
+            }
+            Ok(SlotReply::Full(full)) => SlotRefusal::Full(full),
+            Ok(SlotReply::Decided(Grant::NotSteward)) => SlotRefusal::NotSteward,
+            Ok(SlotReply::Decided(Grant::Full)) | Err(PeerError::Rejected) => {
+                SlotRefusal::Unexplained
+            }
+            Err(_) => SlotRefusal::Silent,
+        };
+        let refused = Command::Refused {
+            reservation,
+            refusal,
+        };
+        self.control.send(refused);
+        Err(refusal)
+    }
 }
