A test shows that a peer which stands still holds up no planned stop

Seen failing: with the limits of a call, of the hand-over and of the stop's wait set to 600 s, the stop does not end within the guard of 30 s.

--- a/crates/sapphiretrack-tests/tests/warm_memory.rs
+++ b/crates/sapphiretrack-tests/tests/warm_memory.rs
@@ -146,6 +146,21 @@
     assert!(cold.is_empty(), "cold: {cold:?}; the stop:\n{lines}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_peer_that_stands_still_holds_up_no_planned_stop() {
+    let mut fleet = start(3, 0).await;
+    warm_chats(&fleet, 0).await;
+    fleet.routers[2].process.signal("STOP").await;
+    fleet.routers[0].process.signal("TERM").await;
+    // A guard against a hang, not a measure.
+    let guard = Duration::from_secs(30);
+    let stopped = tokio::time::timeout(guard, fleet.routers[0].process.wait()).await;
+    fleet.routers[2].process.signal("CONT").await;
+    assert_eq!(stopped.ok().flatten(), Some(0));
+    let cold = cold_chats(&fleet, 1).await;
+    assert!(cold.is_empty(), "cold: {cold:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn chats_of_a_killed_router_find_their_prefix_warm_at_its_peers() {
     let mut fleet = start(3, 300).await;
