--- a/crates/sapphiretrack-core/src/placement/wait.rs
+++ b/crates/sapphiretrack-core/src/placement/wait.rs
@@ -19,7 +19,7 @@
         Self {
             hold_ms: 10_000,
             longest_ms: 2_000,
-            deadline_part: 0.75,
+            deadline_part: 0.8,
             shortest_ms: 40,
         }
     }
