--- a/crates/sapphiretrack-core/src/ledger.rs
+++ b/crates/sapphiretrack-core/src/ledger.rs
@@ -109,8 +109,6 @@
     consents: BTreeMap<RouterId, u64>,
     /// Requests that the server last reported beyond those listed.
     unlisted: u32,
-    /// Whether the server has reported since this router began to count.
-    has_report: bool,
     /// Whether all holders were heard under the present consent; no grant before.
     is_whole: bool,
 }
@@ -182,9 +180,7 @@
             true => entry.unlisted,
             false => 0,
         };
-        // Until the first report, slots of routers that are not heard may be missing.
-        let is_blind = now_ms < self.orphans_until_ms && !entry.has_report;
-        if is_blind || entry.count() + unlisted >= limit {
+        if entry.count() + unlisted >= limit {
             return Grant::Full;
         }
         let held = entry.held.entry(request.router).or_default();
@@ -205,7 +201,6 @@
     /// Takes in how many requests a server itself reports.
     pub fn note_report(&mut self, server: ServerId, reported: u32) {
         if let Some(entry) = self.servers.get_mut(&server) {
-            entry.has_report = entry.is_whole;
             entry.unlisted = reported.saturating_sub(entry.count());
         }
     }
@@ -283,7 +278,6 @@
                 .get(router)
                 .is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < consent_ms)
         };
-        self.has_report &= self.is_whole;
         self.is_whole = has_most && (self.is_whole || holders.iter().all(is_fresh));
     }
 }
