--- a/crates/sapphiretrack-bench/tests/policy.rs
+++ b/crates/sapphiretrack-bench/tests/policy.rs
@@ -69,6 +69,15 @@
     }
 }
 
+#[test]
+fn the_bound_holds_while_routers_that_hold_slots_are_cut_off() {
+    for seed in [62, 80] {
+        let scenario = Scenario::named(ScenarioName::Disagree);
+        let measures = measure(&scenario, Policy::Sapphiretrack, seed);
+        assert_eq!(measures.bound_breaches, 0, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_hand_over_and_a_snapshot_keep_reuse_that_a_lost_memory_loses() {
     let returns_warm = |replaced| {
