--- /dev/null
+++ b/crates/sapphiretrack-core/tests/common/mod.rs
@@ -0,0 +1,41 @@
+//! One server with room for two requests, as tests of its steward ask for slots on it.
+
+use sapphiretrack_core::{
+    Grant, HeldSlots, Ledger, LoadBound, PoolLoad, ReservationId, ReserveRequest, RouterId,
+    ServerId,
+};
+
+/// The server.
+pub const SERVER: ServerId = ServerId(7);
+/// Requests that it may hold.
+pub const BOUND: usize = 2;
+
+/// What a router says that it holds on the server.
+pub fn listing(reservations: &[u32], next_reservation: u32) -> HeldSlots {
+    let held = reservations.iter().copied().map(ReservationId).collect();
+    HeldSlots {
+        next_reservation,
+        by_server: vec![(SERVER, held)],
+    }
+}
+
+/// Asks the steward for a slot.
+pub fn reserve(ledger: &mut Ledger, router: RouterId, reservation: u32, now_ms: u64) -> Grant {
+    let load = PoolLoad {
+        live_servers: 1,
+        open_servers: 1,
+        ..PoolLoad::default()
+    };
+    let bound = LoadBound {
+        floor_requests: BOUND as u32,
+        ..LoadBound::default()
+    };
+    let request = ReserveRequest {
+        router,
+        reservation: ReservationId(reservation),
+        server: SERVER,
+        bound_share: 1.0,
+        in_flight: 0,
+    };
+    ledger.reserve(&request, &bound, &load, now_ms)
+}
--- a/crates/sapphiretrack-core/tests/steward_changes.rs
+++ b/crates/sapphiretrack-core/tests/steward_changes.rs
@@ -1,41 +1,13 @@
 //! Stewards that die, restart or resign: when the next one starts.
 
+mod common;
+
+use common::{SERVER, listing, reserve};
 use sapphiretrack_core::{
-    CellView, ConsentSettings, Endings, Grant, HeldSlots, Ledger, LedgerSettings, LoadBound,
-    PoolLoad, ReservationId, ReserveRequest, Resignation, RouterId, ServerId, StewardNames,
+    CellView, ConsentSettings, Endings, Grant, Ledger, LedgerSettings, Resignation, RouterId,
+    StewardNames,
 };
 
-const SERVER: ServerId = ServerId(7);
-const BOUND: usize = 2;
-
-fn listing(reservations: &[u32], next_reservation: u32) -> HeldSlots {
-    let held = reservations.iter().copied().map(ReservationId).collect();
-    HeldSlots {
-        next_reservation,
-        by_server: vec![(SERVER, held)],
-    }
-}
-
-fn reserve(ledger: &mut Ledger, router: RouterId, reservation: u32, now_ms: u64) -> Grant {
-    let load = PoolLoad {
-        live_servers: 1,
-        open_servers: 1,
-        ..PoolLoad::default()
-    };
-    let bound = LoadBound {
-        floor_requests: BOUND as u32,
-        ..LoadBound::default()
-    };
-    let request = ReserveRequest {
-        router,
-        reservation: ReservationId(reservation),
-        server: SERVER,
-        bound_share: 1.0,
-        in_flight: 0,
-    };
-    ledger.reserve(&request, &bound, &load, now_ms)
-}
-
 fn view<'a>(live: &'a [RouterId], known: &'a [RouterId], ended: &'a [RouterId]) -> CellView<'a> {
     CellView {
         stewarded: &[SERVER],
--- a/crates/sapphiretrack-core/tests/steward_faults.rs
+++ b/crates/sapphiretrack-core/tests/steward_faults.rs
@@ -1,48 +1,21 @@
 //! The bound holds though stewards die, restart, resign and lose each other.
 
+mod common;
+
+use common::{BOUND, SERVER, listing, reserve};
 use proptest::prelude::*;
 use sapphiretrack_core::{
-    CellView, ConsentSettings, Endings, Grant, HeldSlots, Ledger, LedgerSettings, LoadBound,
-    PoolLoad, ReservationId, ReserveRequest, RouterId, ServerId, StewardNames,
+    CellView, ConsentSettings, Endings, Grant, Ledger, LedgerSettings, ReservationId, RouterId,
+    StewardNames,
 };
 
-const SERVER: ServerId = ServerId(7);
 const ROUTERS: usize = 5;
 const STEP_MS: u64 = 100;
-const BOUND: usize = 2;
 /// A peer that is silent for so long counts as lost.
 const SILENT_MS: u64 = 2_500;
 /// A restarted router may consent anew when its earlier consent has run out.
 const DOWN_STEPS: usize = 36;
 
-fn listing(reservations: &[u32], next_reservation: u32) -> HeldSlots {
-    let held = reservations.iter().copied().map(ReservationId).collect();
-    HeldSlots {
-        next_reservation,
-        by_server: vec![(SERVER, held)],
-    }
-}
-
-fn reserve(ledger: &mut Ledger, router: RouterId, reservation: u32, now_ms: u64) -> Grant {
-    let load = PoolLoad {
-        live_servers: 1,
-        open_servers: 1,
-        ..PoolLoad::default()
-    };
-    let bound = LoadBound {
-        floor_requests: BOUND as u32,
-        ..LoadBound::default()
-    };
-    let request = ReserveRequest {
-        router,
-        reservation: ReservationId(reservation),
-        server: SERVER,
-        bound_share: 1.0,
-        in_flight: 0,
-    };
-    ledger.reserve(&request, &bound, &load, now_ms)
-}
-
 /// One router of the property test.
 struct Node {
     run: u64,
