--- a/crates/sapphiretrack-caller/tests/parsers.rs
+++ b/crates/sapphiretrack-caller/tests/parsers.rs
@@ -1,8 +1,11 @@
 //! The callers' endpoint takes any bytes and answers each with a typed refusal or a run.
 
+mod common;
+
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
+use common::CONTRACT;
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -16,20 +19,6 @@
 use sapphiretrack_core::{Contract, Refusal, RefusalCode, parse_contract};
 use tokio::runtime::Runtime;
 
-const CONTRACT: &str = r#"
-customer = "teranga"
-caller_keys_sha256 = []
-pools = ["assistant", "plant"]
-default_class = "floor"
-[limits]
-requests_per_s = 10
-tokens_per_s = 10
-in_flight = 10
-[classes.floor]
-priority = 0
-deadline_ms = 1000
-"#;
-
 type Http = Client<HttpConnector, Full<Bytes>>;
 
 struct Endpoint {
--- a/crates/sapphiretrack-caller/tests/refusals.rs
+++ b/crates/sapphiretrack-caller/tests/refusals.rs
@@ -1,10 +1,13 @@
 //! What comes over a raw socket and is refused: by the router, or by the HTTP library before it.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use bytes::Bytes;
+use common::CONTRACT;
 use sapphiretrack_caller::{
     Answer, CallerHandlers, CallerServer, EntryReply, RequestToken, Settings, WholeAnswer,
 };
@@ -12,20 +15,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const CONTRACT: &str = r#"
-customer = "teranga"
-caller_keys_sha256 = []
-pools = ["assistant", "plant"]
-default_class = "floor"
-[limits]
-requests_per_s = 10
-tokens_per_s = 10
-in_flight = 10
-[classes.floor]
-priority = 0
-deadline_ms = 1000
-"#;
-
 /// Who refuses, and with what.
 #[derive(Clone, Copy)]
 enum By {
