--- /dev/null
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -0,0 +1,126 @@
+//! Beats between routers: small datagrams, sent several times a second and never answered.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime};
+
+use sapphiretrack_routing::Beat;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::clock::Clock;
+use crate::events::{Event, note};
+use crate::shared::Shared;
+
+/// The most beats that are sent at once: with more routers each beat goes to the next of them in
+/// turn, so that the cost of a router does not grow with the fleet.
+const BEATS_AT_ONCE: usize = 24;
+/// The longest datagram: the load of a few hundred servers.
+const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+
+/// Where other routers hear beats, by the store's rows and by the beats themselves.
+#[derive(Debug, Default)]
+pub(crate) struct BeatAddresses(Mutex<Vec<SocketAddr>>);
+
+impl BeatAddresses {
+    /// Sets what the store lists.
+    pub(crate) fn set(&self, addresses: Vec<SocketAddr>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = addresses;
+    }
+
+    fn all(&self, shared: &Shared) -> Vec<SocketAddr> {
+        let listed = self
+            .0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let mut all = shared.peers().beat_addresses();
+        all.extend(listed);
+        all.sort_unstable();
+        all.dedup();
+        all.retain(|address| *address != shared.settings.beat_address);
+        all
+    }
+}
+
+/// Sends this router's beats until the process ends.
+pub(crate) async fn send_beats(
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    addresses: Arc<BeatAddresses>,
+) {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    // The time of day may step back between two runs; the uptime orders runs of one machine.
+    let incarnation = since
+        .map_or(0, |since| since.as_millis() as u64)
+        .max(Clock.now_ms());
+    let beat_ms = Duration::from_millis(shared.settings.times.beat_ms);
+    let mut sequence = 0;
+    let mut next = 0;
+    loop {
+        sequence += 1;
+        let settings = &shared.settings;
+        let beat = Beat {
+            name: settings.name.clone(),
+            incarnation,
+            sequence,
+            zone: settings.zone.clone(),
+            caller_address: settings.caller_address,
+            beat_address: settings.beat_address,
+            state: shared.state(),
+            loads: shared.own_loads(),
+        };
+        let all = addresses.all(&shared);
+        let bytes = bincode::serialize(&beat).unwrap_or_default();
+        for step in 0..all.len().min(BEATS_AT_ONCE) {
+            let address = all[(next + step) % all.len()];
+            // A lost beat is as good as one that was not sent.
+            drop(socket.send_to(&bytes, address).await);
+        }
+        next = next.wrapping_add(BEATS_AT_ONCE);
+        tokio::select! {
+            () = sleep(beat_ms) => {}
+            () = shared.state_changed.notified() => {}
+        }
+    }
+}
+
+/// Takes in the beats of others until the process ends.
+pub(crate) async fn hear_beats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut loads_ms = 0;
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            // An earlier datagram met a closed port; the next call receives again.
+            continue;
+        };
+        let beat: Beat = match bincode::deserialize(&buffer[..length]) {
+            Ok(beat) => beat,
+            Err(error) => {
+                note!(Event::BEAT_UNREADABLE, from = from, error = error);
+                continue;
+            }
+        };
+        if beat.name == shared.settings.name {
+            continue;
+        }
+        let now_ms = Clock.now_ms();
+        let name = beat.name.clone();
+        let state = beat.state;
+        let mut peers = shared.peers();
+        if peers.note(beat, now_ms) {
+            note!(
+                Event::PEER_CHANGED,
+                router = name,
+                state = format_args!("{state:?}")
+            );
+        }
+        if now_ms >= loads_ms + shared.settings.times.beat_ms / 4 {
+            loads_ms = now_ms;
+            shared.peer_loads.store(Arc::new(peers.loads(now_ms)));
+            for name in peers.forget_lost(now_ms) {
+                note!(Event::PEER_LOST, router = name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-router/src/http_call.rs
@@ -0,0 +1,97 @@
+//! One HTTP connection for calls that wait for each other, as to the platform's store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::SendRequest;
+use snafu::{ResultExt, Snafu};
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use crate::connect::{ConnectError, Driver, connect};
+
+/// The largest answer that is read: a page of rows has at most 1 MB, base64 included.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Calls one address over one connection, which is made anew after any doubt.
+#[derive(Debug)]
+pub struct HttpCaller {
+    address: SocketAddr,
+    connect_ms: u64,
+    connection: Mutex<Option<(SendRequest<Full<Bytes>>, Driver)>>,
+}
+
+/// A failed call. It may have been performed unless no connection could be made.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// No connection.
+    #[snafu(display("{source}"))]
+    NotConnected {
+        /// Why.
+        source: ConnectError,
+    },
+    /// The call was sent, or part of it, and no whole answer came.
+    #[snafu(display("connection broke: {source}"))]
+    Broken {
+        /// Why.
+        source: hyper::Error,
+    },
+    /// No answer in time.
+    #[snafu(display("no answer within {limit_ms} ms"))]
+    TooLate {
+        /// The limit.
+        limit_ms: u64,
+    },
+    /// The answer's body cannot be read.
+    #[snafu(display("answer cannot be read: {reason}"))]
+    Unreadable {
+        /// Why.
+        reason: String,
+    },
+}
+
+impl HttpCaller {
+    /// Calls an address; the connection is made with the first call.
+    pub fn new(address: SocketAddr, connect_ms: u64) -> Self {
+        Self {
+            address,
+            connect_ms,
+            connection: Mutex::new(None),
+        }
+    }
+
+    /// Makes one call and reads its whole answer, within a time.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit_ms: u64,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let mut connection = self.connection.lock().await;
+        // Taken out: a call that is dropped midway leaves no connection with half an answer.
+        let kept = connection.take().filter(|(sender, _)| sender.is_ready());
+        let (mut sender, driver) = match kept {
+            Some(kept) => kept,
+            None => connect(self.address, self.connect_ms)
+                .await
+                .context(NotConnectedSnafu)?,
+        };
+        let exchange = async {
+            let answer = sender.send_request(request).await.context(BrokenSnafu)?;
+            let (head, body) = answer.into_parts();
+            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+            let body = body.map_err(|error| {
+                let reason = error.to_string();
+                CallError::Unreadable { reason }
+            })?;
+            Ok((head.status, body.to_bytes()))
+        };
+        let limit = Duration::from_millis(limit_ms);
+        let answer = timeout(limit, exchange).await;
+        let answer = answer.map_err(|_| CallError::TooLate { limit_ms })??;
+        *connection = Some((sender, driver));
+        Ok(answer)
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -0,0 +1,33 @@
+//! Forwards opaque requests to backend servers: the path that every interface shares.
+
+mod answer;
+mod attempt;
+mod beats;
+mod clock;
+mod connect;
+mod control;
+mod dispatch;
+mod events;
+mod front;
+mod http_call;
+mod logging;
+mod lookups;
+mod metrics;
+mod placing;
+mod ports;
+mod relay;
+mod router;
+mod server_pool;
+mod settings;
+mod shared;
+
+pub use clock::Clock;
+pub use events::{Event, LOG_TARGET};
+pub use http_call::{CallError, HttpCaller};
+pub use logging::{dropped_log_lines, start_logging};
+pub use ports::{
+    AnswerFacts, AttemptHeaders, BadRequest, Interface, Listing, Lookup, Record, StoreAnswer,
+    StoreError, StorePort, WatchCall,
+};
+pub use router::{RunError, run};
+pub use settings::{RouterSettings, Times};
--- /dev/null
+++ b/crates/sapphiretrack-router/src/lookups.rs
@@ -0,0 +1,130 @@
+//! Small answers beside the traffic: where callers connect, whether this router is ready, metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use sapphiretrack_routing::RouterState;
+use tokio::net::TcpListener;
+
+use crate::clock::Clock;
+use crate::front::accept_next;
+use crate::logging::dropped_log_lines;
+use crate::metrics::Levels;
+use crate::ports::{Interface, Lookup};
+use crate::shared::Shared;
+
+/// How long a caller keeps an answer: the shortest that callers know, so that a router that
+/// leaves or dies is soon forgotten. Each caller asks once in that time.
+const LOOKUP_TTL_S: u64 = 2;
+/// How long a connection for such questions may idle.
+const IDLE: Duration = Duration::from_secs(5);
+/// Routers in a caller's own availability zone from which on others are not named: one alone
+/// would take the zone's callers down with it.
+const ENOUGH_IN_ZONE: usize = 2;
+/// The most addresses in one answer.
+const MAX_ADDRESSES: usize = 64;
+
+/// Answers questions on one listener until the process ends.
+pub(crate) async fn serve_questions(
+    shared: Arc<Shared>,
+    interface: Interface,
+    listener: TcpListener,
+) {
+    loop {
+        let stream = accept_next(&listener).await;
+        let shared = shared.clone();
+        let answer = service_fn(move |request: Request<Incoming>| {
+            let answer = answer_question(&shared, &interface, &request);
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(IDLE)
+            .serve_connection(TokioIo::new(stream), answer);
+        // A broken connection concerns its caller only, which asks again.
+        tokio::spawn(async move { drop(connection.await) });
+    }
+}
+
+fn answer_question(
+    shared: &Shared,
+    interface: &Interface,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    if let Some(lookup) = (interface.read_lookup)(request.uri()) {
+        return answer_lookup(shared, interface, &lookup);
+    }
+    match request.uri().path() {
+        path if path == interface.ready_path => {
+            let ready = shared.state() == RouterState::Ready;
+            status_answer(match ready {
+                true => StatusCode::OK,
+                false => StatusCode::SERVICE_UNAVAILABLE,
+            })
+        }
+        "/metrics" => {
+            let text = shared.metrics.encode(&levels(shared));
+            Response::new(Full::new(Bytes::from(text)))
+        }
+        _ => status_answer(StatusCode::NOT_FOUND),
+    }
+}
+
+fn answer_lookup(shared: &Shared, interface: &Interface, lookup: &Lookup) -> Response<Full<Bytes>> {
+    let addresses = caller_addresses(shared, lookup.zone.as_deref());
+    if addresses.is_empty() {
+        return status_answer(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let ttl_s = LOOKUP_TTL_S.min(shared.settings.lookup_ttl_s);
+    let (kind, body) = (interface.write_lookup)(&addresses, ttl_s);
+    let mut answer = Response::new(Full::new(body));
+    let kind = HeaderValue::from_static(kind);
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
+/// The ready routers of a caller's availability zone, or all if the zone has too few.
+fn caller_addresses(shared: &Shared, zone: Option<&str>) -> Vec<SocketAddr> {
+    let settings = &shared.settings;
+    let peers = shared.peers();
+    let mut ready = peers.ready(Clock.now_ms());
+    if shared.state() == RouterState::Ready {
+        ready.push((&settings.zone, settings.caller_address));
+    }
+    let near = ready.iter().filter(|(other, _)| Some(*other) == zone);
+    let near: Vec<SocketAddr> = near.map(|(_, address)| *address).collect();
+    let mut addresses = match near.len() >= ENOUGH_IN_ZONE {
+        true => near,
+        false => ready.iter().map(|(_, address)| *address).collect(),
+    };
+    addresses.truncate(MAX_ADDRESSES);
+    addresses
+}
+
+fn levels(shared: &Shared) -> Levels {
+    let configuration = shared.configuration.load();
+    let age_ms = shared.configuration_age_ms();
+    Levels {
+        configuration_version: configuration.as_ref().map_or(0, |one| one.version),
+        configuration_age_ms: age_ms.map_or(-1, |age| age as i64),
+        servers: shared.servers.load().values().map(Vec::len).sum(),
+        ready_peers: shared.peers().ready(Clock.now_ms()).len(),
+        in_flight: shared.in_flight(),
+        dropped_lines: dropped_log_lines(),
+    }
+}
+
+fn status_answer(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -0,0 +1,180 @@
+//! Places a request on a backend server and counts its load there.
+
+use std::sync::Arc;
+
+use sapphiretrack_routing::{
+    Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, part_home,
+};
+
+use crate::clock::Clock;
+use crate::shared::Shared;
+
+/// How many times its slots a plain service's server may hold: what waits behind the running
+/// ones is served within two more service times, which still meets the usual objective.
+const PLAIN_QUEUE_FACTOR: u32 = 3;
+
+/// A request on a server; its load counts until this is dropped.
+pub(crate) struct Placed {
+    /// The server.
+    pub(crate) server: Arc<ServerEntry>,
+    /// Tokens of the prompt that the server is believed to hold.
+    pub(crate) cached_tokens: u32,
+    shared: Arc<Shared>,
+    tokens: u64,
+    prefill_tokens: u64,
+}
+
+/// Why there is no server for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NoServer {
+    /// The service has no server that takes work.
+    NoneListed,
+    /// All servers are full.
+    AllFull,
+    /// The request was sent to all of them.
+    AllTried,
+}
+
+impl NoServer {
+    /// Its name in logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::NoneListed => "no-server",
+            Self::AllFull => "servers-full",
+            Self::AllTried => "servers-tried",
+        }
+    }
+}
+
+impl Placed {
+    /// Notes bytes of the answer: the prompt has been read.
+    pub(crate) fn note_progress(&mut self) {
+        let mut traffic = self.shared.traffic();
+        let health = traffic.health.entry(self.server.incarnation).or_default();
+        health.note_progress(Clock.now_ms());
+        health.prefill_tokens = health.prefill_tokens.saturating_sub(self.prefill_tokens);
+        self.prefill_tokens = 0;
+    }
+
+    /// Notes how the attempt ended.
+    pub(crate) fn note_outcome(&self, failed: bool) {
+        let now_ms = Clock.now_ms();
+        let mut traffic = self.shared.traffic();
+        let health = traffic.health.entry(self.server.incarnation).or_default();
+        health.note_outcome(&self.shared.settings.health, failed, now_ms);
+        traffic
+            .retries
+            .note_end(&self.server.service, !failed, now_ms);
+        if !failed {
+            let drain = traffic.drain.get_mut(&self.server.service);
+            if let Some(drain) = drain {
+                drain.note_end(now_ms);
+            }
+        }
+    }
+
+    /// Notes that no connection could be made.
+    pub(crate) fn note_unreachable(&self) {
+        let mut traffic = self.shared.traffic();
+        let health = traffic.health.entry(self.server.incarnation).or_default();
+        health.note_unreachable(&self.shared.settings.health, Clock.now_ms());
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let mut traffic = self.shared.traffic();
+        let Some(health) = traffic.health.get_mut(&self.server.incarnation) else {
+            return;
+        };
+        health.note_left();
+        health.tokens = health.tokens.saturating_sub(self.tokens);
+        health.prefill_tokens = health.prefill_tokens.saturating_sub(self.prefill_tokens);
+    }
+}
+
+/// Chooses a server for a request and counts its load there from now on.
+pub(crate) fn place(
+    shared: &Arc<Shared>,
+    service: &Service,
+    facts: &RequestFacts,
+    tried: &[Incarnation],
+) -> Result<Placed, NoServer> {
+    let servers = shared.servers.load();
+    let listed = servers.get(&service.name).filter(|list| !list.is_empty());
+    let listed = listed.ok_or(NoServer::NoneListed)?;
+    let settings = &shared.settings;
+    let now_ms = Clock.now_ms();
+    let peer_loads = shared.peer_loads.load();
+    let shared_parts = facts.shared_parts();
+    let home = shared_parts.last().and_then(|part| {
+        let incarnations = listed.iter().map(|server| server.incarnation);
+        part_home(part, incarnations)
+    });
+    let home_tokens = shared_parts.iter().map(|part| part.tokens).sum::<u32>();
+    let home_tokens = (f64::from(home_tokens) * settings.costs.home_share) as u32;
+    let mut traffic = shared.traffic();
+    let candidate = |server: &Arc<ServerEntry>| {
+        let health = traffic.health.get(&server.incarnation);
+        let (peers, peer_prefill) = peer_loads
+            .get(&server.incarnation)
+            .copied()
+            .unwrap_or_default();
+        let sent = traffic
+            .warm
+            .cached_tokens(server.incarnation, &facts.prompt, now_ms);
+        let is_home = home == Some(server.incarnation);
+        let suspect = health.is_some_and(|health| {
+            health.is_unreachable(now_ms) || health.is_mute(&settings.health, now_ms)
+        });
+        Candidate {
+            server: server.incarnation,
+            same_zone: server.zone == settings.zone,
+            in_flight: peers + health.map_or(0, |health| health.in_flight),
+            capacity: match service.is_engine {
+                true => server.slots,
+                false => server.slots.saturating_mul(PLAIN_QUEUE_FACTOR),
+            },
+            prefill_tokens: peer_prefill + health.map_or(0, |health| health.prefill_tokens),
+            cached_tokens: if is_home { sent.max(home_tokens) } else { sent },
+            failure_share: health
+                .map_or(0.0, |health| health.failure_share(&settings.health, now_ms)),
+            suspect,
+            tried: tried.contains(&server.incarnation),
+        }
+    };
+    let candidates: Vec<Candidate> = listed.iter().map(candidate).collect();
+    let index = choose_server(
+        &settings.costs,
+        service.is_engine,
+        facts.prompt_tokens,
+        &candidates,
+    );
+    let Some(index) = index else {
+        let all_tried = candidates.iter().all(|one| one.tried);
+        return Err(if all_tried {
+            NoServer::AllTried
+        } else {
+            NoServer::AllFull
+        });
+    };
+    let server = listed[index].clone();
+    let cached_tokens = candidates[index].cached_tokens;
+    let uncached = facts.prompt_tokens.saturating_sub(cached_tokens);
+    let tokens = u64::from(facts.prompt_tokens) + u64::from(facts.output_tokens);
+    let health = traffic.health.entry(server.incarnation).or_default();
+    health.note_sent(now_ms);
+    health.tokens += tokens;
+    health.prefill_tokens += u64::from(uncached);
+    traffic
+        .warm
+        .note_sent(server.incarnation, &facts.prompt, now_ms);
+    drop(traffic);
+    Ok(Placed {
+        server,
+        cached_tokens,
+        shared: shared.clone(),
+        tokens,
+        prefill_tokens: u64::from(uncached),
+    })
+}
--- /dev/null
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -0,0 +1,316 @@
+//! Passes a backend server's answer on: whole, or event by event.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::stream::unfold;
+use http::response::Parts;
+use http::{Method, Response, header};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use sapphiretrack_routing::{EventSplitter, StreamFault};
+use tokio::time::timeout;
+
+use crate::answer::{AnswerBody, CutOff, streamed, strip_connection_headers, whole};
+use crate::attempt::{AttemptFailure, ServerAnswer};
+use crate::dispatch::{Attempts, Job};
+use crate::events::{Event, note};
+
+/// The longest answer that is held until it is whole, so that one that breaks off can be fetched
+/// again or told as failed; a longer one is passed on as it comes.
+const WHOLE_ANSWER_BYTES: usize = 256 * 1024;
+
+/// An answer that was read to its end, or begun if it is long.
+pub(crate) enum ReadAnswer {
+    /// It goes to the caller.
+    Final(Response<AnswerBody>),
+    /// The server failed; another one may be asked before this goes to the caller.
+    ServerError(Response<AnswerBody>),
+}
+
+/// Reads an answer to its end and passes it on as a whole.
+pub(crate) async fn whole_answer(
+    job: &Arc<Job>,
+    answer: ServerAnswer,
+    attempts: &Attempts,
+) -> Result<ReadAnswer, AttemptFailure> {
+    let ServerAnswer {
+        head,
+        facts,
+        mut body,
+        connection,
+        mut placed,
+    } = answer;
+    placed.note_progress();
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(Duration::from_millis(job.left_ms()), body.frame()).await;
+        let failure = match frame {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+                if bytes.len() <= WHOLE_ANSWER_BYTES {
+                    continue;
+                }
+                let rest = ServerAnswer {
+                    head,
+                    facts,
+                    body,
+                    connection,
+                    placed,
+                };
+                let answer = long_answer(job.clone(), rest, bytes.freeze());
+                return Ok(ReadAnswer::Final(answer));
+            }
+            Ok(None) => break,
+            Ok(Some(Err(_))) => AttemptFailure::MayHaveRun("answer-broke-off"),
+            Err(_) => AttemptFailure::TimedOut("answer-not-whole"),
+        };
+        placed.note_outcome(true);
+        note!(
+            Event::ATTEMPT_FAILED,
+            id = job.facts.id,
+            server = placed.server.id,
+            reason = failure.as_str(),
+            may_have_run = true,
+        );
+        return Err(failure);
+    }
+    connection.keep(facts.keep_alive_s);
+    let failed = head.status.is_server_error();
+    placed.note_outcome(failed);
+    note_answered(job, &head, attempts.offers);
+    let answer = Response::from_parts(caller_head(job, head), whole(bytes.freeze()));
+    Ok(match failed {
+        true => ReadAnswer::ServerError(answer),
+        false => ReadAnswer::Final(answer),
+    })
+}
+
+/// Passes on the rest of an answer that is too long to be held.
+fn long_answer(job: Arc<Job>, answer: ServerAnswer, first: Bytes) -> Response<AnswerBody> {
+    let head = caller_head(&job, answer.head.clone());
+    let state = (job, Some(answer), Some(first));
+    let pieces = unfold(state, |(job, mut answer, first)| async move {
+        if let Some(first) = first {
+            return Some((Ok(Frame::data(first)), (job, answer, None)));
+        }
+        let left = Duration::from_millis(job.left_ms());
+        let frame = timeout(left, answer.as_mut()?.body.frame()).await;
+        match frame {
+            Ok(Some(Ok(frame))) => Some((Ok(frame), (job, answer, None))),
+            Ok(None) => {
+                let ServerAnswer {
+                    head,
+                    facts,
+                    connection,
+                    placed,
+                    ..
+                } = answer.take()?;
+                connection.keep(facts.keep_alive_s);
+                placed.note_outcome(head.status.is_server_error());
+                note_answered(&job, &head, 1);
+                None
+            }
+            Ok(Some(Err(_))) | Err(_) => {
+                let cut = cut_off(&job, "answer-broke-off");
+                Some((Err(cut), (job, None, None)))
+            }
+        }
+    });
+    Response::from_parts(head, streamed(Box::pin(pieces)))
+}
+
+/// Passes a stream of events on; where its kind allows, another server goes on after a break.
+pub(crate) fn stream_events(
+    job: Arc<Job>,
+    attempts: Attempts,
+    answer: ServerAnswer,
+) -> Response<AnswerBody> {
+    let head = caller_head(&job, answer.head.clone());
+    let relay = EventRelay {
+        splitter: EventSplitter::after(job.facts.resume_after),
+        job,
+        attempts,
+        answer: Some(answer),
+        has_first: false,
+        ended: false,
+    };
+    let pieces = unfold(relay, |mut relay| async move {
+        let piece = relay.next_piece().await?;
+        Some((piece, relay))
+    });
+    Response::from_parts(head, streamed(Box::pin(pieces)))
+}
+
+/// A stream on its way to the caller.
+struct EventRelay {
+    job: Arc<Job>,
+    attempts: Attempts,
+    answer: Option<ServerAnswer>,
+    splitter: EventSplitter,
+    has_first: bool,
+    ended: bool,
+}
+
+impl EventRelay {
+    /// The next events, as many as are there; none after the last.
+    async fn next_piece(&mut self) -> Option<Result<Frame<Bytes>, CutOff>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            let fault = match self.take_events() {
+                Ok(Some(bytes)) => {
+                    self.note_first();
+                    return Some(Ok(Frame::data(bytes)));
+                }
+                Ok(None) => match self.read_more().await {
+                    Ok(true) => continue,
+                    Ok(false) => return None,
+                    Err(failure) => failure,
+                },
+                Err(StreamFault::OutOfOrder { .. }) => {
+                    AttemptFailure::MayHaveRun("events-out-of-order")
+                }
+                Err(StreamFault::TooLong) => AttemptFailure::MayHaveRun("event-too-long"),
+            };
+            if !self.resume(fault).await {
+                self.ended = true;
+                return Some(Err(cut_off(&self.job, fault.as_str())));
+            }
+        }
+    }
+
+    /// All whole events that were read.
+    fn take_events(&mut self) -> Result<Option<Bytes>, StreamFault> {
+        let Some(first) = self.splitter.next_event()? else {
+            return Ok(None);
+        };
+        let mut all = BytesMut::from(first.bytes);
+        while let Ok(Some(event)) = self.splitter.next_event() {
+            all.extend_from_slice(&event.bytes);
+        }
+        Ok(Some(all.freeze()))
+    }
+
+    /// Reads from the server; false after the end of a whole stream.
+    async fn read_more(&mut self) -> Result<bool, AttemptFailure> {
+        let Some(answer) = &mut self.answer else {
+            return Err(AttemptFailure::MayHaveRun("no-answer"));
+        };
+        let left = Duration::from_millis(self.job.left_ms());
+        let frame = timeout(left, answer.body.frame()).await;
+        match frame {
+            Ok(Some(Ok(frame))) => {
+                answer.placed.note_progress();
+                if let Some(data) = frame.data_ref() {
+                    self.splitter.push(data);
+                }
+                Ok(true)
+            }
+            Ok(None) if self.splitter.has_partial() => {
+                Err(AttemptFailure::MayHaveRun("event-broke-off"))
+            }
+            Ok(None) => {
+                self.finish();
+                Ok(false)
+            }
+            Ok(Some(Err(_))) => Err(AttemptFailure::MayHaveRun("stream-broke-off")),
+            Err(_) => Err(AttemptFailure::TimedOut("stream-not-whole")),
+        }
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        let Some(answer) = self.answer.take() else {
+            return;
+        };
+        answer.connection.keep(answer.facts.keep_alive_s);
+        answer.placed.note_outcome(false);
+        note_answered(&self.job, &answer.head, self.attempts.offers);
+    }
+
+    /// Goes on at another server after the last whole event; false if that is not possible.
+    async fn resume(&mut self, failure: AttemptFailure) -> bool {
+        // The connection closes with the answer: the first server stops before the next begins.
+        if let Some(answer) = self.answer.take() {
+            answer.placed.note_outcome(true);
+            note!(
+                Event::ATTEMPT_FAILED,
+                id = self.job.facts.id,
+                server = answer.placed.server.id,
+                reason = failure.as_str(),
+                may_have_run = true,
+            );
+        }
+        if !self.job.may_go_on(&self.attempts, failure) {
+            return false;
+        }
+        let last_id = self.splitter.last_id();
+        let Ok(answer) = self.job.attempt(&mut self.attempts, last_id).await else {
+            return false;
+        };
+        if !answer.head.status.is_success() {
+            return false;
+        }
+        self.splitter = EventSplitter::after(last_id);
+        self.answer = Some(answer);
+        true
+    }
+
+    fn note_first(&mut self) {
+        if self.has_first {
+            return;
+        }
+        self.has_first = true;
+        let metrics = &self.job.shared.metrics;
+        metrics.first_piece(&self.job.labels, self.job.age_ms());
+    }
+}
+
+impl Drop for EventRelay {
+    fn drop(&mut self) {
+        if !self.ended {
+            note!(
+                Event::CALLER_LEFT,
+                id = self.job.facts.id,
+                age_ms = self.job.age_ms(),
+            );
+        }
+    }
+}
+
+/// The head of a server's answer as the caller gets it.
+fn caller_head(job: &Job, mut head: Parts) -> Parts {
+    strip_connection_headers(&mut head.headers);
+    if job.method != Method::HEAD {
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
+    head
+}
+
+fn cut_off(job: &Job, reason: &'static str) -> CutOff {
+    job.shared.metrics.failed(reason);
+    note!(
+        Event::FAILED,
+        id = job.facts.id,
+        status = 0,
+        reason = reason,
+        age_ms = job.age_ms(),
+    );
+    CutOff { reason }
+}
+
+fn note_answered(job: &Job, head: &Parts, offers: u32) {
+    job.shared.metrics.whole(&job.labels, job.age_ms());
+    note!(
+        Event::ANSWERED,
+        id = job.facts.id,
+        status = head.status.as_u16(),
+        offers = offers,
+        age_ms = job.age_ms(),
+    );
+}
--- /dev/null
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -0,0 +1,167 @@
+//! Starts a router and stops it as planned.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sapphiretrack_routing::{StopPhase, StopTimes};
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
+
+use crate::beats::{BeatAddresses, hear_beats, send_beats};
+use crate::clock::Clock;
+use crate::control::{find_routers, watch_configuration, watch_servers};
+use crate::events::{Event, note};
+use crate::front::serve_callers;
+use crate::lookups::serve_questions;
+use crate::ports::{Interface, StorePort};
+use crate::settings::RouterSettings;
+use crate::shared::Shared;
+
+/// Connections that may wait to be accepted: a burst after another router's loss.
+const BACKLOG: u32 = 1_024;
+/// How often a stopping router looks whether it may end.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+/// How long the farewell in the store may take: its reader loses nothing by a stale row.
+const FAREWELL: Duration = Duration::from_millis(200);
+
+/// Why a router cannot start.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// A thread cannot be set up.
+    #[snafu(display("cannot set up a thread: {source}"))]
+    Threads {
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A listener cannot be opened.
+    #[snafu(display("cannot listen on {address}: {source} (hint: is another router running?)"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("cannot receive signals: {source}"))]
+    Signals {
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// Runs a router until its planned stop ends: one thread for control state, this one for traffic.
+pub fn run(
+    settings: RouterSettings,
+    interface: Interface,
+    store: StorePort,
+) -> Result<(), RunError> {
+    let shared = Arc::new(Shared::new(settings));
+    let control = runtime()?;
+    let traffic = runtime()?;
+    let store = Arc::new(store);
+    {
+        let shared = shared.clone();
+        std::thread::spawn(move || {
+            if let Err(error) = control.block_on(run_control(shared, interface, store)) {
+                eprintln!("{error}");
+                std::process::exit(1);
+            }
+        });
+    }
+    traffic.block_on(run_traffic(shared, interface))
+}
+
+async fn run_control(
+    shared: Arc<Shared>,
+    interface: Interface,
+    store: Arc<StorePort>,
+) -> Result<(), RunError> {
+    let settings = &shared.settings;
+    let beat_address = settings.beat_address;
+    let socket = UdpSocket::bind(beat_address).await;
+    let socket = Arc::new(socket.context(ListenSnafu {
+        address: beat_address,
+    })?);
+    let addresses = Arc::new(BeatAddresses::default());
+    let questions = [
+        Some(settings.ready_address),
+        settings.lookup_address,
+        settings.metrics_address,
+    ];
+    for address in questions.into_iter().flatten() {
+        let listener = listen(address)?;
+        tokio::spawn(serve_questions(shared.clone(), interface, listener));
+    }
+    tokio::spawn(watch_configuration(shared.clone(), store.clone()));
+    tokio::spawn(watch_servers(shared.clone(), store.clone()));
+    tokio::spawn(find_routers(
+        shared.clone(),
+        store.clone(),
+        addresses.clone(),
+    ));
+    tokio::spawn(hear_beats(shared.clone(), socket.clone()));
+    tokio::spawn(send_beats(shared.clone(), socket, addresses));
+    note!(
+        Event::STARTED,
+        router = settings.name,
+        zone = settings.zone,
+        callers = settings.caller_address,
+        version = env!("CARGO_PKG_VERSION"),
+    );
+    let mut stop = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    stop.recv().await;
+    note!(Event::STOPPING, in_flight = shared.in_flight());
+    shared.leave();
+    // The others learn of it by a beat at once; the row only tells who to send beats to.
+    drop(timeout(FAREWELL, (store.register)(false)).await);
+    std::future::pending().await
+}
+
+async fn run_traffic(shared: Arc<Shared>, interface: Interface) -> Result<(), RunError> {
+    let listener = listen(shared.settings.caller_address)?;
+    tokio::spawn(serve_callers(shared.clone(), interface, listener));
+    let times = StopTimes {
+        grace_ms: shared.settings.grace_ms,
+    };
+    loop {
+        sleep(STOP_CHECK).await;
+        let Some(since_ms) = shared.leaving_for_ms() else {
+            sleep(STOP_CHECK * 4).await;
+            continue;
+        };
+        let phase = times.phase(since_ms, shared.in_flight(), shared.quiet_ms());
+        if phase == StopPhase::Over {
+            note!(
+                Event::STOPPED,
+                in_flight = shared.in_flight(),
+                since_ms = since_ms,
+                uptime_ms = Clock.now_ms(),
+            );
+            // The log's writer pauses a tenth of a second between lines.
+            sleep(STOP_CHECK * 3).await;
+            return Ok(());
+        }
+    }
+}
+
+fn runtime() -> Result<Runtime, RunError> {
+    let mut builder = Builder::new_current_thread();
+    builder.enable_all().build().context(ThreadsSnafu)
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
+    let open = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4(),
+            SocketAddr::V6(_) => TcpSocket::new_v6(),
+        }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -0,0 +1,104 @@
+//! The settings of a router, whatever file or flags they come from.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use sapphiretrack_routing::{PlacementCosts, RetrySettings, ServerHealthSettings};
+
+/// What a router is told at its start.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// Its name, unique in the fleet.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready_address: SocketAddr,
+    /// Where callers ask for addresses; none if it does not answer them.
+    pub lookup_address: Option<SocketAddr>,
+    /// Where it hears the beats of other routers.
+    pub beat_address: SocketAddr,
+    /// Where it serves its metrics; none if nowhere.
+    pub metrics_address: Option<SocketAddr>,
+    /// How long after its removal was accepted a key may still be used, by the operators' contract.
+    pub key_bound_ms: u64,
+    /// The longest time that callers may keep a lookup.
+    pub lookup_ttl_s: u64,
+    /// The time from a stop signal to the kill.
+    pub grace_ms: u64,
+    /// The fleet's retry budget.
+    pub retry: RetrySettings,
+    /// Costs that rule placement.
+    pub costs: PlacementCosts,
+    /// When a backend server counts as bad.
+    pub health: ServerHealthSettings,
+    /// Times that rule calls and connections.
+    pub times: Times,
+    /// Memory for request bodies that wait or run; beyond it requests are refused.
+    pub body_memory_bytes: usize,
+}
+
+/// Times of calls and connections, each with the ground for its figure.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// How long a connection to a backend server may take. A round trip takes 1 ms and the
+    /// server's part 1 ms; a lost opening packet is sent again only after a second.
+    pub connect_ms: u64,
+    /// How long a watch of the configuration waits: with the way there and a repeat after a
+    /// silent connection it stays under the bound for keys and for configurations.
+    pub watch_configuration_ms: u64,
+    /// How long a watch of the backend servers waits: a silent connection must show before a
+    /// leaving server ends.
+    pub watch_servers_ms: u64,
+    /// How much longer than its wait a call to the store may take.
+    pub store_slack_ms: u64,
+    /// The pause before the next watch after a change, so that many changes in a row cost few
+    /// calls; far below the time in which a configuration must be in force.
+    pub change_pause_ms: u64,
+    /// The pause after a failed call to the store, doubled up to four times.
+    pub store_retry_ms: u64,
+    /// The time between two beats: a load that others see is this old at most.
+    pub beat_ms: u64,
+    /// The time that is kept free of the bound for keys: the way from a check to the server, and
+    /// the error of clocks.
+    pub key_margin_ms: u64,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            connect_ms: 250,
+            watch_configuration_ms: 1_500,
+            watch_servers_ms: 2_000,
+            store_slack_ms: 600,
+            change_pause_ms: 200,
+            store_retry_ms: 100,
+            beat_ms: 250,
+            key_margin_ms: 600,
+        }
+    }
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            name: "router".to_owned(),
+            zone: "zone".to_owned(),
+            caller_address: any_port,
+            ready_address: any_port,
+            lookup_address: None,
+            beat_address: any_port,
+            metrics_address: None,
+            key_bound_ms: 5_000,
+            lookup_ttl_s: 5,
+            grace_ms: 8_000,
+            retry: RetrySettings::default(),
+            costs: PlacementCosts::default(),
+            health: ServerHealthSettings::default(),
+            times: Times::default(),
+            body_memory_bytes: 64 * 1024 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -0,0 +1,226 @@
+//! What the threads of a router share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use sapphiretrack_core::DrainRate;
+use sapphiretrack_routing::{
+    Configuration, Freshness, Incarnation, PeerTable, RetryShare, RouterState, ServerEntry,
+    ServerHealth, ServerLoad, WarmParts,
+};
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::server_pool::ServerPool;
+use crate::settings::RouterSettings;
+
+/// Backend servers by service, as the traffic thread reads them.
+pub(crate) type ServersByService = HashMap<String, Vec<Arc<ServerEntry>>>;
+
+/// The state of a router. The control thread writes what comes from the store and the peers, the
+/// traffic thread what its own requests tell.
+pub(crate) struct Shared {
+    /// What the router was told at its start.
+    pub(crate) settings: RouterSettings,
+    /// The configuration in force.
+    pub(crate) configuration: ArcSwapOption<Configuration>,
+    /// The backend servers that take new work.
+    pub(crate) servers: ArcSwap<ServersByService>,
+    /// The load that other routers put on servers: requests and unread prompt tokens.
+    pub(crate) peer_loads: ArcSwap<HashMap<Incarnation, (u32, u64)>>,
+    /// Whether the servers were read at least once.
+    pub(crate) servers_known: AtomicBool,
+    /// Counters and histograms.
+    pub(crate) metrics: Metrics,
+    /// Connections to backend servers.
+    pub(crate) pool: ServerPool,
+    /// Wakes whoever waits for a change of this router's own state.
+    pub(crate) state_changed: Notify,
+    freshness: Mutex<Freshness>,
+    peers: Mutex<PeerTable>,
+    traffic: Mutex<Traffic>,
+    leaving_since_ms: AtomicU64,
+    in_flight: AtomicUsize,
+    last_request_ms: AtomicU64,
+    body_bytes: AtomicUsize,
+}
+
+/// What this router's own requests tell.
+pub(crate) struct Traffic {
+    /// Load and health of servers.
+    pub(crate) health: HashMap<Incarnation, ServerHealth>,
+    /// Where prompt parts are cached.
+    pub(crate) warm: WarmParts,
+    /// The share of the retry budget.
+    pub(crate) retries: RetryShare,
+    /// How fast each service ends requests.
+    pub(crate) drain: HashMap<String, DrainRate>,
+}
+
+/// A request that this router has, until it is dropped.
+pub(crate) struct InFlight(Arc<Shared>);
+
+/// Memory for a request's body, until it is dropped.
+pub(crate) struct BodyMemory {
+    shared: Arc<Shared>,
+    bytes: usize,
+}
+
+impl Shared {
+    /// The state of a router that knows nothing yet.
+    pub(crate) fn new(settings: RouterSettings) -> Self {
+        let retries = RetryShare::new(settings.retry.clone());
+        Self {
+            settings,
+            configuration: ArcSwapOption::empty(),
+            servers: ArcSwap::default(),
+            peer_loads: ArcSwap::default(),
+            servers_known: AtomicBool::new(false),
+            metrics: Metrics::new(),
+            pool: ServerPool::default(),
+            state_changed: Notify::new(),
+            freshness: Mutex::default(),
+            peers: Mutex::default(),
+            traffic: Mutex::new(Traffic {
+                health: HashMap::new(),
+                warm: WarmParts::default(),
+                retries,
+                drain: HashMap::new(),
+            }),
+            leaving_since_ms: AtomicU64::new(0),
+            in_flight: AtomicUsize::new(0),
+            last_request_ms: AtomicU64::new(0),
+            body_bytes: AtomicUsize::new(0),
+        }
+    }
+
+    /// The proof that the configuration is new.
+    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        lock(&self.freshness)
+    }
+
+    /// The other routers.
+    pub(crate) fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        lock(&self.peers)
+    }
+
+    /// What this router's own requests tell.
+    pub(crate) fn traffic(&self) -> MutexGuard<'_, Traffic> {
+        lock(&self.traffic)
+    }
+
+    /// How old the proof is that the configuration is the newest.
+    pub(crate) fn configuration_age_ms(&self) -> Option<u64> {
+        self.freshness().age_ms(Clock.now_ms())
+    }
+
+    /// Whether keys may be believed now.
+    pub(crate) fn keys_are_fresh(&self) -> bool {
+        let settings = &self.settings;
+        let limit_ms = settings
+            .key_bound_ms
+            .saturating_sub(settings.times.key_margin_ms);
+        self.configuration_age_ms()
+            .is_some_and(|age| age < limit_ms)
+    }
+
+    /// What this router tells the others and the platform about itself.
+    pub(crate) fn state(&self) -> RouterState {
+        if self.leaving_for_ms().is_some() {
+            return RouterState::Leaving;
+        }
+        let known = self.servers_known.load(Ordering::Relaxed);
+        let configured = self.configuration.load().is_some();
+        match known && configured && self.keys_are_fresh() {
+            true => RouterState::Ready,
+            false => RouterState::NotReady,
+        }
+    }
+
+    /// Starts the planned stop.
+    pub(crate) fn leave(&self) {
+        let now_ms = Clock.now_ms().max(1);
+        let first =
+            self.leaving_since_ms
+                .compare_exchange(0, now_ms, Ordering::Relaxed, Ordering::Relaxed);
+        if first.is_ok() {
+            self.state_changed.notify_waiters();
+        }
+    }
+
+    /// How long ago the planned stop began.
+    pub(crate) fn leaving_for_ms(&self) -> Option<u64> {
+        match self.leaving_since_ms.load(Ordering::Relaxed) {
+            0 => None,
+            since_ms => Some(Clock.now_ms().saturating_sub(since_ms)),
+        }
+    }
+
+    /// Counts a request.
+    pub(crate) fn begin_request(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.last_request_ms
+            .store(Clock.now_ms(), Ordering::Relaxed);
+        InFlight(self.clone())
+    }
+
+    /// Requests that run.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// How long ago the last request came or ended.
+    pub(crate) fn quiet_ms(&self) -> u64 {
+        let last_ms = self.last_request_ms.load(Ordering::Relaxed);
+        Clock.now_ms().saturating_sub(last_ms)
+    }
+
+    /// Takes memory for a body; none if too much is in use.
+    pub(crate) fn reserve_body(self: &Arc<Self>, bytes: usize) -> Option<BodyMemory> {
+        let before = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let memory = BodyMemory {
+            shared: self.clone(),
+            bytes,
+        };
+        (before + bytes <= self.settings.body_memory_bytes).then_some(memory)
+    }
+
+    /// The load that this router puts on servers.
+    pub(crate) fn own_loads(&self) -> Vec<ServerLoad> {
+        let traffic = self.traffic();
+        let busy = traffic.health.iter();
+        let busy = busy.filter(|(_, health)| health.in_flight > 0);
+        let loads = busy.map(|(server, health)| ServerLoad {
+            server: server.0,
+            in_flight: health.in_flight.min(u32::from(u16::MAX)) as u16,
+            prefill_tokens: health.prefill_tokens.min(u64::from(u32::MAX)) as u32,
+        });
+        loads.collect()
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.0
+            .last_request_ms
+            .store(Clock.now_ms(), Ordering::Relaxed);
+    }
+}
+
+impl Drop for BodyMemory {
+    fn drop(&mut self) {
+        self.shared
+            .body_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Locks state that is consistent between any two statements, so that a panic elsewhere does not
+/// spoil it.
+fn lock<State>(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/sapphiretrack-routing/src/event_stream.rs
@@ -0,0 +1,112 @@
+//! Splits a stream of server-sent events into whole events and checks the order of their ids.
+
+use bytes::{Bytes, BytesMut};
+
+/// One whole event, with its closing empty line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StreamEvent {
+    /// Its id, if it has one.
+    pub id: Option<u64>,
+    /// Its bytes as they came.
+    pub bytes: Bytes,
+}
+
+/// Why a stream cannot be believed any further.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamFault {
+    /// An event's id does not follow the one before.
+    OutOfOrder {
+        /// The id of the last good event.
+        last: u64,
+        /// The id that came.
+        found: u64,
+    },
+    /// An event is longer than any that servers send.
+    TooLong,
+}
+
+/// Cuts bytes into events.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    searched: usize,
+    last_id: Option<u64>,
+}
+
+impl EventSplitter {
+    /// The longest event that is waited for.
+    const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+    /// A splitter for a stream that goes on after `last_id`.
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self {
+            last_id,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole event, if there is one.
+    pub fn next_event(&mut self) -> Result<Option<StreamEvent>, StreamFault> {
+        let Some(end) = self.find_end() else {
+            if self.buffer.len() > Self::MAX_EVENT_BYTES {
+                return Err(StreamFault::TooLong);
+            }
+            return Ok(None);
+        };
+        let bytes = self.buffer.split_to(end).freeze();
+        self.searched = 0;
+        let id = event_id(&bytes);
+        if let (Some(last), Some(found)) = (self.last_id, id)
+            && found != last + 1
+        {
+            return Err(StreamFault::OutOfOrder { last, found });
+        }
+        self.last_id = id.or(self.last_id);
+        Ok(Some(StreamEvent { id, bytes }))
+    }
+
+    /// Whether bytes of an unfinished event are held.
+    pub fn has_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// The id of the last whole event.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Where the first event ends: after an empty line.
+    fn find_end(&mut self) -> Option<usize> {
+        let start = self.searched;
+        let mut index = start;
+        while index < self.buffer.len() {
+            if self.buffer[index] != b'\n' {
+                index += 1;
+                continue;
+            }
+            match self.buffer.get(index + 1) {
+                Some(b'\n') => return Some(index + 2),
+                Some(b'\r') if self.buffer.get(index + 2) == Some(&b'\n') => {
+                    return Some(index + 3);
+                }
+                Some(b'\r') if self.buffer.len() == index + 2 => break,
+                None => break,
+                Some(_) => index += 1,
+            }
+        }
+        self.searched = index;
+        None
+    }
+}
+
+/// The number in an event's `id` line.
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/sapphiretrack-routing/src/freshness.rs
@@ -0,0 +1,47 @@
+//! How old the proof is that the configuration in force was the newest.
+
+/// The latest moment at which the store is known to have held nothing newer.
+///
+/// An open watch proves nothing until it answers; its answer names the store's own steady clock,
+/// which is mapped to the local one by the best bound that any call gave: the answer was made
+/// after its call was sent. So a watch that waited three seconds proves its end, not its start.
+/// All times are of a local clock that also counts suspended time.
+#[derive(Clone, Debug, Default)]
+pub struct Freshness {
+    /// Least that the local clock is ahead of the store's.
+    offset_ms: Option<i64>,
+    proven_ms: Option<u64>,
+}
+
+impl Freshness {
+    /// How far a store clock may seem ahead of the local one before it counts as reset.
+    const CLOCK_TOLERANCE_MS: i64 = 50;
+    /// How far the store's clock may seem to fall back before it counts as reset: a store that
+    /// starts again begins at nothing, drift is far below this.
+    const RESET_MS: i64 = 2_000;
+
+    /// Notes an answer that held the newest state: when its call was sent, when the answer came,
+    /// and what the store's clock showed.
+    pub fn note_answer(&mut self, sent_ms: u64, received_ms: u64, store_now_ms: u64) {
+        let bound = sent_ms as i64 - store_now_ms as i64;
+        let latest = received_ms as i64 - store_now_ms as i64;
+        let offset = match self.offset_ms {
+            // Ahead of what this answer allows, or far behind it: another clock.
+            Some(offset) if offset > latest + Self::CLOCK_TOLERANCE_MS => bound,
+            Some(offset) if latest - offset > Self::RESET_MS && bound - offset > Self::RESET_MS => {
+                bound
+            }
+            Some(offset) => offset.max(bound),
+            None => bound,
+        };
+        self.offset_ms = Some(offset);
+        let proven = (store_now_ms as i64 + offset).clamp(sent_ms as i64, received_ms as i64);
+        let proven = proven.max(0) as u64;
+        self.proven_ms = Some(self.proven_ms.map_or(proven, |before| before.max(proven)));
+    }
+
+    /// How long ago the last proof was; none before the first.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.proven_ms.map(|proven| now_ms.saturating_sub(proven))
+    }
+}
--- /dev/null
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions on opaque requests as pure code: time and random numbers are passed in.
+
+mod configuration;
+mod event_stream;
+mod freshness;
+mod peers;
+mod placement;
+mod request;
+mod retry_share;
+mod server_health;
+mod server_list;
+mod stop;
+mod warmth;
+
+pub use configuration::{ClientLimits, Configuration, Route, RouteError, Service, Target, Tenant};
+pub use event_stream::{EventSplitter, StreamEvent, StreamFault};
+pub use freshness::Freshness;
+pub use peers::{Beat, PeerTable, RouterState, ServerLoad};
+pub use placement::{Candidate, PlacementCosts, choose_server, part_home};
+pub use request::{PromptPart, RequestFacts, RequestKind};
+pub use retry_share::{RetrySettings, RetryShare};
+pub use server_health::{ServerHealth, ServerHealthSettings};
+pub use server_list::{Incarnation, ListedServer, ServerEntry, ServerList, ServerState};
+pub use stop::{StopPhase, StopTimes};
+pub use warmth::WarmParts;
--- /dev/null
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -0,0 +1,142 @@
+//! The other routers, as their heartbeats show them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Incarnation;
+
+/// Whether callers may be sent to a router.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RouterState {
+    /// It is not ready yet, or not any more.
+    NotReady,
+    /// It takes callers.
+    Ready,
+    /// It is on a planned stop; for its incarnation this is final.
+    Leaving,
+}
+
+/// The load that a router puts on one server.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ServerLoad {
+    /// The server's incarnation.
+    pub server: u64,
+    /// Requests that the router has there.
+    pub in_flight: u16,
+    /// Prompt tokens that the server has yet to read for them.
+    pub prefill_tokens: u32,
+}
+
+/// What a router tells the others several times a second.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// Its name.
+    pub name: String,
+    /// Tells its runs apart; later runs have larger numbers.
+    pub incarnation: u64,
+    /// Rises with each beat of a run.
+    pub sequence: u64,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where it hears beats.
+    pub beat_address: SocketAddr,
+    /// Whether callers may be sent to it.
+    pub state: RouterState,
+    /// The load it puts on servers, without those where it has none.
+    pub loads: Vec<ServerLoad>,
+}
+
+/// The routers that were heard of.
+#[derive(Clone, Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<String, Peer>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    beat: Beat,
+    heard_ms: u64,
+}
+
+impl PeerTable {
+    /// How long a silent router is still offered to callers: four beats, so that single lost
+    /// datagrams do not count.
+    const ALIVE_MS: u64 = 1_000;
+    /// How long the load of a silent router still counts.
+    const LOAD_MS: u64 = 2_000;
+    /// How long a silent router counts as one that may exist.
+    const MAY_EXIST_MS: u64 = 30_000;
+
+    /// Takes in a beat; true if the router was not heard of before, came back or changed state.
+    pub fn note(&mut self, beat: Beat, now_ms: u64) -> bool {
+        let Some(peer) = self.peers.get_mut(&beat.name) else {
+            let name = beat.name.clone();
+            let heard_ms = now_ms;
+            self.peers.insert(name, Peer { beat, heard_ms });
+            return true;
+        };
+        let known = (peer.beat.incarnation, peer.beat.sequence);
+        if (beat.incarnation, beat.sequence) <= known {
+            return false;
+        }
+        let same_run = beat.incarnation == peer.beat.incarnation;
+        let left = same_run && peer.beat.state == RouterState::Leaving;
+        let changed =
+            !same_run || beat.state != peer.beat.state || now_ms >= peer.heard_ms + Self::ALIVE_MS;
+        peer.heard_ms = now_ms;
+        peer.beat = beat;
+        if left {
+            peer.beat.state = RouterState::Leaving;
+        }
+        changed && !left
+    }
+
+    /// Forgets routers that cannot exist any more; their names.
+    pub fn forget_lost(&mut self, now_ms: u64) -> Vec<String> {
+        let lost = self.peers.iter();
+        let lost = lost.filter(|(_, peer)| now_ms >= peer.heard_ms + Self::MAY_EXIST_MS);
+        let lost: Vec<String> = lost.map(|(name, _)| name.clone()).collect();
+        for name in &lost {
+            self.peers.remove(name);
+        }
+        lost
+    }
+
+    /// The routers that callers may be sent to: availability zone and address.
+    pub fn ready(&self, now_ms: u64) -> Vec<(&str, SocketAddr)> {
+        let alive = self.peers.values();
+        let ready = alive.filter(|peer| {
+            peer.beat.state == RouterState::Ready && now_ms < peer.heard_ms + Self::ALIVE_MS
+        });
+        let ready = ready.map(|peer| (peer.beat.zone.as_str(), peer.beat.caller_address));
+        ready.collect()
+    }
+
+    /// How many other routers may exist.
+    pub fn may_exist(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Where to send beats.
+    pub fn beat_addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.values();
+        peers.map(|peer| peer.beat.beat_address).collect()
+    }
+
+    /// The load of all other routers by server.
+    pub fn loads(&self, now_ms: u64) -> HashMap<Incarnation, (u32, u64)> {
+        let mut sums: HashMap<Incarnation, (u32, u64)> = HashMap::new();
+        let alive = self.peers.values();
+        let alive = alive.filter(|peer| now_ms < peer.heard_ms + Self::LOAD_MS);
+        for load in alive.flat_map(|peer| &peer.beat.loads) {
+            let sum = sums.entry(Incarnation(load.server)).or_default();
+            sum.0 += u32::from(load.in_flight);
+            sum.1 += u64::from(load.prefill_tokens);
+        }
+        sums
+    }
+}
