Settings are read again on SIGHUP and when the file changes

Cause: SIGHUP ended the process, and changed bounds had no effect until a restart. Ruled out: taking new addresses too; what names or binds the process stays as it was.

--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -104,7 +104,7 @@
     let routers = shared.peers().may_exist() + 1;
     let share = f64::from(service.max_connections) * CONNECTIONS_PART / routers as f64;
     let limit = (share as u32).max(1);
-    let connect_ms = shared.settings.times.connect_ms.min(limit_ms);
+    let connect_ms = shared.settings().times.connect_ms.min(limit_ms);
     let mut fresh = false;
     loop {
         let connection = shared
--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -38,7 +38,7 @@
         all.extend(listed);
         all.sort_unstable();
         all.dedup();
-        all.retain(|address| *address != shared.settings.beat_address);
+        all.retain(|address| *address != shared.settings().beat_address);
         all
     }
 }
@@ -54,12 +54,12 @@
     let incarnation = since
         .map_or(0, |since| since.as_millis() as u64)
         .max(Clock.now_ms());
-    let beat_ms = Duration::from_millis(shared.settings.times.beat_ms);
+    let beat_ms = Duration::from_millis(shared.settings().times.beat_ms);
     let mut sequence = 0;
     let mut next = 0;
     loop {
         sequence += 1;
-        let settings = &shared.settings;
+        let settings = shared.settings();
         let beat = Beat {
             name: settings.name.clone(),
             incarnation,
@@ -101,7 +101,7 @@
                 continue;
             }
         };
-        if beat.name == shared.settings.name {
+        if beat.name == shared.settings().name {
             continue;
         }
         let now_ms = Clock.now_ms();
@@ -115,7 +115,7 @@
                 state = format_args!("{state:?}")
             );
         }
-        if now_ms >= loads_ms + shared.settings.times.beat_ms / 4 {
+        if now_ms >= loads_ms + shared.settings().times.beat_ms / 4 {
             loads_ms = now_ms;
             shared.peer_loads.store(Arc::new(peers.loads(now_ms)));
             for name in peers.forget_lost(now_ms) {
--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -112,14 +112,14 @@
                 error = error
             );
         }
-        let pause_ms = self.shared.settings.times.store_retry_ms << self.failures.min(2);
+        let pause_ms = self.shared.settings().times.store_retry_ms << self.failures.min(2);
         self.failures += 1;
         sleep(Duration::from_millis(pause_ms)).await;
     }
 
     /// Waits after a change, so that many in a row cost few calls.
     async fn pause(&self) {
-        let pause_ms = self.shared.settings.times.change_pause_ms;
+        let pause_ms = self.shared.settings().times.change_pause_ms;
         sleep(Duration::from_millis(pause_ms)).await;
     }
 }
@@ -130,7 +130,7 @@
     let mut ready = None;
     loop {
         let news = watch
-            .next(shared.settings.times.watch_configuration_ms)
+            .next(shared.settings().times.watch_configuration_ms)
             .await;
         let changed = !news.records.is_empty();
         for record in news.records {
@@ -176,7 +176,7 @@
 pub(crate) async fn watch_servers(shared: Arc<Shared>, store: Arc<StorePort>) {
     let mut watch = Watch::new(shared.clone(), store, Listing::Servers);
     let mut list = ServerList::default();
-    let mut wait_ms = shared.settings.times.watch_servers_ms;
+    let mut wait_ms = shared.settings().times.watch_servers_ms;
     loop {
         let news = watch.next(wait_ms).await;
         let now_ms = Clock.now_ms();
@@ -201,7 +201,7 @@
         publish(&shared, &list);
         wait_ms = match list.is_settling() {
             true => SETTLING_WATCH_MS,
-            false => shared.settings.times.watch_servers_ms,
+            false => shared.settings().times.watch_servers_ms,
         };
         if changed {
             watch.pause().await;
@@ -270,7 +270,7 @@
         if failures == 0 {
             note!(Event::STORE_LOST, listing = "registration", error = error);
         }
-        let pause_ms = shared.settings.times.store_retry_ms << failures.min(3);
+        let pause_ms = shared.settings().times.store_retry_ms << failures.min(3);
         failures += 1;
         sleep(Duration::from_millis(pause_ms)).await;
     }
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -12,6 +12,7 @@
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
     Configuration, Incarnation, RequestFacts, RequestKind, Route, RouteError, StopPhase, StopTimes,
+    Tenant,
 };
 use tokio::time::timeout;
 
@@ -146,7 +147,7 @@
     let arrived_ms = Clock.now_ms();
     if let Some(since_ms) = shared.leaving_for_ms() {
         let times = StopTimes {
-            grace_ms: shared.settings.grace_ms,
+            grace_ms: shared.settings().grace_ms,
         };
         let phase = times.phase(since_ms, shared.in_flight(), shared.quiet_ms());
         if phase != StopPhase::Serving {
@@ -155,8 +156,9 @@
     }
     let configuration = shared.configuration.load_full();
     let configuration = configuration.ok_or_else(|| Refusal::elsewhere("no-configuration"))?;
-    let (route, tenant) = admit(shared, &configuration, &facts, head.uri.path())?;
+    let Admitted { route, tenant } = admit(shared, &configuration, &facts, head.uri.path())?;
     let route = route.clone();
+    let tenant = tenant.cloned();
     let service = route.pick_target(rand::rng().random());
     let Some(service) = service.map(str::to_owned) else {
         return Err(Refusal::elsewhere("route-without-service"));
@@ -188,12 +190,14 @@
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
-    let tenant_name = tenant.as_ref().map(|(name, _)| name.clone());
-    let label = tenant_name.as_deref().unwrap_or("anonymous");
+    let label = tenant.as_ref().map_or("anonymous", |one| one.name.as_str());
     Ok(Job {
         labels: shared.metrics.labels(label, &route.name),
-        priority: tenant.and_then(|(_, rank)| rank).unwrap_or(route.priority),
-        tenant: tenant_name,
+        priority: tenant
+            .as_ref()
+            .and_then(|one| one.priority)
+            .unwrap_or(route.priority),
+        tenant: tenant.map(|one| one.name),
         shared: shared.clone(),
         interface,
         facts,
@@ -210,7 +214,13 @@
     })
 }
 
-/// The route of a request and its tenant's name and rank, by the configuration in force.
+/// What the configuration in force says of a request that it lets through.
+struct Admitted<'a> {
+    route: &'a Route,
+    tenant: Option<&'a Tenant>,
+}
+
+/// The route of a request and its tenant, by the configuration in force.
 ///
 /// A router that does not know whether its configuration is the newest denies nothing and lets
 /// no key through: both could be wrong. It says that the request has not run.
@@ -219,7 +229,7 @@
     configuration: &'a Configuration,
     facts: &RequestFacts,
     path: &str,
-) -> Result<(&'a Route, Option<(String, Option<u8>)>), Refusal> {
+) -> Result<Admitted<'a>, Refusal> {
     let fresh = shared.keys_are_fresh();
     let Some(route) = configuration.route(&facts.host, path) else {
         return Err(match fresh {
@@ -231,7 +241,7 @@
         return Err(Refusal::elsewhere("keys-stale"));
     }
     match configuration.tenant(route, facts.key.as_deref()) {
-        Ok(tenant) => Ok((route, tenant.map(|one| (one.name.clone(), one.priority)))),
+        Ok(tenant) => Ok(Admitted { route, tenant }),
         Err(RouteError::UnknownKey | RouteError::NoRoute) => Err(match fresh {
             true => Refusal::final_status(StatusCode::UNAUTHORIZED, "unknown-key"),
             false => Refusal::elsewhere("configuration-stale"),
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -26,8 +26,8 @@
 pub use http_call::{CallError, HttpCaller};
 pub use logging::{dropped_log_lines, start_logging};
 pub use ports::{
-    AnswerFacts, AttemptHeaders, BadRequest, Interface, Listing, Lookup, Record, StoreAnswer,
-    StoreError, StorePort, WatchCall,
+    AnswerFacts, AttemptHeaders, BadRequest, Interface, Listing, Lookup, ReadSettings, Record,
+    StoreAnswer, StoreError, StorePort, WatchCall,
 };
 pub use router::{RunError, run};
 pub use settings::{RouterSettings, Times};
--- a/crates/sapphiretrack-router/src/logging.rs
+++ b/crates/sapphiretrack-router/src/logging.rs
@@ -59,13 +59,9 @@
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let time_ms = since.map_or(0, |since| since.as_millis() as u64);
     let mut line = Line(String::with_capacity(160));
+    let text = record.args().to_string();
     // Writing to a string cannot fail.
-    let _ = (write!(
-        line.0,
-        "{time_ms} {} text={:?}",
-        record.level(),
-        record.args().to_string()
-    ));
+    let _ = write!(line.0, "{time_ms} {} text={text:?}", record.level());
     drop(record.key_values().visit(&mut line));
     line.0.push('\n');
     line.0
--- a/crates/sapphiretrack-router/src/lookups.rs
+++ b/crates/sapphiretrack-router/src/lookups.rs
@@ -84,7 +84,7 @@
     if addresses.is_empty() {
         return status_answer(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let ttl_s = LOOKUP_TTL_S.min(shared.settings.lookup_ttl_s);
+    let ttl_s = LOOKUP_TTL_S.min(shared.settings().lookup_ttl_s);
     let (kind, body) = (interface.write_lookup)(&addresses, ttl_s);
     let mut answer = Response::new(Full::new(body));
     let kind = HeaderValue::from_static(kind);
@@ -94,7 +94,7 @@
 
 /// The ready routers of a caller's availability zone, or all if the zone has too few.
 fn caller_addresses(shared: &Shared, zone: Option<&str>) -> Vec<SocketAddr> {
-    let settings = &shared.settings;
+    let settings = shared.settings();
     let peers = shared.peers();
     let mut ready = peers.ready(Clock.now_ms());
     if shared.state() == RouterState::Ready {
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -61,7 +61,7 @@
         let now_ms = Clock.now_ms();
         let mut traffic = self.shared.traffic();
         let health = traffic.health.entry(self.server.incarnation).or_default();
-        health.note_outcome(&self.shared.settings.health, failed, now_ms);
+        health.note_outcome(&self.shared.settings().health, failed, now_ms);
         traffic
             .retries
             .note_end(&self.server.service, !failed, now_ms);
@@ -77,7 +77,7 @@
     pub(crate) fn note_unreachable(&self) {
         let mut traffic = self.shared.traffic();
         let health = traffic.health.entry(self.server.incarnation).or_default();
-        health.note_unreachable(&self.shared.settings.health, Clock.now_ms());
+        health.note_unreachable(&self.shared.settings().health, Clock.now_ms());
     }
 }
 
@@ -103,7 +103,7 @@
     let servers = shared.servers.load();
     let listed = servers.get(&service.name).filter(|list| !list.is_empty());
     let listed = listed.ok_or(NoServer::NoneListed)?;
-    let settings = &shared.settings;
+    let settings = shared.settings();
     let now_ms = Clock.now_ms();
     let peer_loads = shared.peer_loads.load();
     let shared_parts = facts.shared_parts();
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -11,6 +11,8 @@
 use sapphiretrack_routing::{Configuration, RequestFacts, ServerEntry};
 use snafu::Snafu;
 
+use crate::settings::RouterSettings;
+
 /// How callers and backend servers speak.
 #[derive(Clone, Copy)]
 pub struct Interface {
@@ -158,6 +160,9 @@
     },
 }
 
+/// Reads the settings again: none if they are as they were, or what is wrong with them.
+pub type ReadSettings = Box<dyn Fn() -> Result<Option<RouterSettings>, String> + Send + Sync>;
+
 /// Calls to the store.
 pub struct StorePort {
     /// All records of a listing.
--- a/crates/sapphiretrack-router/src/router.rs
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -8,7 +8,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::runtime::{Builder, Runtime};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{sleep, timeout};
 
 use crate::beats::{BeatAddresses, hear_beats, send_beats};
@@ -17,7 +17,7 @@
 use crate::events::{Event, note};
 use crate::front::serve_callers;
 use crate::lookups::serve_questions;
-use crate::ports::{Interface, StorePort};
+use crate::ports::{Interface, ReadSettings, StorePort};
 use crate::settings::RouterSettings;
 use crate::shared::Shared;
 
@@ -25,6 +25,8 @@
 const BACKLOG: u32 = 1_024;
 /// How often a stopping router looks whether it may end.
 const STOP_CHECK: Duration = Duration::from_millis(50);
+/// How often the settings are looked at without a signal: one small file each time.
+const SETTINGS_CHECK: Duration = Duration::from_secs(2);
 /// How long the farewell in the store may take: its reader loses nothing by a stale row.
 const FAREWELL: Duration = Duration::from_millis(200);
 
@@ -58,6 +60,7 @@
     settings: RouterSettings,
     interface: Interface,
     store: StorePort,
+    read_settings: ReadSettings,
 ) -> Result<(), RunError> {
     let shared = Arc::new(Shared::new(settings));
     let control = runtime()?;
@@ -66,7 +69,9 @@
     {
         let shared = shared.clone();
         std::thread::spawn(move || {
-            if let Err(error) = control.block_on(run_control(shared, interface, store)) {
+            if let Err(error) =
+                control.block_on(run_control(shared, interface, store, read_settings))
+            {
                 eprintln!("{error}");
                 std::process::exit(1);
             }
@@ -79,8 +84,9 @@
     shared: Arc<Shared>,
     interface: Interface,
     store: Arc<StorePort>,
+    read_settings: ReadSettings,
 ) -> Result<(), RunError> {
-    let settings = &shared.settings;
+    let settings = shared.settings();
     let beat_address = settings.beat_address;
     let socket = UdpSocket::bind(beat_address).await;
     let socket = Arc::new(socket.context(ListenSnafu {
@@ -112,6 +118,8 @@
         callers = settings.caller_address,
         version = env!("CARGO_PKG_VERSION"),
     );
+    let hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    tokio::spawn(watch_settings(shared.clone(), hangup, read_settings));
     let mut stop = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     stop.recv().await;
     note!(Event::STOPPING, in_flight = shared.in_flight());
@@ -121,11 +129,34 @@
     std::future::pending().await
 }
 
+/// Reads the settings again at each hangup signal, and from time to time without one.
+async fn watch_settings(shared: Arc<Shared>, mut hangup: Signal, read: ReadSettings) {
+    let mut complaint = None;
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = sleep(SETTINGS_CHECK) => {}
+        }
+        match read() {
+            Ok(None) => complaint = None,
+            Ok(Some(settings)) => {
+                shared.use_settings(settings);
+                note!(Event::SETTINGS_READ, router = shared.settings().name);
+            }
+            Err(error) if complaint.as_ref() != Some(&error) => {
+                note!(Event::SETTINGS_WRONG, error = error);
+                complaint = Some(error);
+            }
+            Err(_) => {}
+        }
+    }
+}
+
 async fn run_traffic(shared: Arc<Shared>, interface: Interface) -> Result<(), RunError> {
-    let listener = listen(shared.settings.caller_address)?;
+    let listener = listen(shared.settings().caller_address)?;
     tokio::spawn(serve_callers(shared.clone(), interface, listener));
     let times = StopTimes {
-        grace_ms: shared.settings.grace_ms,
+        grace_ms: shared.settings().grace_ms,
     };
     loop {
         sleep(STOP_CHECK).await;
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -5,7 +5,7 @@
 use sapphiretrack_routing::{PlacementCosts, RetrySettings, ServerHealthSettings};
 
 /// What a router is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RouterSettings {
     /// Its name, unique in the fleet.
     pub name: String,
@@ -40,7 +40,7 @@
 }
 
 /// Times of calls and connections, each with the ground for its figure.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Times {
     /// How long a connection to a backend server may take. A round trip takes 1 ms and the
     /// server's part 1 ms; a lost opening packet is sent again only after a second.
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
     Configuration, Freshness, Incarnation, PeerTable, RetryShare, RouterState, ServerEntry,
@@ -24,7 +24,7 @@
 /// traffic thread what its own requests tell.
 pub(crate) struct Shared {
     /// What the router was told at its start.
-    pub(crate) settings: RouterSettings,
+    settings: ArcSwap<RouterSettings>,
     /// The configuration in force.
     pub(crate) configuration: ArcSwapOption<Configuration>,
     /// The backend servers that take new work.
@@ -74,7 +74,7 @@
     pub(crate) fn new(settings: RouterSettings) -> Self {
         let retries = RetryShare::new(settings.retry.clone());
         Self {
-            settings,
+            settings: ArcSwap::from_pointee(settings),
             configuration: ArcSwapOption::empty(),
             servers: ArcSwap::default(),
             peer_loads: ArcSwap::default(),
@@ -97,6 +97,28 @@
         }
     }
 
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Guard<Arc<RouterSettings>> {
+        self.settings.load()
+    }
+
+    /// Puts other settings into force. What names or binds this process stays as it was.
+    pub(crate) fn use_settings(&self, newer: RouterSettings) {
+        let bound = self.settings();
+        let settings = RouterSettings {
+            name: bound.name.clone(),
+            zone: bound.zone.clone(),
+            caller_address: bound.caller_address,
+            ready_address: bound.ready_address,
+            lookup_address: bound.lookup_address,
+            beat_address: bound.beat_address,
+            metrics_address: bound.metrics_address,
+            ..newer
+        };
+        self.traffic().retries.set_settings(settings.retry.clone());
+        self.settings.store(Arc::new(settings));
+    }
+
     /// The proof that the configuration is new.
     pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
         lock(&self.freshness)
@@ -119,7 +141,7 @@
 
     /// Whether keys may be believed now.
     pub(crate) fn keys_are_fresh(&self) -> bool {
-        let settings = &self.settings;
+        let settings = self.settings();
         let limit_ms = settings
             .key_bound_ms
             .saturating_sub(settings.times.key_margin_ms);
@@ -185,7 +207,7 @@
             shared: self.clone(),
             bytes,
         };
-        (before + bytes <= self.settings.body_memory_bytes).then_some(memory)
+        (before + bytes <= self.settings().body_memory_bytes).then_some(memory)
     }
 
     /// The load that this router puts on servers.
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -5,7 +5,7 @@
 use crate::{Incarnation, PromptPart};
 
 /// What a request costs at a server, in milliseconds of its caller's time.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PlacementCosts {
     /// Prompt tokens that an engine reads in a millisecond, by the deployment's sheet.
     pub prefill_tokens_per_ms: f64,
--- a/crates/sapphiretrack-routing/src/retry_share.rs
+++ b/crates/sapphiretrack-routing/src/retry_share.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 /// What the fleet may spend on repeats.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RetrySettings {
     /// Repeats allowed for each request of a service.
     pub ratio: f64,
@@ -72,6 +72,15 @@
         }
     }
 
+    /// Goes on with another budget.
+    pub fn set_settings(&mut self, settings: RetrySettings) {
+        if settings.window_ms != self.settings.window_ms {
+            // Counts in slices of another length say nothing.
+            self.services.clear();
+        }
+        self.settings = settings;
+    }
+
     /// Notes a caller's request for a service.
     pub fn note_request(&mut self, service: &str, now_ms: u64) {
         self.slice(service, now_ms).requests += 1;
--- a/crates/sapphiretrack-routing/src/server_health.rs
+++ b/crates/sapphiretrack-routing/src/server_health.rs
@@ -1,7 +1,7 @@
 //! What this router's own requests tell about one backend server.
 
 /// When a server counts as bad.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerHealthSettings {
     /// How long a server with requests may be silent before it is suspected.
     pub mute_ms: u64,
