Routers tell each other which prompt parts they sent where

Each router sees a part too rarely to remember its holder, and followed its own memory away from the part's home. Ruled out: caches that are too small: each server's share of all parts is a tenth of its memory.

--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -69,6 +69,7 @@
             beat_address: settings.beat_address,
             state: shared.state(),
             loads: shared.own_loads(),
+            sent_parts: shared.traffic().warm.take_untold(),
         };
         let all = addresses.all(&shared);
         let bytes = bincode::serialize(&beat).unwrap_or_default();
@@ -105,6 +106,7 @@
             continue;
         }
         let now_ms = Clock.now_ms();
+        shared.traffic().warm.note_told(&beat.sent_parts, now_ms);
         let name = beat.name.clone();
         let state = beat.state;
         let mut peers = shared.peers();
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -111,8 +111,6 @@
         let incarnations = listed.iter().map(|server| server.incarnation);
         part_home(part, incarnations)
     });
-    let home_tokens = shared_parts.iter().map(|part| part.tokens).sum::<u32>();
-    let home_tokens = (f64::from(home_tokens) * settings.costs.home_share) as u32;
     let mut traffic = shared.traffic();
     let candidate = |server: &Arc<ServerEntry>| {
         let health = traffic.health.get(&server.incarnation);
@@ -120,23 +118,22 @@
             .get(&server.incarnation)
             .copied()
             .unwrap_or_default();
-        let sent = traffic
-            .warm
-            .cached_tokens(server.incarnation, &facts.prompt, now_ms);
-        let is_home = home == Some(server.incarnation);
+        let warm = &traffic.warm;
+        let cached_tokens = warm.cached_tokens(server.incarnation, shared_parts, now_ms);
         let suspect = health.is_some_and(|health| {
             health.is_unreachable(now_ms) || health.is_mute(&settings.health, now_ms)
         });
         Candidate {
             server: server.incarnation,
             same_zone: server.zone == settings.zone,
+            is_home: home == Some(server.incarnation),
             in_flight: peers + health.map_or(0, |health| health.in_flight),
             capacity: match service.is_engine {
                 true => server.slots,
                 false => server.slots.saturating_mul(PLAIN_QUEUE_FACTOR),
             },
             prefill_tokens: peer_prefill + health.map_or(0, |health| health.prefill_tokens),
-            cached_tokens: if is_home { sent.max(home_tokens) } else { sent },
+            cached_tokens,
             failure_share: health
                 .map_or(0.0, |health| health.failure_share(&settings.health, now_ms)),
             suspect,
@@ -168,7 +165,7 @@
     health.prefill_tokens += u64::from(uncached);
     traffic
         .warm
-        .note_sent(server.incarnation, &facts.prompt, now_ms);
+        .note_sent(server.incarnation, shared_parts, now_ms);
     drop(traffic);
     Ok(Placed {
         server,
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -22,4 +22,4 @@
 pub use server_health::{ServerHealth, ServerHealthSettings};
 pub use server_list::{Incarnation, ListedServer, ServerEntry, ServerList, ServerState};
 pub use stop::{StopPhase, StopTimes};
-pub use warmth::WarmParts;
+pub use warmth::{SentPart, WarmParts};
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Incarnation;
+use crate::{Incarnation, SentPart};
 
 /// Whether callers may be sent to a router.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -48,6 +48,8 @@
     pub state: RouterState,
     /// The load it puts on servers, without those where it has none.
     pub loads: Vec<ServerLoad>,
+    /// Shared prompt parts that it sent since its last beat.
+    pub sent_parts: Vec<SentPart>,
 }
 
 /// The routers that were heard of.
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -21,11 +21,11 @@
     pub failure_ms: f64,
     /// Added for a server that cannot be reached or does not move.
     pub suspect_ms: f64,
-    /// Cached tokens that a part's home is believed to hold although this router has not sent
-    /// it there: the other routers share the same homes.
-    pub home_share: f64,
+    /// Taken off for the home of a prompt's last shared part: where nobody is known to hold the
+    /// part, all routers choose the same server, and it is read once.
+    pub home_ms: f64,
     /// How far above the mean of its service a server may be loaded, as a factor and a fixed
-    /// number of requests: half of what callers tolerate.
+    /// number of requests: a little less than callers tolerate, since counts are late.
     pub bound_factor: f64,
     /// See `bound_factor`.
     pub bound_requests: f64,
@@ -40,9 +40,9 @@
             other_zone_ms: 2.0,
             failure_ms: 500.0,
             suspect_ms: 5_000.0,
-            home_share: 0.8,
-            bound_factor: 1.5,
-            bound_requests: 1.0,
+            home_ms: 20.0,
+            bound_factor: 1.8,
+            bound_requests: 2.0,
         }
     }
 }
@@ -54,6 +54,8 @@
     pub server: Incarnation,
     /// Whether it is in this router's availability zone.
     pub same_zone: bool,
+    /// Whether it is the home of the prompt's last shared part.
+    pub is_home: bool,
     /// Requests that all routers have there, as far as known.
     pub in_flight: u32,
     /// The most requests that it may hold.
@@ -101,6 +103,9 @@
         if is_engine {
             cost += (uncached + one.prefill_tokens as f64) / costs.prefill_tokens_per_ms;
         }
+        if one.is_home {
+            cost -= costs.home_ms;
+        }
         if !one.same_zone {
             cost += costs.other_zone_ms;
         }
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -1,13 +1,26 @@
-//! Which prompt parts this router has lately sent to which server.
+//! Which prompt parts were lately sent to which server, by any router.
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Incarnation, PromptPart};
 
-/// A bounded memory of sent parts.
+/// A prompt part that a router sent to a server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SentPart {
+    /// The server's incarnation.
+    pub server: u64,
+    /// The part's id.
+    pub part: u64,
+}
+
+/// A bounded memory of sent parts. Routers tell each other what they sent, so that all know
+/// the holders of a part: one router alone sees each part too rarely to remember.
 #[derive(Clone, Debug, Default)]
 pub struct WarmParts {
     sent_ms: HashMap<(Incarnation, u64), u64>,
+    untold: Vec<SentPart>,
 }
 
 impl WarmParts {
@@ -16,37 +29,60 @@
     const KEEP_MS: u64 = 30_000;
     /// The most entries, at 40 bytes each 0.8 MB.
     const MAX_ENTRIES: usize = 20_000;
+    /// The most parts that wait to be told: 1 KB of a datagram. What is more is only known here.
+    const MAX_UNTOLD: usize = 64;
 
-    /// Notes that a prompt was sent to a server.
+    /// Notes that this router sent a prompt to a server.
     pub fn note_sent(&mut self, server: Incarnation, parts: &[PromptPart], now_ms: u64) {
-        if self.sent_ms.len() + parts.len() > Self::MAX_ENTRIES {
-            self.forget_older(now_ms);
-        }
         for part in parts {
-            self.sent_ms.insert((server, part.id), now_ms);
+            self.note(server, part.id, now_ms);
+            if self.untold.len() < Self::MAX_UNTOLD {
+                self.untold.push(SentPart {
+                    server: server.0,
+                    part: part.id,
+                });
+            }
+        }
+    }
+
+    /// Notes what another router sent.
+    pub fn note_told(&mut self, sent: &[SentPart], now_ms: u64) {
+        for part in sent {
+            self.note(Incarnation(part.server), part.part, now_ms);
         }
     }
 
-    /// How many of a prompt's tokens a server is believed to hold: a part only counts if all
-    /// parts before it do.
+    /// What was sent since this was last asked.
+    pub fn take_untold(&mut self) -> Vec<SentPart> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// How many tokens of a prompt's shared parts a server is believed to hold. A later part
+    /// cannot have been read without those before it.
     pub fn cached_tokens(&self, server: Incarnation, parts: &[PromptPart], now_ms: u64) -> u32 {
-        let is_cached = |part: &&PromptPart| {
+        let is_cached = |part: &PromptPart| {
             let sent = self.sent_ms.get(&(server, part.id));
             sent.is_some_and(|sent| now_ms < sent + Self::KEEP_MS)
         };
-        let cached = parts.iter().take_while(is_cached);
-        cached.map(|part| part.tokens).sum()
+        let deepest = parts.iter().rposition(is_cached);
+        let held = deepest.map_or(&[][..], |last| &parts[..=last]);
+        held.iter().map(|part| part.tokens).sum()
     }
 
-    fn forget_older(&mut self, now_ms: u64) {
-        self.sent_ms
-            .retain(|_, sent| now_ms < *sent + Self::KEEP_MS);
-        if self.sent_ms.len() * 2 > Self::MAX_ENTRIES {
-            self.sent_ms
-                .retain(|_, sent| now_ms < *sent + Self::KEEP_MS / 4);
+    fn note(&mut self, server: Incarnation, part: u64, now_ms: u64) {
+        if self.sent_ms.len() >= Self::MAX_ENTRIES {
+            self.forget_older(now_ms);
         }
-        if self.sent_ms.len() * 2 > Self::MAX_ENTRIES {
-            self.sent_ms.clear();
+        self.sent_ms.insert((server, part), now_ms);
+    }
+
+    fn forget_older(&mut self, now_ms: u64) {
+        for keep_ms in [Self::KEEP_MS, Self::KEEP_MS / 4] {
+            self.sent_ms.retain(|_, sent| now_ms < *sent + keep_ms);
+            if self.sent_ms.len() * 2 <= Self::MAX_ENTRIES {
+                return;
+            }
         }
+        self.sent_ms.clear();
     }
 }
