Prompt parts are fetched from a server that holds them

Cause: a part whose holder leaves or is loaded was computed again; a fetched token costs a third of one that is read again, and half of its time. Open: servers that have just left the list still hold parts; they are not asked.

--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -138,6 +138,7 @@
             server = placed.server.id,
             service = service.name,
             cached_tokens = placed.cached_tokens,
+            fetches = placed.fetch_from.is_some(),
             prompt_tokens = job.facts.prompt_tokens,
             left_ms = left_ms,
             reused = connection.is_reused,
@@ -230,6 +231,7 @@
         tenant: job.tenant.as_deref(),
         left_ms,
         priority: job.priority,
+        fetch_from: placed.fetch_from,
         resume_after,
     };
     (job.interface.write_attempt)(&mut headers, &attempt);
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -1,9 +1,11 @@
 //! Places a request on a backend server and counts its load there.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sapphiretrack_routing::{
-    Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, part_home,
+    Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, fetch_source,
+    part_home,
 };
 
 use crate::clock::Clock;
@@ -19,6 +21,8 @@
     pub(crate) server: Arc<ServerEntry>,
     /// Tokens of the prompt that the server is believed to hold.
     pub(crate) cached_tokens: u32,
+    /// A server that holds more of the prompt, to fetch it from.
+    pub(crate) fetch_from: Option<SocketAddr>,
     shared: Arc<Shared>,
     tokens: u64,
     prefill_tokens: u64,
@@ -157,7 +161,9 @@
     };
     let server = listed[index].clone();
     let cached_tokens = candidates[index].cached_tokens;
-    let uncached = facts.prompt_tokens.saturating_sub(cached_tokens);
+    let holder = fetch_source(&candidates, index);
+    let held_tokens = holder.map_or(cached_tokens, |holder| candidates[holder].cached_tokens);
+    let uncached = facts.prompt_tokens.saturating_sub(held_tokens);
     let tokens = u64::from(facts.prompt_tokens) + u64::from(facts.output_tokens);
     let health = traffic.health.entry(server.incarnation).or_default();
     health.note_sent(now_ms);
@@ -170,6 +176,7 @@
     Ok(Placed {
         server,
         cached_tokens,
+        fetch_from: holder.map(|holder| listed[holder].address),
         shared: shared.clone(),
         tokens,
         prefill_tokens: u64::from(uncached),
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -49,6 +49,8 @@
     pub left_ms: u64,
     /// The request's rank: 0 comes first.
     pub priority: u8,
+    /// A server that holds more of the prompt, to fetch it from before it is computed.
+    pub fetch_from: Option<SocketAddr>,
     /// The last event that the caller has, if the stream goes on after it.
     pub resume_after: Option<u64>,
 }
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -16,7 +16,7 @@
 pub use event_stream::{EventSplitter, StreamEvent, StreamFault};
 pub use freshness::Freshness;
 pub use peers::{Beat, PeerTable, RouterState, ServerLoad};
-pub use placement::{Candidate, PlacementCosts, choose_server, part_home};
+pub use placement::{Candidate, PlacementCosts, choose_server, fetch_source, part_home};
 pub use request::{PromptPart, RequestFacts, RequestKind};
 pub use retry_share::{RetrySettings, RetryShare};
 pub use server_health::{ServerHealth, ServerHealthSettings};
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -82,6 +82,19 @@
     servers.max_by(|a, b| score(a).total_cmp(&score(b)))
 }
 
+/// Tokens from which on fetching a part from another server's memory is worth a transfer.
+const MIN_FETCH_TOKENS: u32 = 256;
+
+/// The candidate that holds the most of a prompt beyond what the chosen one holds. A token takes
+/// half the time to fetch that it takes to compute, and the holder's part is not computed twice.
+pub fn fetch_source(candidates: &[Candidate], chosen: usize) -> Option<usize> {
+    let held = candidates.get(chosen)?.cached_tokens;
+    let holders = candidates.iter().enumerate();
+    let holders = holders.filter(|(_, one)| !one.suspect);
+    let (holder, one) = holders.max_by_key(|(_, one)| one.cached_tokens)?;
+    (one.cached_tokens >= held + MIN_FETCH_TOKENS).then_some(holder)
+}
+
 /// The index of the best candidate; none if all are full or tried. Servers above the load bound
 /// are taken only if all others are worse than suspect.
 pub fn choose_server(
