--- a/crates/sapphiretrack-routing/src/freshness.rs
+++ b/crates/sapphiretrack-routing/src/freshness.rs
@@ -16,21 +16,15 @@
 impl Freshness {
     /// How far a store clock may seem ahead of the local one before it counts as reset.
     const CLOCK_TOLERANCE_MS: i64 = 50;
-    /// How far the store's clock may seem to fall back before it counts as reset: a store that
-    /// starts again begins at nothing, drift is far below this.
-    const RESET_MS: i64 = 2_000;
-
     /// Notes an answer that held the newest state: when its call was sent, when the answer came,
     /// and what the store's clock showed.
     pub fn note_answer(&mut self, sent_ms: u64, received_ms: u64, store_now_ms: u64) {
         let bound = sent_ms as i64 - store_now_ms as i64;
         let latest = received_ms as i64 - store_now_ms as i64;
         let offset = match self.offset_ms {
-            // Ahead of what this answer allows, or far behind it: another clock.
+            // Ahead of what this answer allows: the store's clock jumped, the bound is void.
             Some(offset) if offset > latest + Self::CLOCK_TOLERANCE_MS => bound,
-            Some(offset) if latest - offset > Self::RESET_MS && bound - offset > Self::RESET_MS => {
-                bound
-            }
+            // A store clock that starts again at nothing gives a larger bound, which holds too.
             Some(offset) => offset.max(bound),
             None => bound,
         };
--- /dev/null
+++ b/crates/sapphiretrack-routing/tests/configuration.rs
@@ -0,0 +1,109 @@
+//! Routes and keys.
+
+use sapphiretrack_routing::{
+    Configuration, RequestKind, Route, RouteError, Service, Target, Tenant,
+};
+
+fn route(name: &str, prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        priority: 1,
+        targets: vec![
+            Target {
+                service: "one".to_owned(),
+                weight: 90,
+            },
+            Target {
+                service: "two".to_owned(),
+                weight: 10,
+            },
+            Target {
+                service: "off".to_owned(),
+                weight: 0,
+            },
+        ],
+        max_attempts: 2,
+        anonymous,
+    }
+}
+
+fn configuration() -> Configuration {
+    let routes = vec![
+        route("root", "/", false),
+        route("a", "/a/", false),
+        route("ab", "/a/b/", false),
+        route("open", "/open/", true),
+    ];
+    Configuration::new(3, routes, vec![Service::default()])
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let configuration = configuration();
+    let name = |host: &str, path: &str| {
+        configuration
+            .route(host, path)
+            .map(|route| route.name.as_str())
+    };
+    assert_eq!(name("a.example", "/a/b/c"), Some("ab"));
+    assert_eq!(name("a.example", "/a/b/"), Some("ab"));
+    assert_eq!(name("a.example", "/a/b"), Some("a"));
+    assert_eq!(name("a.example", "/a"), Some("root"));
+    assert_eq!(name("a.example", "/x/y/z"), Some("root"));
+    assert_eq!(name("A.Example:8080", "/a/x"), Some("a"));
+    assert_eq!(name("b.example", "/a/x"), None);
+    assert_eq!(name("a.example", ""), None);
+    assert_eq!(name("a.example", "*"), None);
+}
+
+#[test]
+fn only_known_keys_pass_where_keys_are_needed() {
+    let mut configuration = configuration();
+    let routes = configuration.clone();
+    let closed = routes.route("a.example", "/a/").expect("there");
+    let open = routes.route("a.example", "/open/").expect("there");
+    assert!(
+        configuration
+            .tenant(closed, None)
+            .expect("no tenants, no keys")
+            .is_none()
+    );
+    assert!(!configuration.needs_key(closed));
+    let tenant = Tenant {
+        name: "t".to_owned(),
+        priority: Some(0),
+    };
+    configuration.add_tenant(tenant, ["k1".to_owned(), "k2".to_owned()]);
+    assert!(configuration.needs_key(closed));
+    assert!(!configuration.needs_key(open));
+    for key in [None, Some(""), Some("k3"), Some("K1")] {
+        let denied = configuration.tenant(closed, key).map(|one| one.is_some());
+        assert_eq!(denied, Err(RouteError::UnknownKey), "{key:?}");
+        assert!(configuration.tenant(open, key).expect("open").is_none());
+    }
+    let known = configuration.tenant(closed, Some("k2")).expect("known");
+    assert_eq!(known.expect("a tenant").name, "t");
+}
+
+#[test]
+fn requests_split_by_weight() {
+    let route = route("a", "/", false);
+    let mut ones = 0;
+    for step in 0..1_000 {
+        match route.pick_target(f64::from(step) / 1_000.0) {
+            Some("one") => ones += 1,
+            Some("two") => {}
+            other => panic!("went to {other:?}"),
+        }
+    }
+    assert!(
+        (890..=910).contains(&ones),
+        "{ones} of 1,000 at a weight of 90 in 100"
+    );
+    assert_eq!(route.pick_target(1.0), Some("two"));
+}
--- /dev/null
+++ b/crates/sapphiretrack-routing/tests/peers.rs
@@ -0,0 +1,62 @@
+//! Other routers, by their beats.
+
+use sapphiretrack_routing::{Beat, Incarnation, PeerTable, RouterState, ServerLoad};
+
+fn beat(name: &str, incarnation: u64, sequence: u64, state: RouterState) -> Beat {
+    Beat {
+        name: name.to_owned(),
+        incarnation,
+        sequence,
+        zone: "z".to_owned(),
+        caller_address: "10.0.0.1:80".parse().expect("an address"),
+        beat_address: "10.0.0.1:81".parse().expect("an address"),
+        state,
+        loads: vec![ServerLoad {
+            server: 7,
+            in_flight: 2,
+            prefill_tokens: 100,
+        }],
+        sent_parts: Vec::new(),
+    }
+}
+
+#[test]
+fn a_silent_router_is_not_offered_and_later_forgotten() {
+    let mut peers = PeerTable::default();
+    assert!(peers.note(beat("a", 1, 1, RouterState::Ready), 0));
+    assert_eq!(peers.ready(900).len(), 1);
+    assert!(peers.ready(1_100).is_empty());
+    assert_eq!(peers.may_exist(), 1);
+    assert!(peers.forget_lost(20_000).is_empty());
+    assert_eq!(peers.forget_lost(31_000), ["a"]);
+    assert_eq!(peers.may_exist(), 0);
+}
+
+#[test]
+fn leaving_is_final_for_a_run_and_a_later_run_counts_anew() {
+    let mut peers = PeerTable::default();
+    peers.note(beat("a", 1, 1, RouterState::Ready), 0);
+    assert!(peers.note(beat("a", 1, 2, RouterState::Leaving), 10));
+    peers.note(beat("a", 1, 3, RouterState::Ready), 20);
+    assert!(peers.ready(30).is_empty());
+    assert!(peers.note(beat("a", 2, 1, RouterState::Ready), 40));
+    assert_eq!(peers.ready(50).len(), 1);
+}
+
+#[test]
+fn late_and_repeated_beats_change_nothing() {
+    let mut peers = PeerTable::default();
+    peers.note(beat("a", 5, 7, RouterState::NotReady), 0);
+    assert!(!peers.note(beat("a", 5, 6, RouterState::Ready), 10));
+    assert!(!peers.note(beat("a", 4, 99, RouterState::Ready), 10));
+    assert!(peers.ready(20).is_empty());
+}
+
+#[test]
+fn loads_add_up_over_the_routers_that_were_heard_lately() {
+    let mut peers = PeerTable::default();
+    peers.note(beat("a", 1, 1, RouterState::Ready), 0);
+    peers.note(beat("b", 1, 1, RouterState::Ready), 1_500);
+    assert_eq!(peers.loads(1_600)[&Incarnation(7)], (4, 200));
+    assert_eq!(peers.loads(2_100)[&Incarnation(7)], (2, 100));
+}
--- /dev/null
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -0,0 +1,212 @@
+//! Which server gets a request.
+
+use sapphiretrack_routing::{
+    Candidate, Incarnation, PlacementCosts, PromptPart, SentPart, ServerHealth,
+    ServerHealthSettings, WarmParts, choose_server, fetch_source, part_home,
+};
+
+const PROMPT_TOKENS: u32 = 9_200;
+
+fn candidate(server: u64) -> Candidate {
+    Candidate {
+        server: Incarnation(server),
+        same_zone: true,
+        is_home: false,
+        in_flight: 4,
+        capacity: 64,
+        prefill_tokens: 0,
+        cached_tokens: 0,
+        failure_share: 0.0,
+        suspect: false,
+        tried: false,
+    }
+}
+
+fn choose(candidates: &[Candidate]) -> Option<usize> {
+    choose_server(&PlacementCosts::default(), true, PROMPT_TOKENS, candidates)
+}
+
+#[test]
+fn a_holder_of_the_prompt_wins_over_a_less_loaded_server() {
+    let holder = Candidate {
+        cached_tokens: 8_600,
+        in_flight: 6,
+        ..candidate(1)
+    };
+    assert_eq!(choose(&[candidate(0), holder, candidate(2)]), Some(1));
+}
+
+#[test]
+fn where_nobody_holds_it_the_home_wins() {
+    let home = Candidate {
+        is_home: true,
+        in_flight: 6,
+        ..candidate(1)
+    };
+    assert_eq!(choose(&[candidate(0), home, candidate(2)]), Some(1));
+}
+
+#[test]
+fn a_holder_above_the_load_bound_is_left() {
+    let holder = Candidate {
+        cached_tokens: 8_600,
+        in_flight: 30,
+        ..candidate(1)
+    };
+    let chosen = choose(&[candidate(0), holder.clone(), candidate(2)]).expect("room");
+    assert_ne!(chosen, 1);
+    let candidates = [candidate(0), holder, candidate(2)];
+    assert_eq!(
+        fetch_source(&candidates, chosen),
+        Some(1),
+        "its memory is still of use"
+    );
+}
+
+#[test]
+fn suspects_tried_and_full_servers_come_last_or_never() {
+    let suspect = Candidate {
+        suspect: true,
+        in_flight: 0,
+        ..candidate(0)
+    };
+    assert_eq!(choose(&[suspect.clone(), candidate(1)]), Some(1));
+    assert_eq!(choose(std::slice::from_ref(&suspect)), Some(0));
+    let tried = Candidate {
+        tried: true,
+        ..candidate(0)
+    };
+    let full = Candidate {
+        in_flight: 64,
+        ..candidate(1)
+    };
+    assert_eq!(choose(&[tried, full]), None);
+    assert_eq!(choose(&[]), None);
+    let candidates = [
+        candidate(0),
+        Candidate {
+            cached_tokens: 8_600,
+            ..suspect
+        },
+    ];
+    assert_eq!(
+        fetch_source(&candidates, 0),
+        None,
+        "nothing is fetched from a suspect"
+    );
+}
+
+#[test]
+fn a_server_that_fails_often_gets_less() {
+    let bad = Candidate {
+        failure_share: 0.4,
+        in_flight: 0,
+        ..candidate(0)
+    };
+    assert_eq!(choose(&[bad, candidate(1)]), Some(1));
+}
+
+#[test]
+fn the_other_zone_costs_only_where_all_else_is_equal() {
+    let far = Candidate {
+        same_zone: false,
+        ..candidate(0)
+    };
+    assert_eq!(choose(&[far.clone(), candidate(1)]), Some(1));
+    let busy = Candidate {
+        in_flight: 6,
+        ..candidate(1)
+    };
+    assert_eq!(choose(&[far, busy]), Some(0));
+}
+
+#[test]
+fn a_home_moves_only_when_its_server_goes() {
+    let servers: Vec<Incarnation> = (0..9).map(|id| Incarnation(id * 7_919 + 13)).collect();
+    let mut moved = 0;
+    for id in 0..1_000 {
+        let part = PromptPart {
+            id: id * 104_729,
+            tokens: 1,
+        };
+        let before = part_home(&part, servers.iter().copied());
+        let after = part_home(&part, servers.iter().copied().skip(1));
+        if before != after {
+            assert_eq!(before, Some(servers[0]));
+            moved += 1;
+        }
+    }
+    assert!(
+        (60..170).contains(&moved),
+        "{moved} of 1,000 homes on one of nine servers"
+    );
+}
+
+#[test]
+fn parts_that_any_router_sent_are_known_for_a_while() {
+    let parts = [
+        PromptPart { id: 1, tokens: 100 },
+        PromptPart { id: 2, tokens: 50 },
+    ];
+    let server = Incarnation(5);
+    let mut own = WarmParts::default();
+    own.note_sent(server, &parts, 0);
+    assert_eq!(own.cached_tokens(server, &parts, 1_000), 150);
+    assert_eq!(own.cached_tokens(server, &parts, 31_000), 0);
+    assert_eq!(own.cached_tokens(Incarnation(6), &parts, 0), 0);
+    let mut other = WarmParts::default();
+    other.note_told(&own.take_untold(), 0);
+    assert_eq!(other.cached_tokens(server, &parts, 1_000), 150);
+    assert!(own.take_untold().is_empty());
+    // The second part was read after the first, whoever told of it.
+    let mut third = WarmParts::default();
+    third.note_told(&[SentPart { server: 5, part: 2 }], 0);
+    assert_eq!(third.cached_tokens(server, &parts, 1_000), 150);
+}
+
+#[test]
+fn the_memory_of_parts_is_bounded() {
+    let mut warm = WarmParts::default();
+    for id in 0..100_000 {
+        let part = PromptPart { id, tokens: 1 };
+        warm.note_sent(Incarnation(id % 7), &[part], id / 10);
+    }
+    assert!(warm.take_untold().len() <= 64);
+    let last = PromptPart {
+        id: 99_999,
+        tokens: 1,
+    };
+    assert_eq!(
+        warm.cached_tokens(Incarnation(99_999 % 7), &[last], 10_000),
+        1
+    );
+}
+
+#[test]
+fn silence_unreachable_and_failures_show() {
+    let settings = ServerHealthSettings::default();
+    let mut health = ServerHealth::default();
+    health.note_sent(0);
+    assert!(!health.is_mute(&settings, settings.mute_ms));
+    assert!(health.is_mute(&settings, settings.mute_ms + 1));
+    health.note_progress(1_000);
+    assert!(!health.is_mute(&settings, 1_100));
+    health.note_left();
+    assert!(!health.is_mute(&settings, 60_000), "nothing is waited for");
+    health.note_unreachable(&settings, 2_000);
+    assert!(health.is_unreachable(2_000 + settings.unreachable_ms - 1));
+    assert!(!health.is_unreachable(2_000 + settings.unreachable_ms));
+    health.note_unreachable(&settings, 3_000);
+    assert!(
+        health.is_unreachable(3_000 + 2 * settings.unreachable_ms - 1),
+        "longer each time"
+    );
+    for _ in 0..10 {
+        health.note_outcome(&settings, true, 4_000);
+    }
+    assert!(health.failure_share(&settings, 4_000) > 0.7);
+    assert!(
+        health.failure_share(&settings, 30_000) < 0.01,
+        "forgiven in time"
+    );
+}
--- /dev/null
+++ b/crates/sapphiretrack-routing/tests/retry_share.rs
@@ -0,0 +1,74 @@
+//! The shares of all routers together stay within the fleet's budget.
+
+use proptest::prelude::*;
+use sapphiretrack_routing::{RetrySettings, RetryShare};
+
+const SETTINGS: RetrySettings = RetrySettings {
+    ratio: 0.2,
+    fixed: 58.0,
+    window_ms: 10_000,
+};
+
+proptest! {
+    #[test]
+    fn all_routers_together_keep_the_budget(
+        routers in 1_usize..12,
+        steps in prop::collection::vec((0_usize..12, 0_u64..60, 0_u8..4), 200..1_500),
+    ) {
+        let mut shares = vec![RetryShare::new(SETTINGS); routers];
+        let mut now_ms = 100_000;
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (router, pause, kind) in steps {
+            now_ms += pause;
+            let share = &mut shares[router % routers];
+            if kind == 0 {
+                share.note_request("s", now_ms);
+                requests.push(now_ms);
+            } else if share.try_repeat("s", routers, now_ms) {
+                repeats.push(now_ms);
+            }
+        }
+        // Any window of the repeats against the requests of that window and the one before.
+        for &start in &repeats {
+            let within = |times: &[u64], from: u64, to: u64| {
+                times.iter().filter(|time| (from..to).contains(*time)).count() as f64
+            };
+            let end = start + SETTINGS.window_ms;
+            let spent = within(&repeats, start, end);
+            let earned = within(&requests, start, end)
+                .max(within(&requests, start - SETTINGS.window_ms, start))
+                .max(within(&requests, start - SETTINGS.window_ms / 2, end - SETTINGS.window_ms / 2));
+            let budget = earned * SETTINGS.ratio + SETTINGS.fixed;
+            prop_assert!(spent <= budget, "{spent} repeats on {earned} requests");
+        }
+    }
+}
+
+#[test]
+fn a_service_that_fails_as_a_whole_gets_no_second_tries() {
+    let mut share = RetryShare::new(SETTINGS);
+    for _ in 0..30 {
+        share.note_request("s", 1_000);
+        share.note_end("s", false, 1_000);
+    }
+    assert!(!share.try_repeat("s", 1, 1_000));
+    assert!(share.try_repeat("other", 1, 1_000));
+    for _ in 0..40 {
+        share.note_end("s", true, 1_000);
+    }
+    assert!(share.try_repeat("s", 1, 1_000));
+}
+
+#[test]
+fn what_was_spent_is_forgotten_after_the_window() {
+    let mut share = RetryShare::new(RetrySettings {
+        ratio: 0.0,
+        fixed: 4.0,
+        ..SETTINGS
+    });
+    assert!(share.try_repeat("s", 1, 0));
+    assert!(share.try_repeat("s", 1, 0));
+    assert!(!share.try_repeat("s", 1, 9_000));
+    assert!(share.try_repeat("s", 1, 10_500));
+}
