--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Takes a caller's request to its answer: route, key, placement, attempts.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -63,6 +64,8 @@
     pub(crate) labels: RequestLabels,
     arrived_ms: u64,
     ends_ms: u64,
+    /// Whether the log tells how it ended.
+    has_ended: AtomicBool,
     _in_flight: InFlight,
     _body_memory: BodyMemory,
 }
@@ -209,6 +212,7 @@
         service,
         arrived_ms,
         ends_ms: arrived_ms + waits_ms,
+        has_ended: AtomicBool::new(false),
         _in_flight: in_flight,
         _body_memory: memory,
     })
@@ -250,6 +254,11 @@
 }
 
 impl Job {
+    /// Notes that the log tells how the request ended.
+    pub(crate) fn end(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+    }
+
     /// How long the caller still waits.
     pub(crate) fn left_ms(&self) -> u64 {
         self.ends_ms.saturating_sub(Clock.now_ms())
@@ -276,7 +285,11 @@
     fn check_again(&self) -> Result<Arc<Configuration>, Refusal> {
         let configuration = self.shared.configuration.load_full();
         let configuration = configuration.ok_or_else(|| Refusal::elsewhere("no-configuration"))?;
-        admit(&self.shared, &configuration, &self.facts, self.uri.path())?;
+        let admitted = admit(&self.shared, &configuration, &self.facts, self.uri.path())?;
+        let mut targets = admitted.route.targets.iter();
+        if !targets.any(|target| target.service == self.service) {
+            return Err(Refusal::elsewhere("route-moved"));
+        }
         Ok(configuration)
     }
 
@@ -361,6 +374,20 @@
     }
 }
 
+impl Drop for Job {
+    fn drop(&mut self) {
+        // Whoever drops a request that has not ended does so because its caller left.
+        if !self.has_ended.load(Ordering::Relaxed) {
+            self.shared.metrics.failed("caller-left");
+            note!(
+                Event::CALLER_LEFT,
+                id = self.facts.id,
+                age_ms = self.age_ms()
+            );
+        }
+    }
+}
+
 /// Runs a request's attempts and turns what they end with into the answer.
 async fn run(job: Arc<Job>) -> Response<AnswerBody> {
     let mut attempts = Attempts::default();
@@ -369,7 +396,7 @@
         let answer = match job.attempt(&mut attempts, job.facts.resume_after).await {
             Ok(answer) => answer,
             Err(failure) => {
-                return server_error.unwrap_or_else(|| give_up(&job, &attempts, failure));
+                return pass_on_or_give_up(&job, &attempts, failure, server_error);
             }
         };
         let streams = matches!(job.route.kind, RequestKind::Stream { .. });
@@ -385,13 +412,28 @@
             Err(failure) => failure,
         };
         if !job.may_go_on(&attempts, failure) {
-            return server_error.unwrap_or_else(|| give_up(&job, &attempts, failure));
+            return pass_on_or_give_up(&job, &attempts, failure, server_error);
         }
     }
 }
 
+/// A server's own failure goes to the caller if no other server did better.
+fn pass_on_or_give_up(
+    job: &Job,
+    attempts: &Attempts,
+    failure: AttemptFailure,
+    server_error: Option<Response<AnswerBody>>,
+) -> Response<AnswerBody> {
+    let Some(answer) = server_error else {
+        return give_up(job, attempts, failure);
+    };
+    relay::note_answered(job, answer.status(), attempts.offers);
+    answer
+}
+
 /// The final answer of a request that no server answered.
 fn give_up(job: &Job, attempts: &Attempts, failure: AttemptFailure) -> Response<AnswerBody> {
+    job.end();
     let reason = failure.as_str();
     let leaving = job.shared.leaving_for_ms().is_some();
     if attempts.runs > 0 {
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::stream::unfold;
 use http::response::Parts;
-use http::{Method, Response, header};
+use http::{Method, Response, StatusCode, header};
 use http_body::Frame;
 use http_body_util::BodyExt;
 use sapphiretrack_routing::{EventSplitter, StreamFault};
@@ -81,12 +81,12 @@
     connection.keep(facts.keep_alive_s);
     let failed = head.status.is_server_error();
     placed.note_outcome(failed);
-    note_answered(job, &head, attempts.offers);
     let answer = Response::from_parts(caller_head(job, head), whole(bytes.freeze()));
-    Ok(match failed {
-        true => ReadAnswer::ServerError(answer),
-        false => ReadAnswer::Final(answer),
-    })
+    if failed {
+        return Ok(ReadAnswer::ServerError(answer));
+    }
+    note_answered(job, answer.status(), attempts.offers);
+    Ok(ReadAnswer::Final(answer))
 }
 
 /// Passes on the rest of an answer that is too long to be held.
@@ -111,7 +111,7 @@
                 } = answer.take()?;
                 connection.keep(facts.keep_alive_s);
                 placed.note_outcome(head.status.is_server_error());
-                note_answered(&job, &head, 1);
+                note_answered(&job, head.status, 1);
                 None
             }
             Ok(Some(Err(_))) | Err(_) => {
@@ -230,7 +230,7 @@
         };
         answer.connection.keep(answer.facts.keep_alive_s);
         answer.placed.note_outcome(false);
-        note_answered(&self.job, &answer.head, self.attempts.offers);
+        note_answered(&self.job, answer.head.status, self.attempts.offers);
     }
 
     /// Goes on at another server after the last whole event; false if that is not possible.
@@ -271,18 +271,6 @@
     }
 }
 
-impl Drop for EventRelay {
-    fn drop(&mut self) {
-        if !self.ended {
-            note!(
-                Event::CALLER_LEFT,
-                id = self.job.facts.id,
-                age_ms = self.job.age_ms(),
-            );
-        }
-    }
-}
-
 /// The head of a server's answer as the caller gets it.
 fn caller_head(job: &Job, mut head: Parts) -> Parts {
     strip_connection_headers(&mut head.headers);
@@ -293,6 +281,7 @@
 }
 
 fn cut_off(job: &Job, reason: &'static str) -> CutOff {
+    job.end();
     job.shared.metrics.failed(reason);
     note!(
         Event::FAILED,
@@ -304,12 +293,14 @@
     CutOff { reason }
 }
 
-fn note_answered(job: &Job, head: &Parts, offers: u32) {
+/// Notes that the caller gets a server's whole answer.
+pub(crate) fn note_answered(job: &Job, status: StatusCode, offers: u32) {
+    job.end();
     job.shared.metrics.whole(&job.labels, job.age_ms());
     note!(
         Event::ANSWERED,
         id = job.facts.id,
-        status = head.status.as_u16(),
+        status = status.as_u16(),
         offers = offers,
         age_ms = job.age_ms(),
     );
