Two routers watch the store, the others learn from their beats

Now the routers of the two lowest ranks watch. Beats tell the last change and the store time at which there was no later one; who lacks the change asks once; who hears no proof for 1.6 s asks itself. Routers told each other of one outage again and again, so that servers that were gone stayed in use. Test first: routers_that_tell_each_other_of_an_outage_come_to_an_end, and watch_state (a removal does not show in a whole listing). Ruled out: single lost beats (a change is told again every 250 ms). The margin for keys rises to 1.4 s: a store that drops its history may leave a watch without news for a second.

--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -1,6 +1,7 @@
 //! Beats between routers: small datagrams, sent several times a second and never answered.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 
@@ -57,6 +58,7 @@
     let beat_ms = Duration::from_millis(shared.settings().times.beat_ms);
     let mut sequence = 0;
     let mut next = 0;
+    let mut has_news = true;
     loop {
         sequence += 1;
         let settings = shared.settings();
@@ -70,19 +72,25 @@
             state: shared.state(),
             loads: shared.own_loads(),
             sent_parts: shared.traffic().warm.take_untold(),
+            configuration: shared.configuration_watch().state().news(),
+            servers: shared.servers_watch().state().news(),
         };
         let all = addresses.all(&shared);
         let bytes = bincode::serialize(&beat).unwrap_or_default();
-        for step in 0..all.len().min(BEATS_AT_ONCE) {
+        let count = match has_news {
+            true => all.len(),
+            false => all.len().min(BEATS_AT_ONCE),
+        };
+        for step in 0..count {
             let address = all[(next + step) % all.len()];
             // A lost beat is as good as one that was not sent.
             drop(socket.send_to(&bytes, address).await);
         }
         next = next.wrapping_add(BEATS_AT_ONCE);
-        tokio::select! {
-            () = sleep(beat_ms) => {}
-            () = shared.state_changed.notified() => {}
-        }
+        has_news = tokio::select! {
+            () = sleep(beat_ms) => false,
+            () = shared.state_changed.notified() => true,
+        };
     }
 }
 
@@ -107,6 +115,18 @@
         }
         let now_ms = Clock.now_ms();
         shared.traffic().warm.note_told(&beat.sent_parts, now_ms);
+        let watches = [
+            (shared.configuration_watch(), &beat.configuration),
+            (shared.servers_watch(), &beat.servers),
+        ];
+        for (watch, news) in watches {
+            if watch.state().note_news(news, now_ms) || news.is_settling {
+                watch.news.notify_one();
+            }
+        }
+        if beat.servers.is_settling {
+            shared.peer_settles.store(true, Ordering::Relaxed);
+        }
         let name = beat.name.clone();
         let state = beat.state;
         let mut peers = shared.peers();
--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -4,14 +4,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use sapphiretrack_routing::{Configuration, Incarnation, ServerEntry, ServerList};
+use sapphiretrack_routing::{Configuration, Incarnation, ServerEntry, ServerList, WatchAnswer};
 use tokio::time::sleep;
 
 use crate::beats::BeatAddresses;
 use crate::clock::Clock;
 use crate::events::{Event, note};
 use crate::ports::{Listing, Record, StoreAnswer, StoreError, StorePort};
-use crate::shared::Shared;
+use crate::shared::{Shared, SharedWatch};
 
 /// How long calls must have failed before entries may have lapsed meanwhile. Servers write every
 /// second or so; an outage that is shorter than this lets no entry lapse.
@@ -23,13 +23,18 @@
 /// The time between two lists of the routers later on: beats tell of new ones sooner.
 const LIST_ROUTERS_LATER_MS: u64 = 30_000;
 
-/// Where a watch of one listing stands.
+/// A wait that only news end.
+const FOREVER_MS: u64 = u64::MAX / 2;
+/// The pause after the routers could not be listed.
+const LIST_AGAIN_MS: u64 = 1_000;
+/// How often a waiting router looks whether it has become a watcher.
+const ROLE_CHECK_MS: u64 = 250;
+
+/// A watch of one listing.
 struct Watch {
     shared: Arc<Shared>,
     store: Arc<StorePort>,
     listing: Listing,
-    /// The store's version up to which changes are known; none before a list.
-    version: Option<u64>,
     /// Since when calls fail.
     failing_since_ms: Option<u64>,
     failures: u32,
@@ -50,33 +55,72 @@
             shared,
             store,
             listing,
-            version: None,
             failing_since_ms: None,
             failures: 0,
         }
     }
 
-    /// The next news; waits out failures.
-    async fn next(&mut self, wait_ms: u64) -> News {
+    fn watch(&self) -> &SharedWatch {
+        match self.listing {
+            Listing::Configuration => self.shared.configuration_watch(),
+            Listing::Servers | Listing::Routers => self.shared.servers_watch(),
+        }
+    }
+
+    /// The next news; waits out failures. None if there are none within `limit_ms`.
+    async fn next(&mut self, limit_ms: u64) -> Option<News> {
         loop {
+            let version = self.watch().state().version();
+            let wait_ms = match version {
+                None => 0,
+                Some(_) => self.wait_for_turn(limit_ms).await?,
+            };
             let sent_ms = Clock.now_ms();
-            let is_whole = self.version.is_none();
-            let answer = match self.version {
+            let answer = match version {
                 None => (self.store.list)(self.listing).await,
                 Some(version) => (self.store.watch)(self.listing, version, wait_ms).await,
             };
             self.shared.metrics.store_call(self.listing.as_str());
             match answer {
-                Ok(answer) => return self.take(answer, is_whole, sent_ms),
+                Ok(answer) => return Some(self.take(answer, version.is_none(), sent_ms)),
                 Err(StoreError::HistoryLost) => {
                     note!(Event::HISTORY_LOST, listing = self.listing.as_str());
-                    self.version = None;
+                    self.watch().state().forget_version();
                 }
                 Err(error) => self.wait_out(&error, sent_ms).await,
             }
         }
     }
 
+    /// Waits until this router should ask the store: at once as a watcher, else when another
+    /// router tells of a change or no proof comes any more. How long the store may wait.
+    async fn wait_for_turn(&self, limit_ms: u64) -> Option<u64> {
+        let start_ms = Clock.now_ms();
+        loop {
+            let times = self.shared.settings().times;
+            if self.shared.is_watcher() {
+                return Some(times.watch_ms.min(limit_ms));
+            }
+            let now_ms = Clock.now_ms();
+            let (age_ms, is_behind) = {
+                let state = self.watch().state();
+                (state.age_ms(now_ms).unwrap_or(u64::MAX), state.is_behind())
+            };
+            if is_behind || age_ms >= times.relay_ms {
+                return Some(0);
+            }
+            let left_ms = (start_ms + limit_ms).saturating_sub(now_ms);
+            if left_ms == 0 {
+                return None;
+            }
+            let pause_ms = ROLE_CHECK_MS.min(left_ms).min(times.relay_ms - age_ms);
+            tokio::select! {
+                () = sleep(Duration::from_millis(pause_ms)) => {}
+                () = self.watch().news.notified() => {}
+            }
+        }
+    }
+
     fn take(&mut self, answer: StoreAnswer, is_whole: bool, sent_ms: u64) -> News {
         let now_ms = Clock.now_ms();
         let outage_ms = self
@@ -91,10 +135,17 @@
             );
         }
         self.failures = 0;
-        self.version = Some(answer.version);
-        if self.listing == Listing::Configuration {
-            let mut freshness = self.shared.freshness();
-            freshness.note_answer(sent_ms, now_ms, answer.store_now_ms);
+        self.watch().state().note_answer(&WatchAnswer {
+            is_whole,
+            sent_ms,
+            received_ms: now_ms,
+            version: answer.version,
+            changed_version: answer.changed_version,
+            store_now_ms: answer.store_now_ms,
+        });
+        if !answer.records.is_empty() && !is_whole {
+            // The other routers shall hear of the change at once.
+            self.shared.state_changed.notify_waiters();
         }
         News {
             records: answer.records,
@@ -129,9 +180,9 @@
     let mut watch = Watch::new(shared.clone(), store, Listing::Configuration);
     let mut ready = None;
     loop {
-        let news = watch
-            .next(shared.settings().times.watch_configuration_ms)
-            .await;
+        let Some(news) = watch.next(FOREVER_MS).await else {
+            continue;
+        };
         let changed = !news.records.is_empty();
         for record in news.records {
             match record {
@@ -176,21 +227,24 @@
 pub(crate) async fn watch_servers(shared: Arc<Shared>, store: Arc<StorePort>) {
     let mut watch = Watch::new(shared.clone(), store, Listing::Servers);
     let mut list = ServerList::default();
-    let mut wait_ms = shared.settings().times.watch_servers_ms;
     loop {
-        let news = watch.next(wait_ms).await;
+        let settles = list.is_settling() || list.tells_settling(Clock.now_ms());
+        let limit_ms = if settles {
+            SETTLING_WATCH_MS
+        } else {
+            FOREVER_MS
+        };
+        let news = watch.next(limit_ms).await;
         let now_ms = Clock.now_ms();
-        if news.outage_ms >= OUTAGE_MS {
+        let outage_ms = news.as_ref().map_or(0, |news| news.outage_ms);
+        let peer_settles = shared.peer_settles.swap(false, Ordering::Relaxed);
+        if outage_ms >= OUTAGE_MS {
             list.note_store_back(now_ms);
+        } else if peer_settles {
+            // A router that asked nothing during an outage learns of it from those that did.
+            list.note_peer_settling(now_ms);
         }
-        let changed = !news.records.is_empty();
-        if news.is_whole {
-            take_whole(&mut list, news.records, now_ms);
-        } else {
-            news.records
-                .into_iter()
-                .for_each(|record| take_change(&mut list, record, now_ms));
-        }
+        let changed = news.is_some_and(|news| take_servers(&mut list, news, now_ms));
         for id in list.settle(now_ms) {
             note!(
                 Event::SERVER_LEAVING,
@@ -198,17 +252,28 @@
                 reason = "did-not-come-back"
             );
         }
+        let tells = list.tells_settling(now_ms);
+        shared.servers_watch().state().set_settling(tells);
         publish(&shared, &list);
-        wait_ms = match list.is_settling() {
-            true => SETTLING_WATCH_MS,
-            false => shared.settings().times.watch_servers_ms,
-        };
         if changed {
             watch.pause().await;
         }
     }
 }
 
+/// Takes news in; whether there were any.
+fn take_servers(list: &mut ServerList, news: News, now_ms: u64) -> bool {
+    let changed = !news.records.is_empty();
+    if news.is_whole {
+        take_whole(list, news.records, now_ms);
+        return changed;
+    }
+    for record in news.records {
+        take_change(list, record, now_ms);
+    }
+    changed
+}
+
 fn take_whole(list: &mut ServerList, records: Vec<Record>, now_ms: u64) {
     let mut entries = Vec::new();
     for record in records {
@@ -275,12 +340,18 @@
         sleep(Duration::from_millis(pause_ms)).await;
     }
     shared.metrics.store_call("registration");
-    let mut watch = Watch::new(shared.clone(), store, Listing::Routers);
     let mut pauses = LIST_ROUTERS_MS.into_iter();
     loop {
-        watch.version = None;
-        let news = watch.next(0).await;
-        let routers = news.records.into_iter().filter_map(|record| match record {
+        let records = match (store.list)(Listing::Routers).await {
+            Ok(answer) => answer.records,
+            Err(error) => {
+                note!(Event::STORE_LOST, listing = "routers", error = error);
+                sleep(Duration::from_millis(LIST_AGAIN_MS)).await;
+                continue;
+            }
+        };
+        shared.metrics.store_call(Listing::Routers.as_str());
+        let routers = records.into_iter().filter_map(|record| match record {
             Record::Router { beat_address, .. } => Some(beat_address),
             other => {
                 note_useless(&other);
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -138,6 +138,8 @@
     pub records: Vec<Record>,
     /// The version of the store that they show; a watch goes on from it.
     pub version: u64,
+    /// The version of the last change among the records.
+    pub changed_version: Option<u64>,
     /// The store's steady clock when it answered.
     pub store_now_ms: u64,
 }
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -45,12 +45,12 @@
     /// How long a connection to a backend server may take. A round trip takes 1 ms and the
     /// server's part 1 ms; a lost opening packet is sent again only after a second.
     pub connect_ms: u64,
-    /// How long a watch of the configuration waits: with the way there and a repeat after a
-    /// silent connection it stays under the bound for keys and for configurations.
-    pub watch_configuration_ms: u64,
-    /// How long a watch of the backend servers waits: a silent connection must show before a
-    /// leaving server ends.
-    pub watch_servers_ms: u64,
+    /// How long a watch waits at the store: its end proves to all routers that there was no
+    /// change, so it must come well within the time in which a configuration must be in force.
+    pub watch_ms: u64,
+    /// The age of the last proof at which a router asks the store itself, since the watchers
+    /// seem lost: a watch, its way and a beat, with a margin for one lost beat.
+    pub relay_ms: u64,
     /// How much longer than its wait a call to the store may take.
     pub store_slack_ms: u64,
     /// The pause before the next watch after a change, so that many changes in a row cost few
@@ -60,8 +60,9 @@
     pub store_retry_ms: u64,
     /// The time between two beats: a load that others see is this old at most.
     pub beat_ms: u64,
-    /// The time that is kept free of the bound for keys: the way from a check to the server, and
-    /// the error of clocks.
+    /// The time that is kept free of the bound for keys: a watch that a store which drops its
+    /// history leaves without news for a second, the way from a check to the server, and the
+    /// error of clocks.
     pub key_margin_ms: u64,
 }
 
@@ -69,13 +70,13 @@
     fn default() -> Self {
         Self {
             connect_ms: 250,
-            watch_configuration_ms: 1_500,
-            watch_servers_ms: 2_000,
+            watch_ms: 1_000,
+            relay_ms: 1_600,
             store_slack_ms: 600,
             change_pause_ms: 200,
             store_retry_ms: 100,
             beat_ms: 250,
-            key_margin_ms: 600,
+            key_margin_ms: 1_400,
         }
     }
 }
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -7,8 +7,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
-    Configuration, Freshness, Incarnation, PeerTable, RetryShare, RouterState, ServerEntry,
-    ServerHealth, ServerLoad, WarmParts,
+    Configuration, Incarnation, PeerTable, RetryShare, RouterState, ServerEntry, ServerHealth,
+    ServerLoad, WarmParts, WatchState,
 };
 use tokio::sync::Notify;
 
@@ -31,6 +31,8 @@
     pub(crate) servers: ArcSwap<ServersByService>,
     /// The load that other routers put on servers: requests and unread prompt tokens.
     pub(crate) peer_loads: ArcSwap<HashMap<Incarnation, (u32, u64)>>,
+    /// Whether another router gives entries time to come back after an outage of the store.
+    pub(crate) peer_settles: AtomicBool,
     /// Whether the servers were read at least once.
     pub(crate) servers_known: AtomicBool,
     /// Counters and histograms.
@@ -39,7 +41,8 @@
     pub(crate) pool: ServerPool,
     /// Wakes whoever waits for a change of this router's own state.
     pub(crate) state_changed: Notify,
-    freshness: Mutex<Freshness>,
+    configuration_watch: SharedWatch,
+    servers_watch: SharedWatch,
     peers: Mutex<PeerTable>,
     traffic: Mutex<Traffic>,
     leaving_since_ms: AtomicU64,
@@ -60,6 +63,24 @@
     pub(crate) drain: HashMap<String, DrainRate>,
 }
 
+/// Routers that keep watches open: one more than may fail in the same second.
+const WATCHERS: usize = 2;
+
+/// How far a listing of the store is known.
+#[derive(Default)]
+pub(crate) struct SharedWatch {
+    state: Mutex<WatchState>,
+    /// Wakes the watch when another router tells of a change.
+    pub(crate) news: Notify,
+}
+
+impl SharedWatch {
+    /// Its state.
+    pub(crate) fn state(&self) -> MutexGuard<'_, WatchState> {
+        lock(&self.state)
+    }
+}
+
 /// A request that this router has, until it is dropped.
 pub(crate) struct InFlight(Arc<Shared>);
 
@@ -78,11 +99,13 @@
             configuration: ArcSwapOption::empty(),
             servers: ArcSwap::default(),
             peer_loads: ArcSwap::default(),
+            peer_settles: AtomicBool::new(false),
             servers_known: AtomicBool::new(false),
             metrics: Metrics::new(),
             pool: ServerPool::default(),
             state_changed: Notify::new(),
-            freshness: Mutex::default(),
+            configuration_watch: SharedWatch::default(),
+            servers_watch: SharedWatch::default(),
             peers: Mutex::default(),
             traffic: Mutex::new(Traffic {
                 health: HashMap::new(),
@@ -119,9 +142,20 @@
         self.settings.store(Arc::new(settings));
     }
 
-    /// The proof that the configuration is new.
-    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
-        lock(&self.freshness)
+    /// How far this router knows the configuration.
+    pub(crate) fn configuration_watch(&self) -> &SharedWatch {
+        &self.configuration_watch
+    }
+
+    /// How far this router knows the backend servers.
+    pub(crate) fn servers_watch(&self) -> &SharedWatch {
+        &self.servers_watch
+    }
+
+    /// Whether this router is one of the few that keep watches open at the store.
+    pub(crate) fn is_watcher(&self) -> bool {
+        let rank = self.peers().rank(&self.settings().name, Clock.now_ms());
+        rank < WATCHERS
     }
 
     /// The other routers.
@@ -136,7 +170,7 @@
 
     /// How old the proof is that the configuration is the newest.
     pub(crate) fn configuration_age_ms(&self) -> Option<u64> {
-        self.freshness().age_ms(Clock.now_ms())
+        self.configuration_watch.state().age_ms(Clock.now_ms())
     }
 
     /// Whether keys may be believed now.
--- a/crates/sapphiretrack-routing/src/freshness.rs
+++ b/crates/sapphiretrack-routing/src/freshness.rs
@@ -34,6 +34,17 @@
         self.proven_ms = Some(self.proven_ms.map_or(proven, |before| before.max(proven)));
     }
 
+    /// Notes that another router had an answer that the store made at this time of its clock, and
+    /// that showed nothing newer than what this router has.
+    pub fn note_proof(&mut self, store_ms: u64, now_ms: u64) {
+        // Without an answer of its own a router does not know the store's clock.
+        let Some(offset) = self.offset_ms else {
+            return;
+        };
+        let proven = (store_ms as i64 + offset).clamp(0, now_ms as i64) as u64;
+        self.proven_ms = Some(self.proven_ms.map_or(proven, |before| before.max(proven)));
+    }
+
     /// How long ago the last proof was; none before the first.
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
         self.proven_ms.map(|proven| now_ms.saturating_sub(proven))
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod server_list;
 mod stop;
 mod warmth;
+mod watch_state;
 
 pub use configuration::{ClientLimits, Configuration, Route, RouteError, Service, Target, Tenant};
 pub use event_stream::{EventSplitter, StreamEvent, StreamFault};
@@ -23,3 +24,4 @@
 pub use server_list::{Incarnation, ListedServer, ServerEntry, ServerList, ServerState};
 pub use stop::{StopPhase, StopTimes};
 pub use warmth::{SentPart, WarmParts};
+pub use watch_state::{WatchAnswer, WatchNews, WatchState};
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
+use sapphiretrack_core::RouterId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Incarnation, SentPart};
+use crate::{Incarnation, SentPart, WatchNews};
 
 /// Whether callers may be sent to a router.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -50,6 +51,10 @@
     pub loads: Vec<ServerLoad>,
     /// Shared prompt parts that it sent since its last beat.
     pub sent_parts: Vec<SentPart>,
+    /// What it knows of the configuration.
+    pub configuration: WatchNews,
+    /// What it knows of the backend servers.
+    pub servers: WatchNews,
 }
 
 /// The routers that were heard of.
@@ -118,6 +123,16 @@
         ready.collect()
     }
 
+    /// How many live routers come before this one in the order that all of them agree on.
+    pub fn rank(&self, own_name: &str, now_ms: u64) -> usize {
+        let own = RouterId::from_name(own_name);
+        let live = self.peers.iter().filter(|(_, peer)| {
+            peer.beat.state != RouterState::Leaving && now_ms < peer.heard_ms + Self::ALIVE_MS
+        });
+        live.filter(|(name, _)| RouterId::from_name(name) < own)
+            .count()
+    }
+
     /// How many other routers may exist.
     pub fn may_exist(&self) -> usize {
         self.peers.len()
--- a/crates/sapphiretrack-routing/src/server_list.rs
+++ b/crates/sapphiretrack-routing/src/server_list.rs
@@ -64,18 +64,41 @@
     drained: HashSet<Incarnation>,
     /// Until when a missing entry may still come back after an outage of the store.
     settling_until_ms: u64,
+    /// Until when the other routers are told of it.
+    telling_until_ms: u64,
 }
 
 impl ServerList {
     /// How long entries that lapsed during an outage may take to come back, by the store's
     /// contract, with a tenth for the way.
     const SETTLE_MS: u64 = 2_200;
+    /// The same where only another router met an outage: its cause may have been that router's
+    /// own, and then a server that is gone must not be used two seconds later.
+    const PEER_SETTLE_MS: u64 = 1_800;
+    /// How long others are told of an outage: three beats, so that one hears it for sure.
+    const TELL_MS: u64 = 750;
     /// The most drained incarnations that are remembered.
     const MAX_DRAINED: usize = 10_000;
 
-    /// Notes that the store answers again after an outage.
+    /// Notes that the store answers this router again after an outage.
     pub fn note_store_back(&mut self, now_ms: u64) {
         self.settling_until_ms = now_ms + Self::SETTLE_MS;
+        self.telling_until_ms = now_ms + Self::TELL_MS;
+    }
+
+    /// Notes that another router met an outage, of which this one may have seen nothing.
+    ///
+    /// It is not told on, and told once more it changes nothing: routers that tell each other
+    /// of one outage again and again would never drop a server that is gone.
+    pub fn note_peer_settling(&mut self, now_ms: u64) {
+        if now_ms >= self.settling_until_ms {
+            self.settling_until_ms = now_ms + Self::PEER_SETTLE_MS;
+        }
+    }
+
+    /// Whether the other routers are to be told of an outage.
+    pub fn tells_settling(&self, now_ms: u64) -> bool {
+        now_ms < self.telling_until_ms
     }
 
     /// Takes in an entry. Returns true if the server was not known as leaving and is now.
--- /dev/null
+++ b/crates/sapphiretrack-routing/src/watch_state.rs
@@ -0,0 +1,114 @@
+//! How far a router knows a listing of the store, and what it learns of it from other routers.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Freshness;
+
+/// What a router tells the others of a listing.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct WatchNews {
+    /// The store's version at the last change that it knows.
+    pub changed_version: u64,
+    /// The time of the store's clock at which there was no later change.
+    pub proven_store_ms: Option<u64>,
+    /// Whether entries that lapsed during an outage may still come back.
+    pub is_settling: bool,
+}
+
+/// One listing as a router knows it.
+///
+/// Few routers keep a watch open at the store. They tell the others the version of the last change
+/// and when there was none later. Who has that change is as new as the watcher; who lacks it
+/// asks the store once. So the store's calls grow with changes, not with time and routers.
+#[derive(Clone, Debug, Default)]
+pub struct WatchState {
+    freshness: Freshness,
+    version: Option<u64>,
+    news: WatchNews,
+    is_behind: bool,
+}
+
+/// An answer of the store, as far as it tells how new a listing is.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchAnswer {
+    /// Whether it is the whole listing, which does not show what was removed before.
+    pub is_whole: bool,
+    /// When the call was sent.
+    pub sent_ms: u64,
+    /// When its answer came.
+    pub received_ms: u64,
+    /// The version up to which all changes are known with it.
+    pub version: u64,
+    /// The version of the last change in it, if it holds any.
+    pub changed_version: Option<u64>,
+    /// The store's clock.
+    pub store_now_ms: u64,
+}
+
+impl WatchState {
+    /// Notes an answer of the store.
+    pub fn note_answer(&mut self, answer: &WatchAnswer) {
+        let sent_ms = answer.sent_ms;
+        self.freshness
+            .note_answer(sent_ms, answer.received_ms, answer.store_now_ms);
+        self.version = Some(answer.version);
+        self.is_behind = false;
+        // A removal does not show in a whole listing: any version up to it may be the last change.
+        let changed = match answer.is_whole {
+            true => answer.version,
+            false => answer.changed_version.unwrap_or(0),
+        };
+        self.news.changed_version = self.news.changed_version.max(changed);
+        self.news.proven_store_ms = Some(answer.store_now_ms);
+    }
+
+    /// Takes in what another router tells; true if the store must be asked.
+    pub fn note_news(&mut self, news: &WatchNews, now_ms: u64) -> bool {
+        let Some(version) = self.version else {
+            return false;
+        };
+        if news.changed_version > version {
+            self.is_behind = true;
+            return true;
+        }
+        if let Some(store_ms) = news.proven_store_ms {
+            self.freshness.note_proof(store_ms, now_ms);
+            // A proof holds only together with the change that it was given for.
+            let changed = news.changed_version;
+            self.news.changed_version = self.news.changed_version.max(changed);
+            let known = self.news.proven_store_ms;
+            self.news.proven_store_ms = Some(known.map_or(store_ms, |known| known.max(store_ms)));
+        }
+        false
+    }
+
+    /// Notes whether entries may still come back.
+    pub fn set_settling(&mut self, is_settling: bool) {
+        self.news.is_settling = is_settling;
+    }
+
+    /// Forgets how far it is known: it will be listed anew.
+    pub fn forget_version(&mut self) {
+        self.version = None;
+    }
+
+    /// The version from which a watch goes on.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Whether another router told of a change that is not known here.
+    pub fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
+    /// What to tell the others.
+    pub fn news(&self) -> WatchNews {
+        self.news
+    }
+
+    /// How long ago it was the newest for sure.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.freshness.age_ms(now_ms)
+    }
+}
--- a/crates/sapphiretrack-routing/tests/event_stream.rs
+++ b/crates/sapphiretrack-routing/tests/event_stream.rs
@@ -3,7 +3,10 @@
 use proptest::prelude::*;
 use sapphiretrack_routing::{EventSplitter, StreamFault};
 
-fn all_events(splitter: &mut EventSplitter) -> Result<Vec<(Option<u64>, Vec<u8>)>, StreamFault> {
+/// An event's id and bytes.
+type Event = (Option<u64>, Vec<u8>);
+
+fn all_events(splitter: &mut EventSplitter) -> Result<Vec<Event>, StreamFault> {
     let mut events = Vec::new();
     while let Some(event) = splitter.next_event()? {
         events.push((event.id, event.bytes.to_vec()));
--- a/crates/sapphiretrack-routing/tests/peers.rs
+++ b/crates/sapphiretrack-routing/tests/peers.rs
@@ -1,6 +1,6 @@
 //! Other routers, by their beats.
 
-use sapphiretrack_routing::{Beat, Incarnation, PeerTable, RouterState, ServerLoad};
+use sapphiretrack_routing::{Beat, Incarnation, PeerTable, RouterState, ServerLoad, WatchNews};
 
 fn beat(name: &str, incarnation: u64, sequence: u64, state: RouterState) -> Beat {
     Beat {
@@ -17,6 +17,8 @@
             prefill_tokens: 100,
         }],
         sent_parts: Vec::new(),
+        configuration: WatchNews::default(),
+        servers: WatchNews::default(),
     }
 }
 
@@ -60,3 +62,22 @@
     assert_eq!(peers.loads(1_600)[&Incarnation(7)], (4, 200));
     assert_eq!(peers.loads(2_100)[&Incarnation(7)], (2, 100));
 }
+
+#[test]
+fn live_routers_agree_on_one_order() {
+    let names = ["a", "b", "c", "d", "e"];
+    let rank = |own: &str, dead: &str| {
+        let mut peers = PeerTable::default();
+        for name in names.iter().filter(|name| **name != own && **name != dead) {
+            peers.note(beat(name, 1, 1, RouterState::Ready), 0);
+        }
+        peers.rank(own, 500)
+    };
+    for dead in ["", "a", "c"] {
+        let live = names.iter().filter(|name| **name != dead);
+        let mut ranks: Vec<usize> = live.map(|name| rank(name, dead)).collect();
+        ranks.sort_unstable();
+        let expected: Vec<usize> = (0..ranks.len()).collect();
+        assert_eq!(ranks, expected);
+    }
+}
--- a/crates/sapphiretrack-routing/tests/server_list.rs
+++ b/crates/sapphiretrack-routing/tests/server_list.rs
@@ -80,6 +80,44 @@
     assert!(list.is_empty());
 }
 
+#[test]
+fn routers_that_tell_each_other_of_an_outage_come_to_an_end() {
+    let mut lists = [
+        ServerList::default(),
+        ServerList::default(),
+        ServerList::default(),
+    ];
+    for list in &mut lists {
+        list.upsert(entry("a", 1, ServerState::Ready));
+    }
+    lists[0].note_store_back(10_000);
+    let mut dropped_ms = [None; 3];
+    for now_ms in (10_000..20_000).step_by(50) {
+        let tells = lists.each_ref().map(|list| list.tells_settling(now_ms));
+        for (index, list) in lists.iter_mut().enumerate() {
+            if (0..3).any(|other| other != index && tells[other]) {
+                list.note_peer_settling(now_ms);
+            }
+            list.remove("a", now_ms);
+            list.settle(now_ms);
+            if list.is_empty() {
+                dropped_ms[index].get_or_insert(now_ms);
+            }
+        }
+    }
+    for (index, dropped_ms) in dropped_ms.into_iter().enumerate() {
+        let dropped_ms = dropped_ms.expect("a server that is gone is dropped");
+        assert!(
+            dropped_ms >= 11_800,
+            "router {index} gave entries no time to come back"
+        );
+        assert!(
+            dropped_ms <= 12_400,
+            "router {index} kept a server until {dropped_ms}"
+        );
+    }
+}
+
 proptest! {
     /// Whatever order news come in: once an incarnation was seen draining it is never listed.
     #[test]
--- /dev/null
+++ b/crates/sapphiretrack-routing/tests/watch_state.rs
@@ -0,0 +1,120 @@
+//! What routers learn of the store from each other never claims more than the store said.
+
+use proptest::prelude::*;
+use sapphiretrack_routing::{WatchAnswer, WatchState};
+
+/// A store whose versions rise at known times of its clock.
+#[derive(Default)]
+struct Store {
+    /// Version, time, and whether a record was removed.
+    changes: Vec<(u64, u64, bool)>,
+}
+
+impl Store {
+    fn version(&self) -> u64 {
+        self.changes.last().map_or(1, |(version, ..)| *version)
+    }
+
+    fn answer(&self, state: &WatchState, local_ms: u64, store_ms: u64) -> WatchAnswer {
+        let after = state.version().unwrap_or(0);
+        let is_whole = state.version().is_none();
+        let mut changes = self.changes.iter().rev();
+        let changed =
+            changes.find(|(version, _, removed)| *version > after && !(is_whole && *removed));
+        WatchAnswer {
+            is_whole,
+            sent_ms: local_ms - 2,
+            received_ms: local_ms + 2,
+            version: self.version(),
+            changed_version: changed.map(|(version, ..)| *version),
+            store_now_ms: store_ms,
+        }
+    }
+}
+
+proptest! {
+    /// Router 0 asks the store, the others mostly hear of it. Clocks differ, beats come late and
+    /// in any order. A router that claims an age must know all changes up to that moment.
+    #[test]
+    fn no_router_claims_to_be_newer_than_it_is(
+        steps in prop::collection::vec((0_u8..6, 0_usize..3, 1_u64..400, 0_usize..8), 1..200),
+    ) {
+        let offsets = [5_000_u64, 900_000, 70_000];
+        let mut store = Store::default();
+        let mut routers = [WatchState::default(), WatchState::default(), WatchState::default()];
+        let mut beats = Vec::new();
+        let mut store_ms = 10_000;
+        for (step, router, pause_ms, pick) in steps {
+            store_ms += pause_ms;
+            let local_ms = store_ms + offsets[router];
+            match step {
+                0 => store.changes.push((store.version() + 3, store_ms, pick % 2 == 0)),
+                1 => {
+                    let answer = store.answer(&routers[router], local_ms, store_ms);
+                    routers[router].note_answer(&answer);
+                }
+                2 | 3 => beats.push(routers[router].news()),
+                _ if beats.is_empty() => {}
+                _ => {
+                    let news = beats[pick % beats.len()];
+                    routers[router].note_news(&news, local_ms);
+                }
+            }
+            for (state, offset) in routers.iter().zip(offsets) {
+                let Some(age_ms) = state.age_ms(store_ms + offset) else {
+                    continue;
+                };
+                // The bound on the clocks is off by the way of a call at most, to the safe side.
+                let claimed_ms = store_ms - age_ms;
+                let known = state.version().unwrap_or(0);
+                let missed = store.changes.iter().find(|(version, ..)| *version > known);
+                if let Some((version, changed_ms, _)) = missed {
+                    prop_assert!(
+                        *changed_ms >= claimed_ms,
+                        "claims {claimed_ms}, misses version {version} of {changed_ms}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn one_that_lacks_a_change_asks_and_one_that_has_it_does_not() {
+    let mut watcher = WatchState::default();
+    let mut other = WatchState::default();
+    let answer = WatchAnswer {
+        is_whole: false,
+        sent_ms: 100,
+        received_ms: 104,
+        version: 10,
+        changed_version: Some(7),
+        store_now_ms: 1_000,
+    };
+    watcher.note_answer(&answer);
+    other.note_answer(&answer);
+    watcher.note_answer(&WatchAnswer {
+        is_whole: false,
+        sent_ms: 110,
+        received_ms: 1_114,
+        version: 12,
+        changed_version: None,
+        store_now_ms: 2_010,
+    });
+    assert!(!other.note_news(&watcher.news(), 1_120));
+    assert!(other.age_ms(1_120).expect("known") < 20);
+    watcher.note_answer(&WatchAnswer {
+        is_whole: false,
+        sent_ms: 1_120,
+        received_ms: 1_500,
+        version: 13,
+        changed_version: Some(13),
+        store_now_ms: 2_400,
+    });
+    assert!(other.note_news(&watcher.news(), 1_510));
+    assert!(other.is_behind());
+    assert!(
+        other.age_ms(1_510).expect("known") > 380,
+        "the old proof stays, no newer one counts"
+    );
+}
