A router that starts learns which servers hold which prompt parts

Now one that starts asks a router that knows; if all started, the first lists the engines' caches (a probe each) and tells the others.

--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 
-use sapphiretrack_routing::Beat;
+use sapphiretrack_routing::{Beat, RouterMessage, WarmParts};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -16,6 +16,8 @@
 /// The most beats that are sent at once: with more routers each beat goes to the next of them in
 /// turn, so that the cost of a router does not grow with the fleet.
 const BEATS_AT_ONCE: usize = 24;
+/// The most parts that are told to a router that starts: 32 datagrams.
+const MAX_TOLD_PARTS: usize = 2_048;
 /// The longest datagram: the load of a few hundred servers.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -71,12 +73,13 @@
             beat_address: settings.beat_address,
             state: shared.state(),
             loads: shared.own_loads(),
+            knows_parts: shared.parts_recovery().knows(Clock.now_ms()),
             sent_parts: shared.traffic().warm.take_untold(),
             configuration: shared.configuration_watch().state().news(),
             servers: shared.servers_watch().state().news(),
         };
         let all = addresses.all(&shared);
-        let bytes = bincode::serialize(&beat).unwrap_or_default();
+        let bytes = encode(&RouterMessage::Beat(Box::new(beat)));
         let count = match has_news {
             true => all.len(),
             false => all.len().min(BEATS_AT_ONCE),
@@ -94,6 +97,22 @@
     }
 }
 
+/// A message as a datagram.
+pub(crate) fn encode(message: &RouterMessage) -> Vec<u8> {
+    // Numbers, texts and lists always have a form.
+    bincode::serialize(message).unwrap_or_default()
+}
+
+/// Tells another router the newest prompt parts.
+async fn tell_parts(shared: &Shared, socket: &UdpSocket, reply_to: SocketAddr) {
+    let parts = shared.traffic().warm.newest(MAX_TOLD_PARTS, Clock.now_ms());
+    for chunk in parts.chunks(WarmParts::PARTS_IN_DATAGRAM) {
+        let message = encode(&RouterMessage::Parts(chunk.to_vec()));
+        // What is lost on the way is read again by a server, no more.
+        drop(socket.send_to(&message, reply_to).await);
+    }
+}
+
 /// Takes in the beats of others until the process ends.
 pub(crate) async fn hear_beats(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -103,13 +122,25 @@
             // An earlier datagram met a closed port; the next call receives again.
             continue;
         };
-        let beat: Beat = match bincode::deserialize(&buffer[..length]) {
-            Ok(beat) => beat,
+        let message = match bincode::deserialize(&buffer[..length]) {
+            Ok(message) => message,
             Err(error) => {
                 note!(Event::BEAT_UNREADABLE, from = from, error = error);
                 continue;
             }
         };
+        let beat: Beat = match message {
+            RouterMessage::Beat(beat) => *beat,
+            RouterMessage::AskParts { reply_to } => {
+                tell_parts(&shared, &socket, reply_to).await;
+                continue;
+            }
+            RouterMessage::Parts(parts) => {
+                shared.traffic().warm.note_told(&parts, Clock.now_ms());
+                shared.parts_recovery().note_told();
+                continue;
+            }
+        };
         if beat.name == shared.settings().name {
             continue;
         }
--- a/crates/sapphiretrack-router/src/events.rs
+++ b/crates/sapphiretrack-router/src/events.rs
@@ -66,6 +66,10 @@
     SERVER_LEAVING = 621, Info, "backend server leaving or gone";
     /// No connection to a backend server can be made.
     SERVER_UNREACHABLE = 622, Warn, "backend server unreachable";
+    /// A backend server did not tell which prompt parts it holds.
+    PARTS_NOT_LISTED = 623, Warn, "prompt parts not listed";
+    /// The backend servers told which prompt parts they hold.
+    PARTS_LISTED = 624, Info, "prompt parts listed";
     /// Another router was heard of, came back or changed its state.
     PEER_CHANGED = 630, Info, "router heard of";
     /// Another router was not heard of for long.
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -13,6 +13,7 @@
 mod logging;
 mod lookups;
 mod metrics;
+mod parts;
 mod placing;
 mod ports;
 mod relay;
@@ -26,8 +27,8 @@
 pub use http_call::{CallError, HttpCaller};
 pub use logging::{dropped_log_lines, start_logging};
 pub use ports::{
-    AnswerFacts, AttemptHeaders, BadRequest, Interface, Listing, Lookup, ReadSettings, Record,
-    StoreAnswer, StoreError, StorePort, WatchCall,
+    AnswerFacts, AttemptHeaders, BadRequest, Interface, ListParts, Listing, Lookup, Ports,
+    ReadSettings, Record, StoreAnswer, StoreError, StorePort, WatchCall,
 };
 pub use router::{RunError, run};
 pub use settings::{RouterSettings, Times};
--- /dev/null
+++ b/crates/sapphiretrack-router/src/parts.rs
@@ -0,0 +1,80 @@
+//! Learns after a start which servers hold which prompt parts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use rand::RngExt;
+use sapphiretrack_routing::{PartsStep, RouterMessage, SentPart};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::beats::encode;
+use crate::clock::Clock;
+use crate::events::{Event, note};
+use crate::ports::ListParts;
+use crate::shared::Shared;
+
+/// Asks routers, or the servers if no router knows, until this router knows.
+pub(crate) async fn recover_parts(
+    shared: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    list_parts: ListParts,
+) {
+    loop {
+        let now_ms = Clock.now_ms();
+        if shared.parts_recovery().knows(now_ms) {
+            return;
+        }
+        let knowers = shared.peers().parts_knowers(now_ms);
+        let rank = shared.peers().rank(&shared.settings().name, now_ms);
+        let draw = rand::rng().random();
+        let step = shared
+            .parts_recovery()
+            .next_step(&knowers, rank, draw, now_ms);
+        match step {
+            PartsStep::Wait => {}
+            PartsStep::AskRouter(router) => {
+                let reply_to = shared.settings().beat_address;
+                let message = encode(&RouterMessage::AskParts { reply_to });
+                // A lost question is asked again with the next beat.
+                drop(socket.send_to(&message, router).await);
+            }
+            PartsStep::AskServers => {
+                ask_servers(&shared, &list_parts).await;
+                shared.parts_recovery().note_told();
+            }
+        }
+        sleep(Duration::from_millis(shared.settings().times.beat_ms)).await;
+    }
+}
+
+/// Lists the parts that the engines hold.
+async fn ask_servers(shared: &Shared, list_parts: &ListParts) {
+    let Some(configuration) = shared.configuration.load_full() else {
+        return;
+    };
+    let services = shared.servers.load_full();
+    let engines = services.iter().filter(|(service, _)| {
+        let service = configuration.service(service);
+        service.is_some_and(|service| service.is_engine)
+    });
+    let engines: Vec<_> = engines.flat_map(|(_, servers)| servers).collect();
+    let lists = join_all(engines.iter().map(|engine| list_parts(engine))).await;
+    let mut known = 0;
+    for (engine, list) in engines.iter().zip(lists) {
+        match list {
+            Ok(parts) => {
+                let server = engine.incarnation.0;
+                let sent = parts.into_iter().map(|part| SentPart { server, part });
+                let sent: Vec<SentPart> = sent.collect();
+                known += sent.len();
+                shared.traffic().warm.note_told(&sent, Clock.now_ms());
+            }
+            Err(error) => {
+                note!(Event::PARTS_NOT_LISTED, server = engine.id, error = error);
+            }
+        }
+    }
+    note!(Event::PARTS_LISTED, servers = engines.len(), parts = known);
+}
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -167,6 +167,20 @@
 /// Reads the settings again: none if they are as they were, or what is wrong with them.
 pub type ReadSettings = Box<dyn Fn() -> Result<Option<RouterSettings>, String> + Send + Sync>;
 
+/// Asks a backend server which prompt parts it holds: their ids.
+pub type ListParts =
+    Box<dyn Fn(&ServerEntry) -> BoxFuture<'static, Result<Vec<u64>, String>> + Send + Sync>;
+
+/// What the router asks of the world beside traffic.
+pub struct Ports {
+    /// Calls to the store.
+    pub store: StorePort,
+    /// Reads the settings again.
+    pub read_settings: ReadSettings,
+    /// Asks a backend server for its cached parts.
+    pub list_parts: ListParts,
+}
+
 /// Calls to the store.
 pub struct StorePort {
     /// All records of a listing.
--- a/crates/sapphiretrack-router/src/router.rs
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -17,7 +17,8 @@
 use crate::events::{Event, note};
 use crate::front::serve_callers;
 use crate::lookups::serve_questions;
-use crate::ports::{Interface, ReadSettings, StorePort};
+use crate::parts::recover_parts;
+use crate::ports::{Interface, Ports, ReadSettings};
 use crate::settings::RouterSettings;
 use crate::shared::Shared;
 
@@ -56,22 +57,14 @@
 }
 
 /// Runs a router until its planned stop ends: one thread for control state, this one for traffic.
-pub fn run(
-    settings: RouterSettings,
-    interface: Interface,
-    store: StorePort,
-    read_settings: ReadSettings,
-) -> Result<(), RunError> {
+pub fn run(settings: RouterSettings, interface: Interface, ports: Ports) -> Result<(), RunError> {
     let shared = Arc::new(Shared::new(settings));
     let control = runtime()?;
     let traffic = runtime()?;
-    let store = Arc::new(store);
     {
         let shared = shared.clone();
         std::thread::spawn(move || {
-            if let Err(error) =
-                control.block_on(run_control(shared, interface, store, read_settings))
-            {
+            if let Err(error) = control.block_on(run_control(shared, interface, ports)) {
                 eprintln!("{error}");
                 std::process::exit(1);
             }
@@ -83,9 +76,9 @@
 async fn run_control(
     shared: Arc<Shared>,
     interface: Interface,
-    store: Arc<StorePort>,
-    read_settings: ReadSettings,
+    ports: Ports,
 ) -> Result<(), RunError> {
+    let store = Arc::new(ports.store);
     let settings = shared.settings();
     let beat_address = settings.beat_address;
     let socket = UdpSocket::bind(beat_address).await;
@@ -110,7 +103,8 @@
         addresses.clone(),
     ));
     tokio::spawn(hear_beats(shared.clone(), socket.clone()));
-    tokio::spawn(send_beats(shared.clone(), socket, addresses));
+    tokio::spawn(send_beats(shared.clone(), socket.clone(), addresses));
+    tokio::spawn(recover_parts(shared.clone(), socket, ports.list_parts));
     note!(
         Event::STARTED,
         router = settings.name,
@@ -119,7 +113,7 @@
         version = env!("CARGO_PKG_VERSION"),
     );
     let hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
-    tokio::spawn(watch_settings(shared.clone(), hangup, read_settings));
+    tokio::spawn(watch_settings(shared.clone(), hangup, ports.read_settings));
     let mut stop = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     stop.recv().await;
     note!(Event::STOPPING, in_flight = shared.in_flight());
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -27,6 +27,8 @@
     pub lookup_ttl_s: u64,
     /// The time from a stop signal to the kill.
     pub grace_ms: u64,
+    /// Whether the whole fleet starts for the first time, so that no server holds anything.
+    pub is_first_start: bool,
     /// The fleet's retry budget.
     pub retry: RetrySettings,
     /// Costs that rule placement.
@@ -60,10 +62,6 @@
     pub store_retry_ms: u64,
     /// The time between two beats: a load that others see is this old at most.
     pub beat_ms: u64,
-    /// The time that is kept free of the bound for keys: a watch that a store which drops its
-    /// history leaves without news for a second, the way from a check to the server, and the
-    /// error of clocks.
-    pub key_margin_ms: u64,
 }
 
 impl Default for Times {
@@ -76,7 +74,6 @@
             change_pause_ms: 200,
             store_retry_ms: 100,
             beat_ms: 250,
-            key_margin_ms: 1_400,
         }
     }
 }
@@ -95,6 +92,7 @@
             key_bound_ms: 5_000,
             lookup_ttl_s: 5,
             grace_ms: 8_000,
+            is_first_start: false,
             retry: RetrySettings::default(),
             costs: PlacementCosts::default(),
             health: ServerHealthSettings::default(),
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -7,8 +7,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
-    Configuration, Incarnation, PeerTable, RetryShare, RouterState, ServerEntry, ServerHealth,
-    ServerLoad, WarmParts, WatchState,
+    Configuration, Incarnation, PartsRecovery, PeerTable, RetryShare, RouterState, ServerEntry,
+    ServerHealth, ServerLoad, WarmParts, WatchState,
 };
 use tokio::sync::Notify;
 
@@ -45,6 +45,7 @@
     servers_watch: SharedWatch,
     peers: Mutex<PeerTable>,
     traffic: Mutex<Traffic>,
+    parts_recovery: Mutex<PartsRecovery>,
     leaving_since_ms: AtomicU64,
     in_flight: AtomicUsize,
     last_request_ms: AtomicU64,
@@ -63,6 +64,10 @@
     pub(crate) drain: HashMap<String, DrainRate>,
 }
 
+/// The part of the bound for keys after which they are not believed any more. The rest covers
+/// a store that drops its history, and may leave a watch without news for a second, and the
+/// way from a check to the server.
+const KEY_PART: f64 = 0.8;
 /// Routers that keep watches open: one more than may fail in the same second.
 const WATCHERS: usize = 2;
 
@@ -94,6 +99,7 @@
     /// The state of a router that knows nothing yet.
     pub(crate) fn new(settings: RouterSettings) -> Self {
         let retries = RetryShare::new(settings.retry.clone());
+        let recovery = PartsRecovery::new(settings.is_first_start, Clock.now_ms());
         Self {
             settings: ArcSwap::from_pointee(settings),
             configuration: ArcSwapOption::empty(),
@@ -113,6 +119,7 @@
                 retries,
                 drain: HashMap::new(),
             }),
+            parts_recovery: Mutex::new(recovery),
             leaving_since_ms: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             last_request_ms: AtomicU64::new(0),
@@ -168,6 +175,11 @@
         lock(&self.traffic)
     }
 
+    /// Whether this router knows which servers hold which prompt parts.
+    pub(crate) fn parts_recovery(&self) -> MutexGuard<'_, PartsRecovery> {
+        lock(&self.parts_recovery)
+    }
+
     /// How old the proof is that the configuration is the newest.
     pub(crate) fn configuration_age_ms(&self) -> Option<u64> {
         self.configuration_watch.state().age_ms(Clock.now_ms())
@@ -175,10 +187,7 @@
 
     /// Whether keys may be believed now.
     pub(crate) fn keys_are_fresh(&self) -> bool {
-        let settings = self.settings();
-        let limit_ms = settings
-            .key_bound_ms
-            .saturating_sub(settings.times.key_margin_ms);
+        let limit_ms = (self.settings().key_bound_ms as f64 * KEY_PART) as u64;
         self.configuration_age_ms()
             .is_some_and(|age| age < limit_ms)
     }
--- /dev/null
+++ b/crates/sapphiretrack-routing/src/parts_recovery.rs
@@ -0,0 +1,74 @@
+//! How a router that has just started learns which servers hold which prompt parts.
+
+use std::net::SocketAddr;
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PartsStep {
+    /// Nothing: it knows, or somebody else finds out.
+    Wait,
+    /// Ask this router for what it knows.
+    AskRouter(SocketAddr),
+    /// Ask the backend servers: no router knows.
+    AskServers,
+}
+
+/// Whether a router knows the parts, and where it may learn them.
+///
+/// A router that starts knows no holder, and would have every shared part computed once more at
+/// its home. Another router tells it at the price of a few datagrams. When all of them started
+/// at the same time, one lists the caches of the servers and tells the others.
+#[derive(Clone, Debug)]
+pub struct PartsRecovery {
+    started_ms: u64,
+    knows: bool,
+}
+
+impl PartsRecovery {
+    /// How long a router listens for others that know before it concludes that nobody does:
+    /// every live router sends a beat in that time.
+    const LISTEN_MS: u64 = 400;
+    /// After this long it knows by itself: older parts are not believed in any more.
+    const LEARNT_MS: u64 = 30_000;
+
+    /// A router that starts now. In the first start of the whole fleet there is nothing to know.
+    pub fn new(is_first_start: bool, now_ms: u64) -> Self {
+        Self {
+            started_ms: now_ms,
+            knows: is_first_start,
+        }
+    }
+
+    /// Notes that it was told.
+    pub fn note_told(&mut self) {
+        self.knows = true;
+    }
+
+    /// Whether others may ask it.
+    pub fn knows(&self, now_ms: u64) -> bool {
+        self.knows || now_ms >= self.started_ms + Self::LEARNT_MS
+    }
+
+    /// The next step. `knowers` are routers that say that they know, `rank` is this router's
+    /// place among the live ones, `draw` a random number below 1.
+    pub fn next_step(
+        &self,
+        knowers: &[SocketAddr],
+        rank: usize,
+        draw: f64,
+        now_ms: u64,
+    ) -> PartsStep {
+        if self.knows(now_ms) {
+            return PartsStep::Wait;
+        }
+        let index = (draw.clamp(0.0, 1.0) * knowers.len() as f64) as usize;
+        if let Some(router) = knowers.get(index).or(knowers.last()) {
+            return PartsStep::AskRouter(*router);
+        }
+        let listened = now_ms >= self.started_ms + Self::LISTEN_MS;
+        match listened && rank == 0 {
+            true => PartsStep::AskServers,
+            false => PartsStep::Wait,
+        }
+    }
+}
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -49,6 +49,8 @@
     pub state: RouterState,
     /// The load it puts on servers, without those where it has none.
     pub loads: Vec<ServerLoad>,
+    /// Whether it knows which servers hold which prompt parts.
+    pub knows_parts: bool,
     /// Shared prompt parts that it sent since its last beat.
     pub sent_parts: Vec<SentPart>,
     /// What it knows of the configuration.
@@ -57,6 +59,20 @@
     pub servers: WatchNews,
 }
 
+/// A datagram between routers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum RouterMessage {
+    /// The regular one.
+    Beat(Box<Beat>),
+    /// Asks for all prompt parts that the other router knows.
+    AskParts {
+        /// Where to send them.
+        reply_to: SocketAddr,
+    },
+    /// Some of the parts that were asked for.
+    Parts(Vec<SentPart>),
+}
+
 /// The routers that were heard of.
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
@@ -133,6 +149,14 @@
             .count()
     }
 
+    /// Where to ask for prompt parts: live routers that know them.
+    pub fn parts_knowers(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let live = self.peers.values();
+        let knowers =
+            live.filter(|peer| peer.beat.knows_parts && now_ms < peer.heard_ms + Self::ALIVE_MS);
+        knowers.map(|peer| peer.beat.beat_address).collect()
+    }
+
     /// How many other routers may exist.
     pub fn may_exist(&self) -> usize {
         self.peers.len()
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -29,14 +29,15 @@
     const KEEP_MS: u64 = 30_000;
     /// The most entries, at 40 bytes each 0.8 MB.
     const MAX_ENTRIES: usize = 20_000;
-    /// The most parts that wait to be told: 1 KB of a datagram. What is more is only known here.
-    const MAX_UNTOLD: usize = 64;
+    /// Parts that fit well into one datagram: 1 KB.
+    pub const PARTS_IN_DATAGRAM: usize = 64;
 
     /// Notes that this router sent a prompt to a server.
     pub fn note_sent(&mut self, server: Incarnation, parts: &[PromptPart], now_ms: u64) {
         for part in parts {
             self.note(server, part.id, now_ms);
-            if self.untold.len() < Self::MAX_UNTOLD {
+            // What is more than a beat can tell is only known here.
+            if self.untold.len() < Self::PARTS_IN_DATAGRAM {
                 self.untold.push(SentPart {
                     server: server.0,
                     part: part.id,
@@ -57,6 +58,20 @@
         std::mem::take(&mut self.untold)
     }
 
+    /// The parts that were sent last, newest first, to tell a router that knows none.
+    pub fn newest(&self, limit: usize, now_ms: u64) -> Vec<SentPart> {
+        let young = self.sent_ms.iter();
+        let young = young.filter(|(_, sent)| now_ms < **sent + Self::KEEP_MS);
+        let mut parts: Vec<_> = young.collect();
+        parts.sort_unstable_by_key(|(_, sent)| std::cmp::Reverse(**sent));
+        let newest = parts.into_iter().take(limit);
+        let sent = newest.map(|((server, part), _)| SentPart {
+            server: server.0,
+            part: *part,
+        });
+        sent.collect()
+    }
+
     /// How many tokens of a prompt's shared parts a server is believed to hold. A later part
     /// cannot have been read without those before it.
     pub fn cached_tokens(&self, server: Incarnation, parts: &[PromptPart], now_ms: u64) -> u32 {
--- a/crates/sapphiretrack-routing/tests/peers.rs
+++ b/crates/sapphiretrack-routing/tests/peers.rs
@@ -16,6 +16,7 @@
             in_flight: 2,
             prefill_tokens: 100,
         }],
+        knows_parts: false,
         sent_parts: Vec::new(),
         configuration: WatchNews::default(),
         servers: WatchNews::default(),
