The log is sampled above a rate, tells beliefs and loads, and 'sapphiretrack explain' tells a request's story

Cause: the log had no bound but its queue, no line when keys were no longer believed, and a sent request did not say what decided its place. Requests above 100 a second and router are told in part, by id; failures and refusals always.

--- a/crates/sapphiretrack-cli/src/command.rs
+++ b/crates/sapphiretrack-cli/src/command.rs
@@ -44,6 +44,7 @@
     Status(StatusWanted),
     Entry { zone: Option<String> },
     Chat(Chat),
+    Explain(Explain),
     ServerSet(SetGoal),
     PoolFencing(SetFencing),
 }
@@ -101,6 +102,15 @@
     pub(crate) text: String,
 }
 
+/// Tells the story of one request from logs.
+#[derive(Clone, Debug)]
+pub(crate) struct Explain {
+    /// The request's id.
+    pub(crate) id: String,
+    /// Logs of routers; standard input if there are none.
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Reads the command line.
 pub(crate) fn parse_command(mut arguments: Arguments) -> Result<(Command, Options), CliError> {
     let options = parse_options(&mut arguments)?;
@@ -151,6 +161,11 @@
             class: option(&mut arguments, "--class")?,
             text: free(&mut arguments, "TEXT")?,
         }),
+        "explain" => {
+            let id = free(&mut arguments, "ID")?;
+            let files = arguments.finish().into_iter().map(PathBuf::from).collect();
+            return Ok((Command::Explain(Explain { id, files }), options));
+        }
         other => return unknown("sapphiretrack", other),
     };
     match arguments.finish().first() {
--- a/crates/sapphiretrack-cli/src/main.rs
+++ b/crates/sapphiretrack-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod command;
 mod contracts;
 mod error;
+mod explain;
 mod fleet;
 mod goals;
 mod table;
@@ -31,6 +32,7 @@
   sapphiretrack pool fencing POOL --checks|--ignores
   sapphiretrack status [--wait [--routers N] [--servers N]]
   sapphiretrack entry [--zone ZONE]
+  sapphiretrack explain ID [FILE...]   (routers' logs, else standard input)
   sapphiretrack chat --model MODEL [--workspace W] [--chat C] [--class C] TEXT
 
 Options, each also by the environment variable behind it:
@@ -91,5 +93,6 @@
         Command::ServerSet(goal) => goals::set_goal(options, &goal).await,
         Command::PoolFencing(fencing) => goals::set_fencing(options, &fencing).await,
         Command::Chat(chat) => callers::chat(options, &chat).await,
+        Command::Explain(wanted) => explain::explain(&wanted),
     }
 }
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -105,6 +105,8 @@
     let share = f64::from(service.max_connections) * CONNECTIONS_PART / routers as f64;
     let limit = (share as u32).max(1);
     let connect_ms = shared.settings().times.connect_ms.min(limit_ms);
+    let configuration = shared.configuration.load();
+    let configuration_version = configuration.as_ref().map_or(0, |one| one.version);
     let mut fresh = false;
     loop {
         let connection = shared
@@ -132,17 +134,24 @@
             return Err((placed, AttemptFailure::NotSent("no-time-left")));
         }
         let request = attempt_request(job, &placed, resume_after, left_ms);
-        note!(
-            Event::SENT,
-            id = job.facts.id,
-            server = placed.server.id,
-            service = service.name,
-            cached_tokens = placed.cached_tokens,
-            fetches = placed.fetch_from.is_some(),
-            prompt_tokens = job.facts.prompt_tokens,
-            left_ms = left_ms,
-            reused = connection.is_reused,
-        );
+        if job.tells_all {
+            note!(
+                Event::SENT,
+                id = job.facts.id,
+                route = job.route.name,
+                service = service.name,
+                server = placed.server.id,
+                load = placed.load,
+                servers = placed.servers,
+                cached_tokens = placed.cached_tokens,
+                prompt_tokens = job.facts.prompt_tokens,
+                fetches = placed.fetch_from.is_some(),
+                reused = connection.is_reused,
+                left_ms = left_ms,
+                configuration = configuration_version,
+                configuration_age_ms = shared.configuration_age_ms().unwrap_or(u64::MAX),
+            );
+        }
         let limit = Duration::from_millis(limit_ms.min(left_ms));
         let answer = match timeout(limit, connection.send(request)).await {
             Ok(answer) => answer,
--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -61,8 +61,20 @@
     let mut sequence = 0;
     let mut next = 0;
     let mut has_news = true;
+    let mut keys_fresh = false;
     loop {
         sequence += 1;
+        let fresh = shared.keys_are_fresh();
+        if fresh != keys_fresh {
+            keys_fresh = fresh;
+            let event = if fresh {
+                Event::KEYS_FRESH
+            } else {
+                Event::KEYS_STALE
+            };
+            let age_ms = shared.configuration_age_ms().unwrap_or(u64::MAX);
+            note!(event, configuration_age_ms = age_ms);
+        }
         let settings = shared.settings();
         let beat = Beat {
             name: settings.name.clone(),
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -62,6 +62,8 @@
     pub(crate) service: String,
     /// Labels of its metrics.
     pub(crate) labels: RequestLabels,
+    /// Whether the log tells all of it; failures are always told.
+    pub(crate) tells_all: bool,
     arrived_ms: u64,
     ends_ms: u64,
     /// Whether the log tells how it ended.
@@ -201,6 +203,7 @@
             .and_then(|one| one.priority)
             .unwrap_or(route.priority),
         tenant: tenant.map(|one| one.name),
+        tells_all: shared.tells_in_full(&facts.id),
         shared: shared.clone(),
         interface,
         facts,
--- a/crates/sapphiretrack-router/src/lookups.rs
+++ b/crates/sapphiretrack-router/src/lookups.rs
@@ -1,5 +1,6 @@
 //! Small answers beside the traffic: where callers connect, whether this router is ready, metrics.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -113,7 +114,18 @@
 fn levels(shared: &Shared) -> Levels {
     let configuration = shared.configuration.load();
     let age_ms = shared.configuration_age_ms();
+    let servers_age_ms = shared.servers_watch().state().age_ms(Clock.now_ms());
+    let mut loads: HashMap<u64, u32> = HashMap::new();
+    for (server, (requests, _)) in shared.peer_loads.load().iter() {
+        *loads.entry(server.0).or_default() += requests;
+    }
+    for load in shared.own_loads() {
+        *loads.entry(load.server).or_default() += u32::from(load.in_flight);
+    }
     Levels {
+        servers_age_ms: servers_age_ms.map_or(-1, |age| age as i64),
+        server_requests: loads.values().sum(),
+        busiest_server_requests: loads.values().copied().max().unwrap_or(0),
         configuration_version: configuration.as_ref().map_or(0, |one| one.version),
         configuration_age_ms: age_ms.map_or(-1, |age| age as i64),
         servers: shared.servers.load().values().map(Vec::len).sum(),
--- a/crates/sapphiretrack-router/src/metrics.rs
+++ b/crates/sapphiretrack-router/src/metrics.rs
@@ -35,6 +35,7 @@
     label_sets: Mutex<BTreeSet<RequestLabels>>,
     first_piece_s: Family<RequestLabels, Histogram>,
     whole_s: Family<RequestLabels, Histogram>,
+    pause_s: Family<RequestLabels, Histogram>,
     refusals: Family<ReasonLabels, Counter>,
     failures: Family<ReasonLabels, Counter>,
     repeats: Family<ReasonLabels, Counter>,
@@ -43,7 +44,10 @@
     dropped_lines: Counter,
     configuration_version: Gauge,
     configuration_age_ms: Gauge,
+    servers_age_ms: Gauge,
     servers: Gauge,
+    server_requests: Gauge,
+    busiest_server_requests: Gauge,
     ready_peers: Gauge,
     in_flight: Gauge,
 }
@@ -55,8 +59,14 @@
     pub(crate) configuration_version: u64,
     /// How old the proof is that it is the newest; -1 before the first.
     pub(crate) configuration_age_ms: i64,
+    /// How old the proof is that the list of backend servers is the newest; -1 before the first.
+    pub(crate) servers_age_ms: i64,
     /// Backend servers that take work.
     pub(crate) servers: usize,
+    /// Requests that all routers are believed to have at backend servers.
+    pub(crate) server_requests: u32,
+    /// The same at the busiest server.
+    pub(crate) busiest_server_requests: u32,
     /// Other routers that are ready.
     pub(crate) ready_peers: usize,
     /// Requests that run.
@@ -74,6 +84,7 @@
             label_sets: Mutex::default(),
             first_piece_s: Family::new_with_constructor(histogram),
             whole_s: Family::new_with_constructor(histogram),
+            pause_s: Family::new_with_constructor(histogram),
             refusals: Family::default(),
             failures: Family::default(),
             repeats: Family::default(),
@@ -82,7 +93,10 @@
             dropped_lines: Counter::default(),
             configuration_version: Gauge::default(),
             configuration_age_ms: Gauge::default(),
+            servers_age_ms: Gauge::default(),
             servers: Gauge::default(),
+            server_requests: Gauge::default(),
+            busiest_server_requests: Gauge::default(),
             ready_peers: Gauge::default(),
             in_flight: Gauge::default(),
         };
@@ -120,6 +134,12 @@
         histogram.observe(took_ms as f64 / 1_000.0);
     }
 
+    /// Notes the time between two pieces of a stream.
+    pub(crate) fn pause(&self, labels: &RequestLabels, took_ms: u64) {
+        let histogram = self.pause_s.get_or_create(labels);
+        histogram.observe(took_ms as f64 / 1_000.0);
+    }
+
     /// Counts a refusal.
     pub(crate) fn refused(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
@@ -154,7 +174,11 @@
         self.configuration_version
             .set(levels.configuration_version as i64);
         self.configuration_age_ms.set(levels.configuration_age_ms);
+        self.servers_age_ms.set(levels.servers_age_ms);
         self.servers.set(levels.servers as i64);
+        self.server_requests.set(i64::from(levels.server_requests));
+        let busiest = i64::from(levels.busiest_server_requests);
+        self.busiest_server_requests.set(busiest);
         self.ready_peers.set(levels.ready_peers as i64);
         self.in_flight.set(levels.in_flight as i64);
         let dropped = levels
@@ -181,6 +205,11 @@
                 "Time to the end of an answer",
                 &self.whole_s,
             ),
+            (
+                "pause_seconds",
+                "Time between two pieces of a stream",
+                &self.pause_s,
+            ),
         ];
         for (name, help, family) in times {
             registry.register(name, help, family.clone());
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -21,6 +21,10 @@
     pub(crate) server: Arc<ServerEntry>,
     /// Tokens of the prompt that the server is believed to hold.
     pub(crate) cached_tokens: u32,
+    /// Requests that all routers were believed to have there.
+    pub(crate) load: u32,
+    /// Servers that it was chosen from.
+    pub(crate) servers: usize,
     /// A server that holds more of the prompt, to fetch it from.
     pub(crate) fetch_from: Option<SocketAddr>,
     shared: Arc<Shared>,
@@ -176,6 +180,8 @@
     Ok(Placed {
         server,
         cached_tokens,
+        load: candidates[index].in_flight,
+        servers: candidates.len(),
         fetch_from: holder.map(|holder| listed[holder].address),
         shared: shared.clone(),
         tokens,
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -14,6 +14,7 @@
 
 use crate::answer::{AnswerBody, CutOff, streamed, strip_connection_headers, whole};
 use crate::attempt::{AttemptFailure, ServerAnswer};
+use crate::clock::Clock;
 use crate::dispatch::{Attempts, Job};
 use crate::events::{Event, note};
 
@@ -136,6 +137,7 @@
         attempts,
         answer: Some(answer),
         has_first: false,
+        last_ms: 0,
         ended: false,
     };
     let pieces = unfold(relay, |mut relay| async move {
@@ -152,6 +154,8 @@
     answer: Option<ServerAnswer>,
     splitter: EventSplitter,
     has_first: bool,
+    /// When bytes came last.
+    last_ms: u64,
     ended: bool,
 }
 
@@ -206,6 +210,7 @@
         match frame {
             Ok(Some(Ok(frame))) => {
                 answer.placed.note_progress();
+                self.note_pause();
                 if let Some(data) = frame.data_ref() {
                     self.splitter.push(data);
                 }
@@ -261,6 +266,16 @@
         true
     }
 
+    /// Counts the time since the last bytes of a stream that has begun.
+    fn note_pause(&mut self) {
+        let now_ms = Clock.now_ms();
+        if self.has_first {
+            let pause_ms = now_ms.saturating_sub(self.last_ms);
+            self.job.shared.metrics.pause(&self.job.labels, pause_ms);
+        }
+        self.last_ms = now_ms;
+    }
+
     fn note_first(&mut self) {
         if self.has_first {
             return;
@@ -297,6 +312,9 @@
 pub(crate) fn note_answered(job: &Job, status: StatusCode, offers: u32) {
     job.end();
     job.shared.metrics.whole(&job.labels, job.age_ms());
+    if !job.tells_all {
+        return;
+    }
     note!(
         Event::ANSWERED,
         id = job.facts.id,
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -7,8 +7,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
-    Configuration, Incarnation, PartsRecovery, PeerTable, RetryShare, RouterState, ServerEntry,
-    ServerHealth, ServerLoad, WarmParts, WatchState,
+    Configuration, Incarnation, LogSampling, PartsRecovery, PeerTable, RetryShare, RouterState,
+    ServerEntry, ServerHealth, ServerLoad, WarmParts, WatchState,
 };
 use tokio::sync::Notify;
 
@@ -46,6 +46,7 @@
     peers: Mutex<PeerTable>,
     traffic: Mutex<Traffic>,
     parts_recovery: Mutex<PartsRecovery>,
+    log_sampling: Mutex<LogSampling>,
     leaving_since_ms: AtomicU64,
     in_flight: AtomicUsize,
     last_request_ms: AtomicU64,
@@ -64,6 +65,9 @@
     pub(crate) drain: HashMap<String, DrainRate>,
 }
 
+/// Requests a second that the log tells in full: eight times the usual load of a router. Each
+/// has two lines of 200 bytes and costs 10 us.
+const FULL_LOGS_PER_S: u32 = 100;
 /// The part of the bound for keys after which they are not believed any more. The rest covers
 /// a store that drops its history, and may leave a watch without news for a second, and the
 /// way from a check to the server.
@@ -120,6 +124,7 @@
                 drain: HashMap::new(),
             }),
             parts_recovery: Mutex::new(recovery),
+            log_sampling: Mutex::new(LogSampling::new(FULL_LOGS_PER_S)),
             leaving_since_ms: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             last_request_ms: AtomicU64::new(0),
@@ -180,6 +185,11 @@
         lock(&self.parts_recovery)
     }
 
+    /// Whether the log tells a request in full.
+    pub(crate) fn tells_in_full(&self, id: &str) -> bool {
+        lock(&self.log_sampling).keeps(id, Clock.now_ms())
+    }
+
     /// How old the proof is that the configuration is the newest.
     pub(crate) fn configuration_age_ms(&self) -> Option<u64> {
         self.configuration_watch.state().age_ms(Clock.now_ms())
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod event_stream;
 mod freshness;
+mod log_sampling;
 mod parts_recovery;
 mod peers;
 mod placement;
@@ -17,6 +18,7 @@
 pub use configuration::{ClientLimits, Configuration, Route, RouteError, Service, Target, Tenant};
 pub use event_stream::{EventSplitter, StreamEvent, StreamFault};
 pub use freshness::Freshness;
+pub use log_sampling::LogSampling;
 pub use parts_recovery::{PartsRecovery, PartsStep};
 pub use peers::{Beat, PeerTable, RouterMessage, RouterState, ServerLoad};
 pub use placement::{Candidate, PlacementCosts, choose_server, fetch_source, part_home};
