--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -1,11 +1,12 @@
 //! Beats between routers: small datagrams, sent several times a second and never answered.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 
-use sapphiretrack_routing::{Beat, RouterMessage, WarmParts};
+use sapphiretrack_routing::{Beat, RouterMessage, SentPart, WarmParts};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -61,6 +62,8 @@
     let mut sequence = 0;
     let mut next = 0;
     let mut has_news = true;
+    // What was sent since each receiver had its last beat.
+    let mut sent_parts: VecDeque<Vec<SentPart>> = VecDeque::new();
     let mut keys_fresh = false;
     loop {
         sequence += 1;
@@ -76,6 +79,12 @@
             note!(event, configuration_age_ms = age_ms);
         }
         let settings = shared.settings();
+        let all = addresses.all(&shared);
+        let rounds = all.len().div_ceil(BEATS_AT_ONCE).max(1);
+        sent_parts.push_back(shared.traffic().warm.take_untold());
+        while sent_parts.len() > rounds {
+            sent_parts.pop_front();
+        }
         let beat = Beat {
             name: settings.name.clone(),
             incarnation,
@@ -86,11 +95,10 @@
             state: shared.state(),
             loads: shared.own_loads(),
             knows_parts: shared.parts_recovery().knows(Clock.now_ms()),
-            sent_parts: shared.traffic().warm.take_untold(),
+            sent_parts: sent_parts.iter().flatten().copied().collect(),
             configuration: shared.configuration_watch().state().news(),
             servers: shared.servers_watch().state().news(),
         };
-        let all = addresses.all(&shared);
         let bytes = encode(&RouterMessage::Beat(Box::new(beat)));
         let count = match has_news {
             true => all.len(),
