Watchers pass changes of servers on; an outage is told for a limited time

Two changes that stand in the same lines. 1. Ruled out: the proofs of the watchers, which stopped as they should. Now the end of the telling is kept with it. Test first: a_watch_that_stands_still_does_not_tell_of_an_outage_for_ever. Now the watchers pass the changes on in datagrams; who misses one is told by the next beat and asks.

--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -67,6 +67,7 @@
     let mut keys_fresh = false;
     loop {
         sequence += 1;
+        let now_ms = Clock.now_ms();
         let fresh = shared.keys_are_fresh();
         if fresh != keys_fresh {
             keys_fresh = fresh;
@@ -94,11 +95,18 @@
             beat_address: settings.beat_address,
             state: shared.state(),
             loads: shared.own_loads(),
-            knows_parts: shared.parts_recovery().knows(Clock.now_ms()),
+            knows_parts: shared.parts_recovery().knows(now_ms),
             sent_parts: sent_parts.iter().flatten().copied().collect(),
-            configuration: shared.configuration_watch().state().news(),
-            servers: shared.servers_watch().state().news(),
+            configuration: shared.configuration_watch().state().news(now_ms),
+            servers: shared.servers_watch().state().news(now_ms),
         };
+        for changes in shared.take_to_pass_on() {
+            let message = encode(&RouterMessage::Servers(changes));
+            // Who misses it is told by the beat that there is a change, and asks the store.
+            if message.len() <= MAX_DATAGRAM_BYTES {
+                send_to_all(&socket, &all, &message).await;
+            }
+        }
         let bytes = encode(&RouterMessage::Beat(Box::new(beat)));
         let count = match has_news {
             true => all.len(),
@@ -117,6 +125,13 @@
     }
 }
 
+async fn send_to_all(socket: &UdpSocket, addresses: &[SocketAddr], message: &[u8]) {
+    for address in addresses {
+        // Each sender of datagrams tells again or is asked again.
+        drop(socket.send_to(message, address).await);
+    }
+}
+
 /// A message as a datagram.
 pub(crate) fn encode(message: &RouterMessage) -> Vec<u8> {
     // Numbers, texts and lists always have a form.
@@ -155,6 +170,10 @@
                 tell_parts(&shared, &socket, reply_to).await;
                 continue;
             }
+            RouterMessage::Servers(changes) => {
+                shared.relay(changes);
+                continue;
+            }
             RouterMessage::Parts(parts) => {
                 shared.traffic().warm.note_told(&parts, Clock.now_ms());
                 shared.parts_recovery().note_told();
--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -4,7 +4,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use sapphiretrack_routing::{Configuration, Incarnation, ServerEntry, ServerList, WatchAnswer};
+use sapphiretrack_routing::{
+    Configuration, Incarnation, ServerChange, ServerChanges, ServerEntry, ServerList, WatchAnswer,
+};
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use crate::beats::BeatAddresses;
@@ -38,9 +41,21 @@
     /// Since when calls fail.
     failing_since_ms: Option<u64>,
     failures: u32,
+    /// Changes that other routers pass on.
+    relayed: Option<mpsc::Receiver<Vec<ServerChange>>>,
 }
 
-/// What one successful call brought.
+/// What a watch does next.
+enum Turn {
+    /// It asks the store, which may wait so long.
+    Ask(u64),
+    /// It takes in what another router passed on.
+    Relayed(Vec<ServerChange>),
+    /// It lets its owner look around.
+    Idle,
+}
+
+/// What one successful call brought, or another router passed on.
 struct News {
     records: Vec<Record>,
     /// Whether the records are the whole listing.
@@ -57,6 +72,7 @@
             listing,
             failing_since_ms: None,
             failures: 0,
+            relayed: None,
         }
     }
 
@@ -73,7 +89,17 @@
             let version = self.watch().state().version();
             let wait_ms = match version {
                 None => 0,
-                Some(_) => self.wait_for_turn(limit_ms).await?,
+                Some(_) => match self.wait_for_turn(limit_ms).await {
+                    Turn::Ask(wait_ms) => wait_ms,
+                    Turn::Idle => return None,
+                    Turn::Relayed(changes) => {
+                        return Some(News {
+                            records: changes.into_iter().map(Record::Server).collect(),
+                            is_whole: false,
+                            outage_ms: 0,
+                        });
+                    }
+                },
             };
             let sent_ms = Clock.now_ms();
             let answer = match version {
@@ -94,12 +120,19 @@
 
     /// Waits until this router should ask the store: at once as a watcher, else when another
     /// router tells of a change or no proof comes any more. How long the store may wait.
-    async fn wait_for_turn(&self, limit_ms: u64) -> Option<u64> {
+    async fn wait_for_turn(&mut self, limit_ms: u64) -> Turn {
         let start_ms = Clock.now_ms();
         loop {
             let times = self.shared.settings().times;
+            let waiting = self
+                .relayed
+                .as_mut()
+                .and_then(|queue| queue.try_recv().ok());
+            if let Some(changes) = waiting {
+                return Turn::Relayed(changes);
+            }
             if self.shared.is_watcher() {
-                return Some(times.watch_ms.min(limit_ms));
+                return Turn::Ask(times.watch_ms.min(limit_ms));
             }
             let now_ms = Clock.now_ms();
             let (age_ms, is_behind) = {
@@ -107,11 +140,11 @@
                 (state.age_ms(now_ms).unwrap_or(u64::MAX), state.is_behind())
             };
             if is_behind || age_ms >= times.relay_ms {
-                return Some(0);
+                return Turn::Ask(0);
             }
             let left_ms = (start_ms + limit_ms).saturating_sub(now_ms);
             if left_ms == 0 {
-                return None;
+                return Turn::Idle;
             }
             let pause_ms = ROLE_CHECK_MS.min(left_ms).min(times.relay_ms - age_ms);
             tokio::select! {
@@ -135,6 +168,7 @@
             );
         }
         self.failures = 0;
+        let after = self.watch().state().version();
         self.watch().state().note_answer(&WatchAnswer {
             is_whole,
             sent_ms,
@@ -144,6 +178,7 @@
             store_now_ms: answer.store_now_ms,
         });
         if !answer.records.is_empty() && !is_whole {
+            self.pass_on(after, &answer);
             // The other routers shall hear of the change at once.
             self.shared.state_changed.notify_waiters();
         }
@@ -154,6 +189,22 @@
         }
     }
 
+    /// Keeps changes of the backend servers for the other routers, which need not ask then.
+    fn pass_on(&self, after: Option<u64>, answer: &StoreAnswer) {
+        let changes = answer.records.iter().filter_map(|record| match record {
+            Record::Server(change) => Some(change.clone()),
+            Record::Configuration(_) | Record::Router { .. } | Record::Useless { .. } => None,
+        });
+        let changes: Vec<ServerChange> = changes.collect();
+        if let (Some(after), false) = (after, changes.is_empty()) {
+            self.shared.pass_on(ServerChanges {
+                after,
+                version: answer.version,
+                changes,
+            });
+        }
+    }
+
     async fn wait_out(&mut self, error: &StoreError, sent_ms: u64) {
         if self.failing_since_ms.is_none() {
             self.failing_since_ms = Some(sent_ms);
@@ -226,9 +277,10 @@
 /// Keeps the list of backend servers the newest, until the process ends.
 pub(crate) async fn watch_servers(shared: Arc<Shared>, store: Arc<StorePort>) {
     let mut watch = Watch::new(shared.clone(), store, Listing::Servers);
+    watch.relayed = shared.take_relayed();
     let mut list = ServerList::default();
     loop {
-        let settles = list.is_settling() || list.tells_settling(Clock.now_ms());
+        let settles = list.is_settling();
         let limit_ms = if settles {
             SETTLING_WATCH_MS
         } else {
@@ -252,8 +304,6 @@
                 reason = "did-not-come-back"
             );
         }
-        let tells = list.tells_settling(now_ms);
-        shared.servers_watch().state().set_settling(tells);
         publish(&shared, &list);
         if changed {
             watch.pause().await;
@@ -278,7 +328,10 @@
     let mut entries = Vec::new();
     for record in records {
         match record {
-            Record::Server(entry) => entries.push(entry),
+            Record::Server(ServerChange::Entry(entry)) => entries.push(entry),
+            Record::Server(ServerChange::Unreadable { id, reason }) => {
+                note_unreadable(&id, &reason)
+            }
             other => note_useless(&other),
         }
     }
@@ -289,7 +342,7 @@
 
 fn take_change(list: &mut ServerList, record: Record, now_ms: u64) {
     match record {
-        Record::Server(entry) => {
+        Record::Server(ServerChange::Entry(entry)) => {
             let id = entry.id.clone();
             let is_new = !list.contains(&entry);
             if list.upsert(entry) {
@@ -298,17 +351,21 @@
                 note!(Event::SERVER_LISTED, server = id);
             }
         }
-        Record::Gone { key } => {
-            if list.remove(&key, now_ms) {
-                note!(Event::SERVER_LEAVING, server = key, reason = "entry-gone");
+        Record::Server(ServerChange::Gone { id }) => {
+            if list.remove(&id, now_ms) {
+                note!(Event::SERVER_LEAVING, server = id, reason = "entry-gone");
             }
         }
+        Record::Server(ServerChange::Unreadable { id, reason }) => note_unreadable(&id, &reason),
         other => note_useless(&other),
     }
 }
 
 /// Gives the list to the traffic thread, and forgets what is not listed any more.
 fn publish(shared: &Shared, list: &ServerList) {
+    let mut state = shared.servers_watch().state();
+    state.set_settling_until(list.tells_until_ms());
+    drop(state);
     let services = list.by_service();
     let incarnations = services.values().flatten();
     let listed: std::collections::HashSet<Incarnation> = incarnations
@@ -368,18 +425,13 @@
 /// Logs a record that names nothing to use.
 fn note_useless(record: &Record) {
     match record {
-        Record::Unreadable { key, reason } => {
-            note!(Event::RECORD_UNREADABLE, key = key, reason = reason);
-        }
-        Record::Gone { key } => {
-            note!(Event::RECORD_UNREADABLE, key = key, reason = "removed");
-        }
+        Record::Useless { key, reason } => note_unreadable(key, reason),
         Record::Configuration(_) | Record::Server(_) | Record::Router { .. } => {
-            note!(
-                Event::RECORD_UNREADABLE,
-                key = "?",
-                reason = "of another listing"
-            );
+            note_unreadable("?", "of another listing");
         }
     }
 }
+
+fn note_unreadable(key: &str, reason: &str) {
+    note!(Event::RECORD_UNREADABLE, key = key, reason = reason);
+}
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -8,7 +8,7 @@
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
 use http::{HeaderMap, Uri};
-use sapphiretrack_routing::{Configuration, RequestFacts, ServerEntry};
+use sapphiretrack_routing::{Configuration, RequestFacts, ServerChange, ServerEntry};
 use snafu::Snafu;
 
 use crate::settings::RouterSettings;
@@ -108,8 +108,8 @@
 pub enum Record {
     /// A configuration.
     Configuration(Arc<Configuration>),
-    /// A backend server's entry.
-    Server(ServerEntry),
+    /// A change of the backend servers.
+    Server(ServerChange),
     /// Where another router hears beats.
     Router {
         /// Its name.
@@ -117,13 +117,8 @@
         /// Its address.
         beat_address: SocketAddr,
     },
-    /// A record that is gone.
-    Gone {
-        /// Its key.
-        key: String,
-    },
-    /// A record that cannot be read, so that it names nothing to use.
-    Unreadable {
+    /// A record of another listing that is gone or cannot be read, so that it names nothing to use.
+    Useless {
         /// Its key.
         key: String,
         /// What is wrong with it.
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -8,9 +8,9 @@
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
     Configuration, Incarnation, LogSampling, PartsRecovery, PeerTable, RetryShare, RouterState,
-    ServerEntry, ServerHealth, ServerLoad, WarmParts, WatchState,
+    ServerChange, ServerChanges, ServerEntry, ServerHealth, ServerLoad, WarmParts, WatchState,
 };
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -47,6 +47,11 @@
     traffic: Mutex<Traffic>,
     parts_recovery: Mutex<PartsRecovery>,
     log_sampling: Mutex<LogSampling>,
+    /// Changes of servers that wait to be passed on to the other routers.
+    to_pass_on: Mutex<Vec<ServerChanges>>,
+    /// Changes of servers that other routers passed on.
+    relayed: mpsc::Sender<Vec<ServerChange>>,
+    relayed_queue: Mutex<Option<mpsc::Receiver<Vec<ServerChange>>>>,
     leaving_since_ms: AtomicU64,
     in_flight: AtomicUsize,
     last_request_ms: AtomicU64,
@@ -65,6 +70,8 @@
     pub(crate) drain: HashMap<String, DrainRate>,
 }
 
+/// Changes that wait to be taken in; with more the servers are listed anew.
+const MAX_RELAYED: usize = 256;
 /// Requests a second that the log tells in full: eight times the usual load of a router. Each
 /// has two lines of 200 bytes and costs 10 us.
 const FULL_LOGS_PER_S: u32 = 100;
@@ -103,6 +110,7 @@
     /// The state of a router that knows nothing yet.
     pub(crate) fn new(settings: RouterSettings) -> Self {
         let retries = RetryShare::new(settings.retry.clone());
+        let (relayed, relayed_queue) = mpsc::channel(MAX_RELAYED);
         let recovery = PartsRecovery::new(settings.is_first_start, Clock.now_ms());
         Self {
             settings: ArcSwap::from_pointee(settings),
@@ -124,6 +132,9 @@
                 drain: HashMap::new(),
             }),
             parts_recovery: Mutex::new(recovery),
+            to_pass_on: Mutex::default(),
+            relayed,
+            relayed_queue: Mutex::new(Some(relayed_queue)),
             log_sampling: Mutex::new(LogSampling::new(FULL_LOGS_PER_S)),
             leaving_since_ms: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
@@ -185,6 +196,33 @@
         lock(&self.parts_recovery)
     }
 
+    /// Keeps changes for the other routers until the next beat.
+    pub(crate) fn pass_on(&self, changes: ServerChanges) {
+        lock(&self.to_pass_on).push(changes);
+    }
+
+    /// The changes to pass on now.
+    pub(crate) fn take_to_pass_on(&self) -> Vec<ServerChanges> {
+        std::mem::take(&mut *lock(&self.to_pass_on))
+    }
+
+    /// Takes in changes that another router passed on.
+    pub(crate) fn relay(&self, changes: ServerChanges) {
+        let watch = self.servers_watch();
+        if !watch.state().note_changes(changes.after, changes.version) {
+            return;
+        }
+        if self.relayed.try_send(changes.changes).is_err() {
+            watch.state().forget_version();
+        }
+        watch.news.notify_one();
+    }
+
+    /// The queue of changes that other routers pass on; its one reader takes it.
+    pub(crate) fn take_relayed(&self) -> Option<mpsc::Receiver<Vec<ServerChange>>> {
+        lock(&self.relayed_queue).take()
+    }
+
     /// Whether the log tells a request in full.
     pub(crate) fn tells_in_full(&self, id: &str) -> bool {
         lock(&self.log_sampling).keeps(id, Clock.now_ms())
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -20,12 +20,14 @@
 pub use freshness::Freshness;
 pub use log_sampling::LogSampling;
 pub use parts_recovery::{PartsRecovery, PartsStep};
-pub use peers::{Beat, PeerTable, RouterMessage, RouterState, ServerLoad};
+pub use peers::{Beat, PeerTable, RouterMessage, RouterState, ServerChanges, ServerLoad};
 pub use placement::{Candidate, PlacementCosts, choose_server, fetch_source, part_home};
 pub use request::{PromptPart, RequestFacts, RequestKind};
 pub use retry_share::{RetrySettings, RetryShare};
 pub use server_health::{ServerHealth, ServerHealthSettings};
-pub use server_list::{Incarnation, ListedServer, ServerEntry, ServerList, ServerState};
+pub use server_list::{
+    Incarnation, ListedServer, ServerChange, ServerEntry, ServerList, ServerState,
+};
 pub use stop::{StopPhase, StopTimes};
 pub use warmth::{SentPart, WarmParts};
 pub use watch_state::{WatchAnswer, WatchNews, WatchState};
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -6,7 +6,7 @@
 use sapphiretrack_core::RouterId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Incarnation, SentPart, WatchNews};
+use crate::{Incarnation, SentPart, ServerChange, WatchNews};
 
 /// Whether callers may be sent to a router.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -71,6 +71,19 @@
     },
     /// Some of the parts that were asked for.
     Parts(Vec<SentPart>),
+    /// Changes of the backend servers, as the store told them.
+    Servers(ServerChanges),
+}
+
+/// All changes of the backend servers between two versions of the store.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ServerChanges {
+    /// They come after this version.
+    pub after: u64,
+    /// They go up to this version.
+    pub version: u64,
+    /// The changes in their order.
+    pub changes: Vec<ServerChange>,
 }
 
 /// The routers that were heard of.
--- a/crates/sapphiretrack-routing/src/server_list.rs
+++ b/crates/sapphiretrack-routing/src/server_list.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use sapphiretrack_core::hash_parts;
+use serde::{Deserialize, Serialize};
 
 /// One run of a backend server: its id, and when it started where the id is used again.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Incarnation(pub u64);
 
 impl Incarnation {
@@ -19,7 +20,7 @@
 }
 
 /// What a server says about itself.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ServerState {
     /// It takes work.
     Ready,
@@ -28,7 +29,7 @@
 }
 
 /// A server's entry, decoded.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServerEntry {
     /// Its id, which requests name so that no other server runs them.
     pub id: Arc<str>,
@@ -46,6 +47,25 @@
     pub state: ServerState,
 }
 
+/// A change of the list.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ServerChange {
+    /// A server's newest entry.
+    Entry(ServerEntry),
+    /// A server's entry is gone.
+    Gone {
+        /// The server's id.
+        id: String,
+    },
+    /// An entry cannot be read and names no server.
+    Unreadable {
+        /// Its key.
+        id: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
 /// A server that is listed.
 #[derive(Clone, Debug)]
 pub struct ListedServer {
@@ -96,9 +116,9 @@
         }
     }
 
-    /// Whether the other routers are to be told of an outage.
-    pub fn tells_settling(&self, now_ms: u64) -> bool {
-        now_ms < self.telling_until_ms
+    /// Until when the other routers are to be told of an outage.
+    pub fn tells_until_ms(&self) -> u64 {
+        self.telling_until_ms
     }
 
     /// Takes in an entry. Returns true if the server was not known as leaving and is now.
--- a/crates/sapphiretrack-routing/src/watch_state.rs
+++ b/crates/sapphiretrack-routing/src/watch_state.rs
@@ -26,6 +26,7 @@
     version: Option<u64>,
     news: WatchNews,
     is_behind: bool,
+    settling_until_ms: u64,
 }
 
 /// An answer of the store, as far as it tells how new a listing is.
@@ -82,9 +83,25 @@
         false
     }
 
-    /// Notes whether entries may still come back.
-    pub fn set_settling(&mut self, is_settling: bool) {
-        self.news.is_settling = is_settling;
+    /// Takes in that another router passes on all changes after one version up to another; true
+    /// if they are news here. What it lacks before them would be missed otherwise.
+    pub fn note_changes(&mut self, after: u64, version: u64) -> bool {
+        let Some(known) = self.version else {
+            return false;
+        };
+        if known < after || known >= version {
+            return false;
+        }
+        self.version = Some(version);
+        self.news.changed_version = self.news.changed_version.max(version);
+        self.is_behind = false;
+        true
+    }
+
+    /// Notes until when the others are to be told that entries may still come back. The end is
+    /// kept with it: a watch that stands still would never take the word back.
+    pub fn set_settling_until(&mut self, until_ms: u64) {
+        self.settling_until_ms = until_ms;
     }
 
     /// Forgets how far it is known: it will be listed anew.
@@ -103,8 +120,11 @@
     }
 
     /// What to tell the others.
-    pub fn news(&self) -> WatchNews {
-        self.news
+    pub fn news(&self, now_ms: u64) -> WatchNews {
+        WatchNews {
+            is_settling: now_ms < self.settling_until_ms,
+            ..self.news
+        }
     }
 
     /// How long ago it was the newest for sure.
--- a/crates/sapphiretrack-routing/tests/server_list.rs
+++ b/crates/sapphiretrack-routing/tests/server_list.rs
@@ -93,7 +93,7 @@
     lists[0].note_store_back(10_000);
     let mut dropped_ms = [None; 3];
     for now_ms in (10_000..20_000).step_by(50) {
-        let tells = lists.each_ref().map(|list| list.tells_settling(now_ms));
+        let tells = lists.each_ref().map(|list| now_ms < list.tells_until_ms());
         for (index, list) in lists.iter_mut().enumerate() {
             if (0..3).any(|other| other != index && tells[other]) {
                 list.note_peer_settling(now_ms);
--- a/crates/sapphiretrack-routing/tests/watch_state.rs
+++ b/crates/sapphiretrack-routing/tests/watch_state.rs
@@ -53,7 +53,7 @@
                     let answer = store.answer(&routers[router], local_ms, store_ms);
                     routers[router].note_answer(&answer);
                 }
-                2 | 3 => beats.push(routers[router].news()),
+                2 | 3 => beats.push(routers[router].news(local_ms)),
                 _ if beats.is_empty() => {}
                 _ => {
                     let news = beats[pick % beats.len()];
@@ -101,7 +101,7 @@
         changed_version: None,
         store_now_ms: 2_010,
     });
-    assert!(!other.note_news(&watcher.news(), 1_120));
+    assert!(!other.note_news(&watcher.news(1_500), 1_120));
     assert!(other.age_ms(1_120).expect("known") < 20);
     watcher.note_answer(&WatchAnswer {
         is_whole: false,
@@ -111,10 +111,18 @@
         changed_version: Some(13),
         store_now_ms: 2_400,
     });
-    assert!(other.note_news(&watcher.news(), 1_510));
+    assert!(other.note_news(&watcher.news(1_500), 1_510));
     assert!(other.is_behind());
     assert!(
         other.age_ms(1_510).expect("known") > 380,
         "the old proof stays, no newer one counts"
     );
 }
+
+#[test]
+fn a_watch_that_stands_still_does_not_tell_of_an_outage_for_ever() {
+    let mut state = WatchState::default();
+    state.set_settling_until(5_000);
+    assert!(state.news(4_999).is_settling);
+    assert!(!state.news(5_000).is_settling, "nobody has to take it back");
+}
