A hot prompt part has several homes

Now the rate at which all routers send a part gives the number of its homes; requests draw one of them, and fetch the part from a holder.

--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -175,7 +175,7 @@
                 continue;
             }
             RouterMessage::Parts(parts) => {
-                shared.traffic().warm.note_told(&parts, Clock.now_ms());
+                shared.traffic().warm.note_holdings(&parts, Clock.now_ms());
                 shared.parts_recovery().note_told();
                 continue;
             }
--- a/crates/sapphiretrack-router/src/parts.rs
+++ b/crates/sapphiretrack-router/src/parts.rs
@@ -69,7 +69,7 @@
                 let sent = parts.into_iter().map(|part| SentPart { server, part });
                 let sent: Vec<SentPart> = sent.collect();
                 known += sent.len();
-                shared.traffic().warm.note_told(&sent, Clock.now_ms());
+                shared.traffic().warm.note_holdings(&sent, Clock.now_ms());
             }
             Err(error) => {
                 note!(Event::PARTS_NOT_LISTED, server = engine.id, error = error);
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rand::RngExt;
 use sapphiretrack_routing::{
     Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, fetch_source,
-    part_home,
+    home_count, part_home,
 };
 
 use crate::clock::Clock;
@@ -115,11 +116,16 @@
     let now_ms = Clock.now_ms();
     let peer_loads = shared.peer_loads.load();
     let shared_parts = facts.shared_parts();
+    let mut traffic = shared.traffic();
+    let mut homes = 1;
     let home = shared_parts.last().and_then(|part| {
+        let sends_per_s = traffic.warm.sends_per_s(part.id, now_ms);
+        let (prompt, output) = (facts.prompt_tokens, facts.output_tokens);
+        homes = home_count(&settings.costs, sends_per_s, prompt, output);
         let incarnations = listed.iter().map(|server| server.incarnation);
-        part_home(part, incarnations)
+        part_home(part, incarnations, homes, rand::rng().random())
     });
-    let mut traffic = shared.traffic();
+    let is_hot = homes > 1;
     let candidate = |server: &Arc<ServerEntry>| {
         let health = traffic.health.get(&server.incarnation);
         let (peers, peer_prefill) = peer_loads
@@ -135,6 +141,7 @@
             server: server.incarnation,
             same_zone: server.zone == settings.zone,
             is_home: home == Some(server.incarnation),
+            is_hot,
             in_flight: peers + health.map_or(0, |health| health.in_flight),
             capacity: match service.is_engine {
                 true => server.slots,
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -21,7 +21,9 @@
 pub use log_sampling::LogSampling;
 pub use parts_recovery::{PartsRecovery, PartsStep};
 pub use peers::{Beat, PeerTable, RouterMessage, RouterState, ServerChanges, ServerLoad};
-pub use placement::{Candidate, PlacementCosts, choose_server, fetch_source, part_home};
+pub use placement::{
+    Candidate, PlacementCosts, choose_server, fetch_source, home_count, part_home,
+};
 pub use request::{PromptPart, RequestFacts, RequestKind};
 pub use retry_share::{RetrySettings, RetryShare};
 pub use server_health::{ServerHealth, ServerHealthSettings};
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -56,6 +56,8 @@
     pub same_zone: bool,
     /// Whether it is the home of the prompt's last shared part.
     pub is_home: bool,
+    /// Whether that part has several homes, of which this request goes to the one above.
+    pub is_hot: bool,
     /// Requests that all routers have there, as far as known.
     pub in_flight: u32,
     /// The most requests that it may hold.
@@ -72,14 +74,49 @@
     pub tried: bool,
 }
 
-/// The server whose cache is the home of a prompt's shared part, by rendezvous hashing over the
-/// live servers: all routers agree on it without a word.
-pub fn part_home<Servers>(part: &PromptPart, servers: Servers) -> Option<Incarnation>
+/// The server whose cache is the home of a prompt's shared part for one request, by rendezvous
+/// hashing over the live servers: all routers agree on it without a word.
+///
+/// A part that is sent so often that its requests would fill one server has as many homes as
+/// keep `HOME_REQUESTS` of them at each; `draw`, below 1, spreads requests over them. Counts of
+/// requests are too old to do so: at 88 routers they are up to a second old, while a hot part
+/// brings 20 requests in it.
+pub fn part_home<Servers>(
+    part: &PromptPart,
+    servers: Servers,
+    homes: usize,
+    draw: f64,
+) -> Option<Incarnation>
 where
     Servers: Iterator<Item = Incarnation>,
 {
     let score = |server: &Incarnation| rendezvous_score(part.id, server.0, 1.0);
-    servers.max_by(|a, b| score(a).total_cmp(&score(b)))
+    if homes <= 1 {
+        return servers.max_by(|a, b| score(a).total_cmp(&score(b)));
+    }
+    let mut ranked: Vec<Incarnation> = servers.collect();
+    ranked.sort_unstable_by(|a, b| score(b).total_cmp(&score(a)));
+    ranked.truncate(homes);
+    let index = (draw.clamp(0.0, 1.0) * ranked.len() as f64) as usize;
+    ranked.get(index).or(ranked.last()).copied()
+}
+
+/// Requests with one part that a home may hold at once: half of the mean load of a server.
+const HOME_REQUESTS: f64 = 3.0;
+/// What a generated token takes: a step of an engine with a usual batch.
+const TOKEN_MS: f64 = 7.0;
+
+/// How many homes a part needs that is sent so often with such requests.
+pub fn home_count(
+    costs: &PlacementCosts,
+    sends_per_s: f64,
+    prompt_tokens: u32,
+    output_tokens: u32,
+) -> usize {
+    let stays_ms = f64::from(prompt_tokens) / costs.prefill_tokens_per_ms / 4.0
+        + f64::from(output_tokens) * TOKEN_MS;
+    let at_once = sends_per_s * stays_ms / 1_000.0;
+    ((at_once / HOME_REQUESTS).ceil() as usize).max(1)
 }
 
 /// Tokens from which on fetching a part from another server's memory is worth a transfer.
@@ -107,7 +144,10 @@
     let mean = f64::from(total) / candidates.len().max(1) as f64;
     let bound = mean * costs.bound_factor + costs.bound_requests;
     let cost = |one: &Candidate| {
-        let uncached = f64::from(prompt_tokens.saturating_sub(one.cached_tokens));
+        // A hot part soon lies at all of its homes; the holders of the moment must not draw all
+        // of its requests.
+        let cached = if one.is_hot { 0 } else { one.cached_tokens };
+        let uncached = f64::from(prompt_tokens.saturating_sub(cached));
         let request_ms = match is_engine {
             true => costs.engine_request_ms,
             false => costs.plain_request_ms,
@@ -118,6 +158,9 @@
         }
         if one.is_home {
             cost -= costs.home_ms;
+            if one.is_hot {
+                cost -= f64::from(prompt_tokens) / costs.prefill_tokens_per_ms;
+            }
         }
         if !one.same_zone {
             cost += costs.other_zone_ms;
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -21,12 +21,25 @@
 pub struct WarmParts {
     sent_ms: HashMap<(Incarnation, u64), u64>,
     untold: Vec<SentPart>,
+    heat: HashMap<u64, Heat>,
+    heat_slice: u64,
+}
+
+/// How often a part was sent lately, by all routers.
+#[derive(Clone, Copy, Debug, Default)]
+struct Heat {
+    slice: u64,
+    count: u32,
+    before: u32,
 }
 
 impl WarmParts {
     /// How long a part is believed to stay in a server's cache after its last use. Servers drop
     /// the least recently used parts; half a minute holds on a server that is not overfull.
     const KEEP_MS: u64 = 30_000;
+    /// The length of the slices in which sends are counted: long enough for beats to arrive and
+    /// for a rate of one in two seconds to show.
+    const HEAT_MS: u64 = 2_000;
     /// The most entries, at 40 bytes each 0.8 MB.
     const MAX_ENTRIES: usize = 20_000;
     /// Parts that fit well into one datagram: 1 KB.
@@ -36,6 +49,7 @@
     pub fn note_sent(&mut self, server: Incarnation, parts: &[PromptPart], now_ms: u64) {
         for part in parts {
             self.note(server, part.id, now_ms);
+            self.count(part.id, now_ms);
             // What is more than a beat can tell is only known here.
             if self.untold.len() < Self::PARTS_IN_DATAGRAM {
                 self.untold.push(SentPart {
@@ -46,10 +60,18 @@
         }
     }
 
-    /// Notes what another router sent.
+    /// Notes what a router that was asked knows: who holds what, not what was sent now.
+    pub fn note_holdings(&mut self, holdings: &[SentPart], now_ms: u64) {
+        for part in holdings {
+            self.note(Incarnation(part.server), part.part, now_ms);
+        }
+    }
+
+    /// Notes what another router sent since its last beat.
     pub fn note_told(&mut self, sent: &[SentPart], now_ms: u64) {
         for part in sent {
             self.note(Incarnation(part.server), part.part, now_ms);
+            self.count(part.part, now_ms);
         }
     }
 
@@ -84,6 +106,43 @@
         held.iter().map(|part| part.tokens).sum()
     }
 
+    /// How often a part is sent in a second, by all routers.
+    pub fn sends_per_s(&self, part: u64, now_ms: u64) -> f64 {
+        let Some(heat) = self.heat.get(&part) else {
+            return 0.0;
+        };
+        let slice = now_ms / Self::HEAT_MS;
+        let since_ms = (now_ms % Self::HEAT_MS) as f64;
+        let (count, before) = match slice - heat.slice.min(slice) {
+            0 => (heat.count, heat.before),
+            1 => (0, heat.count),
+            _ => return 0.0,
+        };
+        // The part of the slice before that still lies within one length.
+        let kept = 1.0 - since_ms / Self::HEAT_MS as f64;
+        let sends = f64::from(count) + f64::from(before) * kept;
+        sends * 1_000.0 / Self::HEAT_MS as f64
+    }
+
+    fn count(&mut self, part: u64, now_ms: u64) {
+        let slice = now_ms / Self::HEAT_MS;
+        if slice != self.heat_slice {
+            self.heat_slice = slice;
+            self.heat.retain(|_, heat| heat.slice + 1 >= slice);
+        }
+        let heat = self.heat.entry(part).or_default();
+        if heat.slice != slice {
+            heat.before = if heat.slice + 1 == slice {
+                heat.count
+            } else {
+                0
+            };
+            heat.slice = slice;
+            heat.count = 0;
+        }
+        heat.count += 1;
+    }
+
     fn note(&mut self, server: Incarnation, part: u64, now_ms: u64) {
         if self.sent_ms.len() >= Self::MAX_ENTRIES {
             self.forget_older(now_ms);
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -2,7 +2,7 @@
 
 use sapphiretrack_routing::{
     Candidate, Incarnation, PlacementCosts, PromptPart, SentPart, ServerHealth,
-    ServerHealthSettings, WarmParts, choose_server, fetch_source, part_home,
+    ServerHealthSettings, WarmParts, choose_server, fetch_source, home_count, part_home,
 };
 
 const PROMPT_TOKENS: u32 = 9_200;
@@ -12,6 +12,7 @@
         server: Incarnation(server),
         same_zone: true,
         is_home: false,
+        is_hot: false,
         in_flight: 4,
         capacity: 64,
         prefill_tokens: 0,
@@ -129,8 +130,8 @@
             id: id * 104_729,
             tokens: 1,
         };
-        let before = part_home(&part, servers.iter().copied());
-        let after = part_home(&part, servers.iter().copied().skip(1));
+        let before = part_home(&part, servers.iter().copied(), 1, 0.0);
+        let after = part_home(&part, servers.iter().copied().skip(1), 1, 0.0);
         if before != after {
             assert_eq!(before, Some(servers[0]));
             moved += 1;
@@ -210,3 +211,59 @@
         "forgiven in time"
     );
 }
+
+/// The load: many routers with counts that are a second old, one part in a fifth of all requests.
+#[test]
+fn a_hot_part_spreads_over_its_homes_though_counts_are_old() {
+    const SERVERS: u64 = 60;
+    const HOT_PER_S: u32 = 20;
+    let costs = PlacementCosts::default();
+    let part = PromptPart {
+        id: 4_711,
+        tokens: 6_000,
+    };
+    let mut warm = WarmParts::default();
+    for step in 0..u64::from(HOT_PER_S) * 4 {
+        warm.note_told(
+            &[SentPart {
+                server: 1,
+                part: part.id,
+            }],
+            step * 50,
+        );
+    }
+    let sends_per_s = warm.sends_per_s(part.id, 4_000);
+    assert!(
+        (18.0..22.0).contains(&sends_per_s),
+        "{sends_per_s} sends a second"
+    );
+    let homes = home_count(&costs, sends_per_s, PROMPT_TOKENS, 50);
+    assert!((2..=5).contains(&homes), "{homes} homes");
+    let servers = || (0..SERVERS).map(|id| Incarnation(id * 7_919 + 13));
+    let mut sent = std::collections::BTreeMap::new();
+    for step in 0..HOT_PER_S {
+        let draw = f64::from(step) / f64::from(HOT_PER_S);
+        let home = part_home(&part, servers(), homes, draw);
+        let candidates: Vec<Candidate> = servers()
+            .map(|server| Candidate {
+                server,
+                is_home: home == Some(server),
+                is_hot: true,
+                cached_tokens: if server == Incarnation(13) { 8_600 } else { 0 },
+                ..candidate(0)
+            })
+            .collect();
+        let chosen = choose(&candidates).expect("room");
+        *sent.entry(chosen).or_insert(0_u32) += 1;
+    }
+    let most = sent.values().copied().max().expect("some were sent");
+    assert!(
+        most <= HOT_PER_S / homes as u32 + 1,
+        "{most} of a second at one server"
+    );
+    assert_eq!(
+        home_count(&costs, 1.0, PROMPT_TOKENS, 50),
+        1,
+        "a usual part has one home"
+    );
+}
