Changes that are passed on are taken in at once and in order

Each change that was passed on was followed by a pause of 200 ms that is meant for calls to the store; while 58 servers were replaced they piled up for seconds. Older ones could also be applied after newer ones. Test first: changes_that_are_passed_on_count_once_and_without_a_gap.

--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -42,7 +42,7 @@
     failing_since_ms: Option<u64>,
     failures: u32,
     /// Changes that other routers pass on.
-    relayed: Option<mpsc::Receiver<Vec<ServerChange>>>,
+    relayed: Option<mpsc::Receiver<ServerChanges>>,
 }
 
 /// What a watch does next.
@@ -62,6 +62,20 @@
     is_whole: bool,
     /// How long calls had failed before.
     outage_ms: u64,
+    /// Whether the store was asked for it.
+    is_asked: bool,
+}
+
+impl News {
+    /// Changes that another router passed on.
+    fn relayed(changes: Vec<ServerChange>) -> Self {
+        Self {
+            records: changes.into_iter().map(Record::Server).collect(),
+            is_whole: false,
+            outage_ms: 0,
+            is_asked: false,
+        }
+    }
 }
 
 impl Watch {
@@ -92,13 +106,7 @@
                 Some(_) => match self.wait_for_turn(limit_ms).await {
                     Turn::Ask(wait_ms) => wait_ms,
                     Turn::Idle => return None,
-                    Turn::Relayed(changes) => {
-                        return Some(News {
-                            records: changes.into_iter().map(Record::Server).collect(),
-                            is_whole: false,
-                            outage_ms: 0,
-                        });
-                    }
+                    Turn::Relayed(changes) => return Some(News::relayed(changes)),
                 },
             };
             let sent_ms = Clock.now_ms();
@@ -124,11 +132,8 @@
         let start_ms = Clock.now_ms();
         loop {
             let times = self.shared.settings().times;
-            let waiting = self
-                .relayed
-                .as_mut()
-                .and_then(|queue| queue.try_recv().ok());
-            if let Some(changes) = waiting {
+            let changes = self.take_relayed();
+            if !changes.is_empty() {
                 return Turn::Relayed(changes);
             }
             if self.shared.is_watcher() {
@@ -154,6 +159,22 @@
         }
     }
 
+    /// All changes that other routers passed on and that are news here.
+    fn take_relayed(&mut self) -> Vec<ServerChange> {
+        let mut news = Vec::new();
+        let Some(mut queue) = self.relayed.take() else {
+            return news;
+        };
+        while let Ok(passed_on) = queue.try_recv() {
+            let mut state = self.watch().state();
+            if state.note_changes(passed_on.after, passed_on.version) {
+                news.extend(passed_on.changes);
+            }
+        }
+        self.relayed = Some(queue);
+        news
+    }
+
     fn take(&mut self, answer: StoreAnswer, is_whole: bool, sent_ms: u64) -> News {
         let now_ms = Clock.now_ms();
         let outage_ms = self
@@ -186,6 +207,7 @@
             records: answer.records,
             is_whole,
             outage_ms,
+            is_asked: true,
         }
     }
 
@@ -311,9 +333,10 @@
     }
 }
 
-/// Takes news in; whether there were any.
+/// Takes news in; whether the store was asked and had some. What others pass on costs no call
+/// and comes often: with a pause after each it would pile up for seconds.
 fn take_servers(list: &mut ServerList, news: News, now_ms: u64) -> bool {
-    let changed = !news.records.is_empty();
+    let changed = news.is_asked && !news.records.is_empty();
     if news.is_whole {
         take_whole(list, news.records, now_ms);
         return changed;
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -8,7 +8,7 @@
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
     Configuration, Incarnation, LogSampling, PartsRecovery, PeerTable, RetryShare, RouterState,
-    ServerChange, ServerChanges, ServerEntry, ServerHealth, ServerLoad, WarmParts, WatchState,
+    ServerChanges, ServerEntry, ServerHealth, ServerLoad, WarmParts, WatchState,
 };
 use tokio::sync::{Notify, mpsc};
 
@@ -50,8 +50,8 @@
     /// Changes of servers that wait to be passed on to the other routers.
     to_pass_on: Mutex<Vec<ServerChanges>>,
     /// Changes of servers that other routers passed on.
-    relayed: mpsc::Sender<Vec<ServerChange>>,
-    relayed_queue: Mutex<Option<mpsc::Receiver<Vec<ServerChange>>>>,
+    relayed: mpsc::Sender<ServerChanges>,
+    relayed_queue: Mutex<Option<mpsc::Receiver<ServerChanges>>>,
     leaving_since_ms: AtomicU64,
     in_flight: AtomicUsize,
     last_request_ms: AtomicU64,
@@ -70,7 +70,7 @@
     pub(crate) drain: HashMap<String, DrainRate>,
 }
 
-/// Changes that wait to be taken in; with more the servers are listed anew.
+/// Changes that wait to be taken in: those of a few seconds in the busiest release.
 const MAX_RELAYED: usize = 256;
 /// Requests a second that the log tells in full: eight times the usual load of a router. Each
 /// has two lines of 200 bytes and costs 10 us.
@@ -206,20 +206,15 @@
         std::mem::take(&mut *lock(&self.to_pass_on))
     }
 
-    /// Takes in changes that another router passed on.
+    /// Hands changes that another router passed on to the watch of the servers.
     pub(crate) fn relay(&self, changes: ServerChanges) {
-        let watch = self.servers_watch();
-        if !watch.state().note_changes(changes.after, changes.version) {
-            return;
-        }
-        if self.relayed.try_send(changes.changes).is_err() {
-            watch.state().forget_version();
-        }
-        watch.news.notify_one();
+        // With a full queue the next beat tells that there is a change, and the store is asked.
+        drop(self.relayed.try_send(changes));
+        self.servers_watch().news.notify_one();
     }
 
     /// The queue of changes that other routers pass on; its one reader takes it.
-    pub(crate) fn take_relayed(&self) -> Option<mpsc::Receiver<Vec<ServerChange>>> {
+    pub(crate) fn take_relayed(&self) -> Option<mpsc::Receiver<ServerChanges>> {
         lock(&self.relayed_queue).take()
     }
 
--- a/crates/sapphiretrack-routing/src/watch_state.rs
+++ b/crates/sapphiretrack-routing/src/watch_state.rs
@@ -25,7 +25,8 @@
     freshness: Freshness,
     version: Option<u64>,
     news: WatchNews,
-    is_behind: bool,
+    /// The version of the last change that another router told of.
+    told_version: u64,
     settling_until_ms: u64,
 }
 
@@ -53,7 +54,6 @@
         self.freshness
             .note_answer(sent_ms, answer.received_ms, answer.store_now_ms);
         self.version = Some(answer.version);
-        self.is_behind = false;
         // A removal does not show in a whole listing: any version up to it may be the last change.
         let changed = match answer.is_whole {
             true => answer.version,
@@ -68,8 +68,8 @@
         let Some(version) = self.version else {
             return false;
         };
+        self.told_version = self.told_version.max(news.changed_version);
         if news.changed_version > version {
-            self.is_behind = true;
             return true;
         }
         if let Some(store_ms) = news.proven_store_ms {
@@ -84,7 +84,8 @@
     }
 
     /// Takes in that another router passes on all changes after one version up to another; true
-    /// if they are news here. What it lacks before them would be missed otherwise.
+    /// if they are news here and nothing is missing before them. They are to be applied at once:
+    /// older ones that are applied after newer ones would bring back servers that are gone.
     pub fn note_changes(&mut self, after: u64, version: u64) -> bool {
         let Some(known) = self.version else {
             return false;
@@ -94,7 +95,6 @@
         }
         self.version = Some(version);
         self.news.changed_version = self.news.changed_version.max(version);
-        self.is_behind = false;
         true
     }
 
@@ -116,7 +116,8 @@
 
     /// Whether another router told of a change that is not known here.
     pub fn is_behind(&self) -> bool {
-        self.is_behind
+        self.version
+            .is_some_and(|version| self.told_version > version)
     }
 
     /// What to tell the others.
--- a/crates/sapphiretrack-routing/tests/watch_state.rs
+++ b/crates/sapphiretrack-routing/tests/watch_state.rs
@@ -1,7 +1,7 @@
 //! What routers learn of the store from each other never claims more than the store said.
 
 use proptest::prelude::*;
-use sapphiretrack_routing::{WatchAnswer, WatchState};
+use sapphiretrack_routing::{WatchAnswer, WatchNews, WatchState};
 
 /// A store whose versions rise at known times of its clock.
 #[derive(Default)]
@@ -126,3 +126,38 @@
     assert!(state.news(4_999).is_settling);
     assert!(!state.news(5_000).is_settling, "nobody has to take it back");
 }
+
+#[test]
+fn changes_that_are_passed_on_count_once_and_without_a_gap() {
+    let mut state = WatchState::default();
+    assert!(
+        !state.note_changes(0, 5),
+        "the listing itself is not known yet"
+    );
+    state.note_answer(&WatchAnswer {
+        is_whole: true,
+        sent_ms: 0,
+        received_ms: 4,
+        version: 10,
+        changed_version: None,
+        store_now_ms: 100,
+    });
+    let news = |changed_version| WatchNews {
+        changed_version,
+        ..WatchNews::default()
+    };
+    assert!(state.note_news(&news(12), 10));
+    assert!(state.is_behind());
+    assert!(
+        !state.note_changes(11, 12),
+        "what came between 10 and 11 is missing"
+    );
+    assert!(state.is_behind());
+    assert!(state.note_changes(9, 12));
+    assert!(!state.is_behind(), "the store need not be asked");
+    assert!(!state.note_changes(9, 12), "once is enough");
+    assert!(
+        !state.note_changes(10, 11),
+        "older ones would undo newer ones"
+    );
+}
