The store counts as away only if it gave no router a proof

Now an outage counts only if no proof was made since the first failure. Test first: the_store_was_not_away_while_others_reached_it.

--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -16,8 +16,8 @@
 use crate::ports::{Listing, Record, StoreAnswer, StoreError, StorePort};
 use crate::shared::{Shared, SharedWatch};
 
-/// How long calls must have failed before entries may have lapsed meanwhile. Servers write every
-/// second or so; an outage that is shorter than this lets no entry lapse.
+/// How long the store must have been away for entries to have lapsed meanwhile. Servers write every
+/// second or so; a shorter outage lets no entry lapse.
 const OUTAGE_MS: u64 = 300;
 /// How long a watch waits while entries may still come back, so that late ones are dropped in time.
 const SETTLING_WATCH_MS: u64 = 250;
@@ -38,8 +38,6 @@
     shared: Arc<Shared>,
     store: Arc<StorePort>,
     listing: Listing,
-    /// Since when calls fail.
-    failing_since_ms: Option<u64>,
     failures: u32,
     /// Changes that other routers pass on.
     relayed: Option<mpsc::Receiver<ServerChanges>>,
@@ -60,7 +58,7 @@
     records: Vec<Record>,
     /// Whether the records are the whole listing.
     is_whole: bool,
-    /// How long calls had failed before.
+    /// How long the store had been away before.
     outage_ms: u64,
     /// Whether the store was asked for it.
     is_asked: bool,
@@ -84,7 +82,6 @@
             shared,
             store,
             listing,
-            failing_since_ms: None,
             failures: 0,
             relayed: None,
         }
@@ -177,20 +174,10 @@
 
     fn take(&mut self, answer: StoreAnswer, is_whole: bool, sent_ms: u64) -> News {
         let now_ms = Clock.now_ms();
-        let outage_ms = self
-            .failing_since_ms
-            .take()
-            .map_or(0, |since| now_ms.saturating_sub(since));
-        if outage_ms > 0 {
-            note!(
-                Event::STORE_BACK,
-                listing = self.listing.as_str(),
-                outage_ms = outage_ms
-            );
-        }
-        self.failures = 0;
         let after = self.watch().state().version();
-        self.watch().state().note_answer(&WatchAnswer {
+        let had_failed = self.failures > 0;
+        self.failures = 0;
+        let outage_ms = self.watch().state().note_answer(&WatchAnswer {
             is_whole,
             sent_ms,
             received_ms: now_ms,
@@ -198,6 +185,13 @@
             changed_version: answer.changed_version,
             store_now_ms: answer.store_now_ms,
         });
+        if had_failed {
+            note!(
+                Event::STORE_BACK,
+                listing = self.listing.as_str(),
+                outage_ms = outage_ms
+            );
+        }
         if !answer.records.is_empty() && !is_whole {
             self.pass_on(after, &answer);
             // The other routers shall hear of the change at once.
@@ -228,8 +222,7 @@
     }
 
     async fn wait_out(&mut self, error: &StoreError, sent_ms: u64) {
-        if self.failing_since_ms.is_none() {
-            self.failing_since_ms = Some(sent_ms);
+        if self.watch().state().note_failure(sent_ms) {
             note!(
                 Event::STORE_LOST,
                 listing = self.listing.as_str(),
--- a/crates/sapphiretrack-routing/src/watch_state.rs
+++ b/crates/sapphiretrack-routing/src/watch_state.rs
@@ -28,6 +28,8 @@
     /// The version of the last change that another router told of.
     told_version: u64,
     settling_until_ms: u64,
+    /// Since when calls of this router fail.
+    failing_since_ms: Option<u64>,
 }
 
 /// An answer of the store, as far as it tells how new a listing is.
@@ -48,11 +50,25 @@
 }
 
 impl WatchState {
-    /// Notes an answer of the store.
-    pub fn note_answer(&mut self, answer: &WatchAnswer) {
+    /// Notes that a call failed; true if the one before it did not.
+    pub fn note_failure(&mut self, sent_ms: u64) -> bool {
+        let is_first = self.failing_since_ms.is_none();
+        self.failing_since_ms.get_or_insert(sent_ms);
+        is_first
+    }
+
+    /// Notes an answer of the store. Returns how long the store had been away: as long as calls
+    /// failed, but not at all if it gave another router a proof in that time. Then it was there,
+    /// and what is missing from it is gone.
+    pub fn note_answer(&mut self, answer: &WatchAnswer) -> u64 {
+        let received_ms = answer.received_ms;
+        let age_ms = self.age_ms(received_ms).unwrap_or(received_ms);
+        let proven_ms = received_ms.saturating_sub(age_ms);
+        let failing_since_ms = self.failing_since_ms.take();
+        let away_since_ms = failing_since_ms.filter(|since| proven_ms <= *since);
         let sent_ms = answer.sent_ms;
         self.freshness
-            .note_answer(sent_ms, answer.received_ms, answer.store_now_ms);
+            .note_answer(sent_ms, received_ms, answer.store_now_ms);
         self.version = Some(answer.version);
         // A removal does not show in a whole listing: any version up to it may be the last change.
         let changed = match answer.is_whole {
@@ -61,6 +77,7 @@
         };
         self.news.changed_version = self.news.changed_version.max(changed);
         self.news.proven_store_ms = Some(answer.store_now_ms);
+        away_since_ms.map_or(0, |since| received_ms.saturating_sub(since))
     }
 
     /// Takes in what another router tells; true if the store must be asked.
--- a/crates/sapphiretrack-routing/tests/watch_state.rs
+++ b/crates/sapphiretrack-routing/tests/watch_state.rs
@@ -161,3 +161,34 @@
         "older ones would undo newer ones"
     );
 }
+
+#[test]
+fn the_store_was_not_away_while_others_reached_it() {
+    let answer = |sent_ms, store_now_ms| WatchAnswer {
+        is_whole: false,
+        sent_ms,
+        received_ms: sent_ms + 4,
+        version: 10,
+        changed_version: None,
+        store_now_ms,
+    };
+    let mut cut_off = WatchState::default();
+    cut_off.note_answer(&answer(1_000, 51_002));
+    let mut alone = cut_off.clone();
+    assert!(cut_off.note_failure(2_000));
+    assert!(!cut_off.note_failure(3_000), "told once");
+    alone.note_failure(2_000);
+    // Another router reaches the store again and again, and tells of it.
+    for local_ms in (3_000..8_000).step_by(250) {
+        let news = WatchNews {
+            changed_version: 10,
+            proven_store_ms: Some(local_ms + 50_000 - 20),
+            is_settling: false,
+        };
+        assert!(!cut_off.note_news(&news, local_ms));
+    }
+    let outage_ms = cut_off.note_answer(&answer(8_000, 58_002));
+    assert_eq!(outage_ms, 0);
+    assert!(alone.note_answer(&answer(8_000, 58_002)) > 5_900);
+    assert_eq!(alone.note_answer(&answer(9_000, 59_002)), 0, "it is over");
+}
