--- a/crates/sapphiretrack-router/src/lookups.rs
+++ b/crates/sapphiretrack-router/src/lookups.rs
@@ -96,9 +96,11 @@
 /// The ready routers of a caller's availability zone, or all if the zone has too few.
 fn caller_addresses(shared: &Shared, zone: Option<&str>) -> Vec<SocketAddr> {
     let settings = shared.settings();
+    let now_ms = Clock.now_ms();
+    let own_proof = shared.configuration_proof();
     let peers = shared.peers();
-    let mut ready = peers.ready(Clock.now_ms());
-    if shared.state() == RouterState::Ready {
+    let mut ready = peers.ready(own_proof, now_ms);
+    if shared.state() == RouterState::Ready && !peers.is_own_behind(own_proof, now_ms) {
         ready.push((&settings.zone, settings.caller_address));
     }
     let near = ready.iter().filter(|(other, _)| Some(*other) == zone);
@@ -129,7 +131,10 @@
         configuration_version: configuration.as_ref().map_or(0, |one| one.version),
         configuration_age_ms: age_ms.map_or(-1, |age| age as i64),
         servers: shared.servers.load().values().map(Vec::len).sum(),
-        ready_peers: shared.peers().ready(Clock.now_ms()).len(),
+        ready_peers: shared
+            .peers()
+            .ready(shared.configuration_proof(), Clock.now_ms())
+            .len(),
         in_flight: shared.in_flight(),
         dropped_lines: dropped_log_lines(),
     }
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -228,6 +228,12 @@
         self.configuration_watch.state().age_ms(Clock.now_ms())
     }
 
+    /// The store's time up to which the configuration is known to be the newest.
+    pub(crate) fn configuration_proof(&self) -> Option<u64> {
+        let state = self.configuration_watch.state();
+        state.news(Clock.now_ms()).proven_store_ms
+    }
+
     /// Whether keys may be believed now.
     pub(crate) fn keys_are_fresh(&self) -> bool {
         let limit_ms = (self.settings().key_bound_ms as f64 * KEY_PART) as u64;
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -102,6 +102,9 @@
     /// How long a silent router is still offered to callers: four beats, so that single lost
     /// datagrams do not count.
     const ALIVE_MS: u64 = 1_000;
+    /// How far a router's proof may be behind the newest: two watches of a second, with a margin
+    /// for one lost beat.
+    const BEHIND_MS: u64 = 2_500;
     /// How long the load of a silent router still counts.
     const LOAD_MS: u64 = 2_000;
     /// How long a silent router counts as one that may exist.
@@ -142,16 +145,41 @@
         lost
     }
 
-    /// The routers that callers may be sent to: availability zone and address.
-    pub fn ready(&self, now_ms: u64) -> Vec<(&str, SocketAddr)> {
-        let alive = self.peers.values();
-        let ready = alive.filter(|peer| {
+    /// The routers that callers may be sent to: availability zone and address. `own_proof` is the
+    /// store's time up to which this router knows the configuration.
+    ///
+    /// A router that has fallen behind the others soon refuses keys: callers are kept away from
+    /// it before, unless all have fallen behind.
+    pub fn ready(&self, own_proof: Option<u64>, now_ms: u64) -> Vec<(&str, SocketAddr)> {
+        let live = self.peers.values().filter(|peer| {
             peer.beat.state == RouterState::Ready && now_ms < peer.heard_ms + Self::ALIVE_MS
         });
+        let newest = self.newest_proof(now_ms).max(own_proof);
+        let ready =
+            live.filter(|peer| !Self::is_behind(peer.beat.configuration.proven_store_ms, newest));
         let ready = ready.map(|peer| (peer.beat.zone.as_str(), peer.beat.caller_address));
         ready.collect()
     }
 
+    /// Whether this router has fallen behind the others.
+    pub fn is_own_behind(&self, own_proof: Option<u64>, now_ms: u64) -> bool {
+        Self::is_behind(own_proof, self.newest_proof(now_ms).max(own_proof))
+    }
+
+    fn newest_proof(&self, now_ms: u64) -> Option<u64> {
+        let live = self.peers.values();
+        let live = live.filter(|peer| now_ms < peer.heard_ms + Self::ALIVE_MS);
+        live.filter_map(|peer| peer.beat.configuration.proven_store_ms)
+            .max()
+    }
+
+    fn is_behind(proof: Option<u64>, newest: Option<u64>) -> bool {
+        let Some(newest) = newest else {
+            return false;
+        };
+        proof.is_none_or(|proof| proof + Self::BEHIND_MS < newest)
+    }
+
     /// How many live routers come before this one in the order that all of them agree on.
     pub fn rank(&self, own_name: &str, now_ms: u64) -> usize {
         let own = RouterId::from_name(own_name);
--- a/crates/sapphiretrack-routing/tests/peers.rs
+++ b/crates/sapphiretrack-routing/tests/peers.rs
@@ -27,8 +27,8 @@
 fn a_silent_router_is_not_offered_and_later_forgotten() {
     let mut peers = PeerTable::default();
     assert!(peers.note(beat("a", 1, 1, RouterState::Ready), 0));
-    assert_eq!(peers.ready(900).len(), 1);
-    assert!(peers.ready(1_100).is_empty());
+    assert_eq!(peers.ready(None, 900).len(), 1);
+    assert!(peers.ready(None, 1_100).is_empty());
     assert_eq!(peers.may_exist(), 1);
     assert!(peers.forget_lost(20_000).is_empty());
     assert_eq!(peers.forget_lost(31_000), ["a"]);
@@ -41,9 +41,9 @@
     peers.note(beat("a", 1, 1, RouterState::Ready), 0);
     assert!(peers.note(beat("a", 1, 2, RouterState::Leaving), 10));
     peers.note(beat("a", 1, 3, RouterState::Ready), 20);
-    assert!(peers.ready(30).is_empty());
+    assert!(peers.ready(None, 30).is_empty());
     assert!(peers.note(beat("a", 2, 1, RouterState::Ready), 40));
-    assert_eq!(peers.ready(50).len(), 1);
+    assert_eq!(peers.ready(None, 50).len(), 1);
 }
 
 #[test]
@@ -52,7 +52,7 @@
     peers.note(beat("a", 5, 7, RouterState::NotReady), 0);
     assert!(!peers.note(beat("a", 5, 6, RouterState::Ready), 10));
     assert!(!peers.note(beat("a", 4, 99, RouterState::Ready), 10));
-    assert!(peers.ready(20).is_empty());
+    assert!(peers.ready(None, 20).is_empty());
 }
 
 #[test]
@@ -82,3 +82,26 @@
         assert_eq!(ranks, expected);
     }
 }
+
+#[test]
+fn a_router_that_falls_behind_is_not_offered_unless_all_have() {
+    let proven = |name: &str, store_ms| Beat {
+        configuration: WatchNews {
+            proven_store_ms: Some(store_ms),
+            ..WatchNews::default()
+        },
+        ..beat(name, 1, 1, RouterState::Ready)
+    };
+    let mut peers = PeerTable::default();
+    peers.note(proven("a", 10_000), 0);
+    peers.note(proven("b", 7_000), 0);
+    assert_eq!(peers.ready(Some(10_000), 100).len(), 1);
+    assert!(peers.is_own_behind(Some(7_400), 100));
+    assert!(!peers.is_own_behind(Some(7_600), 100));
+    // The store is away for all: the proofs stand still together.
+    let mut peers = PeerTable::default();
+    peers.note(proven("a", 7_000), 0);
+    peers.note(proven("b", 6_500), 0);
+    assert_eq!(peers.ready(Some(7_000), 100).len(), 2);
+    assert!(!peers.is_own_behind(Some(6_000), 100));
+}
