--- a/crates/sapphiretrack-router/src/lookups.rs
+++ b/crates/sapphiretrack-router/src/lookups.rs
@@ -13,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use sapphiretrack_routing::RouterState;
+use sapphiretrack_routing::{Distance, RouterState};
 use tokio::net::TcpListener;
 
 use crate::clock::Clock;
@@ -28,9 +28,9 @@
 const LOOKUP_TTL_S: u64 = 2;
 /// How long a connection for such questions may idle.
 const IDLE: Duration = Duration::from_secs(5);
-/// Routers in a caller's own availability zone from which on others are not named: one alone
-/// would take the zone's callers down with it.
-const ENOUGH_IN_ZONE: usize = 2;
+/// Routers near a caller from which on others are not named: one alone would take its callers down
+/// with it.
+const ENOUGH_NEAR: usize = 2;
 /// The most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 
@@ -93,7 +93,7 @@
     answer
 }
 
-/// The ready routers of a caller's availability zone, or all if the zone has too few.
+/// The ready routers of a caller's availability zone, of its region if the zone has too few, or all.
 fn caller_addresses(shared: &Shared, zone: Option<&str>) -> Vec<SocketAddr> {
     let settings = shared.settings();
     let now_ms = Clock.now_ms();
@@ -103,12 +103,16 @@
     if shared.state() == RouterState::Ready && !peers.is_own_behind(own_proof, now_ms) {
         ready.push((&settings.zone, settings.caller_address));
     }
-    let near = ready.iter().filter(|(other, _)| Some(*other) == zone);
-    let near: Vec<SocketAddr> = near.map(|(_, address)| *address).collect();
-    let mut addresses = match near.len() >= ENOUGH_IN_ZONE {
-        true => near,
-        false => ready.iter().map(|(_, address)| *address).collect(),
+    let within = |limit: Distance| {
+        let near = ready
+            .iter()
+            .filter(|(other, _)| zone.is_some_and(|zone| settings.distance(zone, other) <= limit));
+        let near: Vec<SocketAddr> = near.map(|(_, address)| *address).collect();
+        (near.len() >= ENOUGH_NEAR).then_some(near)
     };
+    let near = within(Distance::SameZone).or_else(|| within(Distance::SameRegion));
+    let all = || ready.iter().map(|(_, address)| *address).collect();
+    let mut addresses: Vec<SocketAddr> = near.unwrap_or_else(all);
     addresses.truncate(MAX_ADDRESSES);
     addresses
 }
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -139,7 +139,7 @@
         });
         Candidate {
             server: server.incarnation,
-            same_zone: server.zone == settings.zone,
+            distance: settings.distance(&settings.zone, &server.zone),
             is_home: home == Some(server.incarnation),
             is_hot,
             in_flight: peers + health.map_or(0, |health| health.in_flight),
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -1,8 +1,9 @@
 //! The settings of a router, whatever file or flags they come from.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use sapphiretrack_routing::{PlacementCosts, RetrySettings, ServerHealthSettings};
+use sapphiretrack_routing::{Distance, PlacementCosts, RetrySettings, ServerHealthSettings};
 
 /// What a router is told at its start.
 #[derive(Clone, Debug, PartialEq)]
@@ -11,6 +12,8 @@
     pub name: String,
     /// Its availability zone.
     pub zone: String,
+    /// The region of each availability zone.
+    pub regions: BTreeMap<String, String>,
     /// Where callers connect.
     pub caller_address: SocketAddr,
     /// Where it says whether it is ready.
@@ -84,6 +87,7 @@
         Self {
             name: "router".to_owned(),
             zone: "zone".to_owned(),
+            regions: BTreeMap::new(),
             caller_address: any_port,
             ready_address: any_port,
             lookup_address: None,
@@ -101,3 +105,11 @@
         }
     }
 }
+
+impl RouterSettings {
+    /// How far an availability zone is from another.
+    pub(crate) fn distance(&self, one: &str, other: &str) -> Distance {
+        let region_of = |zone: &str| self.regions.get(zone).map(String::as_str);
+        Distance::between(one, other, region_of)
+    }
+}
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -154,6 +154,7 @@
         let settings = RouterSettings {
             name: bound.name.clone(),
             zone: bound.zone.clone(),
+            regions: bound.regions.clone(),
             caller_address: bound.caller_address,
             ready_address: bound.ready_address,
             lookup_address: bound.lookup_address,
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -17,6 +17,8 @@
     pub plain_request_ms: f64,
     /// Added for another availability zone: both ways, and the price of the bytes.
     pub other_zone_ms: f64,
+    /// Added for another region: 12 ms each way, and the price of the bytes.
+    pub other_region_ms: f64,
     /// Added for a failure share of 1.
     pub failure_ms: f64,
     /// Added for a server that cannot be reached or does not move.
@@ -38,6 +40,7 @@
             engine_request_ms: 3.0,
             plain_request_ms: 8.0,
             other_zone_ms: 2.0,
+            other_region_ms: 40.0,
             failure_ms: 500.0,
             suspect_ms: 5_000.0,
             home_ms: 20.0,
@@ -47,13 +50,41 @@
     }
 }
 
+/// How far a server or a router is away.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Distance {
+    /// In the same availability zone.
+    SameZone,
+    /// In another availability zone of the same region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+impl Distance {
+    /// The distance between two availability zones; `region_of` tells a zone's region. A zone
+    /// whose region is not known counts as near.
+    pub fn between<'a, RegionOf>(one: &str, other: &str, region_of: RegionOf) -> Self
+    where
+        RegionOf: Fn(&str) -> Option<&'a str>,
+    {
+        if one == other {
+            return Self::SameZone;
+        }
+        match (region_of(one), region_of(other)) {
+            (Some(one), Some(other)) if one != other => Self::OtherRegion,
+            _ => Self::SameRegion,
+        }
+    }
+}
+
 /// A server as placement sees it.
 #[derive(Clone, Debug)]
 pub struct Candidate {
     /// The server.
     pub server: Incarnation,
-    /// Whether it is in this router's availability zone.
-    pub same_zone: bool,
+    /// How far it is away.
+    pub distance: Distance,
     /// Whether it is the home of the prompt's last shared part.
     pub is_home: bool,
     /// Whether that part has several homes, of which this request goes to the one above.
@@ -162,9 +193,11 @@
                 cost -= f64::from(prompt_tokens) / costs.prefill_tokens_per_ms;
             }
         }
-        if !one.same_zone {
-            cost += costs.other_zone_ms;
-        }
+        cost += match one.distance {
+            Distance::SameZone => 0.0,
+            Distance::SameRegion => costs.other_zone_ms,
+            Distance::OtherRegion => costs.other_region_ms,
+        };
         if f64::from(one.in_flight) > bound {
             cost += costs.suspect_ms / 2.0;
         }
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Which server gets a request.
 
 use sapphiretrack_routing::{
-    Candidate, Incarnation, PlacementCosts, PromptPart, SentPart, ServerHealth,
+    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, SentPart, ServerHealth,
     ServerHealthSettings, WarmParts, choose_server, fetch_source, home_count, part_home,
 };
 
@@ -10,7 +10,7 @@
 fn candidate(server: u64) -> Candidate {
     Candidate {
         server: Incarnation(server),
-        same_zone: true,
+        distance: Distance::SameZone,
         is_home: false,
         is_hot: false,
         in_flight: 4,
@@ -110,7 +110,7 @@
 #[test]
 fn the_other_zone_costs_only_where_all_else_is_equal() {
     let far = Candidate {
-        same_zone: false,
+        distance: Distance::SameRegion,
         ..candidate(0)
     };
     assert_eq!(choose(&[far.clone(), candidate(1)]), Some(1));
@@ -267,3 +267,35 @@
         "a usual part has one home"
     );
 }
+
+#[test]
+fn another_region_is_the_last_choice_among_equals() {
+    let region_of = |zone: &str| match zone {
+        "a1" | "a2" => Some("a"),
+        "b1" => Some("b"),
+        _ => None,
+    };
+    let distance = |one, other| Distance::between(one, other, region_of);
+    assert_eq!(distance("a1", "a1"), Distance::SameZone);
+    assert_eq!(distance("a1", "a2"), Distance::SameRegion);
+    assert_eq!(distance("a1", "b1"), Distance::OtherRegion);
+    assert_eq!(
+        distance("a1", "new"),
+        Distance::SameRegion,
+        "not known is not far"
+    );
+    let far = Candidate {
+        distance: Distance::OtherRegion,
+        ..candidate(0)
+    };
+    let near = Candidate {
+        distance: Distance::SameRegion,
+        ..candidate(1)
+    };
+    assert_eq!(choose(&[far.clone(), near.clone()]), Some(1));
+    let busy = Candidate {
+        in_flight: 30,
+        ..near
+    };
+    assert_eq!(choose(&[far, busy]), Some(0));
+}
