--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -19,10 +19,9 @@
 const OUTAGE_MS: u64 = 300;
 /// How long a watch waits while entries may still come back, so that late ones are dropped in time.
 const SETTLING_WATCH_MS: u64 = 250;
-/// When the routers are listed again after the start: all start within a second of each other.
-const LIST_ROUTERS_MS: [u64; 4] = [300, 700, 2_000, 7_000];
-/// The time between two lists of the routers later on: beats tell of new ones sooner.
-const LIST_ROUTERS_LATER_MS: u64 = 30_000;
+/// The time between two lists of the routers. One list after the own registration is enough: of two
+/// routers the one that registered later lists the other, and its beat makes both known.
+const LIST_ROUTERS_MS: u64 = 60_000;
 
 /// A wait that only news end.
 const FOREVER_MS: u64 = u64::MAX / 2;
@@ -201,7 +200,6 @@
         sleep(Duration::from_millis(pause_ms)).await;
     }
     shared.metrics.store_call("registration");
-    let mut pauses = LIST_ROUTERS_MS.into_iter();
     loop {
         let records = match (store.list)(Listing::Routers).await {
             Ok(answer) => answer.records,
@@ -221,8 +219,7 @@
         });
         addresses.set(routers.collect());
         shared.state_changed.notify_waiters();
-        let pause_ms = pauses.next().unwrap_or(LIST_ROUTERS_LATER_MS);
-        sleep(Duration::from_millis(pause_ms)).await;
+        sleep(Duration::from_millis(LIST_ROUTERS_MS)).await;
     }
 }
 
