Homes of prompt parts are waited for; a router that starts is told all parts

Cause: after a cold start 2.5 of 2.9 million tokens were read twice: a home's backlog of 180 ms outweighed its bonus of 20 ms, so that each part was read at many servers. A router that started was told 2,048 of 11,845 holdings.

--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -23,9 +23,10 @@
     pub failure_ms: f64,
     /// Added for a server that cannot be reached or does not move.
     pub suspect_ms: f64,
-    /// Taken off for the home of a prompt's last shared part: where nobody is known to hold the
-    /// part, all routers choose the same server, and it is read once.
-    pub home_ms: f64,
+    /// The part of the time to read the shared parts that is taken off for their home: where nobody
+    /// is known to hold them, all routers choose the same server, and they are read once. A whole
+    /// part would let requests wait at a home that is busy for as long as reading takes elsewhere.
+    pub home_part: f64,
     /// How far above the mean of its service a server may be loaded, as a factor and a fixed
     /// number of requests: a little less than callers tolerate, since counts are late.
     pub bound_factor: f64,
@@ -43,7 +44,7 @@
             other_region_ms: 40.0,
             failure_ms: 500.0,
             suspect_ms: 5_000.0,
-            home_ms: 20.0,
+            home_part: 0.8,
             bound_factor: 1.8,
             bound_requests: 2.0,
         }
@@ -134,6 +135,8 @@
 
 /// Requests with one part that a home may hold at once: half of the mean load of a server.
 const HOME_REQUESTS: f64 = 3.0;
+/// Taken off for a home at least: what two requests cost the others.
+const MIN_HOME_MS: f64 = 6.0;
 /// What a generated token takes: a step of an engine with a usual batch.
 const TOKEN_MS: f64 = 7.0;
 
@@ -188,10 +191,12 @@
             cost += (uncached + one.prefill_tokens as f64) / costs.prefill_tokens_per_ms;
         }
         if one.is_home {
-            cost -= costs.home_ms;
-            if one.is_hot {
-                cost -= f64::from(prompt_tokens) / costs.prefill_tokens_per_ms;
-            }
+            let uncached = if one.is_hot {
+                f64::from(prompt_tokens)
+            } else {
+                uncached
+            };
+            cost -= MIN_HOME_MS + uncached * costs.home_part / costs.prefill_tokens_per_ms;
         }
         cost += match one.distance {
             Distance::SameZone => 0.0,
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -42,8 +42,10 @@
     const HEAT_MS: u64 = 2_000;
     /// The most entries, at 40 bytes each 0.8 MB.
     const MAX_ENTRIES: usize = 20_000;
-    /// Parts that fit well into one datagram: 1 KB.
-    pub const PARTS_IN_DATAGRAM: usize = 64;
+    /// The most parts that a beat tells: 1 KB.
+    const PARTS_IN_BEAT: usize = 64;
+    /// Parts in one datagram of an answer to a router that starts: 4 KB.
+    pub const PARTS_IN_DATAGRAM: usize = 256;
 
     /// Notes that this router sent a prompt to a server.
     pub fn note_sent(&mut self, server: Incarnation, parts: &[PromptPart], now_ms: u64) {
@@ -51,7 +53,7 @@
             self.note(server, part.id, now_ms);
             self.count(part.id, now_ms);
             // What is more than a beat can tell is only known here.
-            if self.untold.len() < Self::PARTS_IN_DATAGRAM {
+            if self.untold.len() < Self::PARTS_IN_BEAT {
                 self.untold.push(SentPart {
                     server: server.0,
                     part: part.id,
