In large fleets a request compares a few servers, not all

The log showed servers believed to hold 1 to 8 requests that held 20 to 27: counts are up to a second old, and all routers took the one that looked emptiest. Now above 16 servers a request compares its home, the holders of its prompt and three at random; equals are taken in random order. Tests of that load first: routers_with_the_same_old_counts_do_not_run_at_one_server failed with the order by index (157 of 600 crowded).

--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -5,8 +5,8 @@
 
 use rand::RngExt;
 use sapphiretrack_routing::{
-    Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, fetch_source,
-    home_count, part_home,
+    Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, compared,
+    fetch_source, home_count, part_home,
 };
 
 use crate::clock::Clock;
@@ -161,6 +161,7 @@
         service.is_engine,
         facts.prompt_tokens,
         &candidates,
+        &compared(&candidates, || rand::rng().random()),
     );
     let Some(index) = index else {
         let all_tried = candidates.iter().all(|one| one.tried);
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -22,7 +22,8 @@
 pub use parts_recovery::{PartsRecovery, PartsStep};
 pub use peers::{Beat, PeerTable, RouterMessage, RouterState, ServerChanges, ServerLoad};
 pub use placement::{
-    Candidate, Distance, PlacementCosts, choose_server, fetch_source, home_count, part_home,
+    Candidate, Distance, PlacementCosts, choose_server, compared, fetch_source, home_count,
+    part_home,
 };
 pub use request::{PromptPart, RequestFacts, RequestKind};
 pub use retry_share::{RetrySettings, RetryShare};
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -166,53 +166,104 @@
     (one.cached_tokens >= held + MIN_FETCH_TOKENS).then_some(holder)
 }
 
-/// The index of the best candidate; none if all are full or tried. Servers above the load bound
-/// are taken only if all others are worse than suspect.
+/// Servers up to which all are compared. With so few, counts are young enough: routers hear of each
+/// other every 250 ms.
+const COMPARE_ALL: usize = 16;
+/// Servers that are drawn at random beside the home and the holders.
+const DRAWN: usize = 3;
+
+/// The candidates that one request compares: the home, servers that hold at least half as much
+/// of the prompt as the best holder, and a few at random. Among equals the first one wins, so
+/// that their order is random too.
+///
+/// All routers see the same late counts. If each took the least loaded of all servers, the one that
+/// looked emptiest would get the next requests of all of them: with 67 routers and counts up to
+/// a second old, servers believed to hold 2 requests held 25. Of a few drawn at random the least
+/// loaded is nearly as good, and different routers draw different ones.
+pub fn compared<Draw>(candidates: &[Candidate], mut draw: Draw) -> Vec<usize>
+where
+    Draw: FnMut() -> f64,
+{
+    let count = candidates.len();
+    let mut drawn = || ((draw().clamp(0.0, 1.0) * count as f64) as usize).min(count.max(1) - 1);
+    if count <= COMPARE_ALL {
+        let first = drawn();
+        return (first..count).chain(0..first).collect();
+    }
+    let most = candidates.iter().map(|one| one.cached_tokens).max();
+    let enough = (most.unwrap_or(0) / 2).max(1);
+    let is_special = |one: &Candidate| one.is_home || one.cached_tokens >= enough;
+    let mut chosen: Vec<usize> = (0..DRAWN).map(|_| drawn()).collect();
+    for (index, one) in candidates.iter().enumerate() {
+        if is_special(one) && !chosen.contains(&index) {
+            chosen.push(index);
+        }
+    }
+    chosen
+}
+
+/// The index of the best of the compared candidates; of all if those are full, tried or suspect,
+/// and none if all are. Servers above the load bound are taken only if all others are worse.
 pub fn choose_server(
     costs: &PlacementCosts,
     is_engine: bool,
     prompt_tokens: u32,
     candidates: &[Candidate],
+    compared: &[usize],
 ) -> Option<usize> {
     let total: u32 = candidates.iter().map(|one| one.in_flight).sum();
     let mean = f64::from(total) / candidates.len().max(1) as f64;
     let bound = mean * costs.bound_factor + costs.bound_requests;
-    let cost = |one: &Candidate| {
-        // A hot part soon lies at all of its homes; the holders of the moment must not draw all
-        // of its requests.
-        let cached = if one.is_hot { 0 } else { one.cached_tokens };
-        let uncached = f64::from(prompt_tokens.saturating_sub(cached));
-        let request_ms = match is_engine {
-            true => costs.engine_request_ms,
-            false => costs.plain_request_ms,
-        };
-        let mut cost = f64::from(one.in_flight) * request_ms;
-        if is_engine {
-            cost += (uncached + one.prefill_tokens as f64) / costs.prefill_tokens_per_ms;
-        }
-        if one.is_home {
-            let uncached = if one.is_hot {
-                f64::from(prompt_tokens)
-            } else {
-                uncached
-            };
-            cost -= MIN_HOME_MS + uncached * costs.home_part / costs.prefill_tokens_per_ms;
-        }
-        cost += match one.distance {
-            Distance::SameZone => 0.0,
-            Distance::SameRegion => costs.other_zone_ms,
-            Distance::OtherRegion => costs.other_region_ms,
-        };
+    let cost = |index: &usize| {
+        let one = &candidates[*index];
+        let mut cost = request_cost(costs, is_engine, prompt_tokens, one);
         if f64::from(one.in_flight) > bound {
             cost += costs.suspect_ms / 2.0;
         }
-        if one.suspect {
-            cost += costs.suspect_ms;
-        }
-        cost + one.failure_share * costs.failure_ms
+        cost
     };
-    let open = candidates.iter().enumerate();
-    let open = open.filter(|(_, one)| !one.tried && one.in_flight < one.capacity);
-    let best = open.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
-    best.map(|(index, _)| index)
+    let is_open = |index: &usize| {
+        let one = &candidates[*index];
+        !one.tried && one.in_flight < one.capacity
+    };
+    let cheapest = |open: Vec<usize>| open.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+    let best = cheapest(compared.iter().copied().filter(is_open).collect());
+    let good = best.filter(|index| {
+        let one = &candidates[*index];
+        !one.suspect && f64::from(one.in_flight) <= bound
+    });
+    good.or_else(|| cheapest((0..candidates.len()).filter(is_open).collect()))
+}
+
+/// What a request costs at a server, but for the load bound.
+fn request_cost(
+    costs: &PlacementCosts,
+    is_engine: bool,
+    prompt_tokens: u32,
+    one: &Candidate,
+) -> f64 {
+    // A hot part soon lies at all of its homes; the holders of the moment must not draw all
+    // of its requests.
+    let cached = if one.is_hot { 0 } else { one.cached_tokens };
+    let uncached = f64::from(prompt_tokens.saturating_sub(cached));
+    let request_ms = match is_engine {
+        true => costs.engine_request_ms,
+        false => costs.plain_request_ms,
+    };
+    let mut cost = f64::from(one.in_flight) * request_ms;
+    if is_engine {
+        cost += (uncached + one.prefill_tokens as f64) / costs.prefill_tokens_per_ms;
+    }
+    if one.is_home {
+        cost -= MIN_HOME_MS + uncached * costs.home_part / costs.prefill_tokens_per_ms;
+    }
+    cost += match one.distance {
+        Distance::SameZone => 0.0,
+        Distance::SameRegion => costs.other_zone_ms,
+        Distance::OtherRegion => costs.other_region_ms,
+    };
+    if one.suspect {
+        cost += costs.suspect_ms;
+    }
+    cost + one.failure_share * costs.failure_ms
 }
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -2,7 +2,7 @@
 
 use sapphiretrack_routing::{
     Candidate, Distance, Incarnation, PlacementCosts, PromptPart, SentPart, ServerHealth,
-    ServerHealthSettings, WarmParts, choose_server, fetch_source, home_count, part_home,
+    ServerHealthSettings, WarmParts, choose_server, compared, fetch_source, home_count, part_home,
 };
 
 const PROMPT_TOKENS: u32 = 9_200;
@@ -24,7 +24,14 @@
 }
 
 fn choose(candidates: &[Candidate]) -> Option<usize> {
-    choose_server(&PlacementCosts::default(), true, PROMPT_TOKENS, candidates)
+    let all: Vec<usize> = (0..candidates.len()).collect();
+    choose_server(
+        &PlacementCosts::default(),
+        true,
+        PROMPT_TOKENS,
+        candidates,
+        &all,
+    )
 }
 
 #[test]
@@ -299,3 +306,81 @@
     };
     assert_eq!(choose(&[far, busy]), Some(0));
 }
+
+/// The load: 88 routers that all see the same counts of a second ago, 60 servers, 600 short requests in
+/// that second, of which each stays for a second.
+#[test]
+fn routers_with_the_same_old_counts_do_not_run_at_one_server() {
+    const SERVERS: usize = 60;
+    let costs = PlacementCosts::default();
+    let mut state = 42_u64;
+    let mut draw = move || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (state >> 11) as f64 / (1_u64 << 53) as f64
+    };
+    let mut load = [10_u32; SERVERS];
+    load[7] = 2;
+    load[8] = 3;
+    let seen = load;
+    let candidates: Vec<Candidate> = (0..SERVERS)
+        .map(|index| Candidate {
+            in_flight: seen[index],
+            ..candidate(index as u64)
+        })
+        .collect();
+    for _ in 0..600 {
+        let few = compared(&candidates, &mut draw);
+        let chosen = choose_server(&costs, true, 300, &candidates, &few).expect("room");
+        load[chosen] += 1;
+    }
+    // Those that were there before end meanwhile.
+    let now: Vec<u32> = load
+        .iter()
+        .zip(seen)
+        .map(|(load, seen)| load - seen)
+        .collect();
+    let most = now.iter().copied().max().expect("servers");
+    assert!(
+        most <= 2 * 10 + 25,
+        "{most} of 600 requests at one server, the mean is 10"
+    );
+    let crowded: u32 = now.iter().filter(|load| **load > 2 * 10 + 3).sum();
+    assert!(
+        crowded <= 600 / 8,
+        "{crowded} of 600 at servers above twice the mean and 3"
+    );
+}
+
+#[test]
+fn with_few_servers_all_are_compared() {
+    let candidates: Vec<Candidate> = (0..12).map(candidate).collect();
+    assert_eq!(compared(&candidates, || 0.0).len(), 12);
+    let many: Vec<Candidate> = (0..60)
+        .map(|id| Candidate {
+            is_home: id == 5,
+            cached_tokens: if id == 9 { 8_000 } else { 0 },
+            ..candidate(id)
+        })
+        .collect();
+    let few = compared(&many, || 0.5);
+    assert_eq!(
+        few,
+        [30, 30, 30, 5, 9],
+        "what is drawn, the home, the holder"
+    );
+}
+
+#[test]
+fn if_the_compared_ones_are_suspect_or_full_all_are_looked_at() {
+    let mut many: Vec<Candidate> = (0..60).map(candidate).collect();
+    many[30].suspect = true;
+    let costs = PlacementCosts::default();
+    let chosen = choose_server(&costs, true, 300, &many, &[30]).expect("room");
+    assert_ne!(chosen, 30);
+    many[30].suspect = false;
+    many[30].in_flight = 64;
+    let chosen = choose_server(&costs, true, 300, &many, &[30]).expect("room");
+    assert_ne!(chosen, 30);
+}
