In a large fleet a router is live until a second beat is missing

Cause: at 88 routers a beat comes once a second, just when a router was taken for lost. Kept for the watchers' order, which no longer changes by turns.

--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -83,6 +83,8 @@
         let settings = shared.settings();
         let all = addresses.all(&shared);
         let rounds = all.len().div_ceil(BEATS_AT_ONCE).max(1);
+        let interval_ms = rounds as u64 * settings.times.beat_ms;
+        shared.peers().set_beat_interval(interval_ms);
         sent_parts.push_back(shared.traffic().warm.take_untold());
         while sent_parts.len() > rounds {
             sent_parts.pop_front();
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -90,6 +90,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<String, Peer>,
+    beat_interval_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -99,9 +100,20 @@
 }
 
 impl PeerTable {
-    /// How long a silent router is still offered to callers: four beats, so that single lost
-    /// datagrams do not count.
-    const ALIVE_MS: u64 = 1_000;
+    /// Sets how long it takes until each router has had a beat of each other one.
+    pub fn set_beat_interval(&mut self, interval_ms: u64) {
+        self.beat_interval_ms = interval_ms;
+    }
+
+    /// How long a silent router counts as live: one beat may be lost. At 88 routers a beat comes once
+    /// a second; with a fixed second each router would take the others for lost by turns.
+    fn alive_ms(&self) -> u64 {
+        Self::MIN_ALIVE_MS.max(self.beat_interval_ms * 5 / 2)
+    }
+
+    /// How long a silent router is still offered to callers at least: four beats of a small fleet,
+    /// so that single lost datagrams do not count.
+    const MIN_ALIVE_MS: u64 = 1_000;
     /// How far a router's proof may be behind the newest: two watches of a second, with a margin
     /// for one lost beat.
     const BEHIND_MS: u64 = 2_500;
@@ -112,6 +124,7 @@
 
     /// Takes in a beat; true if the router was not heard of before, came back or changed state.
     pub fn note(&mut self, beat: Beat, now_ms: u64) -> bool {
+        let alive_ms = self.alive_ms();
         let Some(peer) = self.peers.get_mut(&beat.name) else {
             let name = beat.name.clone();
             let heard_ms = now_ms;
@@ -125,7 +138,7 @@
         let same_run = beat.incarnation == peer.beat.incarnation;
         let left = same_run && peer.beat.state == RouterState::Leaving;
         let changed =
-            !same_run || beat.state != peer.beat.state || now_ms >= peer.heard_ms + Self::ALIVE_MS;
+            !same_run || beat.state != peer.beat.state || now_ms >= peer.heard_ms + alive_ms;
         peer.heard_ms = now_ms;
         peer.beat = beat;
         if left {
@@ -152,7 +165,7 @@
     /// it before, unless all have fallen behind.
     pub fn ready(&self, own_proof: Option<u64>, now_ms: u64) -> Vec<(&str, SocketAddr)> {
         let live = self.peers.values().filter(|peer| {
-            peer.beat.state == RouterState::Ready && now_ms < peer.heard_ms + Self::ALIVE_MS
+            peer.beat.state == RouterState::Ready && now_ms < peer.heard_ms + self.alive_ms()
         });
         let newest = self.newest_proof(now_ms).max(own_proof);
         let ready =
@@ -168,7 +181,7 @@
 
     fn newest_proof(&self, now_ms: u64) -> Option<u64> {
         let live = self.peers.values();
-        let live = live.filter(|peer| now_ms < peer.heard_ms + Self::ALIVE_MS);
+        let live = live.filter(|peer| now_ms < peer.heard_ms + self.alive_ms());
         live.filter_map(|peer| peer.beat.configuration.proven_store_ms)
             .max()
     }
@@ -184,7 +197,7 @@
     pub fn rank(&self, own_name: &str, now_ms: u64) -> usize {
         let own = RouterId::from_name(own_name);
         let live = self.peers.iter().filter(|(_, peer)| {
-            peer.beat.state != RouterState::Leaving && now_ms < peer.heard_ms + Self::ALIVE_MS
+            peer.beat.state != RouterState::Leaving && now_ms < peer.heard_ms + self.alive_ms()
         });
         live.filter(|(name, _)| RouterId::from_name(name) < own)
             .count()
@@ -194,7 +207,7 @@
     pub fn parts_knowers(&self, now_ms: u64) -> Vec<SocketAddr> {
         let live = self.peers.values();
         let knowers =
-            live.filter(|peer| peer.beat.knows_parts && now_ms < peer.heard_ms + Self::ALIVE_MS);
+            live.filter(|peer| peer.beat.knows_parts && now_ms < peer.heard_ms + self.alive_ms());
         knowers.map(|peer| peer.beat.beat_address).collect()
     }
 
--- a/crates/sapphiretrack-routing/tests/peers.rs
+++ b/crates/sapphiretrack-routing/tests/peers.rs
@@ -105,3 +105,17 @@
     assert_eq!(peers.ready(Some(7_000), 100).len(), 2);
     assert!(!peers.is_own_behind(Some(6_000), 100));
 }
+
+#[test]
+fn in_a_large_fleet_a_router_counts_as_live_until_a_second_beat_is_missing() {
+    let mut peers = PeerTable::default();
+    peers.set_beat_interval(1_000);
+    peers.note(beat("a", 1, 1, RouterState::Ready), 0);
+    assert_eq!(
+        peers.ready(None, 1_100).len(),
+        1,
+        "its next beat is on its way"
+    );
+    assert_eq!(peers.ready(None, 2_400).len(), 1, "one beat may be lost");
+    assert!(peers.ready(None, 2_600).is_empty());
+}
