A router whose clock went back between two runs is heard again

Cause: beats order the runs of a router by the time of day of their start. Ruled out: numbering runs by the uptime (it starts anew with the VM) or by the store (one more write at each start, and none while it is away). Change: a run with a smaller number counts once the last run has been silent for as long as a router counts as live. Test first (failed), with one that repeated beats still change nothing.

--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -55,10 +55,8 @@
     addresses: Arc<BeatAddresses>,
 ) {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    // The time of day may step back between two runs; the uptime orders runs of one machine.
-    let incarnation = since
-        .map_or(0, |since| since.as_millis() as u64)
-        .max(Clock.now_ms());
+    // The time of day may step back between two runs; who hears the beats reckons with that.
+    let incarnation = since.map_or(0, |since| since.as_millis() as u64);
     let beat_ms = Duration::from_millis(shared.settings().times.beat_ms);
     let mut sequence = 0;
     let mut next = 0;
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -35,7 +35,7 @@
 pub struct Beat {
     /// Its name.
     pub name: String,
-    /// Tells its runs apart; later runs have larger numbers.
+    /// Tells its runs apart: when the run began, by the time of day.
     pub incarnation: u64,
     /// Rises with each beat of a run.
     pub sequence: u64,
@@ -131,14 +131,20 @@
             self.peers.insert(name, Peer { beat, heard_ms });
             return true;
         };
-        let known = (peer.beat.incarnation, peer.beat.sequence);
-        if (beat.incarnation, beat.sequence) <= known {
+        let same_run = beat.incarnation == peer.beat.incarnation;
+        let was_silent = now_ms >= peer.heard_ms + alive_ms;
+        // The number of a run is its start by the time of day, which may step back between two
+        // runs: once the last run is silent, a run with a smaller number is a new one, too.
+        // Without this such a router's lookups alone named it until the last run was forgotten.
+        let is_newer = match same_run {
+            true => beat.sequence > peer.beat.sequence,
+            false => beat.incarnation > peer.beat.incarnation || was_silent,
+        };
+        if !is_newer {
             return false;
         }
-        let same_run = beat.incarnation == peer.beat.incarnation;
         let left = same_run && peer.beat.state == RouterState::Leaving;
-        let changed =
-            !same_run || beat.state != peer.beat.state || now_ms >= peer.heard_ms + alive_ms;
+        let changed = !same_run || beat.state != peer.beat.state || was_silent;
         peer.heard_ms = now_ms;
         peer.beat = beat;
         if left {
--- a/crates/sapphiretrack-routing/tests/peers.rs
+++ b/crates/sapphiretrack-routing/tests/peers.rs
@@ -55,6 +55,26 @@
     assert!(peers.ready(None, 20).is_empty());
 }
 
+#[test]
+fn a_run_that_starts_at_an_earlier_time_of_day_counts_once_the_last_run_is_silent() {
+    let mut peers = PeerTable::default();
+    peers.note(beat("a", 9_000, 700, RouterState::Leaving), 0);
+    assert!(!peers.note(beat("a", 4_000, 1, RouterState::Ready), 900));
+    assert!(peers.note(beat("a", 4_000, 2, RouterState::Ready), 1_000));
+    assert_eq!(peers.ready(None, 1_100).len(), 1);
+    // Afterwards the run is like any other: its own old beats change nothing.
+    assert!(!peers.note(beat("a", 4_000, 1, RouterState::NotReady), 1_200));
+    assert_eq!(peers.ready(None, 1_300).len(), 1);
+}
+
+#[test]
+fn a_run_that_comes_back_from_a_silence_is_not_older_than_itself() {
+    let mut peers = PeerTable::default();
+    peers.note(beat("a", 5, 7, RouterState::Ready), 0);
+    assert!(!peers.note(beat("a", 5, 6, RouterState::NotReady), 2_000));
+    assert!(peers.note(beat("a", 5, 8, RouterState::Ready), 2_000));
+}
+
 #[test]
 fn loads_add_up_over_the_routers_that_were_heard_lately() {
     let mut peers = PeerTable::default();
