--- a/crates/sapphiretrack-logs/src/cause.rs
+++ b/crates/sapphiretrack-logs/src/cause.rs
@@ -33,7 +33,8 @@
         ANSWERED => {
             let age_ms = end.field("age_ms").unwrap_or("?");
             let status = end.field("status").unwrap_or("?");
-            format!("Answered with {status} after {age_ms} ms.{server_story}")
+            let failure = passed_on_failure(own, status);
+            format!("Answered with {status} after {age_ms} ms.{server_story}{failure}")
         }
         REFUSED => refusal(end, beliefs),
         FAILED => {
@@ -75,6 +76,19 @@
     text
 }
 
+/// A server's own failure that was passed on as the answer leaves no line of a failed attempt.
+fn passed_on_failure(own: &[&LogLine], status: &str) -> String {
+    let is_failure = status.parse().is_ok_and(|status: u16| status >= 500);
+    let sent = own.iter().rev().find(|line| line.event == SENT);
+    let server = sent.and_then(|line| line.field("server"));
+    match server {
+        Some(server) if is_failure => {
+            format!(" At {server}: the server failed, and its answer was passed on.")
+        }
+        _ => String::new(),
+    }
+}
+
 /// What became of the servers that it was sent to.
 fn server_story(own: &[&LogLine], beliefs: &[&LogLine]) -> String {
     let failures = own.iter().filter(|line| line.event == ATTEMPT_FAILED);
