A change of state wakes the sender of beats also while it sends

Cause: notify_waiters wakes nobody while the sender is between two waits, so a change of state or of servers could wait for the next beat (250 ms, a second in a fleet of 88). There is one waiter, and notify_one keeps its permit.

--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -46,7 +46,7 @@
         let now_ready = shared.state();
         if ready != Some(now_ready) {
             ready = Some(now_ready);
-            shared.state_changed.notify_waiters();
+            shared.state_changed.notify_one();
         }
         if changed {
             watch.pause().await;
@@ -218,7 +218,7 @@
             }
         });
         addresses.set(routers.collect());
-        shared.state_changed.notify_waiters();
+        shared.state_changed.notify_one();
         sleep(Duration::from_millis(LIST_ROUTERS_MS)).await;
     }
 }
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -262,7 +262,7 @@
             self.leaving_since_ms
                 .compare_exchange(0, now_ms, Ordering::Relaxed, Ordering::Relaxed);
         if first.is_ok() {
-            self.state_changed.notify_waiters();
+            self.state_changed.notify_one();
         }
     }
 
--- a/crates/sapphiretrack-router/src/watch.rs
+++ b/crates/sapphiretrack-router/src/watch.rs
@@ -178,7 +178,7 @@
         if !answer.records.is_empty() && !is_whole {
             self.pass_on(after, &answer);
             // The other routers shall hear of the change at once.
-            self.shared.state_changed.notify_waiters();
+            self.shared.state_changed.notify_one();
         }
         News {
             records: answer.records,
