--- a/crates/sapphiretrack-bench/src/soak/injector.rs
+++ b/crates/sapphiretrack-bench/src/soak/injector.rs
@@ -44,7 +44,7 @@
 }
 
 /// What takes a fault back.
-enum Heal {
+pub(super) enum Heal {
     Continue { router: String },
     Start { router: String, zone: usize },
     Engine { server: usize },
@@ -210,132 +210,7 @@
         true
     }
 
-    async fn fault_platform(&mut self, fault: Fault) -> bool {
-        let none = PlatformFaults::default();
-        let (faults, healed_after_ms) = match fault {
-            Fault::PlatformDown { down_ms } => (PlatformFaults { down: true, ..none }, down_ms),
-            Fault::PlatformSlow { slow_ms, delay_ms } => {
-                (PlatformFaults { delay_ms, ..none }, slow_ms)
-            }
-            Fault::LosePlatformReplies { replies } => {
-                let lose_replies = replies;
-                (
-                    PlatformFaults {
-                        lose_replies,
-                        ..none
-                    },
-                    0,
-                )
-            }
-            Fault::LosePlatformRequests { requests } => {
-                let lose_requests = requests;
-                (
-                    PlatformFaults {
-                        lose_requests,
-                        ..none
-                    },
-                    0,
-                )
-            }
-            _ => return false,
-        };
-        let address = self.fleet.platform_address;
-        self.fleet.set_faults(address, &faults).await;
-        if healed_after_ms > 0 {
-            self.heal_after(healed_after_ms, Heal::Platform);
-        }
-        true
-    }
-
-    async fn fault_service(&mut self, fault: Fault) -> bool {
-        let none = ServiceFaults::default();
-        let (service, faults, healed_after_ms) = match fault {
-            Fault::LoseServiceReplies { service, replies } => {
-                let lose_replies = replies;
-                (
-                    service,
-                    ServiceFaults {
-                        lose_replies,
-                        ..none
-                    },
-                    0,
-                )
-            }
-            Fault::CrossServiceReplies { service, replies } => {
-                let crossed = replies;
-                (service, ServiceFaults { crossed, ..none }, 0)
-            }
-            Fault::RefuseCalls { service, calls } => {
-                let refuse = calls;
-                (service, ServiceFaults { refuse, ..none }, 0)
-            }
-            Fault::FreezeService { service, frozen_ms } => {
-                let frozen = true;
-                (service, ServiceFaults { frozen, ..none }, frozen_ms)
-            }
-            _ => return false,
-        };
-        let server = self.pick_server(PoolKind::Service, service);
-        let address = self.fleet.servers[server].vm.address;
-        self.fleet.set_faults(address, &faults).await;
-        if healed_after_ms > 0 {
-            self.heal_after(healed_after_ms, Heal::Service { server });
-        }
-        true
-    }
-
-    async fn fault_engine(&mut self, fault: Fault) -> bool {
-        let none = EngineFaults::default();
-        let (engine, faults, heal_ms) = match fault {
-            Fault::CutStreams {
-                engine,
-                streams,
-                after_tokens,
-            } => {
-                let (cut_streams, cut_after_tokens) = (streams, after_tokens);
-                let faults = EngineFaults {
-                    cut_streams,
-                    cut_after_tokens,
-                    ..none
-                };
-                (engine, faults, 0)
-            }
-            Fault::CrossReplies { engine, replies } => {
-                let crossed = replies;
-                (engine, EngineFaults { crossed, ..none }, 0)
-            }
-            Fault::RefuseRequests { engine, requests } => {
-                let refuse = requests;
-                (engine, EngineFaults { refuse, ..none }, 0)
-            }
-            Fault::FreezeEngine { engine, frozen_ms } => {
-                let frozen = true;
-                (engine, EngineFaults { frozen, ..none }, frozen_ms)
-            }
-            Fault::LeaveEngine { engine, leaving_ms } => {
-                let leaving = true;
-                (engine, EngineFaults { leaving, ..none }, leaving_ms)
-            }
-            Fault::RestartEngine { engine } => {
-                let server = self.pick_server(PoolKind::Engine, engine);
-                self.restart_engine(server).await;
-                return true;
-            }
-            _ => return false,
-        };
-        let server = self.pick_server(PoolKind::Engine, engine);
-        let address = self.fleet.servers[server].vm.address;
-        let leaving = faults.leaving;
-        self.fleet.set_faults(address, &faults).await;
-        if leaving {
-            self.heal_after(heal_ms, Heal::Restart { server });
-        } else if heal_ms > 0 {
-            self.heal_after(heal_ms, Heal::Engine { server });
-        }
-        true
-    }
-
-    fn heal_after(&mut self, after_ms: u64, heal: Heal) {
+    pub(super) fn heal_after(&mut self, after_ms: u64, heal: Heal) {
         let at = Instant::now() + Duration::from_millis(after_ms);
         self.next_heal += 1;
         self.heals.push(Reverse((at, self.next_heal)));
@@ -397,7 +272,7 @@
         self.announce();
     }
 
-    async fn restart_engine(&mut self, server: usize) {
+    pub(super) async fn restart_engine(&mut self, server: usize) {
         self.next_incarnation += 1;
         self.fleet
             .restart_server(server, self.next_incarnation)
@@ -415,7 +290,7 @@
             .find(|router| !self.paused.contains(&routers[*router].vm.name))
     }
 
-    fn pick_server(&self, wanted_kind: PoolKind, wanted: usize) -> usize {
+    pub(super) fn pick_server(&self, wanted_kind: PoolKind, wanted: usize) -> usize {
         let servers = &self.fleet.servers;
         let of_kind: Vec<usize> = (0..servers.len())
             .filter(|server| {
--- a/crates/sapphiretrack-bench/src/soak/mod.rs
+++ b/crates/sapphiretrack-bench/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod plan;
 mod report;
 mod settings;
+mod stand_in_faults;
 mod verdict;
 mod watch;
 
--- a/crates/sapphiretrack-tests/src/fleet.rs
+++ b/crates/sapphiretrack-tests/src/fleet.rs
@@ -2,20 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
-use sapphiretrack_caller::{CallerClient, RequestOptions};
 use sapphiretrack_core::{PoolKind, VmRecord, VmRole, VmState, sha256_hex};
 use sapphiretrack_operator::OperatorClient;
-use sapphiretrack_operator::wire::{ApplyContract, ChangeReply, Status};
+use sapphiretrack_operator::wire::{ApplyContract, ChangeReply};
 use sapphiretrack_platform::wire::VmList;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
+use crate::http_call::post_json;
 use crate::process::ChildProcess;
 
 /// The key of the test customer's callers.
@@ -24,8 +18,6 @@
 pub const OPERATOR_KEY: &str = "operator-key-of-the-tests";
 /// Counts the fleets of this process, for their cell keys.
 static FLEETS: AtomicU64 = AtomicU64::new(0);
-/// How long a fleet may take until all see all.
-const SETTLE_LIMIT: Duration = Duration::from_secs(30);
 
 /// The size of a fleet and how its parts are started.
 #[derive(Clone, Debug)]
@@ -283,113 +275,6 @@
         };
         post_json(&format!("http://{}/fake/vms", self.platform_address), &list).await;
     }
-
-    /// Waits until every router sees all routers and servers.
-    pub async fn wait_settled(&self) {
-        assert!(self.settles().await, "the fleet is not seen by all");
-        self.wait_configured().await;
-    }
-
-    /// Waits until every router has heard of the configuration, be it an empty one: before, it
-    /// cannot tell whether a key is wrong.
-    async fn wait_configured(&self) {
-        let options = RequestOptions {
-            key: String::from("nobody's key"),
-            ..RequestOptions::default()
-        };
-        let waited = tokio::time::timeout(SETTLE_LIMIT, async {
-            for router in 0..self.routers.len() {
-                let url = self.caller_url(router);
-                let client = CallerClient::new();
-                let ask =
-                    || client.service(&url, http::Method::GET, "plant/x", Bytes::new(), &options);
-                while ask().await.is_ok_and(|answer| answer.status == 503) {
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                }
-            }
-        });
-        assert!(
-            waited.await.is_ok(),
-            "no configuration within {SETTLE_LIMIT:?}"
-        );
-    }
-
-    /// Whether every router comes to see all routers and servers.
-    pub async fn settles(&self) -> bool {
-        let (routers, servers) = (self.routers.len(), self.servers.len());
-        self.comes_to(|status| {
-            let live = status
-                .servers
-                .iter()
-                .filter(|server| server.state == "live")
-                .count();
-            status.routers.len() == routers && live == servers
-        })
-        .await
-    }
-
-    /// Waits until every router sees all members, and `others` routers that are no members.
-    pub async fn wait_settled_with(&self, others: usize) {
-        let routers = self.routers.len() + others;
-        let servers = self.servers.len();
-        self.wait_status("the fleet and others seen by all", |status| {
-            let live = status
-                .servers
-                .iter()
-                .filter(|server| server.state == "live")
-                .count();
-            status.routers.len() == routers && live == servers
-        })
-        .await;
-    }
-
-    /// Waits until the status of every router satisfies a condition.
-    pub async fn wait_status<Holds>(&self, what: &str, holds: Holds)
-    where
-        Holds: Fn(&Status) -> bool,
-    {
-        assert!(
-            self.comes_to(holds).await,
-            "{what}: not within {SETTLE_LIMIT:?}"
-        );
-    }
-
-    /// Whether the status of every router comes to satisfy a condition.
-    pub async fn comes_to<Holds>(&self, holds: Holds) -> bool
-    where
-        Holds: Fn(&Status) -> bool,
-    {
-        for router in 0..self.routers.len() {
-            if !self.router_comes_to(router, &holds).await {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Waits until the status of one router satisfies a condition.
-    pub async fn wait_status_of<Holds>(&self, router: usize, what: &str, holds: Holds)
-    where
-        Holds: Fn(&Status) -> bool,
-    {
-        assert!(
-            self.router_comes_to(router, &holds).await,
-            "{what}: not within {SETTLE_LIMIT:?}"
-        );
-    }
-
-    async fn router_comes_to<Holds>(&self, router: usize, holds: &Holds) -> bool
-    where
-        Holds: Fn(&Status) -> bool,
-    {
-        let operator = self.operator(router);
-        let waited = tokio::time::timeout(SETTLE_LIMIT, async {
-            while !operator.status().await.is_ok_and(|status| holds(&status)) {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        });
-        waited.await.is_ok()
-    }
 }
 
 /// The contract of the test customer.
@@ -421,56 +306,6 @@
     )
 }
 
-/// Posts JSON and expects success.
-pub async fn post_json<Body>(url: &str, body: &Body)
-where
-    Body: Serialize,
-{
-    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
-    let text = serde_json::to_vec(body).expect("the body is JSON");
-    let request = http::Request::post(url)
-        .body(Full::new(Bytes::from(text)))
-        .expect("the request is good");
-    let response = client.request(request).await.expect("the stand-in answers");
-    let status = response.status();
-    let text = response
-        .into_body()
-        .collect()
-        .await
-        .expect("the answer is whole")
-        .to_bytes();
-    assert!(
-        status.is_success(),
-        "{url}: {status}: {}",
-        String::from_utf8_lossy(&text)
-    );
-}
-
-/// Gets JSON and expects success.
-pub async fn get_json<Body>(url: &str) -> Body
-where
-    Body: DeserializeOwned,
-{
-    serde_json::from_str(&get_text(url).await).expect("the answer is JSON")
-}
-
-/// Gets a text and expects success.
-pub async fn get_text(url: &str) -> String {
-    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
-    let request = http::Request::get(url)
-        .body(Full::new(Bytes::new()))
-        .expect("the request is good");
-    let response = client.request(request).await.expect("the server answers");
-    assert!(
-        response.status().is_success(),
-        "{url}: {}",
-        response.status()
-    );
-    let text = response.into_body().collect().await;
-    let text = text.expect("the answer is whole").to_bytes();
-    String::from_utf8_lossy(&text).into_owned()
-}
-
 async fn start_fake(kind: &str, flags: &[String]) -> (ChildProcess, SocketAddr) {
     let mut arguments = vec![kind.to_owned()];
     arguments.extend_from_slice(flags);
