--- a/crates/sapphiretrack-bench/src/load/mod.rs
+++ b/crates/sapphiretrack-bench/src/load/mod.rs
@@ -23,4 +23,4 @@
 pub use plot::plot_svg;
 pub use report::LoadReport;
 pub use settings::{ClassMix, LoadSettings, SettingsError, parse_load_settings};
-pub use statistics::{ClassStatistics, Statistics};
+pub use statistics::{ClassCounts, ClassStatistics, Statistics};
--- a/crates/sapphiretrack-bench/src/load/report.rs
+++ b/crates/sapphiretrack-bench/src/load/report.rs
@@ -8,7 +8,7 @@
 use crate::load::callers::LoadOutcome;
 use crate::load::check::Violation;
 use crate::load::settings::LoadSettings;
-use crate::load::statistics::{ClassStatistics, Statistics};
+use crate::load::statistics::{ClassCounts, ClassStatistics, Statistics};
 
 /// The report of a load.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -38,24 +38,9 @@
 pub struct ClassReport {
     /// The class.
     pub class: String,
-    /// Requests that arrived.
-    pub sent: u64,
-    /// Requests that got their whole answer.
-    pub whole: u64,
-    /// Of them, those that got it late.
-    pub late: u64,
-    /// Requests that waited for a place among those in flight.
-    pub delayed: u64,
-    /// Attempts refused as not run, by code.
-    pub refused: BTreeMap<String, u64>,
-    /// Attempts that may have run, by code.
-    pub unknown: BTreeMap<String, u64>,
-    /// Attempts whose connection broke.
-    pub cut: u64,
-    /// Attempts that found no connection.
-    pub unreachable: u64,
-    /// Attempts without an end in time.
-    pub no_end: u64,
+    /// What came of its requests.
+    #[serde(flatten)]
+    pub counts: ClassCounts,
     /// Time to the first token.
     pub first_token_ms: Quantiles,
     /// Time between two tokens.
@@ -113,7 +98,10 @@
             class.write_line(&mut text);
         }
         for class in &self.classes {
-            for (what, codes) in [("refused", &class.refused), ("unknown", &class.unknown)] {
+            for (what, codes) in [
+                ("refused", &class.counts.refused),
+                ("unknown", &class.counts.unknown),
+            ] {
                 for (code, count) in codes {
                     text.push_str(&format!("{} {what} as {code}: {count}\n", class.class));
                 }
@@ -135,15 +123,7 @@
     fn new(class: &ClassStatistics) -> Self {
         Self {
             class: class.name.clone(),
-            sent: class.sent,
-            whole: class.whole,
-            late: class.late,
-            delayed: class.delayed,
-            refused: class.refused.clone(),
-            unknown: class.unknown.clone(),
-            cut: class.cut,
-            unreachable: class.unreachable,
-            no_end: class.no_end,
+            counts: class.counts.clone(),
             first_token_ms: Quantiles::of(&class.first_token_us),
             between_tokens_ms: Quantiles::of(&class.between_tokens_us),
             whole_ms: Quantiles::of(&class.whole_us),
@@ -151,18 +131,19 @@
     }
 
     fn write_line(&self, text: &mut String) {
+        let counts = &self.counts;
         let sum = |codes: &BTreeMap<String, u64>| codes.values().sum::<u64>();
         text.push_str(&format!(
             "{:<10} {:>7} {:>7} {:>7} {:>8} {:>8} {:>6} {:>6} {:>6}  {:>22} {:>9.1} {:>22}\n",
             self.class,
-            self.sent,
-            self.whole,
-            self.late,
-            sum(&self.refused),
-            sum(&self.unknown),
-            self.cut,
-            self.unreachable,
-            self.no_end,
+            counts.sent,
+            counts.whole,
+            counts.late,
+            sum(&counts.refused),
+            sum(&counts.unknown),
+            counts.cut,
+            counts.unreachable,
+            counts.no_end,
             self.first_token_ms.to_string(),
             self.between_tokens_ms.p95,
             self.whole_ms.to_string(),
--- a/crates/sapphiretrack-bench/src/load/request.rs
+++ b/crates/sapphiretrack-bench/src/load/request.rs
@@ -70,8 +70,8 @@
     async fn take_place(&self, places: Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
         let free = places.clone().try_acquire_owned().ok();
         self.with_class(|class| {
-            class.sent += 1;
-            class.delayed += u64::from(free.is_none());
+            class.counts.sent += 1;
+            class.counts.delayed += u64::from(free.is_none());
         });
         match free {
             Some(place) => Some(place),
@@ -212,14 +212,14 @@
         self.with_class(|class| match outcome {
             AttemptOutcome::Complete => {}
             AttemptOutcome::NotRun(code) => {
-                *class.refused.entry(code.clone()).or_default() += 1;
+                *class.counts.refused.entry(code.clone()).or_default() += 1;
             }
             AttemptOutcome::Unknown(code) => {
-                *class.unknown.entry(code.clone()).or_default() += 1;
+                *class.counts.unknown.entry(code.clone()).or_default() += 1;
             }
-            AttemptOutcome::Unreachable => class.unreachable += 1,
-            AttemptOutcome::Cut => class.cut += 1,
-            AttemptOutcome::NoEnd => class.no_end += 1,
+            AttemptOutcome::Unreachable => class.counts.unreachable += 1,
+            AttemptOutcome::Cut => class.counts.cut += 1,
+            AttemptOutcome::NoEnd => class.counts.no_end += 1,
         });
     }
 
--- a/crates/sapphiretrack-bench/src/load/statistics.rs
+++ b/crates/sapphiretrack-bench/src/load/statistics.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
 
 use crate::load::check::Violation;
 use crate::load::settings::ClassMix;
@@ -40,6 +41,19 @@
     pub name: String,
     /// When a whole answer counts as late.
     pub late_after_ms: u64,
+    /// What came of its requests.
+    pub counts: ClassCounts,
+    /// Time to the first token, from the scheduled arrival.
+    pub first_token_us: Histogram<u64>,
+    /// Time between two tokens.
+    pub between_tokens_us: Histogram<u64>,
+    /// Time to the whole answer, from the scheduled arrival.
+    pub whole_us: Histogram<u64>,
+}
+
+/// What came of a class's requests.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ClassCounts {
     /// Requests that arrived.
     pub sent: u64,
     /// Requests that got their whole answer.
@@ -58,12 +72,6 @@
     pub unreachable: u64,
     /// Attempts without an end in time.
     pub no_end: u64,
-    /// Time to the first token, from the scheduled arrival.
-    pub first_token_us: Histogram<u64>,
-    /// Time between two tokens.
-    pub between_tokens_us: Histogram<u64>,
-    /// Time to the whole answer, from the scheduled arrival.
-    pub whole_us: Histogram<u64>,
 }
 
 impl Statistics {
@@ -90,12 +98,12 @@
 
     /// Requests that arrived.
     pub fn sent(&self) -> u64 {
-        self.classes.iter().map(|class| class.sent).sum()
+        self.classes.iter().map(|class| class.counts.sent).sum()
     }
 
     /// Requests that got their whole answer.
     pub fn whole(&self) -> u64 {
-        self.classes.iter().map(|class| class.whole).sum()
+        self.classes.iter().map(|class| class.counts.whole).sum()
     }
 
     /// The share of prompt tokens found in a cache.
@@ -114,15 +122,7 @@
         Self {
             name: class.name.clone(),
             late_after_ms: class.late_after_ms,
-            sent: 0,
-            whole: 0,
-            late: 0,
-            delayed: 0,
-            refused: BTreeMap::new(),
-            unknown: BTreeMap::new(),
-            cut: 0,
-            unreachable: 0,
-            no_end: 0,
+            counts: ClassCounts::default(),
             first_token_us: new_histogram(),
             between_tokens_us: new_histogram(),
             whole_us: new_histogram(),
@@ -131,10 +131,10 @@
 
     /// Notes a whole answer.
     pub fn note_whole(&mut self, whole_us: u64) {
-        self.whole += 1;
+        self.counts.whole += 1;
         self.whole_us.saturating_record(whole_us);
         if whole_us > self.late_after_ms.saturating_mul(1_000) {
-            self.late += 1;
+            self.counts.late += 1;
         }
     }
 }
