The log's last lines are written before a router ends

Since the log is written four times a second, the 150 ms that a router waited at its end no longer covered the writer's pause (250 ms). Ruled out: routers killed at the end of the grace (they started again 0.7 s after 7.6 s). Change: the end flushes the log: the writer is woken and waited for, 100 ms at most.

--- a/crates/sapphiretrack-router/src/logging.rs
+++ b/crates/sapphiretrack-router/src/logging.rs
@@ -4,7 +4,8 @@
 use std::io::Write as _;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{Duration, SystemTime};
+use std::thread::Thread;
+use std::time::{Duration, Instant, SystemTime};
 
 use fern::Dispatch;
 use log::kv::{Key, Value, VisitSource};
@@ -18,8 +19,17 @@
 /// much as the lines of several requests; a router that is killed loses this much of its log.
 const WRITE_PAUSE: Duration = Duration::from_millis(250);
 
+/// How long a flush waits at most: a reader that stopped reading must not hold up the end.
+const FLUSH_LIMIT: Duration = Duration::from_millis(100);
+/// How often a flush looks whether all is written.
+const FLUSH_CHECK: Duration = Duration::from_millis(2);
+
 /// Lines that were dropped because the queue was full.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+/// Lines that were put into the queue.
+static QUEUED: AtomicU64 = AtomicU64::new(0);
+/// Of them, those that were written.
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
 
 /// How many lines were dropped so far.
 pub fn dropped_log_lines() -> u64 {
@@ -29,8 +39,11 @@
 /// Starts the log of this process.
 pub fn start_logging(level: LevelFilter) -> Result<(), log::SetLoggerError> {
     let (lines, queue) = sync_channel(QUEUED_LINES);
-    std::thread::spawn(move || write_lines(&queue));
-    let queue: Box<dyn Log> = Box::new(LineQueue(lines));
+    let writer = std::thread::spawn(move || write_lines(&queue));
+    let queue: Box<dyn Log> = Box::new(LineQueue {
+        lines,
+        writer: writer.thread().clone(),
+    });
     Dispatch::new()
         .level(LevelFilter::Off)
         .level_for(LOG_TARGET, level)
@@ -39,7 +52,10 @@
 }
 
 /// Turns records into lines for the writer.
-struct LineQueue(SyncSender<String>);
+struct LineQueue {
+    lines: SyncSender<String>,
+    writer: Thread,
+}
 
 impl Log for LineQueue {
     fn enabled(&self, _: &Metadata<'_>) -> bool {
@@ -47,12 +63,21 @@
     }
 
     fn log(&self, record: &Record<'_>) {
-        if self.0.try_send(log_line(record)).is_err() {
-            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
-        }
+        match self.lines.try_send(log_line(record)) {
+            Ok(()) => QUEUED.fetch_add(1, Ordering::Relaxed),
+            Err(_) => DROPPED_LINES.fetch_add(1, Ordering::Relaxed),
+        };
     }
 
-    fn flush(&self) {}
+    /// Has the writer write at once, and waits for it.
+    fn flush(&self) {
+        let start = Instant::now();
+        let queued = QUEUED.load(Ordering::Relaxed);
+        while WRITTEN.load(Ordering::Relaxed) < queued && start.elapsed() < FLUSH_LIMIT {
+            self.writer.unpark();
+            std::thread::sleep(FLUSH_CHECK);
+        }
+    }
 }
 
 /// One line: `TIME LEVEL event=NUMBER "TEXT" key=value`.
@@ -86,9 +111,11 @@
 fn write_lines(queue: &Receiver<String>) {
     let mut told = 0;
     while let Ok(mut lines) = queue.recv() {
-        std::thread::sleep(WRITE_PAUSE);
+        std::thread::park_timeout(WRITE_PAUSE);
+        let mut count = 1;
         while let Ok(line) = queue.try_recv() {
             lines.push_str(&line);
+            count += 1;
         }
         let dropped = dropped_log_lines();
         if dropped > told {
@@ -101,5 +128,6 @@
         // Nobody reads the log any more: there is nobody to tell.
         drop(std::io::stdout().write_all(lines.as_bytes()));
         drop(std::io::stdout().flush());
+        WRITTEN.fetch_add(count, Ordering::Relaxed);
     }
 }
--- a/crates/sapphiretrack-router/src/router.rs
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -166,8 +166,7 @@
                 since_ms = since_ms,
                 uptime_ms = Clock.now_ms(),
             );
-            // The log's writer pauses a tenth of a second between lines.
-            sleep(STOP_CHECK * 3).await;
+            log::logger().flush();
             return Ok(());
         }
     }
