A router that waits out an outage asks as soon as another one tells of a change

A router that is no watcher waited its whole second between retries, although the beats of the others had told of a new version meanwhile. Ruled out: the watchers (back at once), the beats (heard: three routers were).

--- a/crates/sapphiretrack-router/src/watch.rs
+++ b/crates/sapphiretrack-router/src/watch.rs
@@ -214,12 +214,17 @@
         }
         let times = self.shared.settings().times;
         let pause_ms = match self.failures > 0 && !self.shared.is_watcher() {
-            // The watchers tell when the store is back.
             true => times.follower_retry_ms,
             false => times.store_retry_ms << self.failures.min(2),
         };
         self.failures += 1;
-        sleep(Duration::from_millis(pause_ms)).await;
+        // Who is told of a change meanwhile asks sooner: another router has reached the store.
+        let first_ms = pause_ms.min(times.store_retry_ms);
+        sleep(Duration::from_millis(first_ms)).await;
+        tokio::select! {
+            () = sleep(Duration::from_millis(pause_ms - first_ms)) => {}
+            () = self.watch().news.notified() => {}
+        }
     }
 
     /// Waits after a change, so that many in a row cost few calls.
