--- /dev/null
+++ b/crates/sapphiretrack-routing/benches/placement.rs
@@ -0,0 +1,93 @@
+//! The processor time of one placement, by the number of servers.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use sapphiretrack_routing::{
+    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, WarmParts, choose_server,
+    compared, fetch_source, home_count, part_home,
+};
+
+/// Sizes: two of the users' fleets, and the one to design for.
+const SERVERS: [u64; 4] = [12, 63, 600, 1_800];
+/// Decisions of each size.
+const DECISIONS: u64 = 20_000;
+/// Different shared parts: those of a day of the larger fleet.
+const PARTS: u64 = 2_000;
+
+fn main() {
+    println!("servers  p50 us  p99 us");
+    for servers in SERVERS {
+        let mut times_ns = measure(servers);
+        times_ns.sort_unstable();
+        let at_us = |part: f64| times_ns[(times_ns.len() as f64 * part) as usize] as f64 / 1e3;
+        println!("{servers:>7} {:>7.1} {:>7.1}", at_us(0.5), at_us(0.99));
+    }
+}
+
+fn measure(servers: u64) -> Vec<u64> {
+    let mut warm = WarmParts::default();
+    let mut random = Draws(1);
+    let parts = |number: u64| [number, number + PARTS].map(|id| PromptPart { id, tokens: 1_000 });
+    for number in 0..PARTS {
+        for _ in 0..4 {
+            let server = Incarnation(random.next() % servers);
+            warm.note_sent(server, &parts(number), 0);
+        }
+    }
+    let decisions = (0..DECISIONS).map(|_| {
+        let prompt = parts(random.next() % PARTS);
+        let start = Instant::now();
+        black_box(decide(servers, &warm, &prompt, &mut random));
+        start.elapsed().as_nanos() as u64
+    });
+    decisions.collect()
+}
+
+/// What a router does for one request, but for counting it.
+fn decide(
+    servers: u64,
+    warm: &WarmParts,
+    prompt: &[PromptPart],
+    random: &mut Draws,
+) -> (Option<usize>, Option<usize>) {
+    let costs = PlacementCosts::default();
+    let last = prompt.last().expect("two parts");
+    let homes = home_count(&costs, warm.sends_per_s(last.id, 1_000), 9_000, 100);
+    let home = part_home(last, (0..servers).map(Incarnation), homes, random.part());
+    let candidates = (0..servers).map(|number| Candidate {
+        server: Incarnation(number),
+        distance: Distance::SameRegion,
+        is_home: home == Some(Incarnation(number)),
+        is_hot: homes > 1,
+        in_flight: (number % 7) as u32,
+        capacity: 64,
+        prefill_tokens: 1_000 * (number % 3),
+        cached_tokens: warm.cached_tokens(Incarnation(number), prompt, 1_000),
+        failure_share: 0.0,
+        suspect: false,
+        tried: false,
+    });
+    let candidates: Vec<Candidate> = candidates.collect();
+    let few = compared(&candidates, || random.part());
+    let chosen = choose_server(&costs, true, 9_000, &candidates, &few);
+    let source = chosen.and_then(|chosen| fetch_source(&candidates, chosen));
+    (chosen, source)
+}
+
+/// Cheap draws, so that their time does not count.
+struct Draws(u64);
+
+impl Draws {
+    fn next(&mut self) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        self.0 >> 33
+    }
+
+    fn part(&mut self) -> f64 {
+        (self.next() % 1_000) as f64 / 1_000.0
+    }
+}
