--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -65,6 +65,21 @@
     pub(crate) fn may_have_run(self) -> bool {
         matches!(self, Self::MayHaveRun(_) | Self::TimedOut(_))
     }
+
+    /// Counts the failure against its server and writes it to the log.
+    pub(crate) fn tell(self, id: &str, placed: &Placed) {
+        // A used-up share of connections says nothing about the server.
+        if self != Self::NotSent("connections-used") {
+            placed.note_outcome(true);
+        }
+        note!(
+            Event::ATTEMPT_FAILED,
+            id = id,
+            server = placed.server.id,
+            reason = self.as_str(),
+            may_have_run = self.may_have_run(),
+        );
+    }
 }
 
 /// Sends a request to the server it is placed on and waits for the head of the answer, at most
@@ -78,17 +93,7 @@
 ) -> Result<ServerAnswer, AttemptFailure> {
     let result = try_send(job, service, placed, resume_after, limit_ms).await;
     if let Err((placed, failure)) = &result {
-        let blames_server = !matches!(failure, AttemptFailure::NotSent("connections-used"));
-        if blames_server {
-            placed.note_outcome(true);
-        }
-        note!(
-            Event::ATTEMPT_FAILED,
-            id = job.facts.id,
-            server = placed.server.id,
-            reason = failure.as_str(),
-            may_have_run = failure.may_have_run(),
-        );
+        failure.tell(&job.facts.id, placed);
     }
     result.map_err(|(_, failure)| failure)
 }
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -70,14 +70,7 @@
             Ok(Some(Err(_))) => AttemptFailure::MayHaveRun("answer-broke-off"),
             Err(_) => AttemptFailure::TimedOut("answer-not-whole"),
         };
-        placed.note_outcome(true);
-        note!(
-            Event::ATTEMPT_FAILED,
-            id = job.facts.id,
-            server = placed.server.id,
-            reason = failure.as_str(),
-            may_have_run = true,
-        );
+        failure.tell(&job.facts.id, &placed);
         return Err(failure);
     }
     connection.keep(facts.keep_alive_s);
@@ -243,14 +236,7 @@
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
         // The connection closes with the answer: the first server stops before the next begins.
         if let Some(answer) = self.answer.take() {
-            answer.placed.note_outcome(true);
-            note!(
-                Event::ATTEMPT_FAILED,
-                id = self.job.facts.id,
-                server = answer.placed.server.id,
-                reason = failure.as_str(),
-                may_have_run = true,
-            );
+            failure.tell(&self.job.facts.id, &answer.placed);
         }
         if !self.job.may_go_on(&self.attempts, failure) {
             return false;
