--- a/crates/sapphiretrack-router/src/watch.rs
+++ b/crates/sapphiretrack-router/src/watch.rs
@@ -5,7 +5,7 @@
 
 use sapphiretrack_routing::{ServerChange, ServerChanges, WatchAnswer};
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
 use crate::events::{Event, note};
@@ -21,6 +21,8 @@
     store: Arc<StorePort>,
     listing: Listing,
     failures: u32,
+    /// Whether news of other routers ended a wait since the last good answer.
+    was_woken: bool,
     /// Changes that other routers pass on.
     pub(crate) relayed: Option<mpsc::Receiver<ServerChanges>>,
 }
@@ -66,6 +68,7 @@
             store,
             listing,
             failures: 0,
+            was_woken: false,
             relayed: None,
         }
     }
@@ -160,6 +163,7 @@
         let after = self.watch().state().version();
         let had_failed = self.failures > 0;
         self.failures = 0;
+        self.was_woken = false;
         let outage_ms = self.watch().state().note_answer(&WatchAnswer {
             is_whole,
             sent_ms,
@@ -218,13 +222,21 @@
             false => times.store_retry_ms << self.failures.min(2),
         };
         self.failures += 1;
-        // Who is told of a change meanwhile asks sooner: another router has reached the store.
+        // Who is told of a change meanwhile asks sooner: another router has reached the store. If
+        // the store still refuses this one, it is served only to others, and no news tells
+        // when that ends: with each woken call a fleet of 88 made up to four fifths more calls a day.
         let first_ms = pause_ms.min(times.store_retry_ms);
+        // News from before the failure tell nothing about it.
+        drop(timeout(Duration::ZERO, self.watch().news.notified()).await);
         sleep(Duration::from_millis(first_ms)).await;
-        tokio::select! {
-            () = sleep(Duration::from_millis(pause_ms - first_ms)) => {}
-            () = self.watch().news.notified() => {}
-        }
+        let news = async {
+            match self.was_woken {
+                true => std::future::pending().await,
+                false => self.watch().news.notified().await,
+            }
+        };
+        let woken = timeout(Duration::from_millis(pause_ms - first_ms), news).await;
+        self.was_woken |= woken.is_ok();
     }
 
     /// Waits after a change, so that many in a row cost few calls.
