While the store is away a router names itself for routes that need no key

A router without a young proof is not ready, since it lets no key through, and so no lookup named any, although each serves what needs no key. Change: a router that finds none ready names itself, unless it is on a planned stop.

--- a/crates/sapphiretrack-router/src/lookups.rs
+++ b/crates/sapphiretrack-router/src/lookups.rs
@@ -103,6 +103,10 @@
     if shared.state() == RouterState::Ready && !peers.is_own_behind(own_proof, now_ms) {
         ready.push((&settings.zone, settings.caller_address));
     }
+    // Where no router lets keys through, this one still serves what needs none.
+    if ready.is_empty() && shared.serves_open_routes() {
+        ready.push((&settings.zone, settings.caller_address));
+    }
     let within = |limit: Distance| {
         let near = ready
             .iter()
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -247,14 +247,19 @@
         if self.leaving_for_ms().is_some() {
             return RouterState::Leaving;
         }
-        let known = self.servers_known.load(Ordering::Relaxed);
-        let configured = self.configuration.load().is_some();
-        match known && configured && self.keys_are_fresh() {
+        match self.serves_open_routes() && self.keys_are_fresh() {
             true => RouterState::Ready,
             false => RouterState::NotReady,
         }
     }
 
+    /// Whether it serves requests that need no key: those wait for no proof that the
+    /// configuration is the newest.
+    pub(crate) fn serves_open_routes(&self) -> bool {
+        let known = self.servers_known.load(Ordering::Relaxed);
+        known && self.configuration.load().is_some() && self.leaving_for_ms().is_none()
+    }
+
     /// Starts the planned stop.
     pub(crate) fn leave(&self) {
         let now_ms = Clock.now_ms().max(1);
