--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -20,12 +20,6 @@
 use crate::relay::{self, ReadAnswer};
 use crate::shared::Shared;
 
-/// The most servers that one request is offered to while none has run it: beyond that the
-/// caller does better to come back.
-const MAX_OFFERS: u32 = 3;
-/// The part of its objective after which an idempotent request is given up on at a silent server.
-const ANSWER_OBJECTIVES: u64 = 2;
-
 /// What became of a request's attempts so far.
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
@@ -74,7 +68,8 @@
         if !repeatable || last {
             return self.left_ms();
         }
-        let patience_ms = self.route.objective_ms * ANSWER_OBJECTIVES;
+        let silent = self.shared.settings().attempts.silent_objectives;
+        let patience_ms = (self.route.objective_ms as f64 * silent) as u64;
         patience_ms.min(self.left_ms() / 2)
     }
 
@@ -153,7 +148,7 @@
         let allowed = !failure.may_have_run() || self.route.kind.may_run_again();
         allowed
             && attempts.runs < self.route.max_attempts.max(1)
-            && (attempts.tried.len() as u32) < MAX_OFFERS
+            && (attempts.tried.len() as u32) < self.shared.settings().attempts.max_offers
             && self.left_ms() > 0
     }
 
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod parts;
 mod placing;
+mod policy;
 mod ports;
 mod refusal;
 mod relay;
@@ -30,9 +31,10 @@
 pub use events::{Event, LOG_TARGET};
 pub use http_call::{CallError, HttpCaller};
 pub use logging::{dropped_log_lines, start_logging};
+pub use policy::{POLICY, PolicyError, PolicyKey, policy_help, set_policy};
 pub use ports::{
     AnswerFacts, AttemptHeaders, BadRequest, Interface, ListParts, Listing, Lookup, Ports,
     ReadSettings, Record, StoreAnswer, StoreError, StorePort, WatchCall,
 };
 pub use router::{RunError, run};
-pub use settings::{RouterSettings, Times};
+pub use settings::{AttemptSettings, RouterSettings, Times};
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -12,10 +12,6 @@
 use crate::clock::Clock;
 use crate::shared::Shared;
 
-/// How many times its slots a plain service's server may hold: what waits behind the running
-/// ones is served within two more service times, which still meets the usual objective.
-const PLAIN_QUEUE_FACTOR: u32 = 3;
-
 /// A request on a server; its load counts until this is dropped.
 pub(crate) struct Placed {
     /// The server.
@@ -144,8 +140,10 @@
             is_hot,
             in_flight: peers + health.map_or(0, |health| health.in_flight),
             capacity: match service.is_engine {
-                true => server.slots,
-                false => server.slots.saturating_mul(PLAIN_QUEUE_FACTOR),
+                true => (f64::from(server.slots) * settings.attempts.engine_queue_factor) as u32,
+                false => server
+                    .slots
+                    .saturating_mul(settings.attempts.plain_queue_factor),
             },
             prefill_tokens: peer_prefill + health.map_or(0, |health| health.prefill_tokens),
             cached_tokens,
@@ -173,7 +171,7 @@
     };
     let server = listed[index].clone();
     let cached_tokens = candidates[index].cached_tokens;
-    let holder = fetch_source(&candidates, index);
+    let holder = fetch_source(&settings.costs, &candidates, index);
     let held_tokens = holder.map_or(cached_tokens, |holder| candidates[holder].cached_tokens);
     let uncached = facts.prompt_tokens.saturating_sub(held_tokens);
     let tokens = u64::from(facts.prompt_tokens) + u64::from(facts.output_tokens);
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -130,7 +130,8 @@
         job,
         attempts,
         answer: Some(answer),
-        has_first: false,
+        first_ms: None,
+        longest_pause_ms: 0,
         last_ms: 0,
         ended: false,
     };
@@ -147,7 +148,10 @@
     attempts: Attempts,
     answer: Option<ServerAnswer>,
     splitter: EventSplitter,
-    has_first: bool,
+    /// The age of the request at its first event.
+    first_ms: Option<u64>,
+    /// The longest time between two arrivals of bytes after the first event.
+    longest_pause_ms: u64,
     /// When bytes came last.
     last_ms: u64,
     ended: bool,
@@ -229,7 +233,11 @@
         };
         answer.connection.keep(answer.facts.keep_alive_s);
         answer.placed.note_outcome(false);
-        note_answered(&self.job, answer.head.status, self.attempts.offers);
+        let pace = Pace {
+            first_ms: self.first_ms.unwrap_or(0),
+            longest_pause_ms: self.longest_pause_ms,
+        };
+        note_streamed(&self.job, answer.head.status, self.attempts.offers, pace);
     }
 
     /// Goes on at another server after the last whole event; false if that is not possible.
@@ -256,20 +264,22 @@
     /// Counts the time since the last bytes of a stream that has begun.
     fn note_pause(&mut self) {
         let now_ms = Clock.now_ms();
-        if self.has_first {
+        if self.first_ms.is_some() {
             let pause_ms = now_ms.saturating_sub(self.last_ms);
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
             self.job.shared.metrics.pause(&self.job.labels, pause_ms);
         }
         self.last_ms = now_ms;
     }
 
     fn note_first(&mut self) {
-        if self.has_first {
+        if self.first_ms.is_some() {
             return;
         }
-        self.has_first = true;
+        let age_ms = self.job.age_ms();
+        self.first_ms = Some(age_ms);
         let metrics = &self.job.shared.metrics;
-        metrics.first_piece(&self.job.labels, self.job.age_ms());
+        metrics.first_piece(&self.job.labels, age_ms);
     }
 }
 
@@ -295,6 +305,31 @@
     CutOff { reason }
 }
 
+/// How a stream went, as its caller saw it.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    first_ms: u64,
+    longest_pause_ms: u64,
+}
+
+/// Notes that the caller got a whole stream.
+fn note_streamed(job: &Job, status: StatusCode, offers: u32, pace: Pace) {
+    job.end();
+    job.shared.metrics.whole(&job.labels, job.age_ms());
+    if !job.tells_all {
+        return;
+    }
+    note!(
+        Event::ANSWERED,
+        id = job.facts.id,
+        status = status.as_u16(),
+        offers = offers,
+        first_ms = pace.first_ms,
+        longest_pause_ms = pace.longest_pause_ms,
+        age_ms = job.age_ms(),
+    );
+}
+
 /// Notes that the caller gets a server's whole answer.
 pub(crate) fn note_answered(job: &Job, status: StatusCode, offers: u32) {
     job.end();
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use sapphiretrack_routing::{Distance, PlacementCosts, RetrySettings, ServerHealthSettings};
+use sapphiretrack_routing::{
+    Distance, PlacementCosts, RetrySettings, ServerHealthSettings, WarmSettings,
+};
 
 /// What a router is told at its start.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,6 +38,10 @@
     pub retry: RetrySettings,
     /// Costs that rule placement.
     pub costs: PlacementCosts,
+    /// What is believed of servers' caches.
+    pub warm: WarmSettings,
+    /// How often and how long backend servers are asked for one request.
+    pub attempts: AttemptSettings,
     /// When a backend server counts as bad.
     pub health: ServerHealthSettings,
     /// Times that rule calls and connections.
@@ -44,6 +50,32 @@
     pub body_memory_bytes: usize,
 }
 
+/// How often and how long backend servers are asked for one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AttemptSettings {
+    /// The most servers that one request is offered to while none has run it: beyond that the
+    /// caller does better to come back.
+    pub max_offers: u32,
+    /// Objectives after which an idempotent request is given up on at a silent server.
+    pub silent_objectives: f64,
+    /// How many times its slots a plain service's server may hold: what waits behind the running
+    /// ones is served within two more service times, which still meets the usual objective.
+    pub plain_queue_factor: u32,
+    /// How many times its slots an engine may hold.
+    pub engine_queue_factor: f64,
+}
+
+impl Default for AttemptSettings {
+    fn default() -> Self {
+        Self {
+            max_offers: 3,
+            silent_objectives: 2.0,
+            plain_queue_factor: 3,
+            engine_queue_factor: 1.0,
+        }
+    }
+}
+
 /// Times of calls and connections, each with the ground for its figure.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Times {
@@ -104,6 +136,8 @@
             is_first_start: false,
             retry: RetrySettings::default(),
             costs: PlacementCosts::default(),
+            warm: WarmSettings::default(),
+            attempts: AttemptSettings::default(),
             health: ServerHealthSettings::default(),
             times: Times::default(),
             body_memory_bytes: 64 * 1024 * 1024,
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -111,6 +111,8 @@
     pub(crate) fn new(settings: RouterSettings) -> Self {
         let retries = RetryShare::new(settings.retry.clone());
         let (relayed, relayed_queue) = mpsc::channel(MAX_RELAYED);
+        let mut warm = WarmParts::default();
+        warm.set_settings(settings.warm);
         let recovery = PartsRecovery::new(settings.is_first_start, Clock.now_ms());
         Self {
             settings: ArcSwap::from_pointee(settings),
@@ -127,7 +129,7 @@
             peers: Mutex::default(),
             traffic: Mutex::new(Traffic {
                 health: HashMap::new(),
-                warm: WarmParts::default(),
+                warm,
                 retries,
                 drain: HashMap::new(),
             }),
@@ -162,7 +164,11 @@
             metrics_address: bound.metrics_address,
             ..newer
         };
-        self.traffic().retries.set_settings(settings.retry.clone());
+        {
+            let mut traffic = self.traffic();
+            traffic.retries.set_settings(settings.retry.clone());
+            traffic.warm.set_settings(settings.warm);
+        }
         self.settings.store(Arc::new(settings));
     }
 
--- a/crates/sapphiretrack-routing/benches/placement.rs
+++ b/crates/sapphiretrack-routing/benches/placement.rs
@@ -71,7 +71,7 @@
     let candidates: Vec<Candidate> = candidates.collect();
     let few = compared(&candidates, || random.part());
     let chosen = choose_server(&costs, true, 9_000, &candidates, &few);
-    let source = chosen.and_then(|chosen| fetch_source(&candidates, chosen));
+    let source = chosen.and_then(|chosen| fetch_source(&costs, &candidates, chosen));
     (chosen, source)
 }
 
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -32,5 +32,5 @@
     Incarnation, ListedServer, ServerChange, ServerEntry, ServerList, ServerState,
 };
 pub use stop::{StopPhase, StopTimes};
-pub use warmth::{SentPart, WarmParts};
+pub use warmth::{SentPart, WarmParts, WarmSettings};
 pub use watch_state::{WatchAnswer, WatchNews, WatchState};
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -32,6 +32,12 @@
     pub bound_factor: f64,
     /// See `bound_factor`.
     pub bound_requests: f64,
+    /// Requests with one part that a home may hold at once; beyond it the part gets another home.
+    pub home_requests: f64,
+    /// What a generated token takes: a step of an engine with a usual batch.
+    pub token_ms: f64,
+    /// Tokens from which on fetching a part from another server's memory is worth a transfer.
+    pub min_fetch_tokens: u32,
 }
 
 impl Default for PlacementCosts {
@@ -47,6 +53,9 @@
             home_part: 0.8,
             bound_factor: 1.8,
             bound_requests: 2.0,
+            home_requests: 3.0,
+            token_ms: 7.0,
+            min_fetch_tokens: 256,
         }
     }
 }
@@ -110,7 +119,7 @@
 /// hashing over the live servers: all routers agree on it without a word.
 ///
 /// A part that is sent so often that its requests would fill one server has as many homes as
-/// keep `HOME_REQUESTS` of them at each; `draw`, below 1, spreads requests over them. Counts of
+/// keep a few of them at each; `draw`, below 1, spreads requests over them. Counts of
 /// requests are too old to do so: at 88 routers they are up to a second old, while a hot part
 /// brings 20 requests in it.
 pub fn part_home<Servers>(
@@ -133,12 +142,8 @@
     ranked.get(index).or(ranked.last()).copied()
 }
 
-/// Requests with one part that a home may hold at once: half of the mean load of a server.
-const HOME_REQUESTS: f64 = 3.0;
 /// Taken off for a home at least: what two requests cost the others.
 const MIN_HOME_MS: f64 = 6.0;
-/// What a generated token takes: a step of an engine with a usual batch.
-const TOKEN_MS: f64 = 7.0;
 
 /// How many homes a part needs that is sent so often with such requests.
 pub fn home_count(
@@ -148,22 +153,23 @@
     output_tokens: u32,
 ) -> usize {
     let stays_ms = f64::from(prompt_tokens) / costs.prefill_tokens_per_ms / 4.0
-        + f64::from(output_tokens) * TOKEN_MS;
+        + f64::from(output_tokens) * costs.token_ms;
     let at_once = sends_per_s * stays_ms / 1_000.0;
-    ((at_once / HOME_REQUESTS).ceil() as usize).max(1)
+    ((at_once / costs.home_requests).ceil() as usize).max(1)
 }
 
-/// Tokens from which on fetching a part from another server's memory is worth a transfer.
-const MIN_FETCH_TOKENS: u32 = 256;
-
 /// The candidate that holds the most of a prompt beyond what the chosen one holds. A token takes
 /// half the time to fetch that it takes to compute, and the holder's part is not computed twice.
-pub fn fetch_source(candidates: &[Candidate], chosen: usize) -> Option<usize> {
+pub fn fetch_source(
+    costs: &PlacementCosts,
+    candidates: &[Candidate],
+    chosen: usize,
+) -> Option<usize> {
     let held = candidates.get(chosen)?.cached_tokens;
     let holders = candidates.iter().enumerate();
     let holders = holders.filter(|(_, one)| !one.suspect);
     let (holder, one) = holders.max_by_key(|(_, one)| one.cached_tokens)?;
-    (one.cached_tokens >= held + MIN_FETCH_TOKENS).then_some(holder)
+    (one.cached_tokens >= held.saturating_add(costs.min_fetch_tokens)).then_some(holder)
 }
 
 /// Servers up to which all are compared. With so few, counts are young enough: routers hear of each
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -19,12 +19,26 @@
 /// the holders of a part: one router alone sees each part too rarely to remember.
 #[derive(Clone, Debug, Default)]
 pub struct WarmParts {
+    settings: WarmSettings,
     sent_ms: HashMap<(Incarnation, u64), u64>,
     untold: Vec<SentPart>,
     heat: HashMap<u64, Heat>,
     heat_slice: u64,
 }
 
+/// What is believed of servers' caches.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmSettings {
+    /// How long a part is believed to stay in a server's cache after its last use.
+    pub keep_ms: u64,
+}
+
+impl Default for WarmSettings {
+    fn default() -> Self {
+        Self { keep_ms: 30_000 }
+    }
+}
+
 /// How often a part was sent lately, by all routers.
 #[derive(Clone, Copy, Debug, Default)]
 struct Heat {
@@ -34,9 +48,6 @@
 }
 
 impl WarmParts {
-    /// How long a part is believed to stay in a server's cache after its last use. Servers drop
-    /// the least recently used parts; half a minute holds on a server that is not overfull.
-    const KEEP_MS: u64 = 30_000;
     /// The length of the slices in which sends are counted: long enough for beats to arrive and
     /// for a rate of one in two seconds to show.
     const HEAT_MS: u64 = 2_000;
@@ -47,6 +58,11 @@
     /// Parts in one datagram of an answer to a router that starts: 4 KB.
     pub const PARTS_IN_DATAGRAM: usize = 256;
 
+    /// Believes by these settings from now on.
+    pub fn set_settings(&mut self, settings: WarmSettings) {
+        self.settings = settings;
+    }
+
     /// Notes that this router sent a prompt to a server.
     pub fn note_sent(&mut self, server: Incarnation, parts: &[PromptPart], now_ms: u64) {
         for part in parts {
@@ -85,7 +101,7 @@
     /// The parts that were sent last, newest first, to tell a router that knows none.
     pub fn newest(&self, limit: usize, now_ms: u64) -> Vec<SentPart> {
         let young = self.sent_ms.iter();
-        let young = young.filter(|(_, sent)| now_ms < **sent + Self::KEEP_MS);
+        let young = young.filter(|(_, sent)| now_ms < **sent + self.settings.keep_ms);
         let mut parts: Vec<_> = young.collect();
         parts.sort_unstable_by_key(|(_, sent)| std::cmp::Reverse(**sent));
         let newest = parts.into_iter().take(limit);
@@ -101,7 +117,7 @@
     pub fn cached_tokens(&self, server: Incarnation, parts: &[PromptPart], now_ms: u64) -> u32 {
         let is_cached = |part: &PromptPart| {
             let sent = self.sent_ms.get(&(server, part.id));
-            sent.is_some_and(|sent| now_ms < sent + Self::KEEP_MS)
+            sent.is_some_and(|sent| now_ms < sent + self.settings.keep_ms)
         };
         let deepest = parts.iter().rposition(is_cached);
         let held = deepest.map_or(&[][..], |last| &parts[..=last]);
@@ -153,7 +169,7 @@
     }
 
     fn forget_older(&mut self, now_ms: u64) {
-        for keep_ms in [Self::KEEP_MS, Self::KEEP_MS / 4] {
+        for keep_ms in [self.settings.keep_ms, self.settings.keep_ms / 4] {
             self.sent_ms.retain(|_, sent| now_ms < *sent + keep_ms);
             if self.sent_ms.len() * 2 <= Self::MAX_ENTRIES {
                 return;
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -65,7 +65,7 @@
     assert_ne!(chosen, 1);
     let candidates = [candidate(0), holder, candidate(2)];
     assert_eq!(
-        fetch_source(&candidates, chosen),
+        fetch_source(&PlacementCosts::default(), &candidates, chosen),
         Some(1),
         "its memory is still of use"
     );
@@ -98,7 +98,7 @@
         },
     ];
     assert_eq!(
-        fetch_source(&candidates, 0),
+        fetch_source(&PlacementCosts::default(), &candidates, 0),
         None,
         "nothing is fetched from a suspect"
     );
