What an engine holds follows from its memory: the parts used last, as far as they fit

Cause: a part counted as held for 30 s however full its engine was. With 6 engines in place of 18 half of all prompt tokens were read again (5.8 of 12.5 million): requests were drawn to holders that had dropped the part, and fetched it from there.

Change: routers keep a model of each engine's memory (the operator's capacity, parts and private tokens by last use) and tell each other private tokens too (12 bytes a server in a beat, 4 more a part).

place() is cut into what it gathers, chooses and books.

--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 
-use sapphiretrack_routing::{Beat, RouterMessage, SentPart, WarmParts};
+use sapphiretrack_routing::{Beat, RouterMessage, SentPrompts, WarmParts};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -62,7 +62,7 @@
     let mut next = 0;
     let mut has_news = true;
     // What was sent since each receiver had its last beat.
-    let mut sent_parts: VecDeque<Vec<SentPart>> = VecDeque::new();
+    let mut sent: VecDeque<SentPrompts> = VecDeque::new();
     let mut keys_fresh = false;
     loop {
         sequence += 1;
@@ -83,9 +83,9 @@
         let rounds = all.len().div_ceil(BEATS_AT_ONCE).max(1);
         let interval_ms = rounds as u64 * settings.times.beat_ms;
         shared.peers().set_beat_interval(interval_ms);
-        sent_parts.push_back(shared.traffic().warm.take_untold());
-        while sent_parts.len() > rounds {
-            sent_parts.pop_front();
+        sent.push_back(shared.traffic().warm.take_untold());
+        while sent.len() > rounds {
+            sent.pop_front();
         }
         let beat = Beat {
             name: settings.name.clone(),
@@ -97,7 +97,10 @@
             state: shared.state(),
             loads: shared.own_loads(),
             knows_parts: shared.parts_recovery().knows(now_ms),
-            sent_parts: sent_parts.iter().flatten().copied().collect(),
+            sent: SentPrompts {
+                parts: sent.iter().flat_map(|one| &one.parts).copied().collect(),
+                private: sent.iter().flat_map(|one| &one.private).copied().collect(),
+            },
             configuration: shared.configuration_watch().state().news(now_ms),
             servers: shared.servers_watch().state().news(now_ms),
         };
@@ -185,7 +188,7 @@
             continue;
         }
         let now_ms = Clock.now_ms();
-        shared.traffic().warm.note_told(&beat.sent_parts, now_ms);
+        shared.traffic().warm.note_told(&beat.sent, now_ms);
         let watches = [
             (shared.configuration_watch(), &beat.configuration),
             (shared.servers_watch(), &beat.servers),
--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -74,6 +74,7 @@
         before = in_force
     );
     shared.configuration.store(Some(newest));
+    note_memory(shared);
 }
 
 /// Keeps the list of backend servers the newest, until the process ends.
@@ -164,6 +165,23 @@
     }
 }
 
+/// Tells the beliefs about prompt parts how much fits into each listed server's memory.
+fn note_memory(shared: &Shared) {
+    let configuration = shared.configuration.load();
+    let memory_tokens = |service: &str| {
+        let service = configuration.as_ref()?.service(service)?;
+        Some(service.memory_tokens)
+    };
+    let services = shared.servers.load();
+    let listed = services.values().flatten();
+    let capacities = listed.map(|server| {
+        let tokens = memory_tokens(&server.service).unwrap_or(0);
+        (server.incarnation, tokens)
+    });
+    let capacities = capacities.collect();
+    shared.traffic().warm.set_capacities(capacities);
+}
+
 /// Gives the list to the traffic thread, and forgets what is not listed any more.
 fn publish(shared: &Shared, list: &ServerList) {
     let mut state = shared.servers_watch().state();
@@ -176,6 +194,7 @@
         .collect();
     shared.servers.store(Arc::new(services));
     shared.servers_known.store(true, Ordering::Relaxed);
+    note_memory(shared);
     let mut traffic = shared.traffic();
     traffic
         .health
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::clock::Clock;
 use crate::events::{Event, note};
 use crate::job::Job;
-use crate::placing::{NoServer, place};
+use crate::placing::{NoServer, Seeker, place};
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
 use crate::relay::{self, ReadAnswer};
@@ -107,7 +107,12 @@
             let Some(service) = configuration.service(&self.service) else {
                 return Err(AttemptFailure::NotSent("no-service"));
             };
-            let placed = place(&self.shared, service, &self.facts, &attempts.tried);
+            let seeker = Seeker {
+                service,
+                facts: &self.facts,
+                tried: &attempts.tried,
+            };
+            let placed = place(&self.shared, seeker);
             let placed = placed.map_err(|none| AttemptFailure::NotSent(none.as_str()))?;
             if attempts.offers > 0 && !self.may_repeat() {
                 return Err(AttemptFailure::NotSent("retry-budget"));
--- a/crates/sapphiretrack-router/src/parts.rs
+++ b/crates/sapphiretrack-router/src/parts.rs
@@ -66,7 +66,11 @@
         match list {
             Ok(parts) => {
                 let server = engine.incarnation.0;
-                let sent = parts.into_iter().map(|part| SentPart { server, part });
+                let sent = parts.into_iter().map(|part| SentPart {
+                    server,
+                    part: part.id,
+                    tokens: part.tokens,
+                });
                 let sent: Vec<SentPart> = sent.collect();
                 known += sent.len();
                 shared.traffic().warm.note_holdings(&sent, Clock.now_ms());
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -10,7 +10,8 @@
 };
 
 use crate::clock::Clock;
-use crate::shared::Shared;
+use crate::settings::RouterSettings;
+use crate::shared::{Shared, Traffic};
 
 /// A request on a server; its load counts until this is dropped.
 pub(crate) struct Placed {
@@ -98,99 +99,161 @@
     }
 }
 
+/// A request that looks for a server.
+#[derive(Clone, Copy)]
+pub(crate) struct Seeker<'a> {
+    /// Its service.
+    pub(crate) service: &'a Service,
+    /// What it says of itself.
+    pub(crate) facts: &'a RequestFacts,
+    /// Servers that it was sent to.
+    pub(crate) tried: &'a [Incarnation],
+}
+
 /// Chooses a server for a request and counts its load there from now on.
-pub(crate) fn place(
-    shared: &Arc<Shared>,
-    service: &Service,
-    facts: &RequestFacts,
-    tried: &[Incarnation],
-) -> Result<Placed, NoServer> {
+pub(crate) fn place(shared: &Arc<Shared>, seeker: Seeker<'_>) -> Result<Placed, NoServer> {
     let servers = shared.servers.load();
-    let listed = servers.get(&service.name).filter(|list| !list.is_empty());
+    let listed = servers.get(&seeker.service.name);
+    let listed = listed.filter(|list| !list.is_empty());
     let listed = listed.ok_or(NoServer::NoneListed)?;
     let settings = shared.settings();
-    let now_ms = Clock.now_ms();
-    let peer_loads = shared.peer_loads.load();
-    let shared_parts = facts.shared_parts();
     let mut traffic = shared.traffic();
-    let mut homes = 1;
-    let home = shared_parts.last().and_then(|part| {
-        let sends_per_s = traffic.warm.sends_per_s(part.id, now_ms);
-        let (prompt, output) = (facts.prompt_tokens, facts.output_tokens);
-        homes = home_count(&settings.costs, sends_per_s, prompt, output);
-        let incarnations = listed.iter().map(|server| server.incarnation);
-        part_home(part, incarnations, homes, rand::rng().random())
-    });
-    let is_hot = homes > 1;
-    let candidate = |server: &Arc<ServerEntry>| {
-        let health = traffic.health.get(&server.incarnation);
-        let (peers, peer_prefill) = peer_loads
-            .get(&server.incarnation)
-            .copied()
-            .unwrap_or_default();
-        let warm = &traffic.warm;
-        let cached_tokens = warm.cached_tokens(server.incarnation, shared_parts, now_ms);
-        let suspect = health.is_some_and(|health| {
-            health.is_unreachable(now_ms) || health.is_mute(&settings.health, now_ms)
-        });
-        Candidate {
-            server: server.incarnation,
-            distance: settings.distance(&settings.zone, &server.zone),
-            is_home: home == Some(server.incarnation),
-            is_hot,
-            in_flight: peers + health.map_or(0, |health| health.in_flight),
-            capacity: match service.is_engine {
-                true => (f64::from(server.slots) * settings.attempts.engine_queue_factor) as u32,
-                false => server
-                    .slots
-                    .saturating_mul(settings.attempts.plain_queue_factor),
-            },
-            prefill_tokens: peer_prefill + health.map_or(0, |health| health.prefill_tokens),
-            cached_tokens,
-            failure_share: health
-                .map_or(0.0, |health| health.failure_share(&settings.health, now_ms)),
-            suspect,
-            tried: tried.contains(&server.incarnation),
-        }
+    let now_ms = Clock.now_ms();
+    let view = View {
+        shared,
+        settings: &settings,
+        traffic: &traffic,
+        seeker,
+        now_ms,
     };
-    let candidates: Vec<Candidate> = listed.iter().map(candidate).collect();
+    let candidates = view.candidates(listed);
     let index = choose_server(
         &settings.costs,
-        service.is_engine,
-        facts.prompt_tokens,
+        seeker.service.is_engine,
+        seeker.facts.prompt_tokens,
         &candidates,
         &compared(&candidates, || rand::rng().random()),
     );
-    let Some(index) = index else {
-        let all_tried = candidates.iter().all(|one| one.tried);
-        return Err(if all_tried {
-            NoServer::AllTried
-        } else {
-            NoServer::AllFull
-        });
-    };
-    let server = listed[index].clone();
-    let cached_tokens = candidates[index].cached_tokens;
+    let index = index.ok_or_else(|| match candidates.iter().all(|one| one.tried) {
+        true => NoServer::AllTried,
+        false => NoServer::AllFull,
+    })?;
+    let chosen = &candidates[index];
     let holder = fetch_source(&settings.costs, &candidates, index);
-    let held_tokens = holder.map_or(cached_tokens, |holder| candidates[holder].cached_tokens);
-    let uncached = facts.prompt_tokens.saturating_sub(held_tokens);
-    let tokens = u64::from(facts.prompt_tokens) + u64::from(facts.output_tokens);
-    let health = traffic.health.entry(server.incarnation).or_default();
-    health.note_sent(now_ms);
-    health.tokens += tokens;
-    health.prefill_tokens += u64::from(uncached);
-    traffic
-        .warm
-        .note_sent(server.incarnation, shared_parts, now_ms);
+    let held_tokens = holder.map_or(chosen.cached_tokens, |holder| {
+        candidates[holder].cached_tokens
+    });
+    let booking = book(&mut traffic, chosen.server, seeker.facts, held_tokens);
     drop(traffic);
     Ok(Placed {
-        server,
-        cached_tokens,
-        load: candidates[index].in_flight,
+        server: listed[index].clone(),
+        cached_tokens: chosen.cached_tokens,
+        load: chosen.in_flight,
         servers: candidates.len(),
         fetch_from: holder.map(|holder| listed[holder].address),
         shared: shared.clone(),
-        tokens,
-        prefill_tokens: u64::from(uncached),
+        tokens: booking.tokens,
+        prefill_tokens: booking.prefill_tokens,
     })
 }
+
+/// Load that a request puts on its server.
+struct Booking {
+    tokens: u64,
+    prefill_tokens: u64,
+}
+
+/// Counts a request's load at its server.
+fn book(
+    traffic: &mut Traffic,
+    server: Incarnation,
+    facts: &RequestFacts,
+    held_tokens: u32,
+) -> Booking {
+    let now_ms = Clock.now_ms();
+    let booking = Booking {
+        tokens: u64::from(facts.prompt_tokens) + u64::from(facts.output_tokens),
+        prefill_tokens: u64::from(facts.prompt_tokens.saturating_sub(held_tokens)),
+    };
+    let health = traffic.health.entry(server).or_default();
+    health.note_sent(now_ms);
+    health.tokens += booking.tokens;
+    health.prefill_tokens += booking.prefill_tokens;
+    traffic.warm.note_sent(server, facts, now_ms);
+    booking
+}
+
+/// What is known when a request looks for a server.
+struct View<'a> {
+    shared: &'a Shared,
+    settings: &'a RouterSettings,
+    traffic: &'a Traffic,
+    seeker: Seeker<'a>,
+    now_ms: u64,
+}
+
+impl View<'_> {
+    /// The servers as placement compares them, in the order of the list.
+    fn candidates(&self, listed: &[Arc<ServerEntry>]) -> Vec<Candidate> {
+        let (home, is_hot) = self.home(listed);
+        let peer_loads = self.shared.peer_loads.load();
+        let candidate = |server: &Arc<ServerEntry>| {
+            let of_peers = peer_loads.get(&server.incarnation);
+            let is_home = home == Some(server.incarnation);
+            Candidate {
+                is_home,
+                is_hot,
+                ..self.candidate(server, of_peers.copied().unwrap_or_default())
+            }
+        };
+        listed.iter().map(candidate).collect()
+    }
+
+    /// The home of the prompt's last shared part, and whether the part has several.
+    fn home(&self, listed: &[Arc<ServerEntry>]) -> (Option<Incarnation>, bool) {
+        let facts = self.seeker.facts;
+        let Some(part) = facts.shared_parts().last() else {
+            return (None, false);
+        };
+        let sends_per_s = self.traffic.warm.sends_per_s(part.id, self.now_ms);
+        let costs = &self.settings.costs;
+        let homes = home_count(costs, sends_per_s, facts.prompt_tokens, facts.output_tokens);
+        let servers = listed.iter().map(|server| server.incarnation);
+        let home = part_home(part, servers, homes, rand::rng().random());
+        (home, homes > 1)
+    }
+
+    fn candidate(&self, server: &ServerEntry, (peers, peer_prefill): (u32, u64)) -> Candidate {
+        let settings = self.settings;
+        let health = self.traffic.health.get(&server.incarnation);
+        let suspect = health.is_some_and(|health| {
+            health.is_unreachable(self.now_ms) || health.is_mute(&settings.health, self.now_ms)
+        });
+        let failure_share =
+            health.map_or(0.0, |one| one.failure_share(&settings.health, self.now_ms));
+        let shared_parts = self.seeker.facts.shared_parts();
+        let warm = &self.traffic.warm;
+        Candidate {
+            server: server.incarnation,
+            distance: settings.distance(&settings.zone, &server.zone),
+            is_home: false,
+            is_hot: false,
+            in_flight: peers + health.map_or(0, |health| health.in_flight),
+            capacity: self.capacity(server),
+            prefill_tokens: peer_prefill + health.map_or(0, |health| health.prefill_tokens),
+            cached_tokens: warm.cached_tokens(server.incarnation, shared_parts, self.now_ms),
+            failure_share,
+            suspect,
+            tried: self.seeker.tried.contains(&server.incarnation),
+        }
+    }
+
+    /// The most requests that a server may hold.
+    fn capacity(&self, server: &ServerEntry) -> u32 {
+        let attempts = &self.settings.attempts;
+        match self.seeker.service.is_engine {
+            true => (f64::from(server.slots) * attempts.engine_queue_factor) as u32,
+            false => server.slots.saturating_mul(attempts.plain_queue_factor),
+        }
+    }
+}
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -168,4 +168,8 @@
         "time between two beats to the other routers";
     "keep-parts", "ms", 0.0..=600_000.0, warm.keep_ms: u64,
         "time that a server is believed to hold a part after its last use; 0: nothing is believed held";
+    "memory-part", "1", 0.01..=1_000.0, warm.memory_part: f64,
+        "part of an engine's memory that what was used last is believed to fill; 1000: memory has no end";
+    "output-part", "1", 0.0..=1.0, warm.output_part: f64,
+        "part of the longest output that an answer is believed to take up in an engine's memory";
 }
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -8,7 +8,7 @@
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
 use http::{HeaderMap, Uri};
-use sapphiretrack_routing::{Configuration, RequestFacts, ServerChange, ServerEntry};
+use sapphiretrack_routing::{Configuration, PromptPart, RequestFacts, ServerChange, ServerEntry};
 use snafu::Snafu;
 
 use crate::settings::RouterSettings;
@@ -164,7 +164,7 @@
 
 /// Asks a backend server which prompt parts it holds: their ids.
 pub type ListParts =
-    Box<dyn Fn(&ServerEntry) -> BoxFuture<'static, Result<Vec<u64>, String>> + Send + Sync>;
+    Box<dyn Fn(&ServerEntry) -> BoxFuture<'static, Result<Vec<PromptPart>, String>> + Send + Sync>;
 
 /// What the router asks of the world beside traffic.
 pub struct Ports {
--- a/crates/sapphiretrack-routing/benches/placement.rs
+++ b/crates/sapphiretrack-routing/benches/placement.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use sapphiretrack_routing::{
-    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, WarmParts, choose_server,
-    compared, fetch_source, home_count, part_home,
+    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, RequestFacts, WarmParts,
+    choose_server, compared, fetch_source, home_count, part_home,
 };
 
 /// Sizes: two of the users' fleets, and the one to design for.
@@ -32,7 +32,12 @@
     for number in 0..PARTS {
         for _ in 0..4 {
             let server = Incarnation(random.next() % servers);
-            warm.note_sent(server, &parts(number), 0);
+            let own = PromptPart { id: 0, tokens: 0 };
+            let facts = RequestFacts {
+                prompt: parts(number).into_iter().chain([own]).collect(),
+                ..RequestFacts::default()
+            };
+            warm.note_sent(server, &facts, 0);
         }
     }
     let decisions = (0..DECISIONS).map(|_| {
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod placement;
 mod request;
 mod retry_share;
+mod server_cache;
 mod server_health;
 mod server_list;
 mod stop;
@@ -32,5 +33,5 @@
     Incarnation, ListedServer, ServerChange, ServerEntry, ServerList, ServerState,
 };
 pub use stop::{StopPhase, StopTimes};
-pub use warmth::{SentPart, WarmParts, WarmSettings};
+pub use warmth::{SentPart, SentPrompts, SentTokens, WarmParts, WarmSettings};
 pub use watch_state::{WatchAnswer, WatchNews, WatchState};
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -6,7 +6,7 @@
 use sapphiretrack_core::RouterId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Incarnation, SentPart, ServerChange, WatchNews};
+use crate::{Incarnation, SentPart, SentPrompts, ServerChange, WatchNews};
 
 /// Whether callers may be sent to a router.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -51,8 +51,8 @@
     pub loads: Vec<ServerLoad>,
     /// Whether it knows which servers hold which prompt parts.
     pub knows_parts: bool,
-    /// Shared prompt parts that it sent since its last beat.
-    pub sent_parts: Vec<SentPart>,
+    /// Prompts that it sent since its last beat.
+    pub sent: SentPrompts,
     /// What it knows of the configuration.
     pub configuration: WatchNews,
     /// What it knows of the backend servers.
--- a/crates/sapphiretrack-routing/src/request.rs
+++ b/crates/sapphiretrack-routing/src/request.rs
@@ -64,4 +64,10 @@
         let shared = self.prompt.len().saturating_sub(1);
         &self.prompt[..shared]
     }
+
+    /// Prompt tokens that no other request shares.
+    pub fn private_tokens(&self) -> u32 {
+        let shared = self.shared_parts().iter().map(|part| part.tokens).sum();
+        self.prompt_tokens.saturating_sub(shared)
+    }
 }
--- /dev/null
+++ b/crates/sapphiretrack-routing/src/server_cache.rs
@@ -0,0 +1,127 @@
+//! What one engine's memory is believed to hold: the parts that were used last, as far as they fit.
+
+use std::collections::{HashMap, VecDeque};
+
+/// A model of the memory of one engine, which drops what was used longest ago.
+///
+/// Tokens are counted by the slice of time of their last use. From the newest slice backwards they
+/// fit into the memory up to a horizon; what was used before it has been dropped.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServerCache {
+    capacity_tokens: u64,
+    parts: HashMap<u64, HeldPart>,
+    /// Tokens by the slice of their last use; the newest slice is the last.
+    slices: VecDeque<u64>,
+    newest_slice: u64,
+    horizon_slice: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeldPart {
+    tokens: u32,
+    used_ms: u64,
+}
+
+impl ServerCache {
+    /// The length of a slice: a fraction of the time in which a busy engine's memory is used up.
+    const SLICE_MS: u64 = 250;
+    /// The slices that are kept.
+    const MAX_SLICES: usize = 128;
+
+    /// Sets how many tokens fit; 0 if that is not known.
+    pub(crate) fn set_capacity(&mut self, tokens: u64) {
+        if self.capacity_tokens != tokens {
+            self.capacity_tokens = tokens;
+            self.move_horizon();
+        }
+    }
+
+    /// Notes that a part was read or used; true if it was not remembered.
+    pub(crate) fn use_part(&mut self, part: u64, tokens: u32, now_ms: u64) -> bool {
+        let held = HeldPart {
+            tokens,
+            used_ms: now_ms,
+        };
+        let before = self.parts.insert(part, held);
+        if let Some(before) = before {
+            self.take_off(before);
+        }
+        self.add(u64::from(tokens), now_ms);
+        before.is_none()
+    }
+
+    /// Notes tokens that no other request shares.
+    pub(crate) fn use_private(&mut self, tokens: u64, now_ms: u64) {
+        self.add(tokens, now_ms);
+    }
+
+    /// When a part was used last, if it is believed to be held.
+    pub(crate) fn used_ms(&self, part: u64) -> Option<u64> {
+        let held = self.parts.get(&part)?;
+        (held.used_ms / Self::SLICE_MS >= self.horizon_slice).then_some(held.used_ms)
+    }
+
+    /// The parts that are believed to be held: id, tokens, last use.
+    pub(crate) fn held(&self) -> impl Iterator<Item = (u64, u32, u64)> + '_ {
+        let held = self.parts.iter();
+        let held = held.filter(|(_, one)| one.used_ms / Self::SLICE_MS >= self.horizon_slice);
+        held.map(|(part, one)| (*part, one.tokens, one.used_ms))
+    }
+
+    /// Forgets parts that were used before a moment, and those that were dropped.
+    pub(crate) fn forget_before(&mut self, before_ms: u64) {
+        let horizon_slice = self.horizon_slice;
+        self.parts.retain(|_, one| {
+            one.used_ms >= before_ms && one.used_ms / Self::SLICE_MS >= horizon_slice
+        });
+    }
+
+    /// How many parts are remembered.
+    pub(crate) fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    fn add(&mut self, tokens: u64, now_ms: u64) {
+        let slice = now_ms / Self::SLICE_MS;
+        if self.slices.is_empty() || slice >= self.newest_slice + Self::MAX_SLICES as u64 {
+            self.slices = VecDeque::from([0]);
+            self.newest_slice = slice;
+        }
+        while self.newest_slice < slice {
+            self.newest_slice += 1;
+            self.slices.push_back(0);
+        }
+        while self.slices.len() > Self::MAX_SLICES {
+            self.slices.pop_front();
+        }
+        if let Some(newest) = self.slices.back_mut() {
+            *newest += tokens;
+        }
+        self.move_horizon();
+    }
+
+    fn take_off(&mut self, held: HeldPart) {
+        let age = self
+            .newest_slice
+            .saturating_sub(held.used_ms / Self::SLICE_MS) as usize;
+        let index = self.slices.len().checked_sub(age + 1);
+        if let Some(tokens) = index.and_then(|index| self.slices.get_mut(index)) {
+            *tokens = tokens.saturating_sub(u64::from(held.tokens));
+        }
+    }
+
+    fn move_horizon(&mut self) {
+        self.horizon_slice = 0;
+        if self.capacity_tokens == 0 {
+            return;
+        }
+        let mut tokens = 0;
+        for (age, in_slice) in self.slices.iter().rev().enumerate() {
+            tokens += in_slice;
+            if tokens > self.capacity_tokens {
+                self.horizon_slice = (self.newest_slice + 1).saturating_sub(age as u64);
+                return;
+            }
+        }
+    }
+}
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -4,7 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Incarnation, PromptPart};
+use crate::server_cache::ServerCache;
+use crate::{Incarnation, PromptPart, RequestFacts};
 
 /// A prompt part that a router sent to a server.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -13,6 +14,26 @@
     pub server: u64,
     /// The part's id.
     pub part: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// Tokens that a router sent to a server and that no other request shares.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SentTokens {
+    /// The server's incarnation.
+    pub server: u64,
+    /// How many.
+    pub tokens: u32,
+}
+
+/// What a router sent to servers.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct SentPrompts {
+    /// Shared prompt parts.
+    pub parts: Vec<SentPart>,
+    /// All else, by server: it takes the place of parts in the server's memory.
+    pub private: Vec<SentTokens>,
 }
 
 /// A bounded memory of sent parts. Routers tell each other what they sent, so that all know
@@ -20,8 +41,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct WarmParts {
     settings: WarmSettings,
-    sent_ms: HashMap<(Incarnation, u64), u64>,
-    untold: Vec<SentPart>,
+    caches: HashMap<Incarnation, ServerCache>,
+    /// The memory of each engine, as the operator states it.
+    capacities: HashMap<Incarnation, u64>,
+    /// Parts in all caches.
+    remembered: usize,
+    untold: SentPrompts,
     heat: HashMap<u64, Heat>,
     heat_slice: u64,
 }
@@ -31,11 +56,19 @@
 pub struct WarmSettings {
     /// How long a part is believed to stay in a server's cache after its last use.
     pub keep_ms: u64,
+    /// The part of a server's memory that what was used last is believed to fill.
+    pub memory_part: f64,
+    /// The part of the longest output that an answer takes up on the average.
+    pub output_part: f64,
 }
 
 impl Default for WarmSettings {
     fn default() -> Self {
-        Self { keep_ms: 30_000 }
+        Self {
+            keep_ms: 30_000,
+            memory_part: 1.0,
+            output_part: 0.5,
+        }
     }
 }
 
@@ -51,73 +84,110 @@
     /// The length of the slices in which sends are counted: long enough for beats to arrive and
     /// for a rate of one in two seconds to show.
     const HEAT_MS: u64 = 2_000;
-    /// The most entries, at 40 bytes each 0.8 MB.
+    /// The most parts that are remembered, at 40 bytes each 0.8 MB.
     const MAX_ENTRIES: usize = 20_000;
     /// The most parts that a beat tells: 1 KB.
     const PARTS_IN_BEAT: usize = 64;
-    /// Parts in one datagram of an answer to a router that starts: 4 KB.
+    /// Parts in one datagram of an answer to a router that starts: 5 KB.
     pub const PARTS_IN_DATAGRAM: usize = 256;
 
     /// Believes by these settings from now on.
     pub fn set_settings(&mut self, settings: WarmSettings) {
         self.settings = settings;
+        let capacities = std::mem::take(&mut self.capacities);
+        self.set_capacities(capacities);
+    }
+
+    /// Sets the tokens that fit into the memory of each listed engine. What others hold is still
+    /// believed for its time: an entry that lapsed while the store was away comes back.
+    pub fn set_capacities(&mut self, capacities: HashMap<Incarnation, u64>) {
+        self.capacities = capacities;
+        let is_listed = |server: &Incarnation| self.capacities.contains_key(server);
+        self.caches
+            .retain(|server, cache| cache.len() > 0 || is_listed(server));
+        for (server, cache) in &mut self.caches {
+            if is_listed(server) {
+                cache.set_capacity(believed(&self.settings, &self.capacities, *server));
+            }
+        }
     }
 
     /// Notes that this router sent a prompt to a server.
-    pub fn note_sent(&mut self, server: Incarnation, parts: &[PromptPart], now_ms: u64) {
-        for part in parts {
-            self.note(server, part.id, now_ms);
+    pub fn note_sent(&mut self, server: Incarnation, facts: &RequestFacts, now_ms: u64) {
+        for part in facts.shared_parts() {
+            self.note_part(server, *part, now_ms);
             self.count(part.id, now_ms);
             // What is more than a beat can tell is only known here.
-            if self.untold.len() < Self::PARTS_IN_BEAT {
-                self.untold.push(SentPart {
+            if self.untold.parts.len() < Self::PARTS_IN_BEAT {
+                self.untold.parts.push(SentPart {
                     server: server.0,
                     part: part.id,
+                    tokens: part.tokens,
                 });
             }
         }
+        let output = f64::from(facts.output_tokens) * self.settings.output_part;
+        let tokens = facts.private_tokens().saturating_add(output as u32);
+        self.cache(server).use_private(u64::from(tokens), now_ms);
+        self.tell_private(server, tokens);
     }
 
     /// Notes what a router that was asked knows: who holds what, not what was sent now.
     pub fn note_holdings(&mut self, holdings: &[SentPart], now_ms: u64) {
-        for part in holdings {
-            self.note(Incarnation(part.server), part.part, now_ms);
+        for held in holdings {
+            self.note_part(Incarnation(held.server), held.prompt_part(), now_ms);
         }
     }
 
     /// Notes what another router sent since its last beat.
-    pub fn note_told(&mut self, sent: &[SentPart], now_ms: u64) {
-        for part in sent {
-            self.note(Incarnation(part.server), part.part, now_ms);
+    pub fn note_told(&mut self, sent: &SentPrompts, now_ms: u64) {
+        for part in &sent.parts {
+            self.note_part(Incarnation(part.server), part.prompt_part(), now_ms);
             self.count(part.part, now_ms);
         }
+        for private in &sent.private {
+            let cache = self.cache(Incarnation(private.server));
+            cache.use_private(u64::from(private.tokens), now_ms);
+        }
     }
 
     /// What was sent since this was last asked.
-    pub fn take_untold(&mut self) -> Vec<SentPart> {
+    pub fn take_untold(&mut self) -> SentPrompts {
         std::mem::take(&mut self.untold)
     }
 
     /// The parts that were sent last, newest first, to tell a router that knows none.
     pub fn newest(&self, limit: usize, now_ms: u64) -> Vec<SentPart> {
-        let young = self.sent_ms.iter();
-        let young = young.filter(|(_, sent)| now_ms < **sent + self.settings.keep_ms);
-        let mut parts: Vec<_> = young.collect();
-        parts.sort_unstable_by_key(|(_, sent)| std::cmp::Reverse(**sent));
+        let mut parts: Vec<(u64, SentPart)> = Vec::new();
+        for (server, cache) in &self.caches {
+            let young = cache.held();
+            let young = young.filter(|(_, _, used_ms)| now_ms < used_ms + self.settings.keep_ms);
+            parts.extend(young.map(|(part, tokens, used_ms)| {
+                let server = server.0;
+                (
+                    used_ms,
+                    SentPart {
+                        server,
+                        part,
+                        tokens,
+                    },
+                )
+            }));
+        }
+        parts.sort_unstable_by_key(|(used_ms, _)| std::cmp::Reverse(*used_ms));
         let newest = parts.into_iter().take(limit);
-        let sent = newest.map(|((server, part), _)| SentPart {
-            server: server.0,
-            part: *part,
-        });
-        sent.collect()
+        newest.map(|(_, part)| part).collect()
     }
 
     /// How many tokens of a prompt's shared parts a server is believed to hold. A later part
     /// cannot have been read without those before it.
     pub fn cached_tokens(&self, server: Incarnation, parts: &[PromptPart], now_ms: u64) -> u32 {
+        let Some(cache) = self.caches.get(&server) else {
+            return 0;
+        };
         let is_cached = |part: &PromptPart| {
-            let sent = self.sent_ms.get(&(server, part.id));
-            sent.is_some_and(|sent| now_ms < sent + self.settings.keep_ms)
+            let used = cache.used_ms(part.id);
+            used.is_some_and(|used| now_ms < used + self.settings.keep_ms)
         };
         let deepest = parts.iter().rposition(is_cached);
         let held = deepest.map_or(&[][..], |last| &parts[..=last]);
@@ -161,20 +231,67 @@
         heat.count += 1;
     }
 
-    fn note(&mut self, server: Incarnation, part: u64, now_ms: u64) {
-        if self.sent_ms.len() >= Self::MAX_ENTRIES {
+    fn note_part(&mut self, server: Incarnation, part: PromptPart, now_ms: u64) {
+        if self.remembered >= Self::MAX_ENTRIES {
             self.forget_older(now_ms);
         }
-        self.sent_ms.insert((server, part), now_ms);
+        let cache = self.cache(server);
+        if cache.use_part(part.id, part.tokens, now_ms) {
+            self.remembered += 1;
+        }
+    }
+
+    fn cache(&mut self, server: Incarnation) -> &mut ServerCache {
+        let capacity = believed(&self.settings, &self.capacities, server);
+        self.caches.entry(server).or_insert_with(|| {
+            let mut cache = ServerCache::default();
+            cache.set_capacity(capacity);
+            cache
+        })
+    }
+
+    fn tell_private(&mut self, server: Incarnation, tokens: u32) {
+        let mut private = self.untold.private.iter_mut();
+        match private.find(|one| one.server == server.0) {
+            Some(one) => one.tokens = one.tokens.saturating_add(tokens),
+            None => self.untold.private.push(SentTokens {
+                server: server.0,
+                tokens,
+            }),
+        }
     }
 
     fn forget_older(&mut self, now_ms: u64) {
         for keep_ms in [self.settings.keep_ms, self.settings.keep_ms / 4] {
-            self.sent_ms.retain(|_, sent| now_ms < *sent + keep_ms);
-            if self.sent_ms.len() * 2 <= Self::MAX_ENTRIES {
+            self.remembered = 0;
+            for cache in self.caches.values_mut() {
+                cache.forget_before(now_ms.saturating_sub(keep_ms));
+                self.remembered += cache.len();
+            }
+            if self.remembered * 2 <= Self::MAX_ENTRIES {
                 return;
             }
         }
-        self.sent_ms.clear();
+        self.caches.clear();
+        self.remembered = 0;
     }
 }
+
+impl SentPart {
+    fn prompt_part(&self) -> PromptPart {
+        PromptPart {
+            id: self.part,
+            tokens: self.tokens,
+        }
+    }
+}
+
+/// The tokens that are believed to fit into a server's memory; 0 if that is not known.
+fn believed(
+    settings: &WarmSettings,
+    capacities: &HashMap<Incarnation, u64>,
+    server: Incarnation,
+) -> u64 {
+    let tokens = capacities.get(&server).copied().unwrap_or(0);
+    (tokens as f64 * settings.memory_part) as u64
+}
--- a/crates/sapphiretrack-routing/tests/parts_recovery.rs
+++ b/crates/sapphiretrack-routing/tests/parts_recovery.rs
@@ -2,7 +2,12 @@
 
 use std::net::SocketAddr;
 
-use sapphiretrack_routing::{Incarnation, PartsRecovery, PartsStep, PromptPart, WarmParts};
+mod prompts;
+
+use prompts::prompt_of;
+use sapphiretrack_routing::{
+    Incarnation, PartsRecovery, PartsStep, PromptPart, SentPrompts, WarmParts,
+};
 
 fn router(port: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], port))
@@ -55,11 +60,15 @@
     let mut old = WarmParts::default();
     let part = |id| PromptPart { id, tokens: 100 };
     for id in 0..500 {
-        old.note_sent(Incarnation(id % 3), &[part(id)], 1_000 + id);
+        old.note_sent(Incarnation(id % 3), &prompt_of(&[part(id)]), 1_000 + id);
     }
     let told = old.newest(200, 2_000);
     assert_eq!(told.len(), 200);
     let mut new = WarmParts::default();
+    let told = SentPrompts {
+        parts: told,
+        ..SentPrompts::default()
+    };
     new.note_told(&told, 2_000);
     assert_eq!(
         new.cached_tokens(Incarnation(499 % 3), &[part(499)], 2_000),
--- a/crates/sapphiretrack-routing/tests/peers.rs
+++ b/crates/sapphiretrack-routing/tests/peers.rs
@@ -1,6 +1,8 @@
 //! Other routers, by their beats.
 
-use sapphiretrack_routing::{Beat, Incarnation, PeerTable, RouterState, ServerLoad, WatchNews};
+use sapphiretrack_routing::{
+    Beat, Incarnation, PeerTable, RouterState, SentPrompts, ServerLoad, WatchNews,
+};
 
 fn beat(name: &str, incarnation: u64, sequence: u64, state: RouterState) -> Beat {
     Beat {
@@ -17,7 +19,7 @@
             prefill_tokens: 100,
         }],
         knows_parts: false,
-        sent_parts: Vec::new(),
+        sent: SentPrompts::default(),
         configuration: WatchNews::default(),
         servers: WatchNews::default(),
     }
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -1,7 +1,10 @@
 //! Which server gets a request.
 
+mod prompts;
+
+use prompts::{prompt_of, told_part};
 use sapphiretrack_routing::{
-    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, SentPart, ServerHealth,
+    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, SentPrompts, ServerHealth,
     ServerHealthSettings, WarmParts, choose_server, compared, fetch_source, home_count, part_home,
 };
 
@@ -158,17 +161,17 @@
     ];
     let server = Incarnation(5);
     let mut own = WarmParts::default();
-    own.note_sent(server, &parts, 0);
+    own.note_sent(server, &prompt_of(&parts), 0);
     assert_eq!(own.cached_tokens(server, &parts, 1_000), 150);
     assert_eq!(own.cached_tokens(server, &parts, 31_000), 0);
     assert_eq!(own.cached_tokens(Incarnation(6), &parts, 0), 0);
     let mut other = WarmParts::default();
     other.note_told(&own.take_untold(), 0);
     assert_eq!(other.cached_tokens(server, &parts, 1_000), 150);
-    assert!(own.take_untold().is_empty());
+    assert_eq!(own.take_untold(), SentPrompts::default());
     // The second part was read after the first, whoever told of it.
     let mut third = WarmParts::default();
-    third.note_told(&[SentPart { server: 5, part: 2 }], 0);
+    third.note_told(&told_part(5, parts[1]), 0);
     assert_eq!(third.cached_tokens(server, &parts, 1_000), 150);
 }
 
@@ -177,9 +180,9 @@
     let mut warm = WarmParts::default();
     for id in 0..100_000 {
         let part = PromptPart { id, tokens: 1 };
-        warm.note_sent(Incarnation(id % 7), &[part], id / 10);
+        warm.note_sent(Incarnation(id % 7), &prompt_of(&[part]), id / 10);
     }
-    assert!(warm.take_untold().len() <= 64);
+    assert!(warm.take_untold().parts.len() <= 64);
     let last = PromptPart {
         id: 99_999,
         tokens: 1,
@@ -231,13 +234,7 @@
     };
     let mut warm = WarmParts::default();
     for step in 0..u64::from(HOT_PER_S) * 4 {
-        warm.note_told(
-            &[SentPart {
-                server: 1,
-                part: part.id,
-            }],
-            step * 50,
-        );
+        warm.note_told(&told_part(1, part), step * 50);
     }
     let sends_per_s = warm.sends_per_s(part.id, 4_000);
     assert!(
