A part gets a second home only when its requests alone load a home as much as a server is loaded

Cause: homes were counted with a fixed 3 requests a home and a fixed time a token, so that under load usual parts had several homes: more copies in memory, more fetches and reads.

Change: a part's share of all requests and the load of its service decide, both observed; the two constants are gone.

--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -195,32 +195,30 @@
 impl View<'_> {
     /// The servers as placement compares them, in the order of the list.
     fn candidates(&self, listed: &[Arc<ServerEntry>]) -> Vec<Candidate> {
-        let (home, is_hot) = self.home(listed);
         let peer_loads = self.shared.peer_loads.load();
-        let candidate = |server: &Arc<ServerEntry>| {
+        let candidates = listed.iter().map(|server| {
             let of_peers = peer_loads.get(&server.incarnation);
-            let is_home = home == Some(server.incarnation);
-            Candidate {
-                is_home,
-                is_hot,
-                ..self.candidate(server, of_peers.copied().unwrap_or_default())
-            }
-        };
-        listed.iter().map(candidate).collect()
+            self.candidate(server, of_peers.copied().unwrap_or_default())
+        });
+        let mut candidates: Vec<Candidate> = candidates.collect();
+        self.mark_home(&mut candidates);
+        candidates
     }
 
-    /// The home of the prompt's last shared part, and whether the part has several.
-    fn home(&self, listed: &[Arc<ServerEntry>]) -> (Option<Incarnation>, bool) {
-        let facts = self.seeker.facts;
-        let Some(part) = facts.shared_parts().last() else {
-            return (None, false);
+    /// Marks the home of the prompt's last shared part, and whether the part has several.
+    fn mark_home(&self, candidates: &mut [Candidate]) {
+        let Some(part) = self.seeker.facts.shared_parts().last() else {
+            return;
         };
-        let sends_per_s = self.traffic.warm.sends_per_s(part.id, self.now_ms);
-        let costs = &self.settings.costs;
-        let homes = home_count(costs, sends_per_s, facts.prompt_tokens, facts.output_tokens);
-        let servers = listed.iter().map(|server| server.incarnation);
+        let share = self.traffic.warm.share_of_sends(part.id, self.now_ms);
+        let in_flight = candidates.iter().map(|one| one.in_flight).sum();
+        let homes = home_count(&self.settings.costs, share, in_flight, candidates.len());
+        let servers = candidates.iter().map(|one| one.server);
         let home = part_home(part, servers, homes, rand::rng().random());
-        (home, homes > 1)
+        for one in candidates {
+            one.is_home = Some(one.server) == home;
+            one.is_hot = homes > 1;
+        }
     }
 
     fn candidate(&self, server: &ServerEntry, (peers, peer_prefill): (u32, u64)) -> Candidate {
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -144,10 +144,10 @@
         "cost of a server that is silent or out of reach; 0: no suspicion";
     "home-part", "1", 0.0..=2.0, costs.home_part: f64,
         "part of the time to read shared prompt parts that draws a request to their home; 0: no homes";
+    "home-load", "1", 0.1..=1_000_000.0, costs.home_load: f64,
+        "requests with one part that a home holds at once, in means of its service; 1000000: one home a part";
     "home-requests", "requests", 0.1..=1_000_000.0, costs.home_requests: f64,
-        "requests with one part that a home holds at once; 1000000: one home a part";
-    "token", "ms", 0.1..=1_000.0, costs.token_ms: f64,
-        "time of a generated token, to reckon how many homes a part needs";
+        "requests with one part that a home holds at once in any case";
     "fetch-from", "tokens", 1.0..=1_000_000_000.0, costs.min_fetch_tokens: u32,
         "prompt tokens from which on a part is fetched from its holder; 1000000000: never";
     "load-bound", "1", 1.0..=1_000.0, costs.bound_factor: f64,
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -32,10 +32,11 @@
     pub bound_factor: f64,
     /// See `bound_factor`.
     pub bound_requests: f64,
-    /// Requests with one part that a home may hold at once; beyond it the part gets another home.
+    /// Requests with one part that a home may hold at once, in means of its service; beyond it the
+    /// part gets another home.
+    pub home_load: f64,
+    /// Requests with one part that a home may hold at once in any case.
     pub home_requests: f64,
-    /// What a generated token takes: a step of an engine with a usual batch.
-    pub token_ms: f64,
     /// Tokens from which on fetching a part from another server's memory is worth a transfer.
     pub min_fetch_tokens: u32,
 }
@@ -53,8 +54,8 @@
             home_part: 0.8,
             bound_factor: 1.8,
             bound_requests: 2.0,
+            home_load: 1.0,
             home_requests: 3.0,
-            token_ms: 7.0,
             min_fetch_tokens: 256,
         }
     }
@@ -145,17 +146,14 @@
 /// Taken off for a home at least: what two requests cost the others.
 const MIN_HOME_MS: f64 = 6.0;
 
-/// How many homes a part needs that is sent so often with such requests.
-pub fn home_count(
-    costs: &PlacementCosts,
-    sends_per_s: f64,
-    prompt_tokens: u32,
-    output_tokens: u32,
-) -> usize {
-    let stays_ms = f64::from(prompt_tokens) / costs.prefill_tokens_per_ms / 4.0
-        + f64::from(output_tokens) * costs.token_ms;
-    let at_once = sends_per_s * stays_ms / 1_000.0;
-    ((at_once / costs.home_requests).ceil() as usize).max(1)
+/// How many homes a part needs that comes with this share of a service's requests, of which
+/// `in_flight` are at its `servers`. Each home is one more copy in the memory of all, so that a part
+/// gets another one only when its requests alone load a home as much as a server is loaded.
+pub fn home_count(costs: &PlacementCosts, share: f64, in_flight: u32, servers: usize) -> usize {
+    let in_flight = f64::from(in_flight);
+    let mean = in_flight / servers.max(1) as f64;
+    let at_home = (mean * costs.home_load).max(costs.home_requests);
+    ((share * in_flight / at_home).ceil() as usize).max(1)
 }
 
 /// The candidate that holds the most of a prompt beyond what the chosen one holds. A token takes
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -25,6 +25,8 @@
     pub server: u64,
     /// How many.
     pub tokens: u32,
+    /// With how many requests.
+    pub requests: u16,
 }
 
 /// What a router sent to servers.
@@ -49,6 +51,7 @@
     untold: SentPrompts,
     heat: HashMap<u64, Heat>,
     heat_slice: u64,
+    all_sends: Heat,
 }
 
 /// What is believed of servers' caches.
@@ -72,7 +75,7 @@
     }
 }
 
-/// How often a part was sent lately, by all routers.
+/// How often something was sent lately, by all routers.
 #[derive(Clone, Copy, Debug, Default)]
 struct Heat {
     slice: u64,
@@ -81,9 +84,6 @@
 }
 
 impl WarmParts {
-    /// The length of the slices in which sends are counted: long enough for beats to arrive and
-    /// for a rate of one in two seconds to show.
-    const HEAT_MS: u64 = 2_000;
     /// The most parts that are remembered, at 40 bytes each 0.8 MB.
     const MAX_ENTRIES: usize = 20_000;
     /// The most parts that a beat tells: 1 KB.
@@ -129,6 +129,7 @@
         let output = f64::from(facts.output_tokens) * self.settings.output_part;
         let tokens = facts.private_tokens().saturating_add(output as u32);
         self.cache(server).use_private(u64::from(tokens), now_ms);
+        self.all_sends.count(1, now_ms);
         self.tell_private(server, tokens);
     }
 
@@ -148,6 +149,7 @@
         for private in &sent.private {
             let cache = self.cache(Incarnation(private.server));
             cache.use_private(u64::from(private.tokens), now_ms);
+            self.all_sends.count(u32::from(private.requests), now_ms);
         }
     }
 
@@ -194,41 +196,25 @@
         held.iter().map(|part| part.tokens).sum()
     }
 
-    /// How often a part is sent in a second, by all routers.
-    pub fn sends_per_s(&self, part: u64, now_ms: u64) -> f64 {
+    /// The share of all requests that come with a part, as far as it is told.
+    pub fn share_of_sends(&self, part: u64, now_ms: u64) -> f64 {
         let Some(heat) = self.heat.get(&part) else {
             return 0.0;
         };
-        let slice = now_ms / Self::HEAT_MS;
-        let since_ms = (now_ms % Self::HEAT_MS) as f64;
-        let (count, before) = match slice - heat.slice.min(slice) {
-            0 => (heat.count, heat.before),
-            1 => (0, heat.count),
-            _ => return 0.0,
-        };
-        // The part of the slice before that still lies within one length.
-        let kept = 1.0 - since_ms / Self::HEAT_MS as f64;
-        let sends = f64::from(count) + f64::from(before) * kept;
-        sends * 1_000.0 / Self::HEAT_MS as f64
+        let all = self.all_sends.per_s(now_ms);
+        match all > 0.0 {
+            true => (heat.per_s(now_ms) / all).min(1.0),
+            false => 0.0,
+        }
     }
 
     fn count(&mut self, part: u64, now_ms: u64) {
-        let slice = now_ms / Self::HEAT_MS;
+        let slice = now_ms / Heat::SLICE_MS;
         if slice != self.heat_slice {
             self.heat_slice = slice;
             self.heat.retain(|_, heat| heat.slice + 1 >= slice);
         }
-        let heat = self.heat.entry(part).or_default();
-        if heat.slice != slice {
-            heat.before = if heat.slice + 1 == slice {
-                heat.count
-            } else {
-                0
-            };
-            heat.slice = slice;
-            heat.count = 0;
-        }
-        heat.count += 1;
+        self.heat.entry(part).or_default().count(1, now_ms);
     }
 
     fn note_part(&mut self, server: Incarnation, part: PromptPart, now_ms: u64) {
@@ -253,10 +239,14 @@
     fn tell_private(&mut self, server: Incarnation, tokens: u32) {
         let mut private = self.untold.private.iter_mut();
         match private.find(|one| one.server == server.0) {
-            Some(one) => one.tokens = one.tokens.saturating_add(tokens),
+            Some(one) => {
+                one.tokens = one.tokens.saturating_add(tokens);
+                one.requests = one.requests.saturating_add(1);
+            }
             None => self.untold.private.push(SentTokens {
                 server: server.0,
                 tokens,
+                requests: 1,
             }),
         }
     }
@@ -277,6 +267,39 @@
     }
 }
 
+impl Heat {
+    /// The length of the slices in which sends are counted: long enough for beats to arrive and
+    /// for a rate of one in two seconds to show.
+    const SLICE_MS: u64 = 2_000;
+
+    fn count(&mut self, sends: u32, now_ms: u64) {
+        let slice = now_ms / Self::SLICE_MS;
+        if self.slice != slice {
+            self.before = match self.slice + 1 == slice {
+                true => self.count,
+                false => 0,
+            };
+            self.slice = slice;
+            self.count = 0;
+        }
+        self.count = self.count.saturating_add(sends);
+    }
+
+    fn per_s(&self, now_ms: u64) -> f64 {
+        let slice = now_ms / Self::SLICE_MS;
+        let since_ms = (now_ms % Self::SLICE_MS) as f64;
+        let (count, before) = match slice - self.slice.min(slice) {
+            0 => (self.count, self.before),
+            1 => (0, self.count),
+            _ => return 0.0,
+        };
+        // The part of the slice before that still lies within one length.
+        let kept = 1.0 - since_ms / Self::SLICE_MS as f64;
+        let sends = f64::from(count) + f64::from(before) * kept;
+        sends * 1_000.0 / Self::SLICE_MS as f64
+    }
+}
+
 impl SentPart {
     fn prompt_part(&self) -> PromptPart {
         PromptPart {
