--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request sent to one backend server, up to the head of its answer.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use http::response::Parts;
@@ -82,34 +83,42 @@
     }
 }
 
-/// Sends a request to the server it is placed on and waits for the head of the answer, at most
-/// `limit_ms`.
-pub(crate) async fn send_attempt(
+/// Sends a request to the server it is placed on and waits for the head of the answer. Each time
+/// that `patience_ms` pass without it, `gives_up` says whether to leave this server.
+pub(crate) async fn send_attempt<GivesUp>(
     job: &Job,
     service: &Service,
     placed: Placed,
     resume_after: Option<u64>,
-    limit_ms: u64,
-) -> Result<ServerAnswer, AttemptFailure> {
-    let result = try_send(job, service, placed, resume_after, limit_ms).await;
+    patience_ms: u64,
+    gives_up: GivesUp,
+) -> Result<ServerAnswer, AttemptFailure>
+where
+    GivesUp: FnMut(&Placed) -> bool,
+{
+    let result = try_send(job, service, placed, resume_after, patience_ms, gives_up).await;
     if let Err((placed, failure)) = &result {
         failure.tell(&job.facts.id, placed);
     }
     result.map_err(|(_, failure)| failure)
 }
 
-async fn try_send(
+async fn try_send<GivesUp>(
     job: &Job,
     service: &Service,
     placed: Placed,
     resume_after: Option<u64>,
-    limit_ms: u64,
-) -> Result<ServerAnswer, (Placed, AttemptFailure)> {
+    patience_ms: u64,
+    mut gives_up: GivesUp,
+) -> Result<ServerAnswer, (Placed, AttemptFailure)>
+where
+    GivesUp: FnMut(&Placed) -> bool,
+{
     let shared = &job.shared;
     let routers = shared.peers().may_exist() + 1;
     let share = f64::from(service.max_connections) * CONNECTIONS_PART / routers as f64;
     let limit = (share as u32).max(1);
-    let connect_ms = shared.settings().times.connect_ms.min(limit_ms);
+    let connect_ms = shared.settings().times.connect_ms.min(patience_ms);
     let configuration = shared.configuration.load();
     let configuration_version = configuration.as_ref().map_or(0, |one| one.version);
     let mut fresh = false;
@@ -157,10 +166,18 @@
                 configuration_age_ms = shared.configuration_age_ms().unwrap_or(u64::MAX),
             );
         }
-        let limit = Duration::from_millis(limit_ms.min(left_ms));
-        let answer = match timeout(limit, connection.send(request)).await {
-            Ok(answer) => answer,
-            Err(_) => return Err((placed, AttemptFailure::TimedOut("no-answer"))),
+        let answer = {
+            let mut sending = pin!(connection.send(request));
+            loop {
+                let left_ms = job.left_ms();
+                let limit = Duration::from_millis(patience_ms.clamp(1, left_ms.max(1)));
+                if let Ok(answer) = timeout(limit, &mut sending).await {
+                    break answer;
+                }
+                if job.left_ms() == 0 || gives_up(&placed) {
+                    return Err((placed, AttemptFailure::TimedOut("no-answer")));
+                }
+            }
         };
         let answer = match answer {
             Ok(answer) => answer,
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::clock::Clock;
 use crate::events::{Event, note};
 use crate::job::Job;
-use crate::placing::{NoServer, Seeker, place};
+use crate::placing::{NoServer, Placed, Seeker, place};
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
 use crate::relay::{self, ReadAnswer};
@@ -61,8 +61,8 @@
 }
 
 impl Job {
-    /// How long an attempt may be silent before another server is asked, where that is allowed.
-    fn answer_limit_ms(&self, attempts: &Attempts) -> u64 {
+    /// How long an attempt may be silent before it is asked whether another server may be tried.
+    fn patience_ms(&self, attempts: &Attempts) -> u64 {
         let repeatable = self.route.kind.may_run_again();
         let last = attempts.runs + 1 >= self.route.max_attempts;
         if !repeatable || last {
@@ -99,6 +99,8 @@
             let drain = traffic.drain.entry(self.service.clone());
             drain.or_insert_with(|| DrainRate::new(now_ms));
         }
+        // Whether the repeat that comes next was already taken from the budget.
+        let mut has_repeat = false;
         loop {
             let configuration = match self.check_again() {
                 Ok(configuration) => configuration,
@@ -114,7 +116,7 @@
             };
             let placed = place(&self.shared, seeker);
             let placed = placed.map_err(|none| AttemptFailure::NotSent(none.as_str()))?;
-            if attempts.offers > 0 && !self.may_repeat() {
+            if attempts.offers > 0 && !has_repeat && !self.may_repeat() {
                 return Err(AttemptFailure::NotSent("retry-budget"));
             }
             attempts.tried.push(placed.server.incarnation);
@@ -123,8 +125,16 @@
                 _ => "warm",
             };
             self.shared.metrics.placed(warm);
-            let limit_ms = self.answer_limit_ms(attempts);
-            let sent = send_attempt(self, service, placed, resume_after, limit_ms).await;
+            has_repeat = false;
+            let patience_ms = self.patience_ms(attempts);
+            // A request that waits its turn is better off there than without any server: it leaves
+            // only a silent one, and only if it may be sent again.
+            let gives_up = |placed: &Placed| {
+                has_repeat = placed.is_silent() && self.may_repeat();
+                has_repeat
+            };
+            let sent =
+                send_attempt(self, service, placed, resume_after, patience_ms, gives_up).await;
             let failure = match sent {
                 Ok(answer) => {
                     attempts.offers += 1;
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -79,6 +79,14 @@
         }
     }
 
+    /// Whether the server moves none of this router's requests.
+    pub(crate) fn is_silent(&self) -> bool {
+        let traffic = self.shared.traffic();
+        let health = traffic.health.get(&self.server.incarnation);
+        let settings = self.shared.settings();
+        health.is_none_or(|one| one.is_mute(&settings.health, Clock.now_ms()))
+    }
+
     /// Notes that no connection could be made.
     pub(crate) fn note_unreachable(&self) {
         let mut traffic = self.shared.traffic();
