--- a/crates/sapphiretrack-core/src/overload.rs
+++ b/crates/sapphiretrack-core/src/overload.rs
@@ -88,7 +88,6 @@
     updated_ms: u64,
     ended_since: u32,
     since_ms: u64,
-    is_measured: bool,
 }
 
 impl DrainRate {
@@ -111,7 +110,6 @@
             updated_ms: now_ms,
             ended_since: 0,
             since_ms: now_ms,
-            is_measured: false,
         }
     }
 
@@ -131,11 +129,6 @@
         ((wait_ms * spread) as u64).clamp(Self::MIN_RETRY_MS, Self::MAX_RETRY_MS)
     }
 
-    /// Requests that end in a second; none before a whole window was counted.
-    pub fn measured_per_s(&self) -> Option<f64> {
-        self.is_measured.then_some(self.ended_per_s)
-    }
-
     /// Requests that end in a second.
     pub fn ended_per_s(&self) -> f64 {
         self.ended_per_s
@@ -151,9 +144,7 @@
             return;
         }
         let rate = f64::from(self.ended_since) * 1_000.0 / window_ms as f64;
-        let weight = if self.is_measured { Self::WEIGHT } else { 1.0 };
-        let rate = self.ended_per_s + weight * (rate - self.ended_per_s);
-        self.is_measured = true;
+        let rate = self.ended_per_s + Self::WEIGHT * (rate - self.ended_per_s);
         // A standstill is told as the longest wait, not as a division by nothing.
         self.ended_per_s = rate.max(1_000.0 / Self::MAX_RETRY_MS as f64);
         self.ended_since = 0;
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -72,10 +72,6 @@
         if self != Self::NotSent("connections-used") {
             placed.note_outcome(true);
         }
-        if let Self::TimedOut(_) = self {
-            // What it would have taken is not known: this long at least.
-            placed.note_served();
-        }
         note!(
             Event::ATTEMPT_FAILED,
             id = id,
--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -214,7 +214,6 @@
         if now_ms >= loads_ms + shared.settings().times.beat_ms / 4 {
             loads_ms = now_ms;
             shared.peer_loads.store(Arc::new(peers.loads(now_ms)));
-            shared.lines.wake_all(&shared.settings().waiting);
             for name in peers.forget_lost(now_ms) {
                 note!(Event::PEER_LOST, router = name);
             }
--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -199,9 +199,6 @@
     traffic
         .health
         .retain(|server, health| listed.contains(server) || health.in_flight > 0);
-    traffic
-        .service_times
-        .keep_listed(|server| listed.contains(&server));
     drop(traffic);
     shared.pool.sweep(|server| listed.contains(&server));
 }
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use rand::RngExt;
 use sapphiretrack_core::DrainRate;
-use sapphiretrack_routing::{Configuration, Incarnation, RequestKind, Service, Waiting};
+use sapphiretrack_routing::{Configuration, Incarnation, RequestKind};
 
 use crate::admission::{accept, admit};
 use crate::answer::{AnswerBody, own_answer};
@@ -14,15 +14,11 @@
 use crate::clock::Clock;
 use crate::events::{Event, note};
 use crate::job::Job;
-use crate::placing::{NoServer, Placed, Seeker, place};
+use crate::placing::{NoServer, Seeker, place};
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
 use crate::relay::{self, ReadAnswer};
 use crate::shared::Shared;
-use crate::waiting::Seat;
-
-/// The part of its objective that an engine takes to the first event of a request that does not wait.
-const ENGINE_ANSWER_PART: f64 = 0.5;
 
 /// What became of a request's attempts so far.
 #[derive(Debug, Default)]
@@ -104,10 +100,20 @@
             drain.or_insert_with(|| DrainRate::new(now_ms));
         }
         loop {
-            let (configuration, placed) = self.find_server(attempts).await?;
+            let configuration = match self.check_again() {
+                Ok(configuration) => configuration,
+                Err(refusal) => return Err(AttemptFailure::NotSent(refusal.reason)),
+            };
             let Some(service) = configuration.service(&self.service) else {
                 return Err(AttemptFailure::NotSent("no-service"));
             };
+            let seeker = Seeker {
+                service,
+                facts: &self.facts,
+                tried: &attempts.tried,
+            };
+            let placed = place(&self.shared, seeker);
+            let placed = placed.map_err(|none| AttemptFailure::NotSent(none.as_str()))?;
             if attempts.offers > 0 && !self.may_repeat() {
                 return Err(AttemptFailure::NotSent("retry-budget"));
             }
@@ -142,84 +148,6 @@
         }
     }
 
-    /// Places the request on a server. With no room anywhere it waits, as long as its caller has
-    /// something of that; its route, its key and its time are looked at again before it is sent.
-    async fn find_server(
-        &self,
-        attempts: &Attempts,
-    ) -> Result<(Arc<Configuration>, Placed), AttemptFailure> {
-        let mut seat: Option<Seat> = None;
-        loop {
-            let configuration = self.check_again();
-            let configuration =
-                configuration.map_err(|refusal| AttemptFailure::NotSent(refusal.reason))?;
-            let service = configuration.service(&self.service);
-            let service = service.ok_or(AttemptFailure::NotSent("no-service"))?;
-            let request = self.waiting(service);
-            let settings = self.shared.settings().waiting;
-            let lines = &self.shared.lines;
-            let is_turn = match &seat {
-                Some(seat) => seat.is_next(&settings),
-                None => lines.goes_first(&settings, &self.service, &request),
-            };
-            if is_turn {
-                let seeker = Seeker {
-                    service,
-                    facts: &self.facts,
-                    objective_ms: self.route.objective_ms,
-                    tried: &attempts.tried,
-                };
-                match place(&self.shared, seeker) {
-                    Ok(placed) => return Ok((configuration, placed)),
-                    Err(NoServer::AllFull) => {}
-                    Err(none) => return Err(AttemptFailure::NotSent(none.as_str())),
-                }
-            }
-            let seat = match &mut seat {
-                Some(seat) => seat,
-                none => {
-                    let sent_per_s = self.drain_per_s();
-                    let seat = lines.enter(&settings, &self.service, request, sent_per_s);
-                    let full = |_| AttemptFailure::NotSent(NoServer::AllFull.as_str());
-                    none.insert(seat.map_err(full)?)
-                }
-            };
-            if Clock.now_ms() >= request.useful_until_ms || seat.is_overtaken() {
-                return Err(AttemptFailure::NotSent(NoServer::AllFull.as_str()));
-            }
-            seat.wait().await;
-        }
-    }
-
-    /// How long it may wait for room, and in which order.
-    fn waiting(&self, service: &Service) -> Waiting {
-        let settings = self.shared.settings();
-        let objective_ms = self.route.objective_ms as f64;
-        let answer_ms = match service.is_engine {
-            true => objective_ms * ENGINE_ANSWER_PART,
-            false => {
-                let traffic = self.shared.traffic();
-                let times = &traffic.service_times;
-                times.mean_ms(&service.name).unwrap_or(0.0)
-            }
-        };
-        let on_time_ms = (objective_ms - answer_ms).max(0.0) as u64;
-        let useful_ms = (self.ends_ms - self.arrived_ms) as f64 * settings.waiting.deadline_part;
-        Waiting {
-            is_for_engine: service.is_engine,
-            priority: self.priority,
-            came_ms: self.arrived_ms,
-            on_time_until_ms: self.arrived_ms + on_time_ms,
-            useful_until_ms: self.arrived_ms + useful_ms as u64,
-        }
-    }
-
-    /// How many requests for its service end in a second, as this router sees it.
-    fn drain_per_s(&self) -> Option<f64> {
-        let traffic = self.shared.traffic();
-        traffic.drain.get(&self.service)?.measured_per_s()
-    }
-
     /// Whether another attempt may follow a failed one.
     pub(crate) fn may_go_on(&self, attempts: &Attempts, failure: AttemptFailure) -> bool {
         let allowed = !failure.may_have_run() || self.route.kind.may_run_again();
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -25,7 +25,6 @@
 mod server_pool;
 mod settings;
 mod shared;
-mod waiting;
 mod watch;
 
 pub use clock::Clock;
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -5,8 +5,8 @@
 
 use rand::RngExt;
 use sapphiretrack_routing::{
-    Candidate, Incarnation, RequestFacts, ServedRequest, ServerEntry, Service, choose_server,
-    compared, fetch_source, home_count, part_home, useful_queue,
+    Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, compared,
+    fetch_source, home_count, part_home,
 };
 
 use crate::clock::Clock;
@@ -26,8 +26,6 @@
     /// A server that holds more of the prompt, to fetch it from.
     pub(crate) fetch_from: Option<SocketAddr>,
     shared: Arc<Shared>,
-    is_engine: bool,
-    placed_ms: u64,
     tokens: u64,
     prefill_tokens: u64,
 }
@@ -66,9 +64,6 @@
 
     /// Notes how the attempt ended.
     pub(crate) fn note_outcome(&self, failed: bool) {
-        if !failed {
-            self.note_served();
-        }
         let now_ms = Clock.now_ms();
         let mut traffic = self.shared.traffic();
         let health = traffic.health.entry(self.server.incarnation).or_default();
@@ -84,24 +79,6 @@
         }
     }
 
-    /// Learns from how long the server took.
-    pub(crate) fn note_served(&self) {
-        if self.is_engine {
-            return;
-        }
-        let now_ms = Clock.now_ms();
-        let served = ServedRequest {
-            server: self.server.incarnation,
-            elapsed_ms: now_ms.saturating_sub(self.placed_ms),
-            ahead: self.load,
-            slots: self.server.slots,
-        };
-        let settings = self.shared.settings();
-        let mut traffic = self.shared.traffic();
-        let times = &mut traffic.service_times;
-        times.note(&settings.service_time, &self.server.service, served, now_ms);
-    }
-
     /// Notes that no connection could be made.
     pub(crate) fn note_unreachable(&self) {
         let mut traffic = self.shared.traffic();
@@ -119,10 +96,6 @@
         health.note_left();
         health.tokens = health.tokens.saturating_sub(self.tokens);
         health.prefill_tokens = health.prefill_tokens.saturating_sub(self.prefill_tokens);
-        drop(traffic);
-        let settings = self.shared.settings();
-        let lines = &self.shared.lines;
-        lines.wake_next(&settings.waiting, &self.server.service);
     }
 }
 
@@ -133,8 +106,6 @@
     pub(crate) service: &'a Service,
     /// What it says of itself.
     pub(crate) facts: &'a RequestFacts,
-    /// The time within which its answer should begin.
-    pub(crate) objective_ms: u64,
     /// Servers that it was sent to.
     pub(crate) tried: &'a [Incarnation],
 }
@@ -181,8 +152,6 @@
         servers: candidates.len(),
         fetch_from: holder.map(|holder| listed[holder].address),
         shared: shared.clone(),
-        is_engine: seeker.service.is_engine,
-        placed_ms: now_ms,
         tokens: booking.tokens,
         prefill_tokens: booking.prefill_tokens,
     })
@@ -264,16 +233,13 @@
             health.map_or(0.0, |one| one.failure_share(&settings.health, self.now_ms));
         let shared_parts = self.seeker.facts.shared_parts();
         let warm = &self.traffic.warm;
-        let service_ms = self.service_ms(server);
         Candidate {
             server: server.incarnation,
             distance: settings.distance(&settings.zone, &server.zone),
             is_home: false,
             is_hot: false,
             in_flight: peers + health.map_or(0, |health| health.in_flight),
-            capacity: self.capacity(server, service_ms),
-            service_ms,
-            slots: server.slots,
+            capacity: self.capacity(server),
             prefill_tokens: peer_prefill + health.map_or(0, |health| health.prefill_tokens),
             cached_tokens: warm.cached_tokens(server.incarnation, shared_parts, self.now_ms),
             failure_share,
@@ -282,31 +248,12 @@
         }
     }
 
-    /// How long a plain service's server takes, where that is known.
-    fn service_ms(&self, server: &ServerEntry) -> Option<f64> {
-        if self.seeker.service.is_engine {
-            return None;
-        }
-        let times = &self.traffic.service_times;
-        times.service_ms(
-            &self.settings.service_time,
-            &server.service,
-            server.incarnation,
-            self.now_ms,
-        )
-    }
-
     /// The most requests that a server may hold.
-    fn capacity(&self, server: &ServerEntry, service_ms: Option<f64>) -> u32 {
+    fn capacity(&self, server: &ServerEntry) -> u32 {
         let attempts = &self.settings.attempts;
-        if self.seeker.service.is_engine {
-            return (f64::from(server.slots) * attempts.engine_queue_factor) as u32;
+        match self.seeker.service.is_engine {
+            true => (f64::from(server.slots) * attempts.engine_queue_factor) as u32,
+            false => server.slots.saturating_mul(attempts.plain_queue_factor),
         }
-        let most = server.slots.saturating_mul(attempts.plain_queue_factor);
-        let settings = &self.settings.service_time;
-        let useful = service_ms.map(|service_ms| {
-            useful_queue(settings, server.slots, service_ms, self.seeker.objective_ms)
-        });
-        useful.map_or(most, |useful| useful.min(most))
     }
 }
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -166,18 +166,6 @@
         "requests that an engine may hold, in slots";
     "beat", "ms", 5.0..=10_000.0, times.beat_ms: u64,
         "time between two beats to the other routers";
-    "learn-service-time", "1", 0.0..=1.0, service_time.weight: f64,
-        "weight of the newest answer in a plain server's service time; 0: service times are not learned";
-    "useful-queue", "objectives", 0.0..=1000.0, service_time.objective_part: f64,
-        "time within which a request must be answered to be let into a plain server's queue; 1000: no limit by time";
-    "wait-for-plain", "requests", 0.0..=100_000.0, waiting.max_at_plain: u32,
-        "requests that wait at a router for room at a plain service; 0: none waits";
-    "wait-for-engines", "requests", 0.0..=100_000.0, waiting.max_at_engines: u32,
-        "requests that wait at a router for room at engines; 0: none waits";
-    "rank", "ms", 0.0..=60_000.0, waiting.rank_ms: f64,
-        "how much earlier a waiting request must have come to go before a more urgent one; 0: ranks do not count";
-    "wait-part", "1", 0.0..=1.0, waiting.deadline_part: f64,
-        "part of its time that a request may wait for room";
     "keep-parts", "ms", 0.0..=600_000.0, warm.keep_ms: u64,
         "time that a server is believed to hold a part after its last use; 0: nothing is believed held";
     "memory-part", "1", 0.01..=1_000.0, warm.memory_part: f64,
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -4,8 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use sapphiretrack_routing::{
-    Distance, PlacementCosts, RetrySettings, ServerHealthSettings, ServiceTimeSettings,
-    WaitingSettings, WarmSettings,
+    Distance, PlacementCosts, RetrySettings, ServerHealthSettings, WarmSettings,
 };
 
 /// What a router is told at its start.
@@ -41,10 +40,6 @@
     pub costs: PlacementCosts,
     /// What is believed of servers' caches.
     pub warm: WarmSettings,
-    /// How service times are learned and used.
-    pub service_time: ServiceTimeSettings,
-    /// How requests wait for room.
-    pub waiting: WaitingSettings,
     /// How often and how long backend servers are asked for one request.
     pub attempts: AttemptSettings,
     /// When a backend server counts as bad.
@@ -142,8 +137,6 @@
             retry: RetrySettings::default(),
             costs: PlacementCosts::default(),
             warm: WarmSettings::default(),
-            service_time: ServiceTimeSettings::default(),
-            waiting: WaitingSettings::default(),
             attempts: AttemptSettings::default(),
             health: ServerHealthSettings::default(),
             times: Times::default(),
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -8,7 +8,7 @@
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
     Configuration, Incarnation, LogSampling, PartsRecovery, PeerTable, RetryShare, RouterState,
-    ServerChanges, ServerEntry, ServerHealth, ServerLoad, ServiceTimes, WarmParts, WatchState,
+    ServerChanges, ServerEntry, ServerHealth, ServerLoad, WarmParts, WatchState,
 };
 use tokio::sync::{Notify, mpsc};
 
@@ -16,7 +16,6 @@
 use crate::metrics::Metrics;
 use crate::server_pool::ServerPool;
 use crate::settings::RouterSettings;
-use crate::waiting::WaitingLines;
 
 /// Backend servers by service, as the traffic thread reads them.
 pub(crate) type ServersByService = HashMap<String, Vec<Arc<ServerEntry>>>;
@@ -40,8 +39,6 @@
     pub(crate) metrics: Metrics,
     /// Connections to backend servers.
     pub(crate) pool: ServerPool,
-    /// Requests that wait for room.
-    pub(crate) lines: Arc<WaitingLines>,
     /// Wakes whoever waits for a change of this router's own state.
     pub(crate) state_changed: Notify,
     configuration_watch: SharedWatch,
@@ -67,8 +64,6 @@
     pub(crate) health: HashMap<Incarnation, ServerHealth>,
     /// Where prompt parts are cached.
     pub(crate) warm: WarmParts,
-    /// How long plain services take.
-    pub(crate) service_times: ServiceTimes,
     /// The share of the retry budget.
     pub(crate) retries: RetryShare,
     /// How fast each service ends requests.
@@ -128,7 +123,6 @@
             servers_known: AtomicBool::new(false),
             metrics: Metrics::new(),
             pool: ServerPool::default(),
-            lines: Arc::default(),
             state_changed: Notify::new(),
             configuration_watch: SharedWatch::default(),
             servers_watch: SharedWatch::default(),
@@ -136,7 +130,6 @@
             traffic: Mutex::new(Traffic {
                 health: HashMap::new(),
                 warm,
-                service_times: ServiceTimes::default(),
                 retries,
                 drain: HashMap::new(),
             }),
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -12,9 +12,7 @@
 mod server_cache;
 mod server_health;
 mod server_list;
-mod service_time;
 mod stop;
-mod waiting_line;
 mod warmth;
 mod watch_state;
 
@@ -34,10 +32,6 @@
 pub use server_list::{
     Incarnation, ListedServer, ServerChange, ServerEntry, ServerList, ServerState,
 };
-pub use service_time::{
-    ServedRequest, ServiceTimeSettings, ServiceTimes, useful_queue, waves_ahead,
-};
 pub use stop::{StopPhase, StopTimes};
-pub use waiting_line::{NoWaiting, Ticket, Waiting, WaitingLine, WaitingSettings};
 pub use warmth::{SentPart, SentPrompts, SentTokens, WarmParts, WarmSettings};
 pub use watch_state::{WatchAnswer, WatchNews, WatchState};
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -103,10 +103,6 @@
     pub in_flight: u32,
     /// The most requests that it may hold.
     pub capacity: u32,
-    /// How long it takes for a request that does not wait, where that is known.
-    pub service_ms: Option<f64>,
-    /// Requests that it works on at once.
-    pub slots: u32,
     /// Prompt tokens that it has yet to read for others.
     pub prefill_tokens: u64,
     /// Tokens of this prompt that it is believed to hold.
@@ -256,12 +252,11 @@
     // of its requests.
     let cached = if one.is_hot { 0 } else { one.cached_tokens };
     let uncached = f64::from(prompt_tokens.saturating_sub(cached));
-    let in_flight = f64::from(one.in_flight);
-    let mut cost = match one.service_ms {
-        _ if is_engine => in_flight * costs.engine_request_ms,
-        Some(service_ms) => service_ms * (1.0 + in_flight / f64::from(one.slots.max(1))),
-        None => in_flight * costs.plain_request_ms,
+    let request_ms = match is_engine {
+        true => costs.engine_request_ms,
+        false => costs.plain_request_ms,
     };
+    let mut cost = f64::from(one.in_flight) * request_ms;
     if is_engine {
         cost += (uncached + one.prefill_tokens as f64) / costs.prefill_tokens_per_ms;
     }
