--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -5,8 +5,8 @@
 
 use rand::RngExt;
 use sapphiretrack_routing::{
-    Candidate, Incarnation, PlacementRequest, PromptPart, RequestFacts, ServerEntry, Service,
-    choose_server, compared, fetch_source, home_count, part_home,
+    Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, compared,
+    fetch_source, home_count, part_home,
 };
 
 use crate::clock::Clock;
@@ -28,11 +28,6 @@
     shared: Arc<Shared>,
     tokens: u64,
     prefill_tokens: u64,
-    /// Whether the engine was believed to read nothing else when the request came.
-    reads_alone: bool,
-    placed_ms: u64,
-    /// The parts that the server has still to read, as far as it shows.
-    unread_parts: Vec<PromptPart>,
 }
 
 /// Why there is no server for a request.
@@ -60,19 +55,9 @@
 impl Placed {
     /// Notes bytes of the answer: the prompt has been read.
     pub(crate) fn note_progress(&mut self) {
-        let now_ms = Clock.now_ms();
         let mut traffic = self.shared.traffic();
-        if self.reads_alone && self.fetch_from.is_none() {
-            let elapsed_ms = now_ms.saturating_sub(self.placed_ms);
-            let settings = &self.shared.settings().prefill;
-            let service = &self.server.service;
-            traffic
-                .prefill_rates
-                .note(settings, service, self.prefill_tokens, elapsed_ms);
-        }
         let health = traffic.health.entry(self.server.incarnation).or_default();
-        health.note_progress(now_ms);
-        self.unread_parts.clear();
+        health.note_progress(Clock.now_ms());
         health.prefill_tokens = health.prefill_tokens.saturating_sub(self.prefill_tokens);
         self.prefill_tokens = 0;
     }
@@ -113,11 +98,6 @@
 impl Drop for Placed {
     fn drop(&mut self) {
         let mut traffic = self.shared.traffic();
-        // Nobody saw it read: its caller left, or it was refused.
-        let server = self.server.incarnation;
-        traffic
-            .warm
-            .note_unread(server, &self.unread_parts, self.placed_ms);
         let Some(health) = traffic.health.get_mut(&self.server.incarnation) else {
             return;
         };
@@ -147,25 +127,18 @@
     let settings = shared.settings();
     let mut traffic = shared.traffic();
     let now_ms = Clock.now_ms();
-    let rates = &traffic.prefill_rates;
-    let tokens_per_ms = rates.tokens_per_ms(&settings.prefill, &seeker.service.name);
     let view = View {
         shared,
         settings: &settings,
         traffic: &traffic,
         seeker,
-        tokens_per_ms,
         now_ms,
     };
     let candidates = view.candidates(listed);
     let index = choose_server(
         &settings.costs,
-        &PlacementRequest {
-            is_engine: seeker.service.is_engine,
-            prompt_tokens: seeker.facts.prompt_tokens,
-            prefill_tokens_per_ms: tokens_per_ms,
-            pause_ms: seeker.service.pause_ms,
-        },
+        seeker.service.is_engine,
+        seeker.facts.prompt_tokens,
         &candidates,
         &compared(&candidates, || rand::rng().random()),
     );
@@ -176,7 +149,7 @@
     let chosen = &candidates[index];
     let holder = fetch_source(&settings.costs, &candidates, index);
     let held_tokens = holder.map_or(chosen.cached_tokens, |holder| {
-        candidates[holder].fetchable_tokens
+        candidates[holder].cached_tokens
     });
     let booking = book(&mut traffic, chosen.server, seeker.facts, held_tokens);
     drop(traffic);
@@ -189,9 +162,6 @@
         shared: shared.clone(),
         tokens: booking.tokens,
         prefill_tokens: booking.prefill_tokens,
-        reads_alone: chosen.prefill_tokens == 0,
-        placed_ms: now_ms,
-        unread_parts: seeker.facts.shared_parts().to_vec(),
     })
 }
 
@@ -227,8 +197,6 @@
     settings: &'a RouterSettings,
     traffic: &'a Traffic,
     seeker: Seeker<'a>,
-    /// How fast the service's engines read.
-    tokens_per_ms: f64,
     now_ms: u64,
 }
 
@@ -280,12 +248,6 @@
             capacity: self.capacity(server),
             prefill_tokens: peer_prefill + health.map_or(0, |health| health.prefill_tokens),
             cached_tokens: warm.cached_tokens(server.incarnation, shared_parts, self.now_ms),
-            fetchable_tokens: warm.fetchable_tokens(
-                server.incarnation,
-                shared_parts,
-                self.tokens_per_ms,
-                self.now_ms,
-            ),
             failure_share,
             suspect,
             tried: self.seeker.tried.contains(&server.incarnation),
--- a/crates/sapphiretrack-routing/benches/placement.rs
+++ b/crates/sapphiretrack-routing/benches/placement.rs
@@ -4,17 +4,10 @@
 use std::time::Instant;
 
 use sapphiretrack_routing::{
-    Candidate, Distance, Incarnation, PlacementCosts, PlacementRequest, PromptPart, RequestFacts,
-    WarmParts, choose_server, compared, fetch_source, home_count, part_home,
+    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, RequestFacts, WarmParts,
+    choose_server, compared, fetch_source, home_count, part_home,
 };
 
-/// A long prompt for an engine.
-const REQUEST: PlacementRequest = PlacementRequest {
-    is_engine: true,
-    prompt_tokens: 9_000,
-    prefill_tokens_per_ms: 50.0,
-    pause_ms: 400,
-};
 /// Sizes: two of the users' fleets, and the one to design for.
 const SERVERS: [u64; 4] = [12, 63, 600, 1_800];
 /// Decisions of each size.
@@ -81,14 +74,13 @@
         capacity: 64,
         prefill_tokens: 1_000 * (number % 3),
         cached_tokens: warm.cached_tokens(Incarnation(number), prompt, 1_000),
-        fetchable_tokens: warm.cached_tokens(Incarnation(number), prompt, 1_000),
         failure_share: 0.0,
         suspect: false,
         tried: false,
     });
     let candidates: Vec<Candidate> = candidates.collect();
     let few = compared(&candidates, || random.part());
-    let chosen = choose_server(&costs, &REQUEST, &candidates, &few);
+    let chosen = choose_server(&costs, true, 9_000, &candidates, &few);
     let source = chosen.and_then(|chosen| fetch_source(&costs, &candidates, chosen));
     (chosen, source)
 }
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -7,18 +7,14 @@
 /// What a request costs at a server, in milliseconds of its caller's time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementCosts {
-    /// What one more running request costs all others on an engine, over their whole answers, in
-    /// prompt tokens that it could read instead.
-    pub engine_request_tokens: f64,
+    /// Prompt tokens that an engine reads in a millisecond, by the deployment's sheet.
+    pub prefill_tokens_per_ms: f64,
+    /// What one more running request costs all others on an engine, over their whole answers:
+    /// 0.0445 ms a step for each of about 50 steps.
+    pub engine_request_ms: f64,
     /// What one running request costs at a plain service: about its service time, divided by
     /// the slots that share it.
     pub plain_request_ms: f64,
-    /// What a stream costs whose events pause longer than its route allows, because its engine reads
-    /// a long prompt meanwhile.
-    pub paused_stream_ms: f64,
-    /// The part of the allowed pause that an engine may read without a break: an event takes several
-    /// steps besides.
-    pub pause_part: f64,
     /// Added for another availability zone: both ways, and the price of the bytes.
     pub other_zone_ms: f64,
     /// Added for another region: 12 ms each way, and the price of the bytes.
@@ -48,10 +44,9 @@
 impl Default for PlacementCosts {
     fn default() -> Self {
         Self {
-            engine_request_tokens: 150.0,
+            prefill_tokens_per_ms: 50.0,
+            engine_request_ms: 3.0,
             plain_request_ms: 8.0,
-            paused_stream_ms: 100.0,
-            pause_part: 0.7,
             other_zone_ms: 2.0,
             other_region_ms: 40.0,
             failure_ms: 500.0,
@@ -113,8 +108,6 @@
     pub prefill_tokens: u64,
     /// Tokens of this prompt that it is believed to hold.
     pub cached_tokens: u32,
-    /// Those of them that others can fetch from it.
-    pub fetchable_tokens: u32,
     /// The share of failed attempts lately.
     pub failure_share: f64,
     /// Whether it could not be reached or does not move.
@@ -173,8 +166,8 @@
     let held = candidates.get(chosen)?.cached_tokens;
     let holders = candidates.iter().enumerate();
     let holders = holders.filter(|(_, one)| !one.suspect);
-    let (holder, one) = holders.max_by_key(|(_, one)| one.fetchable_tokens)?;
-    (one.fetchable_tokens >= held.saturating_add(costs.min_fetch_tokens)).then_some(holder)
+    let (holder, one) = holders.max_by_key(|(_, one)| one.cached_tokens)?;
+    (one.cached_tokens >= held.saturating_add(costs.min_fetch_tokens)).then_some(holder)
 }
 
 /// Servers up to which all are compared. With so few, counts are young enough: routers hear of each
@@ -213,38 +206,21 @@
     chosen
 }
 
-/// A request that is to be placed.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PlacementRequest {
-    /// Whether its service has engines.
-    pub is_engine: bool,
-    /// The tokens of its prompt.
-    pub prompt_tokens: u32,
-    /// Prompt tokens that an engine of its service reads in a millisecond.
-    pub prefill_tokens_per_ms: f64,
-    /// The longest pause between two events that streams of its service allow; 0 if none is stated.
-    pub pause_ms: u64,
-}
-
 /// The index of the best of the compared candidates; of all if those are full, tried or suspect,
 /// and none if all are. Servers above the load bound are taken only if all others are worse.
 pub fn choose_server(
     costs: &PlacementCosts,
-    request: &PlacementRequest,
+    is_engine: bool,
+    prompt_tokens: u32,
     candidates: &[Candidate],
     compared: &[usize],
 ) -> Option<usize> {
     let total: u32 = candidates.iter().map(|one| one.in_flight).sum();
     let mean = f64::from(total) / candidates.len().max(1) as f64;
     let bound = mean * costs.bound_factor + costs.bound_requests;
-    let holders = candidates.iter().filter(|one| !one.suspect);
-    let held = holders.map(|one| one.fetchable_tokens).max().unwrap_or(0);
     let cost = |index: &usize| {
         let one = &candidates[*index];
-        let mut cost = request_cost(costs, request, one);
-        if request.is_engine {
-            cost += pause_cost(costs, request, held, one);
-        }
+        let mut cost = request_cost(costs, is_engine, prompt_tokens, one);
         if f64::from(one.in_flight) > bound {
             cost += costs.suspect_ms / 2.0;
         }
@@ -264,21 +240,26 @@
 }
 
 /// What a request costs at a server, but for the load bound.
-fn request_cost(costs: &PlacementCosts, request: &PlacementRequest, one: &Candidate) -> f64 {
+fn request_cost(
+    costs: &PlacementCosts,
+    is_engine: bool,
+    prompt_tokens: u32,
+    one: &Candidate,
+) -> f64 {
     // A hot part soon lies at all of its homes; the holders of the moment must not draw all
     // of its requests.
     let cached = if one.is_hot { 0 } else { one.cached_tokens };
-    let uncached = f64::from(request.prompt_tokens.saturating_sub(cached));
-    let request_ms = match request.is_engine {
-        true => costs.engine_request_tokens / request.prefill_tokens_per_ms,
+    let uncached = f64::from(prompt_tokens.saturating_sub(cached));
+    let request_ms = match is_engine {
+        true => costs.engine_request_ms,
         false => costs.plain_request_ms,
     };
     let mut cost = f64::from(one.in_flight) * request_ms;
-    if request.is_engine {
-        cost += (uncached + one.prefill_tokens as f64) / request.prefill_tokens_per_ms;
+    if is_engine {
+        cost += (uncached + one.prefill_tokens as f64) / costs.prefill_tokens_per_ms;
     }
     if one.is_home {
-        cost -= MIN_HOME_MS + uncached * costs.home_part / request.prefill_tokens_per_ms;
+        cost -= MIN_HOME_MS + uncached * costs.home_part / costs.prefill_tokens_per_ms;
     }
     cost += match one.distance {
         Distance::SameZone => 0.0,
@@ -290,27 +271,3 @@
     }
     cost + one.failure_share * costs.failure_ms
 }
-
-/// What the streams at an engine lose if it reads this prompt beside them: an engine reads in chunks
-/// between two steps, so that all events there wait. Long prompts gather on few engines by this, and
-/// streams start at others. `held` is how much of the prompt can be fetched.
-fn pause_cost(
-    costs: &PlacementCosts,
-    request: &PlacementRequest,
-    held: u32,
-    one: &Candidate,
-) -> f64 {
-    let known = match held >= one.cached_tokens.saturating_add(costs.min_fetch_tokens) {
-        true => held,
-        false => one.cached_tokens,
-    };
-    let reads = f64::from(request.prompt_tokens.saturating_sub(known));
-    let allowed_ms = request.pause_ms as f64 * costs.pause_part;
-    let before_ms = one.prefill_tokens as f64 / request.prefill_tokens_per_ms;
-    let after_ms = before_ms + reads / request.prefill_tokens_per_ms;
-    // Where an engine already reads too long, nothing more is lost.
-    if allowed_ms == 0.0 || after_ms <= allowed_ms || before_ms > allowed_ms {
-        return 0.0;
-    }
-    f64::from(one.in_flight) * costs.paused_stream_ms
-}
--- a/crates/sapphiretrack-routing/src/server_cache.rs
+++ b/crates/sapphiretrack-routing/src/server_cache.rs
@@ -17,13 +17,9 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct HeldPart {
-    /// Its length.
-    pub(crate) tokens: u32,
-    /// When it was sent there first since the server held it last.
-    pub(crate) since_ms: u64,
-    /// When it was used last.
-    pub(crate) used_ms: u64,
+struct HeldPart {
+    tokens: u32,
+    used_ms: u64,
 }
 
 impl ServerCache {
@@ -44,7 +40,6 @@
     pub(crate) fn use_part(&mut self, part: u64, tokens: u32, now_ms: u64) -> bool {
         let held = HeldPart {
             tokens,
-            since_ms: self.held_part(part).map_or(now_ms, |one| one.since_ms),
             used_ms: now_ms,
         };
         let before = self.parts.insert(part, held);
@@ -60,20 +55,10 @@
         self.add(tokens, now_ms);
     }
 
-    /// What is known of a part, if it is believed to be held.
-    pub(crate) fn held_part(&self, part: u64) -> Option<HeldPart> {
-        let held = *self.parts.get(&part)?;
-        (held.used_ms / Self::SLICE_MS >= self.horizon_slice).then_some(held)
-    }
-
-    /// Forgets a part that was not sent there before a moment: it was not read.
-    pub(crate) fn forget_unread(&mut self, part: u64, before_ms: u64) {
-        let held = self.parts.get(&part).copied();
-        if let Some(held) = held.filter(|one| one.since_ms >= before_ms) {
-            self.take_off(held);
-            self.parts.remove(&part);
-            self.move_horizon();
-        }
+    /// When a part was used last, if it is believed to be held.
+    pub(crate) fn used_ms(&self, part: u64) -> Option<u64> {
+        let held = self.parts.get(&part)?;
+        (held.used_ms / Self::SLICE_MS >= self.horizon_slice).then_some(held.used_ms)
     }
 
     /// The parts that are believed to be held: id, tokens, last use.
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::server_cache::{HeldPart, ServerCache};
+use crate::server_cache::ServerCache;
 use crate::{Incarnation, PromptPart, RequestFacts};
 
 /// A prompt part that a router sent to a server.
@@ -61,8 +61,6 @@
     pub keep_ms: u64,
     /// The part of a server's memory that what was used last is believed to fill.
     pub memory_part: f64,
-    /// Times that reading a part takes after which others may fetch it.
-    pub read_times: f64,
     /// The part of the longest output that an answer takes up on the average.
     pub output_part: f64,
 }
@@ -72,7 +70,6 @@
         Self {
             keep_ms: 30_000,
             memory_part: 1.0,
-            read_times: 2.0,
             output_part: 0.5,
         }
     }
@@ -184,50 +181,17 @@
         newest.map(|(_, part)| part).collect()
     }
 
-    /// How many tokens of a prompt's shared parts a server is believed to hold, or to read before it
-    /// would read them for another request. A later part cannot have been read without those before it.
+    /// How many tokens of a prompt's shared parts a server is believed to hold. A later part
+    /// cannot have been read without those before it.
     pub fn cached_tokens(&self, server: Incarnation, parts: &[PromptPart], now_ms: u64) -> u32 {
-        let is_held = |held: &HeldPart| now_ms < held.used_ms + self.settings.keep_ms;
-        self.tokens_where(server, parts, is_held)
-    }
-
-    /// How many of those tokens it has read by now, so that others can fetch them from it: an engine
-    /// that fetches what is not there yet reads it a second time.
-    pub fn fetchable_tokens(
-        &self,
-        server: Incarnation,
-        parts: &[PromptPart],
-        tokens_per_ms: f64,
-        now_ms: u64,
-    ) -> u32 {
-        let has_read = |held: &HeldPart| {
-            let reads_ms = f64::from(held.tokens) / tokens_per_ms * self.settings.read_times;
-            now_ms < held.used_ms + self.settings.keep_ms
-                && now_ms >= held.since_ms + reads_ms as u64
-        };
-        self.tokens_where(server, parts, has_read)
-    }
-
-    /// Notes that a server gave no sign of having read a prompt that was sent at a moment.
-    pub fn note_unread(&mut self, server: Incarnation, parts: &[PromptPart], sent_ms: u64) {
-        if let Some(cache) = self.caches.get_mut(&server) {
-            for part in parts {
-                cache.forget_unread(part.id, sent_ms);
-            }
-        }
-    }
-
-    fn tokens_where<Counts>(&self, server: Incarnation, parts: &[PromptPart], counts: Counts) -> u32
-    where
-        Counts: Fn(&HeldPart) -> bool,
-    {
         let Some(cache) = self.caches.get(&server) else {
             return 0;
         };
-        let deepest = parts.iter().rposition(|part| {
-            let held = cache.held_part(part.id);
-            held.is_some_and(|held| counts(&held))
-        });
+        let is_cached = |part: &PromptPart| {
+            let used = cache.used_ms(part.id);
+            used.is_some_and(|used| now_ms < used + self.settings.keep_ms)
+        };
+        let deepest = parts.iter().rposition(is_cached);
         let held = deepest.map_or(&[][..], |last| &parts[..=last]);
         held.iter().map(|part| part.tokens).sum()
     }
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -4,9 +4,9 @@
 
 use prompts::{prompt_of, told_part};
 use sapphiretrack_routing::{
-    Candidate, Distance, Incarnation, PlacementCosts, PlacementRequest, PromptPart, SentPrompts,
-    SentTokens, ServerHealth, ServerHealthSettings, WarmParts, choose_server, compared,
-    fetch_source, home_count, part_home,
+    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, SentPrompts, SentTokens,
+    ServerHealth, ServerHealthSettings, WarmParts, choose_server, compared, fetch_source,
+    home_count, part_home,
 };
 
 const PROMPT_TOKENS: u32 = 9_200;
@@ -21,27 +21,18 @@
         capacity: 64,
         prefill_tokens: 0,
         cached_tokens: 0,
-        fetchable_tokens: 0,
         failure_share: 0.0,
         suspect: false,
         tried: false,
     }
 }
 
-fn engine_request(prompt_tokens: u32) -> PlacementRequest {
-    PlacementRequest {
-        is_engine: true,
-        prompt_tokens,
-        prefill_tokens_per_ms: 50.0,
-        pause_ms: 0,
-    }
-}
-
 fn choose(candidates: &[Candidate]) -> Option<usize> {
     let all: Vec<usize> = (0..candidates.len()).collect();
     choose_server(
         &PlacementCosts::default(),
-        &engine_request(PROMPT_TOKENS),
+        true,
+        PROMPT_TOKENS,
         candidates,
         &all,
     )
@@ -51,7 +42,6 @@
 fn a_holder_of_the_prompt_wins_over_a_less_loaded_server() {
     let holder = Candidate {
         cached_tokens: 8_600,
-        fetchable_tokens: 8_600,
         in_flight: 6,
         ..candidate(1)
     };
@@ -72,7 +62,6 @@
 fn a_holder_above_the_load_bound_is_left() {
     let holder = Candidate {
         cached_tokens: 8_600,
-        fetchable_tokens: 8_600,
         in_flight: 30,
         ..candidate(1)
     };
@@ -109,7 +98,6 @@
         candidate(0),
         Candidate {
             cached_tokens: 8_600,
-            fetchable_tokens: 8_600,
             ..suspect
         },
     ];
@@ -276,7 +264,6 @@
                 is_home: home == Some(server),
                 is_hot: true,
                 cached_tokens: if server == Incarnation(13) { 8_600 } else { 0 },
-                fetchable_tokens: if server == Incarnation(13) { 8_600 } else { 0 },
                 ..candidate(0)
             })
             .collect();
@@ -352,7 +339,7 @@
         .collect();
     for _ in 0..600 {
         let few = compared(&candidates, &mut draw);
-        let chosen = choose_server(&costs, &engine_request(300), &candidates, &few).expect("room");
+        let chosen = choose_server(&costs, true, 300, &candidates, &few).expect("room");
         load[chosen] += 1;
     }
     // Those that were there before end meanwhile.
@@ -381,7 +368,6 @@
         .map(|id| Candidate {
             is_home: id == 5,
             cached_tokens: if id == 9 { 8_000 } else { 0 },
-            fetchable_tokens: if id == 9 { 8_000 } else { 0 },
             ..candidate(id)
         })
         .collect();
@@ -398,10 +384,10 @@
     let mut many: Vec<Candidate> = (0..60).map(candidate).collect();
     many[30].suspect = true;
     let costs = PlacementCosts::default();
-    let chosen = choose_server(&costs, &engine_request(300), &many, &[30]).expect("room");
+    let chosen = choose_server(&costs, true, 300, &many, &[30]).expect("room");
     assert_ne!(chosen, 30);
     many[30].suspect = false;
     many[30].in_flight = 64;
-    let chosen = choose_server(&costs, &engine_request(300), &many, &[30]).expect("room");
+    let chosen = choose_server(&costs, true, 300, &many, &[30]).expect("room");
     assert_ne!(chosen, 30);
 }
