Try: a part of each server's room is kept for more urgent ranks

Hypothesis: with 6 engines the most urgent kind earns least because room goes to whoever comes first.

--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -112,6 +112,7 @@
             let seeker = Seeker {
                 service,
                 facts: &self.facts,
+                priority: self.priority,
                 tried: &attempts.tried,
             };
             let placed = place(&self.shared, seeker);
