--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -112,7 +112,6 @@
             let seeker = Seeker {
                 service,
                 facts: &self.facts,
-                priority: self.priority,
                 tried: &attempts.tried,
             };
             let placed = place(&self.shared, seeker);
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use sapphiretrack_routing::{
     Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, compared,
-    fetch_source, home_count, part_home, room_for,
+    fetch_source, home_count, part_home,
 };
 
 use crate::clock::Clock;
@@ -114,8 +114,6 @@
     pub(crate) service: &'a Service,
     /// What it says of itself.
     pub(crate) facts: &'a RequestFacts,
-    /// Its rank.
-    pub(crate) priority: u8,
     /// Servers that it was sent to.
     pub(crate) tried: &'a [Incarnation],
 }
@@ -259,12 +257,9 @@
     /// The most requests that a server may hold.
     fn capacity(&self, server: &ServerEntry) -> u32 {
         let attempts = &self.settings.attempts;
-        let service = self.seeker.service;
-        let most = match service.is_engine {
+        match self.seeker.service.is_engine {
             true => (f64::from(server.slots) * attempts.engine_queue_factor) as u32,
             false => server.slots.saturating_mul(attempts.plain_queue_factor),
-        };
-        let ranks_behind = self.seeker.priority.saturating_sub(service.first_priority);
-        room_for(&self.settings.costs, most, ranks_behind)
+        }
     }
 }
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -144,8 +144,6 @@
         "cost of a server that is silent or out of reach; 0: no suspicion";
     "home-part", "1", 0.0..=2.0, costs.home_part: f64,
         "part of the time to read shared prompt parts that draws a request to their home; 0: no homes";
-    "kept-for-urgent", "1", 0.0..=0.3, costs.kept_for_urgent: f64,
-        "part of a server's room that is kept from a request for each rank that it is less urgent; 0: none";
     "home-load", "1", 0.1..=1_000_000.0, costs.home_load: f64,
         "requests with one part that a home holds at once, in means of its service; 1000000: one home a part";
     "home-requests", "requests", 0.1..=1_000_000.0, costs.home_requests: f64,
--- a/crates/sapphiretrack-routing/src/configuration.rs
+++ b/crates/sapphiretrack-routing/src/configuration.rs
@@ -51,8 +51,6 @@
     pub memory_tokens: u64,
     /// Requests that an engine runs at once.
     pub slots: u32,
-    /// The rank of its most urgent route. Filled in by the configuration.
-    pub first_priority: u8,
 }
 
 /// What a caller may send, and how long its connection may idle.
@@ -110,23 +108,12 @@
 impl Configuration {
     /// A configuration of these routes and services, still without tenants.
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>) -> Self {
-        let mut first_priorities: HashMap<String, u8> = HashMap::new();
-        for route in &routes {
-            for target in &route.targets {
-                let first = first_priorities.entry(target.service.clone());
-                let first = first.or_insert(u8::MAX);
-                *first = route.priority.min(*first);
-            }
-        }
         let mut by_host: HashMap<String, HashMap<String, Route>> = HashMap::new();
         for route in routes {
             let of_host = by_host.entry(route.host.clone()).or_default();
             of_host.insert(route.prefix.clone(), route);
         }
-        let services = services.into_iter().map(|one| Service {
-            first_priority: first_priorities.get(&one.name).copied().unwrap_or(0),
-            ..one
-        });
+        let services = services.into_iter();
         Self {
             version,
             routes: by_host,
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -26,7 +26,7 @@
 pub use peers::{Beat, PeerTable, RouterMessage, RouterState, ServerChanges, ServerLoad};
 pub use placement::{
     Candidate, Distance, PlacementCosts, choose_server, compared, fetch_source, home_count,
-    part_home, room_for,
+    part_home,
 };
 pub use request::{PromptPart, RequestFacts, RequestKind};
 pub use retry_share::{RetrySettings, RetryShare};
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -32,8 +32,6 @@
     pub bound_factor: f64,
     /// See `bound_factor`.
     pub bound_requests: f64,
-    /// The part of a server's room that is kept from a request for each rank that it is less urgent.
-    pub kept_for_urgent: f64,
     /// Requests with one part that a home may hold at once, in means of its service; beyond it the
     /// part gets another home.
     pub home_load: f64,
@@ -56,7 +54,6 @@
             home_part: 0.8,
             bound_factor: 1.8,
             bound_requests: 2.0,
-            kept_for_urgent: 0.1,
             home_load: 1.0,
             home_requests: 3.0,
             min_fetch_tokens: 256,
@@ -159,17 +156,6 @@
     ((share * in_flight / at_home).ceil() as usize).max(1)
 }
 
-/// The most requests of a rank that a server may hold which takes so many in all. What is left is for
-/// more urgent ones, so that these find room when there is not enough for all; `ranks_behind` counts
-/// from the most urgent of the service.
-pub fn room_for(costs: &PlacementCosts, most: u32, ranks_behind: u8) -> u32 {
-    let kept = costs.kept_for_urgent * f64::from(ranks_behind.min(MAX_RANKS));
-    (f64::from(most) * (1.0 - kept).max(0.0)).ceil() as u32
-}
-
-/// Ranks behind the most urgent one from which on no more room is kept.
-const MAX_RANKS: u8 = 3;
-
 /// The candidate that holds the most of a prompt beyond what the chosen one holds. A token takes
 /// half the time to fetch that it takes to compute, and the holder's part is not computed twice.
 pub fn fetch_source(
