--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -12,7 +12,7 @@
 
 use crate::events::{Event, note};
 use crate::job::Job;
-use crate::placing::Placed;
+use crate::placing::{NoServer, Placed};
 use crate::ports::{AnswerFacts, AttemptHeaders};
 use crate::server_pool::{Connection, PoolError};
 
@@ -41,6 +41,10 @@
 /// How an attempt ended without an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AttemptFailure {
+    /// There is no server to send it to.
+    Unplaced(NoServer),
+    /// Its caller waits no longer; nothing was sent.
+    NoTimeLeft,
     /// Nothing was sent.
     NotSent(&'static str),
     /// The server says that it did not run the request.
@@ -55,6 +59,8 @@
     /// Its name in logs and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            Self::Unplaced(none) => none.as_str(),
+            Self::NoTimeLeft => "no-time-left",
             Self::NotSent(reason)
             | Self::NotRun(reason)
             | Self::MayHaveRun(reason)
@@ -145,7 +151,7 @@
         };
         let left_ms = job.left_ms();
         if left_ms == 0 {
-            return Err((placed, AttemptFailure::NotSent("no-time-left")));
+            return Err((placed, AttemptFailure::NoTimeLeft));
         }
         let request = attempt_request(job, &placed, resume_after, left_ms);
         if job.tells_all {
--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -17,8 +17,7 @@
 /// The most beats that are sent at once: with more routers each beat goes to the next of them in
 /// turn, so that the cost of a router does not grow with the fleet.
 const BEATS_AT_ONCE: usize = 24;
-/// The most parts that are told to a router that starts: all that 60 engines held in a measured
-/// run, in 64 datagrams.
+/// The most parts that are told to a router that starts; what is left out is read again by a server.
 const MAX_TOLD_PARTS: usize = 16_384;
 /// The longest datagram: the load of a few hundred servers.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -115,7 +115,7 @@
                 tried: &attempts.tried,
             };
             let placed = place(&self.shared, seeker);
-            let placed = placed.map_err(|none| AttemptFailure::NotSent(none.as_str()))?;
+            let placed = placed.map_err(AttemptFailure::Unplaced)?;
             if attempts.offers > 0 && !has_repeat && !self.may_repeat() {
                 return Err(AttemptFailure::NotSent("retry-budget"));
             }
@@ -144,8 +144,8 @@
                 Err(failure) => failure,
             };
             match failure {
-                AttemptFailure::NotSent("no-time-left") => return Err(failure),
-                AttemptFailure::NotSent(_) => {}
+                AttemptFailure::NoTimeLeft => return Err(failure),
+                AttemptFailure::Unplaced(_) | AttemptFailure::NotSent(_) => {}
                 AttemptFailure::NotRun(_) => attempts.offers += 1,
                 AttemptFailure::MayHaveRun(_) | AttemptFailure::TimedOut(_) => {
                     attempts.offers += 1;
@@ -247,7 +247,10 @@
         return own_answer(status, reason, None);
     }
     // Nothing ran: the caller may come back, as soon as there is room.
-    let full = reason == NoServer::AllFull.as_str() || failure == AttemptFailure::NotRun(reason);
+    let full = matches!(
+        failure,
+        AttemptFailure::Unplaced(NoServer::AllFull) | AttemptFailure::NotRun(_)
+    );
     let refusal = match full {
         true => {
             let mut traffic = job.shared.traffic();
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -76,11 +76,11 @@
     }
 }
 
-/// Times of calls and connections, each with the ground for its figure.
+/// Times of calls and connections.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Times {
-    /// How long a connection to a backend server may take. A round trip takes 1 ms and the
-    /// server's part 1 ms; a lost opening packet is sent again only after a second.
+    /// How long a connection to a backend server may take: less than the second after which a lost
+    /// opening packet is sent again.
     pub connect_ms: u64,
     /// How long a watch waits at the store: its end proves to all routers that there was no
     /// change, so it must come well within the time in which a configuration must be in force.
@@ -95,9 +95,9 @@
     pub change_pause_ms: u64,
     /// The pause after a failed call to the store, doubled up to four times.
     pub store_retry_ms: u64,
-    /// The pause after a second failed call of a router that is no watcher: in an outage of the
-    /// store 86 routers made two thirds of all calls of a day; a second is far below the time
-    /// after an outage in which bounds hold again.
+    /// The pause after a second failed call of a router that is no watcher. In a large fleet most
+    /// calls of an outage come from such routers; the pause stays far below the time after an outage
+    /// in which bounds hold again.
     pub follower_retry_ms: u64,
     /// The time between two beats of a fleet of usual size: a load that others see is this old at most.
     pub beat_ms: u64,
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -72,8 +72,8 @@
 
 /// Changes that wait to be taken in: those of a few seconds in the busiest release.
 const MAX_RELAYED: usize = 256;
-/// Requests a second that the log tells in full: eight times the usual load of a router. Each
-/// has two lines of 200 bytes and costs 10 us.
+/// Requests a second that the log tells in full: far above the usual load of a router, and what bounds
+/// the log under any other.
 const FULL_LOGS_PER_S: u32 = 100;
 /// The part of the bound for keys after which they are not believed any more. The rest covers
 /// a store that drops its history, and may leave a watch without news for a second, and the
--- a/crates/sapphiretrack-router/src/watch.rs
+++ b/crates/sapphiretrack-router/src/watch.rs
@@ -222,10 +222,9 @@
             false => times.store_retry_ms << self.failures.min(2),
         };
         self.failures += 1;
-        // Who is told of a change meanwhile asks sooner: another router has reached the store. Of
-        // three routers the last was back 540 ms after the first without it, below 450 ms with it. Once
-        // an outage only: where the store serves some routers and not this one, every beat of
-        // those is news, and a fleet of 88 made up to four fifths more calls in vain.
+        // Who is told of a change meanwhile asks sooner: another router has reached the store. Once an
+        // outage only: where the store serves some routers and not this one, every beat of those is
+        // news, and a large fleet would call in vain.
         let first_ms = pause_ms.min(times.store_retry_ms);
         // News from before the failure tell nothing about it.
         drop(timeout(Duration::ZERO, self.watch().news.notified()).await);
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -105,8 +105,8 @@
         self.beat_interval_ms = interval_ms;
     }
 
-    /// How long a silent router counts as live: one beat may be lost. At 88 routers a beat comes once
-    /// a second; with a fixed second each router would take the others for lost by turns.
+    /// How long a silent router counts as live: one beat may be lost. In a large fleet beats come
+    /// seldom; with a fixed time each router would take the others for lost by turns.
     fn alive_ms(&self) -> u64 {
         Self::MIN_ALIVE_MS.max(self.beat_interval_ms * 5 / 2)
     }
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -7,17 +7,16 @@
 /// What a request costs at a server, in milliseconds of its caller's time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementCosts {
-    /// Prompt tokens that an engine reads in a millisecond, by the deployment's sheet.
+    /// Prompt tokens that an engine reads in a millisecond.
     pub prefill_tokens_per_ms: f64,
-    /// What one more running request costs all others on an engine, over their whole answers:
-    /// 0.0445 ms a step for each of about 50 steps.
+    /// What one more running request costs all others on an engine, over their whole answers.
     pub engine_request_ms: f64,
     /// What one running request costs at a plain service: about its service time, divided by
     /// the slots that share it.
     pub plain_request_ms: f64,
     /// Added for another availability zone: both ways, and the price of the bytes.
     pub other_zone_ms: f64,
-    /// Added for another region: 12 ms each way, and the price of the bytes.
+    /// Added for another region: both ways, and the price of the bytes.
     pub other_region_ms: f64,
     /// Added for a failure share of 1.
     pub failure_ms: f64,
@@ -121,8 +120,7 @@
 ///
 /// A part that is sent so often that its requests would fill one server has as many homes as
 /// keep a few of them at each; `draw`, below 1, spreads requests over them. Counts of
-/// requests are too old to do so: at 88 routers they are up to a second old, while a hot part
-/// brings 20 requests in it.
+/// requests are too old to do so in a large fleet: a hot part brings many requests between two beats.
 pub fn part_home<Servers>(
     part: &PromptPart,
     servers: Servers,
@@ -170,8 +168,8 @@
     (one.cached_tokens >= held.saturating_add(costs.min_fetch_tokens)).then_some(holder)
 }
 
-/// Servers up to which all are compared. With so few, counts are young enough: routers hear of each
-/// other every 250 ms.
+/// Servers up to which all are compared: the routers before so few are few too, and hear of each
+/// other's loads often.
 const COMPARE_ALL: usize = 16;
 /// Servers that are drawn at random beside the home and the holders.
 const DRAWN: usize = 3;
@@ -181,8 +179,7 @@
 /// that their order is random too.
 ///
 /// All routers see the same late counts. If each took the least loaded of all servers, the one that
-/// looked emptiest would get the next requests of all of them: with 67 routers and counts up to
-/// a second old, servers believed to hold 2 requests held 25. Of a few drawn at random the least
+/// looked emptiest would get the next requests of all of them. Of a few drawn at random the least
 /// loaded is nearly as good, and different routers draw different ones.
 pub fn compared<Draw>(candidates: &[Candidate], mut draw: Draw) -> Vec<usize>
 where
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -84,11 +84,11 @@
 }
 
 impl WarmParts {
-    /// The most parts that are remembered, at 40 bytes each 0.8 MB.
+    /// The most parts that are remembered, which bounds their memory.
     const MAX_ENTRIES: usize = 20_000;
-    /// The most parts that a beat tells: 1 KB.
+    /// The most parts that a beat tells, so that it fits into one datagram.
     const PARTS_IN_BEAT: usize = 64;
-    /// Parts in one datagram of an answer to a router that starts: 5 KB.
+    /// Parts in one datagram of an answer to a router that starts.
     pub const PARTS_IN_DATAGRAM: usize = 256;
 
     /// Believes by these settings from now on.
