--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -5,8 +5,8 @@
 
 use rand::RngExt;
 use sapphiretrack_routing::{
-    Candidate, Incarnation, PlacementRequest, RequestFacts, ServerEntry, Service, choose_server,
-    compared, fetch_source, home_count, nearest_homes, part_home,
+    Candidate, Incarnation, RequestFacts, ServerEntry, Service, choose_server, compared,
+    fetch_source, home_count, part_home,
 };
 
 use crate::clock::Clock;
@@ -28,9 +28,6 @@
     shared: Arc<Shared>,
     tokens: u64,
     prefill_tokens: u64,
-    /// Whether the engine was believed to read nothing else when the request came.
-    reads_alone: bool,
-    placed_ms: u64,
 }
 
 /// Why there is no server for a request.
@@ -58,18 +55,9 @@
 impl Placed {
     /// Notes bytes of the answer: the prompt has been read.
     pub(crate) fn note_progress(&mut self) {
-        let now_ms = Clock.now_ms();
         let mut traffic = self.shared.traffic();
-        if self.reads_alone && self.fetch_from.is_none() {
-            let elapsed_ms = now_ms.saturating_sub(self.placed_ms);
-            let settings = &self.shared.settings().prefill;
-            let service = &self.server.service;
-            traffic
-                .prefill_rates
-                .note(settings, service, self.prefill_tokens, elapsed_ms);
-        }
         let health = traffic.health.entry(self.server.incarnation).or_default();
-        health.note_progress(now_ms);
+        health.note_progress(Clock.now_ms());
         health.prefill_tokens = health.prefill_tokens.saturating_sub(self.prefill_tokens);
         self.prefill_tokens = 0;
     }
@@ -149,14 +137,8 @@
     let candidates = view.candidates(listed);
     let index = choose_server(
         &settings.costs,
-        &PlacementRequest {
-            is_engine: seeker.service.is_engine,
-            prompt_tokens: seeker.facts.prompt_tokens,
-            prefill_tokens_per_ms: traffic
-                .prefill_rates
-                .tokens_per_ms(&settings.prefill, &seeker.service.name),
-            pause_ms: seeker.service.pause_ms,
-        },
+        seeker.service.is_engine,
+        seeker.facts.prompt_tokens,
         &candidates,
         &compared(&candidates, || rand::rng().random()),
     );
@@ -180,8 +162,6 @@
         shared: shared.clone(),
         tokens: booking.tokens,
         prefill_tokens: booking.prefill_tokens,
-        reads_alone: chosen.prefill_tokens == 0,
-        placed_ms: now_ms,
     })
 }
 
@@ -243,9 +223,7 @@
         let homes = home_count(&self.settings.costs, share, in_flight, candidates.len());
         let servers = candidates.iter().map(|one| one.server);
         let home = part_home(part, servers, homes, rand::rng().random());
-        let nearest = nearest_homes(part, candidates.iter().map(|one| one.server));
         for one in candidates {
-            one.is_near_home = nearest.contains(&one.server);
             one.is_home = Some(one.server) == home;
             one.is_hot = homes > 1;
         }
@@ -265,7 +243,6 @@
             server: server.incarnation,
             distance: settings.distance(&settings.zone, &server.zone),
             is_home: false,
-            is_near_home: false,
             is_hot: false,
             in_flight: peers + health.map_or(0, |health| health.in_flight),
             capacity: self.capacity(server),
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -130,18 +130,12 @@
 }
 
 policy! {
-    "prefill-rate", "tokens/ms", 1.0..=5_000.0, prefill.first_tokens_per_ms: f64,
-        "prompt tokens that an engine is believed to read in a millisecond before any was seen to";
-    "learn-prefill", "1", 0.0..=0.9, prefill.step: f64,
-        "how far one first event moves the reading rate of its service; 0: it stays as it is set";
-    "engine-request", "tokens", 0.0..=100_000.0, costs.engine_request_tokens: f64,
-        "prompt tokens that a running request costs the others on an engine; 0: running requests do not count";
+    "prefill-rate", "tokens/ms", 1.0..=10_000.0, costs.prefill_tokens_per_ms: f64,
+        "prompt tokens that an engine reads in a millisecond";
+    "engine-request", "ms", 0.0..=1_000.0, costs.engine_request_ms: f64,
+        "what a running request costs the others on an engine; 0: running requests do not count";
     "plain-request", "ms", 0.0..=1_000.0, costs.plain_request_ms: f64,
         "what a running request costs the others at a plain service; 0: they do not count";
-    "paused-stream", "ms", 0.0..=60_000.0, costs.paused_stream_ms: f64,
-        "cost of a stream whose events would wait too long for a prompt that is read; 0: pauses do not count";
-    "pause-part", "1", 0.01..=10.0, costs.pause_part: f64,
-        "part of the allowed pause that an engine may read without a break";
     "other-zone", "ms", 0.0..=1_000.0, costs.other_zone_ms: f64,
         "cost of another availability zone; 0: no preference";
     "failure", "ms", 0.0..=60_000.0, costs.failure_ms: f64,
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use sapphiretrack_routing::{
-    Distance, PlacementCosts, PrefillSettings, RetrySettings, ServerHealthSettings, WarmSettings,
+    Distance, PlacementCosts, RetrySettings, ServerHealthSettings, WarmSettings,
 };
 
 /// What a router is told at its start.
@@ -38,8 +38,6 @@
     pub retry: RetrySettings,
     /// Costs that rule placement.
     pub costs: PlacementCosts,
-    /// How reading rates are learned.
-    pub prefill: PrefillSettings,
     /// What is believed of servers' caches.
     pub warm: WarmSettings,
     /// How often and how long backend servers are asked for one request.
@@ -141,7 +139,6 @@
             is_first_start: false,
             retry: RetrySettings::default(),
             costs: PlacementCosts::default(),
-            prefill: PrefillSettings::default(),
             warm: WarmSettings::default(),
             attempts: AttemptSettings::default(),
             health: ServerHealthSettings::default(),
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -7,8 +7,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
-    Configuration, Incarnation, LogSampling, PartsRecovery, PeerTable, PrefillRates, RetryShare,
-    RouterState, ServerChanges, ServerEntry, ServerHealth, ServerLoad, WarmParts, WatchState,
+    Configuration, Incarnation, LogSampling, PartsRecovery, PeerTable, RetryShare, RouterState,
+    ServerChanges, ServerEntry, ServerHealth, ServerLoad, WarmParts, WatchState,
 };
 use tokio::sync::{Notify, mpsc};
 
@@ -64,8 +64,6 @@
     pub(crate) health: HashMap<Incarnation, ServerHealth>,
     /// Where prompt parts are cached.
     pub(crate) warm: WarmParts,
-    /// How fast engines read.
-    pub(crate) prefill_rates: PrefillRates,
     /// The share of the retry budget.
     pub(crate) retries: RetryShare,
     /// How fast each service ends requests.
@@ -132,7 +130,6 @@
             traffic: Mutex::new(Traffic {
                 health: HashMap::new(),
                 warm,
-                prefill_rates: PrefillRates::default(),
                 retries,
                 drain: HashMap::new(),
             }),
--- a/crates/sapphiretrack-routing/benches/placement.rs
+++ b/crates/sapphiretrack-routing/benches/placement.rs
@@ -4,17 +4,10 @@
 use std::time::Instant;
 
 use sapphiretrack_routing::{
-    Candidate, Distance, Incarnation, PlacementCosts, PlacementRequest, PromptPart, RequestFacts,
-    WarmParts, choose_server, compared, fetch_source, home_count, part_home,
+    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, RequestFacts, WarmParts,
+    choose_server, compared, fetch_source, home_count, part_home,
 };
 
-/// A long prompt for an engine.
-const REQUEST: PlacementRequest = PlacementRequest {
-    is_engine: true,
-    prompt_tokens: 9_000,
-    prefill_tokens_per_ms: 50.0,
-    pause_ms: 400,
-};
 /// Sizes: two of the users' fleets, and the one to design for.
 const SERVERS: [u64; 4] = [12, 63, 600, 1_800];
 /// Decisions of each size.
@@ -76,7 +69,6 @@
         server: Incarnation(number),
         distance: Distance::SameRegion,
         is_home: home == Some(Incarnation(number)),
-        is_near_home: false,
         is_hot: homes > 1,
         in_flight: (number % 7) as u32,
         capacity: 64,
@@ -88,7 +80,7 @@
     });
     let candidates: Vec<Candidate> = candidates.collect();
     let few = compared(&candidates, || random.part());
-    let chosen = choose_server(&costs, &REQUEST, &candidates, &few);
+    let chosen = choose_server(&costs, true, 9_000, &candidates, &few);
     let source = chosen.and_then(|chosen| fetch_source(&costs, &candidates, chosen));
     (chosen, source)
 }
--- a/crates/sapphiretrack-routing/src/configuration.rs
+++ b/crates/sapphiretrack-routing/src/configuration.rs
@@ -19,8 +19,6 @@
     pub timeout_ms: u64,
     /// The time within which an answer, or its first event, is on time.
     pub objective_ms: u64,
-    /// The longest pause between two events of an answer that is on time; 0 if none is stated.
-    pub pause_ms: u64,
     /// Its rank: 0 comes first.
     pub priority: u8,
     /// The services that share its requests.
@@ -53,9 +51,6 @@
     pub memory_tokens: u64,
     /// Requests that an engine runs at once.
     pub slots: u32,
-    /// The shortest of the longest pauses that its routes allow between two events; 0 if none states
-    /// one. Filled in by the configuration.
-    pub pause_ms: u64,
 }
 
 /// What a caller may send, and how long its connection may idle.
@@ -113,22 +108,12 @@
 impl Configuration {
     /// A configuration of these routes and services, still without tenants.
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>) -> Self {
-        let mut pauses: HashMap<String, u64> = HashMap::new();
-        for route in routes.iter().filter(|route| route.pause_ms > 0) {
-            for target in &route.targets {
-                let shortest = pauses.entry(target.service.clone()).or_insert(u64::MAX);
-                *shortest = route.pause_ms.min(*shortest);
-            }
-        }
         let mut by_host: HashMap<String, HashMap<String, Route>> = HashMap::new();
         for route in routes {
             let of_host = by_host.entry(route.host.clone()).or_default();
             of_host.insert(route.prefix.clone(), route);
         }
-        let services = services.into_iter().map(|one| Service {
-            pause_ms: pauses.get(&one.name).copied().unwrap_or(0),
-            ..one
-        });
+        let services = services.into_iter();
         Self {
             version,
             routes: by_host,
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -8,7 +8,6 @@
 mod parts_recovery;
 mod peers;
 mod placement;
-mod prefill_rate;
 mod request;
 mod retry_share;
 mod server_cache;
@@ -26,10 +25,9 @@
 pub use parts_recovery::{PartsRecovery, PartsStep};
 pub use peers::{Beat, PeerTable, RouterMessage, RouterState, ServerChanges, ServerLoad};
 pub use placement::{
-    Candidate, Distance, PlacementCosts, PlacementRequest, choose_server, compared, fetch_source,
-    home_count, nearest_homes, part_home,
+    Candidate, Distance, PlacementCosts, choose_server, compared, fetch_source, home_count,
+    part_home,
 };
-pub use prefill_rate::{PrefillRates, PrefillSettings};
 pub use request::{PromptPart, RequestFacts, RequestKind};
 pub use retry_share::{RetrySettings, RetryShare};
 pub use server_health::{ServerHealth, ServerHealthSettings};
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -7,18 +7,13 @@
 /// What a request costs at a server, in milliseconds of its caller's time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementCosts {
-    /// What one more running request costs all others on an engine, over their whole answers, in
-    /// prompt tokens that it could read instead.
-    pub engine_request_tokens: f64,
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// What one more running request costs all others on an engine, over their whole answers.
+    pub engine_request_ms: f64,
     /// What one running request costs at a plain service: about its service time, divided by
     /// the slots that share it.
     pub plain_request_ms: f64,
-    /// What a stream costs whose events pause longer than its route allows, because its engine reads
-    /// a long prompt meanwhile.
-    pub paused_stream_ms: f64,
-    /// The part of the allowed pause that an engine may read without a break: an event takes several
-    /// steps besides.
-    pub pause_part: f64,
     /// Added for another availability zone: both ways, and the price of the bytes.
     pub other_zone_ms: f64,
     /// Added for another region: both ways, and the price of the bytes.
@@ -48,10 +43,9 @@
 impl Default for PlacementCosts {
     fn default() -> Self {
         Self {
-            engine_request_tokens: 150.0,
+            prefill_tokens_per_ms: 50.0,
+            engine_request_ms: 3.0,
             plain_request_ms: 8.0,
-            paused_stream_ms: 100.0,
-            pause_part: 0.7,
             other_zone_ms: 2.0,
             other_region_ms: 40.0,
             failure_ms: 500.0,
@@ -103,8 +97,6 @@
     pub distance: Distance,
     /// Whether it is the home of the prompt's last shared part.
     pub is_home: bool,
-    /// Whether it is one of the few servers that the part falls to if its home does not take it.
-    pub is_near_home: bool,
     /// Whether that part has several homes, of which this request goes to the one above.
     pub is_hot: bool,
     /// Requests that all routers have there, as far as known.
@@ -152,26 +144,6 @@
 /// Taken off for a home at least: what two requests cost the others.
 const MIN_HOME_MS: f64 = 6.0;
 
-/// The few servers that a part falls to one after the other, by the same order as its home.
-pub fn nearest_homes<Servers>(part: &PromptPart, servers: Servers) -> Vec<Incarnation>
-where
-    Servers: Iterator<Item = Incarnation>,
-{
-    let mut nearest: Vec<(f64, Incarnation)> = Vec::with_capacity(NEAREST + 1);
-    for server in servers {
-        let score = rendezvous_score(part.id, server.0, 1.0);
-        let place = nearest.partition_point(|(other, _)| *other >= score);
-        if place < NEAREST {
-            nearest.insert(place, (score, server));
-            nearest.truncate(NEAREST);
-        }
-    }
-    nearest.into_iter().map(|(_, server)| server).collect()
-}
-
-/// Servers that a long prompt may be read on rather than on its home.
-const NEAREST: usize = 3;
-
 /// How many homes a part needs that comes with this share of a service's requests, of which
 /// `in_flight` are at its `servers`. Each home is one more copy in the memory of all, so that a part
 /// gets another one only when its requests alone load a home as much as a server is loaded.
@@ -221,8 +193,7 @@
     }
     let most = candidates.iter().map(|one| one.cached_tokens).max();
     let enough = (most.unwrap_or(0) / 2).max(1);
-    let is_special =
-        |one: &Candidate| one.is_near_home || one.is_home || one.cached_tokens >= enough;
+    let is_special = |one: &Candidate| one.is_home || one.cached_tokens >= enough;
     let mut chosen: Vec<usize> = (0..DRAWN).map(|_| drawn()).collect();
     for (index, one) in candidates.iter().enumerate() {
         if is_special(one) && !chosen.contains(&index) {
@@ -232,38 +203,21 @@
     chosen
 }
 
-/// A request that is to be placed.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PlacementRequest {
-    /// Whether its service has engines.
-    pub is_engine: bool,
-    /// The tokens of its prompt.
-    pub prompt_tokens: u32,
-    /// Prompt tokens that an engine of its service reads in a millisecond.
-    pub prefill_tokens_per_ms: f64,
-    /// The longest pause between two events that streams of its service allow; 0 if none is stated.
-    pub pause_ms: u64,
-}
-
 /// The index of the best of the compared candidates; of all if those are full, tried or suspect,
 /// and none if all are. Servers above the load bound are taken only if all others are worse.
 pub fn choose_server(
     costs: &PlacementCosts,
-    request: &PlacementRequest,
+    is_engine: bool,
+    prompt_tokens: u32,
     candidates: &[Candidate],
     compared: &[usize],
 ) -> Option<usize> {
     let total: u32 = candidates.iter().map(|one| one.in_flight).sum();
     let mean = f64::from(total) / candidates.len().max(1) as f64;
     let bound = mean * costs.bound_factor + costs.bound_requests;
-    let holders = candidates.iter().filter(|one| !one.suspect);
-    let held = holders.map(|one| one.cached_tokens).max().unwrap_or(0);
     let cost = |index: &usize| {
         let one = &candidates[*index];
-        let mut cost = request_cost(costs, request, one);
-        if request.is_engine {
-            cost += pause_cost(costs, request, held, one);
-        }
+        let mut cost = request_cost(costs, is_engine, prompt_tokens, one);
         if f64::from(one.in_flight) > bound {
             cost += costs.suspect_ms / 2.0;
         }
@@ -283,21 +237,26 @@
 }
 
 /// What a request costs at a server, but for the load bound.
-fn request_cost(costs: &PlacementCosts, request: &PlacementRequest, one: &Candidate) -> f64 {
+fn request_cost(
+    costs: &PlacementCosts,
+    is_engine: bool,
+    prompt_tokens: u32,
+    one: &Candidate,
+) -> f64 {
     // A hot part soon lies at all of its homes; the holders of the moment must not draw all
     // of its requests.
     let cached = if one.is_hot { 0 } else { one.cached_tokens };
-    let uncached = f64::from(request.prompt_tokens.saturating_sub(cached));
-    let request_ms = match request.is_engine {
-        true => costs.engine_request_tokens / request.prefill_tokens_per_ms,
+    let uncached = f64::from(prompt_tokens.saturating_sub(cached));
+    let request_ms = match is_engine {
+        true => costs.engine_request_ms,
         false => costs.plain_request_ms,
     };
     let mut cost = f64::from(one.in_flight) * request_ms;
-    if request.is_engine {
-        cost += (uncached + one.prefill_tokens as f64) / request.prefill_tokens_per_ms;
+    if is_engine {
+        cost += (uncached + one.prefill_tokens as f64) / costs.prefill_tokens_per_ms;
     }
     if one.is_home {
-        cost -= MIN_HOME_MS + uncached * costs.home_part / request.prefill_tokens_per_ms;
+        cost -= MIN_HOME_MS + uncached * costs.home_part / costs.prefill_tokens_per_ms;
     }
     cost += match one.distance {
         Distance::SameZone => 0.0,
@@ -309,34 +268,3 @@
     }
     cost + one.failure_share * costs.failure_ms
 }
-
-/// Streams that a long read elsewhere than near its home counts as much as: the part would be read
-/// again near its home.
-const FAR_FROM_HOME_STREAMS: f64 = 1_000.0;
-
-/// What the streams at an engine lose if it reads this prompt beside them: an engine reads in chunks
-/// between two steps, so that all events there wait. Long prompts gather on few engines by this, and
-/// streams start at others. `held` is how much of the prompt can be fetched.
-fn pause_cost(
-    costs: &PlacementCosts,
-    request: &PlacementRequest,
-    held: u32,
-    one: &Candidate,
-) -> f64 {
-    let known = match held >= one.cached_tokens.saturating_add(costs.min_fetch_tokens) {
-        true => held,
-        false => one.cached_tokens,
-    };
-    let reads = f64::from(request.prompt_tokens.saturating_sub(known));
-    let allowed_ms = request.pause_ms as f64 * costs.pause_part;
-    let before_ms = one.prefill_tokens as f64 / request.prefill_tokens_per_ms;
-    let after_ms = before_ms + reads / request.prefill_tokens_per_ms;
-    // Where an engine already reads too long, nothing more is lost.
-    if allowed_ms == 0.0 || after_ms <= allowed_ms || before_ms > allowed_ms {
-        return 0.0;
-    }
-    match one.is_near_home {
-        true => f64::from(one.in_flight) * costs.paused_stream_ms,
-        false => FAR_FROM_HOME_STREAMS * costs.paused_stream_ms,
-    }
-}
--- a/crates/sapphiretrack-routing/tests/configuration.rs
+++ b/crates/sapphiretrack-routing/tests/configuration.rs
@@ -12,7 +12,6 @@
         kind: RequestKind::Idempotent,
         timeout_ms: 1_000,
         objective_ms: 100,
-        pause_ms: 0,
         priority: 1,
         targets: vec![
             Target {
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -4,9 +4,9 @@
 
 use prompts::{prompt_of, told_part};
 use sapphiretrack_routing::{
-    Candidate, Distance, Incarnation, PlacementCosts, PlacementRequest, PromptPart, SentPrompts,
-    SentTokens, ServerHealth, ServerHealthSettings, WarmParts, choose_server, compared,
-    fetch_source, home_count, part_home,
+    Candidate, Distance, Incarnation, PlacementCosts, PromptPart, SentPrompts, SentTokens,
+    ServerHealth, ServerHealthSettings, WarmParts, choose_server, compared, fetch_source,
+    home_count, part_home,
 };
 
 const PROMPT_TOKENS: u32 = 9_200;
@@ -16,7 +16,6 @@
         server: Incarnation(server),
         distance: Distance::SameZone,
         is_home: false,
-        is_near_home: false,
         is_hot: false,
         in_flight: 4,
         capacity: 64,
@@ -28,20 +27,12 @@
     }
 }
 
-fn engine_request(prompt_tokens: u32) -> PlacementRequest {
-    PlacementRequest {
-        is_engine: true,
-        prompt_tokens,
-        prefill_tokens_per_ms: 50.0,
-        pause_ms: 0,
-    }
-}
-
 fn choose(candidates: &[Candidate]) -> Option<usize> {
     let all: Vec<usize> = (0..candidates.len()).collect();
     choose_server(
         &PlacementCosts::default(),
-        &engine_request(PROMPT_TOKENS),
+        true,
+        PROMPT_TOKENS,
         candidates,
         &all,
     )
@@ -348,7 +339,7 @@
         .collect();
     for _ in 0..600 {
         let few = compared(&candidates, &mut draw);
-        let chosen = choose_server(&costs, &engine_request(300), &candidates, &few).expect("room");
+        let chosen = choose_server(&costs, true, 300, &candidates, &few).expect("room");
         load[chosen] += 1;
     }
     // Those that were there before end meanwhile.
@@ -393,10 +384,10 @@
     let mut many: Vec<Candidate> = (0..60).map(candidate).collect();
     many[30].suspect = true;
     let costs = PlacementCosts::default();
-    let chosen = choose_server(&costs, &engine_request(300), &many, &[30]).expect("room");
+    let chosen = choose_server(&costs, true, 300, &many, &[30]).expect("room");
     assert_ne!(chosen, 30);
     many[30].suspect = false;
     many[30].in_flight = 64;
-    let chosen = choose_server(&costs, &engine_request(300), &many, &[30]).expect("room");
+    let chosen = choose_server(&costs, true, 300, &many, &[30]).expect("room");
     assert_ne!(chosen, 30);
 }
