A service that has no room gets no second attempts: they would take the place of first ones

While a service is full failed attempts go round to other full servers, and their callers' time with them.

--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -115,7 +115,7 @@
                 tried: &attempts.tried,
             };
             let placed = place(&self.shared, seeker);
-            let placed = placed.map_err(AttemptFailure::Unplaced)?;
+            let placed = placed.map_err(|none| self.note_unplaced(none))?;
             if attempts.offers > 0 && !has_repeat && !self.may_repeat() {
                 return Err(AttemptFailure::NotSent("retry-budget"));
             }
@@ -130,7 +130,7 @@
             // A request that waits its turn is better off there than without any server: it leaves
             // only a silent one, and only if it may be sent again.
             let gives_up = |placed: &Placed| {
-                has_repeat = placed.is_silent() && self.may_repeat();
+                has_repeat = placed.is_silent() && !self.is_service_full() && self.may_repeat();
                 has_repeat
             };
             let sent =
@@ -162,11 +162,27 @@
     pub(crate) fn may_go_on(&self, attempts: &Attempts, failure: AttemptFailure) -> bool {
         let allowed = !failure.may_have_run() || self.route.kind.may_run_again();
         allowed
+            && !self.is_service_full()
             && attempts.runs < self.route.max_attempts.max(1)
             && (attempts.tried.len() as u32) < self.shared.settings().attempts.max_offers
             && self.left_ms() > 0
     }
 
+    /// Notes why there is no server.
+    fn note_unplaced(&self, none: NoServer) -> AttemptFailure {
+        if none == NoServer::AllFull {
+            let mut traffic = self.shared.traffic();
+            traffic.retries.note_full(&self.service, Clock.now_ms());
+        }
+        AttemptFailure::Unplaced(none)
+    }
+
+    /// Whether its service lately had no room for a request of this router.
+    fn is_service_full(&self) -> bool {
+        let traffic = self.shared.traffic();
+        traffic.retries.is_full(&self.service, Clock.now_ms())
+    }
+
     /// Takes one repeat from this router's share of the budget.
     fn may_repeat(&self) -> bool {
         let routers = self.shared.peers().may_exist() + 1;
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -160,6 +160,8 @@
         "time after which an idempotent request is taken from a silent server; 1000: never";
     "offers", "servers", 1.0..=16.0, attempts.max_offers: u32,
         "servers that one request is offered to; 1: no second attempt";
+    "full-service", "ms", 0.0..=60_000.0, retry.full_ms: u64,
+        "time after a refusal for want of room in which failed attempts are not repeated; 0: they are";
     "plain-queue", "slots", 1.0..=100.0, attempts.plain_queue_factor: u32,
         "requests that a plain service's server may hold, in slots";
     "engine-queue", "slots", 0.1..=100.0, attempts.engine_queue_factor: f64,
--- a/crates/sapphiretrack-routing/src/retry_share.rs
+++ b/crates/sapphiretrack-routing/src/retry_share.rs
@@ -11,6 +11,8 @@
     pub fixed: f64,
     /// The length of the window.
     pub window_ms: u64,
+    /// How long a service counts as full after it had no room for a request; 0: never.
+    pub full_ms: u64,
 }
 
 impl Default for RetrySettings {
@@ -19,6 +21,7 @@
             ratio: 0.2,
             fixed: 20.0,
             window_ms: 10_000,
+            full_ms: 1_000,
         }
     }
 }
@@ -40,6 +43,7 @@
 struct Window {
     slices: [Slice; SLICES],
     newest: u64,
+    full_until_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -95,6 +99,19 @@
         }
     }
 
+    /// Notes that a service had no room for a request.
+    pub fn note_full(&mut self, service: &str, now_ms: u64) {
+        let full_until_ms = now_ms + self.settings.full_ms;
+        self.window(service, now_ms).full_until_ms = full_until_ms;
+    }
+
+    /// Whether a service lately had no room. A second attempt would take the place of somebody's
+    /// first one there; its caller does better to come back when there is room.
+    pub fn is_full(&self, service: &str, now_ms: u64) -> bool {
+        let window = self.services.get(service);
+        window.is_some_and(|window| now_ms < window.full_until_ms)
+    }
+
     /// Takes one repeat if the share allows it and the service is not failing as a whole.
     /// `routers` is how many routers may exist.
     pub fn try_repeat(&mut self, service: &str, routers: usize, now_ms: u64) -> bool {
--- a/crates/sapphiretrack-routing/tests/retry_share.rs
+++ b/crates/sapphiretrack-routing/tests/retry_share.rs
@@ -7,6 +7,7 @@
     ratio: 0.2,
     fixed: 58.0,
     window_ms: 10_000,
+    full_ms: 1_000,
 };
 
 proptest! {
@@ -72,3 +73,22 @@
     assert!(!share.try_repeat("s", 1, 9_000));
     assert!(share.try_repeat("s", 1, 10_500));
 }
+
+/// The load: more requests than a service has room for, some of which fail.
+#[test]
+fn a_full_service_gets_no_second_attempts_until_it_had_room_for_a_while() {
+    let mut share = RetryShare::new(SETTINGS);
+    assert!(!share.is_full("s", 100_000));
+    share.note_full("s", 100_000);
+    assert!(share.is_full("s", 100_999));
+    assert!(!share.is_full("other", 100_500), "another service has room");
+    share.note_full("s", 100_900);
+    assert!(share.is_full("s", 101_899), "the last refusal counts");
+    assert!(!share.is_full("s", 101_900));
+    let mut never = RetryShare::new(RetrySettings {
+        full_ms: 0,
+        ..SETTINGS
+    });
+    never.note_full("s", 100_000);
+    assert!(!never.is_full("s", 100_000));
+}
