--- a/crates/sapphiretrack-router/src/beats.rs
+++ b/crates/sapphiretrack-router/src/beats.rs
@@ -19,8 +19,8 @@
 const BEATS_AT_ONCE: usize = 24;
 /// The most parts that are told to a router that starts; what is left out is read again by a server.
 const MAX_TOLD_PARTS: usize = 16_384;
-/// The longest datagram: the load of a few hundred servers.
-const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+/// The longest datagram: the load of a few hundred servers, and what was sent in several beats.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// Where other routers hear beats, by the store's rows and by the beats themselves.
 #[derive(Debug, Default)]
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -86,7 +86,8 @@
 impl WarmParts {
     /// The most parts that are remembered, which bounds their memory.
     const MAX_ENTRIES: usize = 20_000;
-    /// The most parts that a beat tells, so that it fits into one datagram.
+    /// The most parts, and the most servers with private tokens, that a beat tells, so that it fits
+    /// into one datagram.
     const PARTS_IN_BEAT: usize = 64;
     /// Parts in one datagram of an answer to a router that starts.
     pub const PARTS_IN_DATAGRAM: usize = 256;
@@ -237,17 +238,20 @@
     }
 
     fn tell_private(&mut self, server: Incarnation, tokens: u32) {
-        let mut private = self.untold.private.iter_mut();
-        match private.find(|one| one.server == server.0) {
-            Some(one) => {
-                one.tokens = one.tokens.saturating_add(tokens);
-                one.requests = one.requests.saturating_add(1);
-            }
-            None => self.untold.private.push(SentTokens {
+        let private = &mut self.untold.private;
+        let known = private.iter_mut().find(|one| one.server == server.0);
+        if let Some(one) = known {
+            one.tokens = one.tokens.saturating_add(tokens);
+            one.requests = one.requests.saturating_add(1);
+            return;
+        }
+        // What is more than a beat can tell is only known here.
+        if private.len() < Self::PARTS_IN_BEAT {
+            private.push(SentTokens {
                 server: server.0,
                 tokens,
                 requests: 1,
-            }),
+            });
         }
     }
 
--- a/crates/sapphiretrack-routing/tests/server_memory.rs
+++ b/crates/sapphiretrack-routing/tests/server_memory.rs
@@ -100,3 +100,18 @@
     warm.note_sent(ENGINE, &prompt_of(&[part(100)]), 1_000_000);
     assert_eq!(held(&warm, 0..101, 1_000_000), [100]);
 }
+
+/// The load: a burst that reaches more servers between two beats than a datagram has room for.
+#[test]
+fn what_a_beat_tells_is_bounded() {
+    let mut warm = WarmParts::default();
+    for id in 0..1_000 {
+        let request = prompt_with(&[part(id)], 100);
+        warm.note_sent(Incarnation(id), &request, 10_000);
+        warm.note_sent(Incarnation(id), &request, 10_000);
+    }
+    let told = warm.take_untold();
+    assert!(told.parts.len() <= 64, "{} parts", told.parts.len());
+    assert!(told.private.len() <= 64, "{} servers", told.private.len());
+    assert_eq!((told.private[0].tokens, told.private[0].requests), (200, 2));
+}
