Read-through: a full service is told in the log, servers that are gone are forgotten, names and files by job

- Event 625 tells when a service has no room, once while that lasts; the test of it on the program fails without the mechanism (2 arrivals in place of 1).
- What is believed of a server that is gone is dropped after the time that parts are believed: before, its record stayed until 20,000 parts were remembered.
Found by reading; the test found the record 40 s later.
- One place counts whole answers; the rate of sends has a file of its own; PlacementRequest and PlacementView for Seeker and View.

--- a/crates/sapphiretrack-core/src/overload.rs
+++ b/crates/sapphiretrack-core/src/overload.rs
@@ -99,7 +99,7 @@
     const WINDOW_MS: u64 = 1_000;
     /// The weight of the newest window.
     const WEIGHT: f64 = 0.3;
-    /// The rate that is assumed before any was measured.
+    /// The rate before the first window has ended.
     const FIRST_RATE: f64 = 1.0;
 
     /// Starts to measure now.
--- a/crates/sapphiretrack-core/src/placement/subset.rs
+++ b/crates/sapphiretrack-core/src/placement/subset.rs
@@ -4,7 +4,7 @@
 
 /// How many servers a workspace with this share of the pool's load starts its chats on.
 ///
-/// The size moves in powers of two, so that routers whose measured shares differ a little
+/// The size moves in powers of two, so that routers whose shares differ a little
 /// still agree, and a workspace whose load wavers does not lose its homes.
 pub(crate) fn subset_size(settings: &PlacementSettings, live: usize, share: f64) -> usize {
     let wanted = (share.clamp(0.0, 1.0) * live as f64 * settings.subset_spread).ceil() as usize;
--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -179,7 +179,8 @@
         (server.incarnation, tokens)
     });
     let capacities = capacities.collect();
-    shared.traffic().warm.set_capacities(capacities);
+    let now_ms = Clock.now_ms();
+    shared.traffic().warm.set_capacities(capacities, now_ms);
 }
 
 /// Gives the list to the traffic thread, and forgets what is not listed any more.
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::clock::Clock;
 use crate::events::{Event, note};
 use crate::job::Job;
-use crate::placing::{NoServer, Placed, Seeker, place};
+use crate::placing::{NoServer, Placed, PlacementRequest, place};
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
 use crate::relay::{self, ReadAnswer};
@@ -109,12 +109,12 @@
             let Some(service) = configuration.service(&self.service) else {
                 return Err(AttemptFailure::NotSent("no-service"));
             };
-            let seeker = Seeker {
+            let request = PlacementRequest {
                 service,
                 facts: &self.facts,
                 tried: &attempts.tried,
             };
-            let placed = place(&self.shared, seeker);
+            let placed = place(&self.shared, request);
             let placed = placed.map_err(|none| self.note_unplaced(none))?;
             if attempts.offers > 0 && !has_repeat && !self.may_repeat() {
                 return Err(AttemptFailure::NotSent("retry-budget"));
@@ -172,7 +172,11 @@
     fn note_unplaced(&self, none: NoServer) -> AttemptFailure {
         if none == NoServer::AllFull {
             let mut traffic = self.shared.traffic();
-            traffic.retries.note_full(&self.service, Clock.now_ms());
+            let is_news = traffic.retries.note_full(&self.service, Clock.now_ms());
+            drop(traffic);
+            if is_news {
+                note!(Event::SERVICE_FULL, service = self.service);
+            }
         }
         AttemptFailure::Unplaced(none)
     }
--- a/crates/sapphiretrack-router/src/events.rs
+++ b/crates/sapphiretrack-router/src/events.rs
@@ -70,6 +70,8 @@
     PARTS_NOT_LISTED = 623, Warn, "prompt parts not listed";
     /// The backend servers told which prompt parts they hold.
     PARTS_LISTED = 624, Info, "prompt parts listed";
+    /// A service has no room for a request: failed attempts are not repeated there for a while.
+    SERVICE_FULL = 625, Warn, "service has no room";
     /// Another router was heard of, came back or changed its state.
     PEER_CHANGED = 630, Info, "router heard of";
     /// Another router was not heard of for long.
--- a/crates/sapphiretrack-router/src/placing.rs
+++ b/crates/sapphiretrack-router/src/placing.rs
@@ -107,9 +107,9 @@
     }
 }
 
-/// A request that looks for a server.
+/// A request that is to be placed.
 #[derive(Clone, Copy)]
-pub(crate) struct Seeker<'a> {
+pub(crate) struct PlacementRequest<'a> {
     /// Its service.
     pub(crate) service: &'a Service,
     /// What it says of itself.
@@ -119,26 +119,29 @@
 }
 
 /// Chooses a server for a request and counts its load there from now on.
-pub(crate) fn place(shared: &Arc<Shared>, seeker: Seeker<'_>) -> Result<Placed, NoServer> {
+pub(crate) fn place(
+    shared: &Arc<Shared>,
+    request: PlacementRequest<'_>,
+) -> Result<Placed, NoServer> {
     let servers = shared.servers.load();
-    let listed = servers.get(&seeker.service.name);
+    let listed = servers.get(&request.service.name);
     let listed = listed.filter(|list| !list.is_empty());
     let listed = listed.ok_or(NoServer::NoneListed)?;
     let settings = shared.settings();
     let mut traffic = shared.traffic();
     let now_ms = Clock.now_ms();
-    let view = View {
+    let view = PlacementView {
         shared,
         settings: &settings,
         traffic: &traffic,
-        seeker,
+        request,
         now_ms,
     };
     let candidates = view.candidates(listed);
     let index = choose_server(
         &settings.costs,
-        seeker.service.is_engine,
-        seeker.facts.prompt_tokens,
+        request.service.is_engine,
+        request.facts.prompt_tokens,
         &candidates,
         &compared(&candidates, || rand::rng().random()),
     );
@@ -151,7 +154,7 @@
     let held_tokens = holder.map_or(chosen.cached_tokens, |holder| {
         candidates[holder].cached_tokens
     });
-    let booking = book(&mut traffic, chosen.server, seeker.facts, held_tokens);
+    let booking = book(&mut traffic, chosen.server, request.facts, held_tokens);
     drop(traffic);
     Ok(Placed {
         server: listed[index].clone(),
@@ -192,15 +195,15 @@
 }
 
 /// What is known when a request looks for a server.
-struct View<'a> {
+struct PlacementView<'a> {
     shared: &'a Shared,
     settings: &'a RouterSettings,
     traffic: &'a Traffic,
-    seeker: Seeker<'a>,
+    request: PlacementRequest<'a>,
     now_ms: u64,
 }
 
-impl View<'_> {
+impl PlacementView<'_> {
     /// The servers as placement compares them, in the order of the list.
     fn candidates(&self, listed: &[Arc<ServerEntry>]) -> Vec<Candidate> {
         let peer_loads = self.shared.peer_loads.load();
@@ -215,7 +218,7 @@
 
     /// Marks the home of the prompt's last shared part, and whether the part has several.
     fn mark_home(&self, candidates: &mut [Candidate]) {
-        let Some(part) = self.seeker.facts.shared_parts().last() else {
+        let Some(part) = self.request.facts.shared_parts().last() else {
             return;
         };
         let share = self.traffic.warm.share_of_sends(part.id, self.now_ms);
@@ -237,7 +240,7 @@
         });
         let failure_share =
             health.map_or(0.0, |one| one.failure_share(&settings.health, self.now_ms));
-        let shared_parts = self.seeker.facts.shared_parts();
+        let shared_parts = self.request.facts.shared_parts();
         let warm = &self.traffic.warm;
         Candidate {
             server: server.incarnation,
@@ -250,14 +253,14 @@
             cached_tokens: warm.cached_tokens(server.incarnation, shared_parts, self.now_ms),
             failure_share,
             suspect,
-            tried: self.seeker.tried.contains(&server.incarnation),
+            tried: self.request.tried.contains(&server.incarnation),
         }
     }
 
     /// The most requests that a server may hold.
     fn capacity(&self, server: &ServerEntry) -> u32 {
         let attempts = &self.settings.attempts;
-        match self.seeker.service.is_engine {
+        match self.request.service.is_engine {
             true => (f64::from(server.slots) * attempts.engine_queue_factor) as u32,
             false => server.slots.saturating_mul(attempts.plain_queue_factor),
         }
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -305,6 +305,13 @@
     CutOff { reason }
 }
 
+/// Counts a request that got a whole answer; whether the log tells of it.
+fn end_whole(job: &Job) -> bool {
+    job.end();
+    job.shared.metrics.whole(&job.labels, job.age_ms());
+    job.tells_all
+}
+
 /// How a stream went, as its caller saw it.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
@@ -314,9 +321,7 @@
 
 /// Notes that the caller got a whole stream.
 fn note_streamed(job: &Job, status: StatusCode, offers: u32, pace: Pace) {
-    job.end();
-    job.shared.metrics.whole(&job.labels, job.age_ms());
-    if !job.tells_all {
+    if !end_whole(job) {
         return;
     }
     note!(
@@ -332,9 +337,7 @@
 
 /// Notes that the caller gets a server's whole answer.
 pub(crate) fn note_answered(job: &Job, status: StatusCode, offers: u32) {
-    job.end();
-    job.shared.metrics.whole(&job.labels, job.age_ms());
-    if !job.tells_all {
+    if !end_whole(job) {
         return;
     }
     note!(
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod placement;
 mod request;
 mod retry_share;
+mod send_rate;
 mod server_cache;
 mod server_health;
 mod server_list;
--- a/crates/sapphiretrack-routing/src/retry_share.rs
+++ b/crates/sapphiretrack-routing/src/retry_share.rs
@@ -99,10 +99,12 @@
         }
     }
 
-    /// Notes that a service had no room for a request.
-    pub fn note_full(&mut self, service: &str, now_ms: u64) {
+    /// Notes that a service had no room for a request; true if it did not count as full before.
+    pub fn note_full(&mut self, service: &str, now_ms: u64) -> bool {
+        let was_full = self.is_full(service, now_ms);
         let full_until_ms = now_ms + self.settings.full_ms;
         self.window(service, now_ms).full_until_ms = full_until_ms;
+        !was_full && self.is_full(service, now_ms)
     }
 
     /// Whether a service lately had no room. A second attempt would take the place of somebody's
--- a/crates/sapphiretrack-routing/src/server_cache.rs
+++ b/crates/sapphiretrack-routing/src/server_cache.rs
@@ -76,6 +76,11 @@
         });
     }
 
+    /// Whether nothing was sent there since a moment.
+    pub(crate) fn is_idle_since(&self, moment_ms: u64) -> bool {
+        (self.newest_slice + 1) * Self::SLICE_MS <= moment_ms
+    }
+
     /// How many parts are remembered.
     pub(crate) fn len(&self) -> usize {
         self.parts.len()
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::send_rate::SendRate;
 use crate::server_cache::ServerCache;
 use crate::{Incarnation, PromptPart, RequestFacts};
 
@@ -49,9 +50,10 @@
     /// Parts in all caches.
     remembered: usize,
     untold: SentPrompts,
-    heat: HashMap<u64, Heat>,
-    heat_slice: u64,
-    all_sends: Heat,
+    part_sends: HashMap<u64, SendRate>,
+    /// The slice in which parts were last looked through for those that nobody sends any more.
+    counted_slice: u64,
+    all_sends: SendRate,
 }
 
 /// What is believed of servers' caches.
@@ -75,14 +77,6 @@
     }
 }
 
-/// How often something was sent lately, by all routers.
-#[derive(Clone, Copy, Debug, Default)]
-struct Heat {
-    slice: u64,
-    count: u32,
-    before: u32,
-}
-
 impl WarmParts {
     /// The most parts that are remembered, which bounds their memory.
     const MAX_ENTRIES: usize = 20_000;
@@ -95,19 +89,24 @@
     /// Believes by these settings from now on.
     pub fn set_settings(&mut self, settings: WarmSettings) {
         self.settings = settings;
-        let capacities = std::mem::take(&mut self.capacities);
-        self.set_capacities(capacities);
+        self.use_capacities();
     }
 
     /// Sets the tokens that fit into the memory of each listed engine. What others hold is still
     /// believed for its time: an entry that lapsed while the store was away comes back.
-    pub fn set_capacities(&mut self, capacities: HashMap<Incarnation, u64>) {
+    pub fn set_capacities(&mut self, capacities: HashMap<Incarnation, u64>, now_ms: u64) {
         self.capacities = capacities;
-        let is_listed = |server: &Incarnation| self.capacities.contains_key(server);
-        self.caches
-            .retain(|server, cache| cache.len() > 0 || is_listed(server));
+        let oldest_ms = now_ms.saturating_sub(self.settings.keep_ms);
+        self.caches.retain(|server, cache| {
+            self.capacities.contains_key(server) || !cache.is_idle_since(oldest_ms)
+        });
+        self.remembered = self.caches.values().map(ServerCache::len).sum();
+        self.use_capacities();
+    }
+
+    fn use_capacities(&mut self) {
         for (server, cache) in &mut self.caches {
-            if is_listed(server) {
+            if self.capacities.contains_key(server) {
                 cache.set_capacity(believed(&self.settings, &self.capacities, *server));
             }
         }
@@ -199,23 +198,23 @@
 
     /// The share of all requests that come with a part, as far as it is told.
     pub fn share_of_sends(&self, part: u64, now_ms: u64) -> f64 {
-        let Some(heat) = self.heat.get(&part) else {
+        let Some(sends) = self.part_sends.get(&part) else {
             return 0.0;
         };
         let all = self.all_sends.per_s(now_ms);
         match all > 0.0 {
-            true => (heat.per_s(now_ms) / all).min(1.0),
+            true => (sends.per_s(now_ms) / all).min(1.0),
             false => 0.0,
         }
     }
 
     fn count(&mut self, part: u64, now_ms: u64) {
-        let slice = now_ms / Heat::SLICE_MS;
-        if slice != self.heat_slice {
-            self.heat_slice = slice;
-            self.heat.retain(|_, heat| heat.slice + 1 >= slice);
+        let slice = SendRate::slice(now_ms);
+        if slice != self.counted_slice {
+            self.counted_slice = slice;
+            self.part_sends.retain(|_, sends| sends.is_recent(now_ms));
         }
-        self.heat.entry(part).or_default().count(1, now_ms);
+        self.part_sends.entry(part).or_default().count(1, now_ms);
     }
 
     fn note_part(&mut self, server: Incarnation, part: PromptPart, now_ms: u64) {
@@ -271,39 +270,6 @@
     }
 }
 
-impl Heat {
-    /// The length of the slices in which sends are counted: long enough for beats to arrive and
-    /// for a rate of one in two seconds to show.
-    const SLICE_MS: u64 = 2_000;
-
-    fn count(&mut self, sends: u32, now_ms: u64) {
-        let slice = now_ms / Self::SLICE_MS;
-        if self.slice != slice {
-            self.before = match self.slice + 1 == slice {
-                true => self.count,
-                false => 0,
-            };
-            self.slice = slice;
-            self.count = 0;
-        }
-        self.count = self.count.saturating_add(sends);
-    }
-
-    fn per_s(&self, now_ms: u64) -> f64 {
-        let slice = now_ms / Self::SLICE_MS;
-        let since_ms = (now_ms % Self::SLICE_MS) as f64;
-        let (count, before) = match slice - self.slice.min(slice) {
-            0 => (self.count, self.before),
-            1 => (0, self.count),
-            _ => return 0.0,
-        };
-        // The part of the slice before that still lies within one length.
-        let kept = 1.0 - since_ms / Self::SLICE_MS as f64;
-        let sends = f64::from(count) + f64::from(before) * kept;
-        sends * 1_000.0 / Self::SLICE_MS as f64
-    }
-}
-
 impl SentPart {
     fn prompt_part(&self) -> PromptPart {
         PromptPart {
--- a/crates/sapphiretrack-routing/tests/retry_share.rs
+++ b/crates/sapphiretrack-routing/tests/retry_share.rs
@@ -79,16 +79,16 @@
 fn a_full_service_gets_no_second_attempts_until_it_had_room_for_a_while() {
     let mut share = RetryShare::new(SETTINGS);
     assert!(!share.is_full("s", 100_000));
-    share.note_full("s", 100_000);
+    assert!(share.note_full("s", 100_000), "it was not full before");
     assert!(share.is_full("s", 100_999));
     assert!(!share.is_full("other", 100_500), "another service has room");
-    share.note_full("s", 100_900);
+    assert!(!share.note_full("s", 100_900), "told once while it lasts");
     assert!(share.is_full("s", 101_899), "the last refusal counts");
     assert!(!share.is_full("s", 101_900));
     let mut never = RetryShare::new(RetrySettings {
         full_ms: 0,
         ..SETTINGS
     });
-    never.note_full("s", 100_000);
+    assert!(!never.note_full("s", 100_000));
     assert!(!never.is_full("s", 100_000));
 }
--- a/crates/sapphiretrack-routing/tests/server_memory.rs
+++ b/crates/sapphiretrack-routing/tests/server_memory.rs
@@ -17,7 +17,7 @@
 fn beliefs(settings: WarmSettings) -> WarmParts {
     let mut warm = WarmParts::default();
     warm.set_settings(settings);
-    warm.set_capacities(HashMap::from([(ENGINE, MEMORY_TOKENS)]));
+    warm.set_capacities(HashMap::from([(ENGINE, MEMORY_TOKENS)]), 0);
     warm
 }
 
@@ -86,7 +86,7 @@
         warm.note_sent(ENGINE, &prompt_of(&[part(id)]), 10_000 + id * 300);
     }
     assert_eq!(held(&warm, 0..9, 13_000).len(), 9);
-    warm.set_capacities(HashMap::from([(ENGINE, MEMORY_TOKENS / 2)]));
+    warm.set_capacities(HashMap::from([(ENGINE, MEMORY_TOKENS / 2)]), 13_000);
     assert!(held(&warm, 0..9, 13_000).len() <= 5);
 }
 
@@ -115,3 +115,15 @@
     assert!(told.private.len() <= 64, "{} servers", told.private.len());
     assert_eq!((told.private[0].tokens, told.private[0].requests), (200, 2));
 }
+
+/// The load: servers that are replaced one after the other all day.
+#[test]
+fn servers_that_are_gone_are_forgotten_after_a_while_and_not_at_once() {
+    let mut warm = beliefs(WarmSettings::default());
+    warm.note_sent(ENGINE, &prompt_of(&[part(1)]), 10_000);
+    warm.set_capacities(HashMap::new(), 12_000);
+    assert_eq!(held(&warm, 1..2, 12_000), [1], "its entry may come back");
+    warm.set_capacities(HashMap::new(), 50_000);
+    warm.set_capacities(HashMap::from([(ENGINE, MEMORY_TOKENS)]), 50_000);
+    assert_eq!(warm.newest(10, 12_000), [], "nothing is kept of it");
+}
