--- a/crates/sapphiretrack-routing/src/server_cache.rs
+++ b/crates/sapphiretrack-routing/src/server_cache.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use foldhash::fast::RandomState;
+
 /// A model of the memory of one engine, which drops what was used longest ago.
 ///
 /// Tokens are counted by the slice of time of their last use. From the newest slice backwards they
@@ -9,7 +11,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServerCache {
     capacity_tokens: u64,
-    parts: HashMap<u64, HeldPart>,
+    parts: HashMap<u64, HeldPart, RandomState>,
     /// Tokens by the slice of their last use; the newest slice is the last.
     slices: VecDeque<u64>,
     newest_slice: u64,
--- a/crates/sapphiretrack-routing/src/warmth.rs
+++ b/crates/sapphiretrack-routing/src/warmth.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use foldhash::fast::RandomState;
 use serde::{Deserialize, Serialize};
 
 use crate::send_rate::SendRate;
@@ -44,7 +45,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct WarmParts {
     settings: WarmSettings,
-    caches: HashMap<Incarnation, ServerCache>,
+    /// Looked up for each server at each choice, hence the quick hash.
+    caches: HashMap<Incarnation, ServerCache, RandomState>,
     /// The memory of each engine, as the operator states it.
     capacities: HashMap<Incarnation, u64>,
     /// Parts in all caches.
