--- a/crates/sapphiretrack-router/src/peer_listings.rs
+++ b/crates/sapphiretrack-router/src/peer_listings.rs
@@ -41,13 +41,10 @@
         let fetched = fetch(&self.shared, holder.address, self.listing, after).await;
         let now_ms = Clock.now_ms();
         let draw = rand::rng().random();
-        let outcome = fetched
-            .as_ref()
-            .map(|snapshot| (snapshot.version, snapshot.records()));
         self.shared
-            .note_fetch(self.listing, holder.address, sent_ms, outcome);
+            .note_fetch(self.listing, holder.address, sent_ms, fetched.as_ref());
         let snapshot = match fetched {
-            Ok(snapshot) => snapshot,
+            Ok(fetched) => fetched.snapshot,
             Err(FetchError::Busy { served }) => {
                 self.note_named(served);
                 self.source.note_peer_busy(draw, now_ms);
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -21,7 +21,7 @@
 use crate::ports::{Listing, StoreError};
 use crate::server_pool::ServerPool;
 use crate::settings::RouterSettings;
-use crate::snapshots::FetchError;
+use crate::snapshots::{FetchError, Fetched};
 use crate::watch::CallReason;
 
 /// Backend servers by service, as the traffic thread reads them.
@@ -352,24 +352,25 @@
         }
     }
 
-    /// Logs a listing that was read from another router: when it was asked, and the version.
+    /// Logs a listing that was read from another router: when it was asked, and what came.
     pub(crate) fn note_fetch(
         &self,
         listing: Listing,
         peer: SocketAddr,
         sent_ms: u64,
-        outcome: Result<(u64, usize), &FetchError>,
+        outcome: Result<&Fetched, &FetchError>,
     ) {
         let listing = listing.as_str();
         let took_ms = Clock.now_ms().saturating_sub(sent_ms);
         match outcome {
-            Ok((version, records)) => note!(
+            Ok(fetched) => note!(
                 Event::LISTING_FETCHED,
                 listing = listing,
                 peer = peer,
                 took_ms = took_ms,
-                version = version,
-                records = records,
+                version = fetched.snapshot.version,
+                records = fetched.snapshot.records(),
+                bytes = fetched.bytes,
             ),
             Err(error) => note!(
                 Event::LISTING_NOT_FETCHED,
--- a/crates/sapphiretrack-router/src/snapshots.rs
+++ b/crates/sapphiretrack-router/src/snapshots.rs
@@ -201,13 +201,22 @@
     }
 }
 
+/// What one read of another router brought.
+#[derive(Clone, Debug)]
+pub(crate) struct Fetched {
+    /// The listing, or changes of it.
+    pub(crate) snapshot: Snapshot,
+    /// How long it was on the wire.
+    pub(crate) bytes: usize,
+}
+
 /// Reads a listing from another router, or its changes after a version.
 pub(crate) async fn fetch(
     shared: &Shared,
     peer: SocketAddr,
     listing: Listing,
     after: Option<u64>,
-) -> Result<Snapshot, FetchError> {
+) -> Result<Fetched, FetchError> {
     let query = {
         let settings = shared.settings();
         let reader = Some(ListingReader {
@@ -239,7 +248,10 @@
     if status != StatusCode::OK {
         return Err(FetchError::Refused { status });
     }
-    bincode::deserialize(&body).context(UnreadableSnafu)
+    Ok(Fetched {
+        snapshot: bincode::deserialize(&body).context(UnreadableSnafu)?,
+        bytes: body.len(),
+    })
 }
 
 /// Serves this router's listings to the others until the process ends.
