Read listings for as long as they arrive

Two routers served a request by a version that had been replaced for over 3 s.

Cause: a read of a listing ended after 500 ms (another router) or 600 ms (the store), whatever its length. Above the length that a link carries in that time no read ever succeeds, and the abandoned bytes fill the links that the next tries need. Class: a fixed time limit on work whose size grows.

Change: a call has limits for the head, for each pause between two pieces of the body, and a wide one for the whole. A silent side is still left at the first two. The test of an answer that never ends now expects the limit of the pause (400 ms), which is shorter than the limit of the whole that it expected before (600 ms).

Why it works: a transfer that moves is never thrown away, so each one adds a router that serves the next. Not mended by this: each change still costs the whole configuration at each router.

--- a/crates/sapphiretrack-router/src/http_call.rs
+++ b/crates/sapphiretrack-router/src/http_call.rs
@@ -1,11 +1,13 @@
 //! One HTTP connection for calls that wait for each other, as to the platform's store.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use snafu::{ResultExt, Snafu};
 use tokio::sync::Mutex;
@@ -58,7 +60,10 @@
 pub struct CallLimits {
     /// Until the head of the answer.
     pub head_ms: u64,
-    /// Until the end of the answer.
+    /// From the head, or from a piece of the body, to the next piece. An answer that arrives is not cut
+    /// off for its length.
+    pub pause_ms: u64,
+    /// Until the end of the answer, however steadily it arrives.
     pub whole_ms: u64,
 }
 
@@ -80,6 +85,7 @@
     ) -> Result<(StatusCode, Bytes), CallError> {
         let limits = CallLimits {
             head_ms: limit_ms,
+            pause_ms: limit_ms,
             whole_ms: limit_ms,
         };
         self.call_within(request, limits).await
@@ -105,12 +111,7 @@
             let sent = within(limits.head_ms, sender.send_request(request));
             let answer = sent.await?.context(BrokenSnafu)?;
             let (head, body) = answer.into_parts();
-            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|error| {
-                let reason = error.to_string();
-                CallError::Unreadable { reason }
-            })?;
-            Ok((head.status, body.to_bytes()))
+            Ok((head.status, read_body(body, limits.pause_ms).await?))
         };
         let answer = within(limits.whole_ms, exchange).await??;
         *connection = Some((sender, driver));
@@ -118,6 +119,21 @@
     }
 }
 
+async fn read_body(body: Incoming, pause_ms: u64) -> Result<Bytes, CallError> {
+    let mut body = pin!(Limited::new(body, MAX_ANSWER_BYTES));
+    let mut pieces = BytesMut::new();
+    while let Some(frame) = within(pause_ms, body.frame()).await? {
+        let frame = frame.map_err(|error| {
+            let reason = error.to_string();
+            CallError::Unreadable { reason }
+        })?;
+        if let Ok(piece) = frame.into_data() {
+            pieces.extend_from_slice(&piece);
+        }
+    }
+    Ok(pieces.freeze())
+}
+
 async fn within<Output, Work>(limit_ms: u64, work: Work) -> Result<Output, CallError>
 where
     Work: Future<Output = Output>,
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -90,8 +90,11 @@
     /// The age of the last proof at which the watchers seem lost and other routers probe the store:
     /// a watch, its way and a heartbeat, with a margin for one lost heartbeat.
     pub relay_ms: u64,
-    /// How much longer than its wait a call to the store may take.
+    /// How much longer than its wait the store may take to begin its answer, and to go on with it.
     pub store_slack_ms: u64,
+    /// How long an answer of the store may take that arrives steadily: it grows with what the store
+    /// lists, and links may be narrow.
+    pub store_answer_ms: u64,
     /// How long a registration may take. The store writes one after the other: those of a fleet
     /// that starts as a whole wait for each other.
     pub register_ms: u64,
@@ -113,6 +116,7 @@
             watch_ms: 1_000,
             relay_ms: 1_600,
             store_slack_ms: 600,
+            store_answer_ms: 10_000,
             register_ms: 2_000,
             change_pause_ms: 200,
             store_retry_ms: 100,
--- a/crates/sapphiretrack-router/src/snapshots.rs
+++ b/crates/sapphiretrack-router/src/snapshots.rs
@@ -29,15 +29,17 @@
 use crate::ports::{Listing, Record};
 use crate::shared::Shared;
 
-/// How long a listing may take.
-const FETCH_MS: u64 = 500;
+/// How long a listing may take: links may be narrow, and a listing grows with what it lists.
+const FETCH_MS: u64 = 3_000;
+/// How long no byte of it may come.
+const FETCH_PAUSE_MS: u64 = 300;
 /// How long its first bytes may take: a router that many ask at once may answer none of them in time,
 /// while others have the listing by then.
 const FIRST_BYTES_MS: u64 = 150;
 /// How long a connection may take: the other router is in the same region.
 const CONNECT_MS: u64 = 200;
 /// How long a reader may be slow.
-const SERVE: Duration = Duration::from_secs(2);
+const SERVE: Duration = Duration::from_millis(CONNECT_MS + FETCH_MS);
 /// Kibibytes that are served at a time. Readers that find no room ask another router, so that a
 /// large listing spreads by doubling instead of through one link.
 const SERVED_KIB: usize = 64;
@@ -233,6 +235,7 @@
     let caller = HttpCaller::new(peer, CONNECT_MS);
     let limits = CallLimits {
         head_ms: FIRST_BYTES_MS,
+        pause_ms: FETCH_PAUSE_MS,
         whole_ms: FETCH_MS,
     };
     let answer = caller.call_within(request, limits).await;
--- a/crates/sapphiretrack-router/tests/http_call.rs
+++ b/crates/sapphiretrack-router/tests/http_call.rs
@@ -11,7 +11,8 @@
 
 const LIMITS: CallLimits = CallLimits {
     head_ms: 150,
-    whole_ms: 600,
+    pause_ms: 400,
+    whole_ms: 2_000,
 };
 
 /// A server that sends these pieces, each after a pause, and then nothing more.
@@ -72,7 +73,35 @@
     let caller = caller_of(pieces).await;
     let error = call(&caller).await.expect_err("half an answer");
     assert!(
-        matches!(error, CallError::TooLate { limit_ms: 600 }),
+        matches!(error, CallError::TooLate { limit_ms: 400 }),
+        "{error}"
+    );
+}
+
+/// Guards against reads that are cut off although the answer arrives.
+#[tokio::test]
+async fn an_answer_that_arrives_steadily_is_read_to_its_end() {
+    let caller = caller_of(&[
+        (20, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nfour"),
+        (300, "more"),
+        (300, "more"),
+        (300, "more"),
+        (300, "more"),
+    ])
+    .await;
+    let (_, body) = call(&caller).await.expect("an answer");
+    assert_eq!(body.len(), 20);
+}
+
+#[tokio::test]
+async fn an_answer_that_trickles_is_given_up_in_the_end() {
+    let pieces: Vec<(u64, &'static str)> = (0..40).map(|_| (100, "a")).collect();
+    let head = (20, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n");
+    let pieces: Vec<(u64, &'static str)> = [vec![head], pieces].concat();
+    let caller = caller_of(Box::leak(pieces.into_boxed_slice())).await;
+    let error = call(&caller).await.expect_err("a part of an answer");
+    assert!(
+        matches!(error, CallError::TooLate { limit_ms: 2_000 }),
         "{error}"
     );
 }
