Refuse requests by a configuration known to be replaced

Cause: admission asked for a young proof on routes with keys only. A router that knew of a newer version and could not read it served open routes by the old one for as long as that lasted. Class: a bound on age that is no condition of the decision.

Ruled out as the way out: refusing by the age of the proof alone. While the store is away no router can know better, and open routes are served on.

Change: WatchState::is_usable. What is known here decides about a request if no newer version is known to exist, or if it was the newest less than the bound (ConfigMs) before the request came. Admission and each send ask it; a refusal says not run, with a time to come back. The bound counts from the last proof, which is older than the acceptance of any version that is missing. A configuration is now in force before its proof is noted, and requests look at the proof first: the proof of one version is never taken for another.

--- a/crates/sapphiretrack-router/src/admission.rs
+++ b/crates/sapphiretrack-router/src/admission.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use sapphiretrack_routing::{
-    Configuration, RequestFacts, Route, RouteError, RouterState, StopPhase, StopTimes, Tenant,
+    RequestFacts, Route, RouteError, RouterState, StopPhase, StopTimes, Tenant,
 };
 use tokio::time::{sleep, timeout};
 
@@ -19,7 +19,7 @@
 use crate::job::Job;
 use crate::ports::Interface;
 use crate::refusal::Refusal;
-use crate::shared::{InFlight, Shared};
+use crate::shared::{InFlight, InForce, Shared};
 
 /// How long after the start of the process requests wait until it is ready.
 const START_MS: u64 = 400;
@@ -46,16 +46,16 @@
         }
     }
     wait_for_start(shared).await;
-    let configuration = shared.configuration.load_full();
-    let configuration = configuration.ok_or_else(|| Refusal::elsewhere("no-configuration"))?;
-    let Admitted { route, tenant } = admit(shared, &configuration, &facts, head.uri.path())?;
+    let in_force = shared.in_force(arrived_ms);
+    let in_force = in_force.ok_or_else(|| Refusal::elsewhere("no-configuration"))?;
+    let Admitted { route, tenant } = admit(&in_force, &facts, head.uri.path())?;
     let route = route.clone();
     let tenant = tenant.cloned();
     let service = route.pick_target(rand::rng().random());
     let Some(service) = service.map(str::to_owned) else {
         return Err(Refusal::elsewhere("route-without-service"));
     };
-    let limit = configuration.limits.body_bytes;
+    let limit = in_force.configuration.limits.body_bytes;
     let too_large = || Refusal::final_status(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large");
     let expected = body.size_hint().exact().map_or(0, |bytes| bytes as usize);
     if expected > limit {
@@ -126,14 +126,21 @@
 /// The route of a request and its tenant, by the configuration in force.
 ///
 /// A router that does not know whether its configuration is the newest denies nothing and lets
-/// no key through: both could be wrong. It says that the request has not run.
+/// no key through: both could be wrong. One that knows of a newer configuration handles no request that
+/// may have to follow it. Both say that the request has not run.
 pub(crate) fn admit<'a>(
-    shared: &Shared,
-    configuration: &'a Configuration,
+    in_force: &'a InForce,
     facts: &RequestFacts,
     path: &str,
 ) -> Result<Admitted<'a>, Refusal> {
-    let fresh = shared.keys_are_fresh();
+    let InForce {
+        configuration,
+        has_fresh_keys: fresh,
+        is_usable,
+    } = in_force;
+    if !is_usable {
+        return Err(Refusal::elsewhere("configuration-replaced"));
+    }
     let Some(route) = configuration.route(&facts.host, path) else {
         return Err(match fresh {
             true => Refusal::final_status(StatusCode::NOT_FOUND, "no-route"),
--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -28,12 +28,9 @@
             continue;
         };
         let changed = !update.records.is_empty();
-        for record in update.records {
-            match record {
-                Record::Configuration(newest) => take_configuration(&shared, newest),
-                other => note_useless(&other),
-            }
-        }
+        let useless = update.records.iter();
+        let useless = useless.filter(|record| !matches!(record, Record::Configuration(_)));
+        useless.for_each(note_useless);
         let now_ready = shared.state();
         if ready != Some(now_ready) {
             ready = Some(now_ready);
@@ -46,7 +43,7 @@
 }
 
 /// Puts a configuration into force unless a newer one is.
-fn take_configuration(shared: &Shared, newest: Arc<Configuration>) {
+pub(crate) fn take_configuration(shared: &Shared, newest: &Arc<Configuration>) {
     let current = shared.configuration.load();
     let in_force = current.as_ref().map_or(0, |one| one.version);
     if newest.version <= in_force {
@@ -64,7 +61,7 @@
         version = newest.version,
         before = in_force
     );
-    shared.configuration.store(Some(newest));
+    shared.configuration.store(Some(newest.clone()));
     note_memory(shared);
 }
 
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -76,14 +76,14 @@
     /// Checks again, right before a send, what may have changed since the request came: its route
     /// and its key.
     fn check_again(&self) -> Result<Arc<Configuration>, Refusal> {
-        let configuration = self.shared.configuration.load_full();
-        let configuration = configuration.ok_or_else(|| Refusal::elsewhere("no-configuration"))?;
-        let admitted = admit(&self.shared, &configuration, &self.facts, self.uri.path())?;
+        let in_force = self.shared.in_force(self.arrived_ms);
+        let in_force = in_force.ok_or_else(|| Refusal::elsewhere("no-configuration"))?;
+        let admitted = admit(&in_force, &self.facts, self.uri.path())?;
         let mut targets = admitted.route.targets.iter();
         if !targets.any(|target| target.service == self.service) {
             return Err(Refusal::elsewhere("route-moved"));
         }
-        Ok(configuration)
+        Ok(in_force.configuration)
     }
 
     /// Sends the request until a server answers it, or no further attempt is allowed.
--- a/crates/sapphiretrack-router/src/peer_listings.rs
+++ b/crates/sapphiretrack-router/src/peer_listings.rs
@@ -68,15 +68,18 @@
     /// The records of another router's listing, and whether they are all there are; none if they
     /// bring nothing newer.
     fn apply(&mut self, snapshot: Snapshot, now_ms: u64) -> Option<(Vec<Record>, bool)> {
-        let mut state = self.watch().state();
         let Some(changes) = snapshot.changes() else {
-            if !state.note_snapshot(snapshot.version, &snapshot.advert, now_ms) {
+            let (version, advert) = (snapshot.version, snapshot.advert);
+            let records = snapshot.into_records();
+            self.put_in_force(&records);
+            let is_newer = self.watch().state().note_snapshot(version, &advert, now_ms);
+            if !is_newer {
                 return None;
             }
-            drop(state);
             self.clear_log();
-            return Some((snapshot.into_records(), true));
+            return Some((records, true));
         };
+        let mut state = self.watch().state();
         if !state.note_changes(changes.after, changes.version) {
             return None;
         }
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -30,6 +30,9 @@
     pub metrics_address: Option<SocketAddr>,
     /// How long after its removal was accepted a key may still be used, by the operators' contract.
     pub key_bound_ms: u64,
+    /// How long after a newer one was accepted a configuration may still decide about requests, by the
+    /// operators' contract.
+    pub configuration_bound_ms: u64,
     /// The longest time that callers may keep a lookup.
     pub lookup_ttl_s: u64,
     /// The time from a stop signal to the kill.
@@ -140,6 +143,7 @@
             peer_address: any_port,
             metrics_address: None,
             key_bound_ms: 5_000,
+            configuration_bound_ms: 2_000,
             lookup_ttl_s: 5,
             grace_ms: 8_000,
             is_first_start: false,
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -120,6 +120,15 @@
     }
 }
 
+/// The configuration in force, and what it may be used for.
+pub(crate) struct InForce {
+    pub(crate) configuration: Arc<Configuration>,
+    /// Whether its keys may be believed now.
+    pub(crate) has_fresh_keys: bool,
+    /// Whether it may decide about a request that came at a given time.
+    pub(crate) is_usable: bool,
+}
+
 /// A request that this router has, until it is dropped.
 pub(crate) struct InFlight(Arc<Shared>);
 
@@ -400,6 +409,26 @@
             .is_some_and(|age| age < limit_ms)
     }
 
+    /// The configuration in force for a request that came at a time; none before the first.
+    pub(crate) fn in_force(&self, arrived_ms: u64) -> Option<InForce> {
+        // A configuration is in force before its proof is noted: looked at in this order, a proof is
+        // never taken for an older configuration than its own.
+        let has_fresh_keys = self.keys_are_fresh();
+        let is_usable = self.configuration_is_usable(arrived_ms);
+        Some(InForce {
+            configuration: self.configuration.load_full()?,
+            has_fresh_keys,
+            is_usable,
+        })
+    }
+
+    /// Whether the configuration in force may decide about a request that came at a time.
+    pub(crate) fn configuration_is_usable(&self, arrived_ms: u64) -> bool {
+        let bound_ms = self.settings().configuration_bound_ms;
+        let state = self.configuration_watch.state();
+        state.is_usable(arrived_ms, bound_ms)
+    }
+
     /// The state that this router advertises.
     pub(crate) fn state(&self) -> RouterState {
         if self.leaving_for_ms().is_some() {
@@ -412,10 +441,13 @@
     }
 
     /// Whether it serves requests that need no key: those wait for no proof that the
-    /// configuration is the newest.
+    /// configuration is the newest, as long as no newer one is known.
     pub(crate) fn serves_open_routes(&self) -> bool {
         let known = self.servers_known.load(Ordering::Relaxed);
-        known && self.configuration.load().is_some() && self.leaving_for_ms().is_none()
+        known
+            && self.configuration.load().is_some()
+            && self.configuration_is_usable(Clock.now_ms())
+            && self.leaving_for_ms().is_none()
     }
 
     /// How long ago this process started.
--- a/crates/sapphiretrack-router/src/watch.rs
+++ b/crates/sapphiretrack-router/src/watch.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::control::take_configuration;
 use crate::events::{Event, note};
 use crate::ports::{Listing, Record, StoreAnswer, StoreError, StorePort};
 use crate::shared::{Shared, SharedWatch};
@@ -238,6 +239,7 @@
         let had_failed = self.failures > 0;
         self.failures = 0;
         self.source.reset();
+        self.put_in_force(&answer.records);
         let outage_ms = self.watch().state().note_answer(&WatchAnswer {
             is_whole,
             sent_ms,
@@ -267,6 +269,15 @@
         }
     }
 
+    /// Puts a configuration into force, before its proof is noted.
+    pub(crate) fn put_in_force(&self, records: &[Record]) {
+        for record in records {
+            if let Record::Configuration(newest) = record {
+                take_configuration(&self.shared, newest);
+            }
+        }
+    }
+
     /// Keeps changes of the backend servers for the other routers, which need not ask then.
     fn pass_on(&self, after: u64, answer: &StoreAnswer) {
         let changes = answer.records.iter().filter_map(|record| match record {
--- a/crates/sapphiretrack-routing/src/watch_state.rs
+++ b/crates/sapphiretrack-routing/src/watch_state.rs
@@ -96,10 +96,10 @@
             .advert
             .recovered_store_ms
             .max(advert.recovered_store_ms);
+        self.advertised_version = self.advertised_version.max(advert.changed_version);
         let Some(version) = self.version else {
             return advert.proven_store_ms.is_some();
         };
-        self.advertised_version = self.advertised_version.max(advert.changed_version);
         if advert.changed_version > version {
             return true;
         }
@@ -171,7 +171,15 @@
 
     /// The version that another router must have to be of use here.
     pub fn wanted_version(&self) -> u64 {
-        self.advertised_version
+        match self.knows_any() {
+            true => self.advertised_version,
+            false => 0,
+        }
+    }
+
+    /// Whether it was ever known here, if not up to which version.
+    fn knows_any(&self) -> bool {
+        self.version.is_some() || self.advert.changed_version > 0
     }
 
     /// Forgets how far it is known: it will be listed anew.
@@ -190,6 +198,16 @@
             .is_some_and(|version| self.advertised_version > version)
     }
 
+    /// Whether what is known here may decide about something that happened at a time: nothing newer is
+    /// known to exist, or this was the newest less than `bound_ms` before.
+    ///
+    /// While nobody reaches the store nothing newer is known, and what is known here stays usable.
+    pub fn is_usable(&self, at_ms: u64, bound_ms: u64) -> bool {
+        let known = self.version.unwrap_or(self.advert.changed_version);
+        self.advertised_version <= known
+            || self.age_ms(at_ms).is_some_and(|age_ms| age_ms < bound_ms)
+    }
+
     /// What to advertise.
     pub fn advert(&self) -> ListingAdvert {
         self.advert
