Count a configuration read anew as changed at its record only

Cause: a whole listing counted as a change of its own version, since it does not show what was removed. The configuration is one record that is replaced, never removed. After a lost history the router that read it anew made all others believe that they lacked a change, and each read the whole configuration again.

--- a/crates/sapphiretrack-router/src/watch.rs
+++ b/crates/sapphiretrack-router/src/watch.rs
@@ -241,7 +241,8 @@
         self.source.reset();
         self.put_in_force(&answer.records);
         let outage_ms = self.watch().state().note_answer(&WatchAnswer {
-            is_whole,
+            // The configuration is one record that is replaced: no listing of it hides a removal.
+            may_hide_removals: is_whole && self.listing != Listing::Configuration,
             sent_ms,
             received_ms: now_ms,
             version: answer.version,
--- a/crates/sapphiretrack-routing/src/watch_state.rs
+++ b/crates/sapphiretrack-routing/src/watch_state.rs
@@ -35,8 +35,8 @@
 /// An answer of the store, as far as it tells how new a listing is.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchAnswer {
-    /// Whether it is the whole listing, which does not show what was removed before.
-    pub is_whole: bool,
+    /// Whether records may have been removed without a sign of it in the answer, as in a whole listing.
+    pub may_hide_removals: bool,
     /// When the call was sent.
     pub sent_ms: u64,
     /// When its answer came.
@@ -80,8 +80,8 @@
         self.freshness
             .note_answer(sent_ms, received_ms, answer.store_now_ms);
         self.version = Some(answer.version);
-        // A removal does not show in a whole listing: any version up to it may be the last change.
-        let changed = match answer.is_whole {
+        // Any version up to it may be that of a removal.
+        let changed = match answer.may_hide_removals {
             true => answer.version,
             false => answer.changed_version.unwrap_or(0),
         };
--- a/crates/sapphiretrack-routing/tests/messages.rs
+++ b/crates/sapphiretrack-routing/tests/messages.rs
@@ -26,7 +26,7 @@
     fn new() -> Self {
         let mut receiver = Self::default();
         receiver.watch.note_answer(&WatchAnswer {
-            is_whole: true,
+            may_hide_removals: true,
             sent_ms: 900,
             received_ms: 910,
             version: 5,
--- a/crates/sapphiretrack-routing/tests/watch_state.rs
+++ b/crates/sapphiretrack-routing/tests/watch_state.rs
@@ -22,7 +22,7 @@
         let changed =
             changes.find(|(version, _, removed)| *version > after && !(is_whole && *removed));
         WatchAnswer {
-            is_whole,
+            may_hide_removals: is_whole,
             sent_ms: local_ms - 2,
             received_ms: local_ms + 2,
             version: self.version(),
@@ -84,7 +84,7 @@
     let mut watcher = WatchState::default();
     let mut other = WatchState::default();
     let answer = WatchAnswer {
-        is_whole: false,
+        may_hide_removals: false,
         sent_ms: 100,
         received_ms: 104,
         version: 10,
@@ -94,7 +94,7 @@
     watcher.note_answer(&answer);
     other.note_answer(&answer);
     watcher.note_answer(&WatchAnswer {
-        is_whole: false,
+        may_hide_removals: false,
         sent_ms: 110,
         received_ms: 1_114,
         version: 12,
@@ -104,7 +104,7 @@
     assert!(!other.note_advert(&watcher.advert(), 1_120));
     assert!(other.age_ms(1_120).expect("known") < 20);
     watcher.note_answer(&WatchAnswer {
-        is_whole: false,
+        may_hide_removals: false,
         sent_ms: 1_120,
         received_ms: 1_500,
         version: 13,
@@ -141,7 +141,7 @@
 #[test]
 fn changes_count_after_the_last_one_though_the_store_moved_on_for_other_listings() {
     let answer = |version, changed_version| WatchAnswer {
-        is_whole: false,
+        may_hide_removals: false,
         sent_ms: 100,
         received_ms: 104,
         version,
@@ -165,7 +165,7 @@
 fn a_listing_of_another_router_claims_what_that_router_proved() {
     let mut holder = WatchState::default();
     holder.note_answer(&WatchAnswer {
-        is_whole: true,
+        may_hide_removals: true,
         sent_ms: 100,
         received_ms: 104,
         version: 10,
@@ -206,7 +206,7 @@
         "the listing itself is not known yet"
     );
     state.note_answer(&WatchAnswer {
-        is_whole: true,
+        may_hide_removals: true,
         sent_ms: 0,
         received_ms: 4,
         version: 10,
@@ -236,7 +236,7 @@
 #[test]
 fn the_store_was_not_away_while_others_reached_it() {
     let answer = |sent_ms, store_now_ms| WatchAnswer {
-        is_whole: false,
+        may_hide_removals: false,
         sent_ms,
         received_ms: sent_ms + 4,
         version: 10,
