Read changes of the configuration from routers, not all of it

Cause: each change of the configuration, also one that changes nothing but its number, made each router read all of it: 121 bytes a route, some 520 kB, on links of 10 Mbit/s, from routers that serve one such reader at a time. Class: a change that costs the state.

Ruled out: pushing changes through relays, as for backend servers. A relay of 30 mates would send 1,400 routes 30 times through its link of 10 Mbit/s at once, where datagrams are lost when a link is full. Reads spread by doubling over connections.

Change: each router keeps the latest changes that it put into force, keyed by the configuration's own version. A reader names the version that it has and is sent what leads on from it, and all if that is not known any more; both have one form, which groups routes by host and terms. Numbers take as many bytes as they need. Versions share the routes that did not change. An encoded answer is kept for 250 ms for all readers of the same version.

--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use sapphiretrack_routing::{Configuration, Incarnation, ServerChange, ServerEntry, ServerList};
+use sapphiretrack_routing::{
+    Configuration, ConfigurationChange, Incarnation, ServerChange, ServerEntry, ServerList,
+};
 
 use crate::clock::Clock;
 use crate::events::{Event, note};
@@ -61,6 +63,11 @@
         version = newest.version,
         before = in_force
     );
+    let change = match current.as_ref() {
+        Some(current) => ConfigurationChange::between(current, newest),
+        None => ConfigurationChange::between(&Configuration::default(), newest),
+    };
+    shared.configuration_log().note(change);
     shared.configuration.store(Some(newest.clone()));
     note_memory(shared);
 }
--- a/crates/sapphiretrack-router/src/peer_listings.rs
+++ b/crates/sapphiretrack-router/src/peer_listings.rs
@@ -70,7 +70,8 @@
     fn apply(&mut self, snapshot: Snapshot, now_ms: u64) -> Option<(Vec<Record>, bool)> {
         let Some(changes) = snapshot.changes() else {
             let (version, advert) = (snapshot.version, snapshot.advert);
-            let records = snapshot.into_records();
+            let in_force = self.shared.configuration.load();
+            let records = snapshot.into_records(in_force.as_ref())?;
             self.put_in_force(&records);
             let is_newer = self.watch().state().note_snapshot(version, &advert, now_ms);
             if !is_newer {
@@ -86,7 +87,7 @@
         state.note_advert(&snapshot.advert, now_ms);
         drop(state);
         self.shared.change_log().note(changes.clone());
-        Some((snapshot.into_records(), false))
+        Some((snapshot.into_records(None)?, false))
     }
 
     fn note_named(&mut self, served: Vec<SocketAddr>) {
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -8,9 +8,10 @@
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
-    ChangeLog, ChangesFragment, Configuration, Incarnation, LoadDigest, LoadsByServer, LogSampling,
-    PeerLoads, PeerTable, PrefixIndex, PrefixRecovery, RankKey, RetryShare, RouterState,
-    ServerChanges, ServerEntry, ServerHealth, ServerLoad, ServiceTime, WatchState,
+    ChangeLog, ChangesFragment, Configuration, ConfigurationLog, Incarnation, LoadDigest,
+    LoadsByServer, LogSampling, PeerLoads, PeerTable, PrefixIndex, PrefixRecovery, RankKey,
+    RetryShare, RouterState, ServerChanges, ServerEntry, ServerHealth, ServerLoad, ServiceTime,
+    WatchState,
 };
 use tokio::sync::{Notify, mpsc};
 
@@ -66,6 +67,8 @@
     relayed_queue: Mutex<Option<mpsc::Receiver<ChangesFragment>>>,
     /// The latest changes of servers, for routers that missed some.
     change_log: Mutex<ChangeLog>,
+    /// The same of the configuration.
+    configuration_log: Mutex<ConfigurationLog>,
     started_ms: u64,
     leaving_since_ms: AtomicU64,
     in_flight: AtomicUsize,
@@ -174,6 +177,7 @@
             relayed,
             relayed_queue: Mutex::new(Some(relayed_queue)),
             change_log: Mutex::default(),
+            configuration_log: Mutex::default(),
             log_sampling: Mutex::new(LogSampling::new(FULL_LOGS_PER_S)),
             started_ms: Clock.now_ms(),
             leaving_since_ms: AtomicU64::new(0),
@@ -327,6 +331,11 @@
         lock(&self.change_log)
     }
 
+    /// The latest changes of the configuration that were put into force here.
+    pub(crate) fn configuration_log(&self) -> MutexGuard<'_, ConfigurationLog> {
+        lock(&self.configuration_log)
+    }
+
     /// Whether the log tells a request in full.
     pub(crate) fn logs_in_full(&self, id: &str) -> bool {
         lock(&self.log_sampling).keeps(id, Clock.now_ms())
--- a/crates/sapphiretrack-router/src/snapshots.rs
+++ b/crates/sapphiretrack-router/src/snapshots.rs
@@ -1,10 +1,12 @@
 //! Whole listings between routers: one that lacks a change reads them from one that has it.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bincode::Options;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -13,8 +15,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sapphiretrack_routing::{
-    Configuration, ListingAdvert, ListingReader, ListingReaders, ServerChange, ServerChanges,
-    ServerEntry,
+    Configuration, ConfigurationChange, ListingAdvert, ListingReader, ListingReaders, ServerChange,
+    ServerChanges, ServerEntry,
 };
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -92,7 +94,8 @@
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
 enum Content {
-    Configuration(Option<Arc<Configuration>>),
+    /// What leads from the reader's configuration, or from none, to the newest.
+    Configuration(Vec<Arc<ConfigurationChange>>),
     Servers(Vec<Arc<ServerEntry>>),
     Changes(ServerChanges),
 }
@@ -100,8 +103,10 @@
 /// What a reader asks for, and who it is.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Query {
-    /// The version that the reader has.
+    /// The store's version that the reader has.
     after: Option<u64>,
+    /// The version of the configuration that is in force at the reader.
+    in_force: Option<u64>,
     reader: Option<ListingReader>,
 }
 
@@ -112,6 +117,9 @@
         if let Some(after) = self.after {
             text += &format!("after={after}&");
         }
+        if let Some(in_force) = self.in_force {
+            text += &format!("in_force={in_force}&");
+        }
         if let Some(reader) = &self.reader {
             let is_plain = |one: char| one.is_ascii_alphanumeric() || "-_.".contains(one);
             let zone = Some(&reader.zone).filter(|zone| zone.chars().all(is_plain));
@@ -122,10 +130,12 @@
     }
 
     fn parse(text: &str) -> Self {
-        let (mut after, mut zone, mut address) = (None, None, None);
+        let (mut after, mut in_force) = (None, None);
+        let (mut zone, mut address) = (None, None);
         for (name, value) in text.split('&').filter_map(|pair| pair.split_once('=')) {
             match name {
                 "after" => after = value.parse().ok(),
+                "in_force" => in_force = value.parse().ok(),
                 "zone" => zone = Some(value.to_owned()),
                 "address" => address = value.parse().ok(),
                 _ => {}
@@ -134,15 +144,19 @@
         let reader = zone
             .zip(address)
             .map(|(zone, address)| ListingReader { zone, address });
-        Self { after, reader }
+        Self {
+            after,
+            in_force,
+            reader,
+        }
     }
 }
 
 impl Snapshot {
-    /// This router's own, or the changes after a version where they are known; none before it
+    /// This router's own, or the changes after the reader's where they are known; none before it
     /// knows the listing.
-    fn take(shared: &Shared, listing: Listing, after: Option<u64>) -> Option<Self> {
-        let changes = after
+    fn take(shared: &Shared, listing: Listing, base: Option<u64>) -> Option<Self> {
+        let changes = base
             .filter(|_| listing == Listing::Servers)
             .and_then(|after| shared.change_log().since(after));
         if let Some(changes) = changes {
@@ -154,9 +168,15 @@
         }
         let (watch, content) = match listing {
             Listing::Configuration => {
-                let configuration = shared.configuration.load_full();
+                let configuration = shared.configuration.load_full()?;
+                let known = base.and_then(|base| shared.configuration_log().since(base));
+                let changes = known.unwrap_or_else(|| {
+                    let nothing = Configuration::default();
+                    let whole = ConfigurationChange::between(&nothing, &configuration);
+                    vec![Arc::new(whole)]
+                });
                 let watch = shared.configuration_watch();
-                (watch, Content::Configuration(configuration))
+                (watch, Content::Configuration(changes))
             }
             Listing::Servers => {
                 let servers = shared.present_servers.load().to_vec();
@@ -175,7 +195,7 @@
     /// How many records it holds.
     pub(crate) fn records(&self) -> usize {
         match &self.content {
-            Content::Configuration(one) => usize::from(one.is_some()),
+            Content::Configuration(changes) => changes.iter().map(|one| one.entries()).sum(),
             Content::Servers(servers) => servers.len(),
             Content::Changes(batch) => batch.changes.len(),
         }
@@ -189,20 +209,36 @@
         }
     }
 
-    /// Its records, as the store would list them.
-    pub(crate) fn into_records(self) -> Vec<Record> {
-        match self.content {
-            Content::Configuration(one) => one.map(Record::Configuration).into_iter().collect(),
+    /// Its records, as the store would list them, at a router where a configuration is in force; none if
+    /// it leads from another one.
+    pub(crate) fn into_records(self, in_force: Option<&Arc<Configuration>>) -> Option<Vec<Record>> {
+        let records = match self.content {
+            Content::Configuration(changes) => {
+                let mut newest = in_force.cloned().unwrap_or_default();
+                for change in changes {
+                    newest = match change.before {
+                        0 => Arc::new(change.apply(&Configuration::default())?),
+                        _ => Arc::new(change.apply(&newest)?),
+                    };
+                }
+                vec![Record::Configuration(newest)]
+            }
             Content::Servers(servers) => {
                 let entries = servers.into_iter().map(|entry| (*entry).clone());
                 let changes = entries.map(|entry| Record::Server(ServerChange::Entry(entry)));
                 changes.collect()
             }
             Content::Changes(batch) => batch.changes.into_iter().map(Record::Server).collect(),
-        }
+        };
+        Some(records)
     }
 }
 
+/// How listings are encoded: numbers take as many bytes as they need.
+fn encoding() -> impl bincode::Options {
+    bincode::DefaultOptions::new()
+}
+
 /// What one read of another router brought.
 #[derive(Clone, Debug)]
 pub(crate) struct Fetched {
@@ -225,7 +261,13 @@
             zone: settings.zone.clone(),
             address: settings.peer_address,
         });
-        Query { after, reader }.to_text()
+        let in_force = shared.configuration.load();
+        Query {
+            after,
+            in_force: in_force.as_ref().map(|one| one.version),
+            reader,
+        }
+        .to_text()
     };
     let request = Request::builder()
         .uri(format!("{PATH_START}{}?{query}", listing.as_str()))
@@ -241,7 +283,7 @@
     let answer = caller.call_within(request, limits).await;
     let (status, body) = answer.context(CallSnafu)?;
     if status == StatusCode::TOO_MANY_REQUESTS {
-        let served = bincode::deserialize(&body).context(UnreadableSnafu)?;
+        let served = encoding().deserialize(&body).context(UnreadableSnafu)?;
         return Err(FetchError::Busy { served });
     }
     if status == StatusCode::SERVICE_UNAVAILABLE {
@@ -252,7 +294,7 @@
         return Err(FetchError::Refused { status });
     }
     Ok(Fetched {
-        snapshot: bincode::deserialize(&body).context(UnreadableSnafu)?,
+        snapshot: encoding().deserialize(&body).context(UnreadableSnafu)?,
         bytes: body.len(),
     })
 }
@@ -304,7 +346,7 @@
         match self {
             Self::Status(status) => status_answer(status),
             Self::Busy(named) => {
-                let body = bincode::serialize(&named).unwrap_or_default();
+                let body = encoding().serialize(&named).unwrap_or_default();
                 let mut answer = Response::new(Full::new(Bytes::from(body)));
                 *answer.status_mut() = StatusCode::TOO_MANY_REQUESTS;
                 answer
@@ -318,13 +360,15 @@
 struct SnapshotServer {
     room: Arc<Semaphore>,
     readers: ListingReaders,
-    /// Whole listings as they were sent last, so that many readers at once cost little.
-    encoded: Vec<EncodedListing>,
+    /// Listings as they were sent last, so that many readers at once cost little; the latest one last.
+    encoded: VecDeque<EncodedListing>,
 }
 
 #[derive(Debug)]
 struct EncodedListing {
     listing: Listing,
+    /// The version from which it leads; none if it is whole.
+    base: Option<u64>,
     version: u64,
     encoded_ms: u64,
     body: Bytes,
@@ -333,12 +377,14 @@
 impl SnapshotServer {
     /// How long an encoded listing is sent again: what it says of its freshness gets older.
     const ENCODED_MS: u64 = 250;
+    /// The most that are kept.
+    const MAX_ENCODED: usize = 8;
 
     fn new() -> Self {
         Self {
             room: Arc::new(Semaphore::new(SERVED_KIB)),
             readers: ListingReaders::default(),
-            encoded: Vec::new(),
+            encoded: VecDeque::new(),
         }
     }
 
@@ -352,8 +398,9 @@
         let listings = [Listing::Configuration, Listing::Servers];
         let listing = listings.into_iter().find(|one| name == Some(one.as_str()));
         let listing = listing.ok_or(Refusal::Status(StatusCode::NOT_FOUND))?;
-        let Query { after, reader } = Query::parse(request.uri().query().unwrap_or_default());
-        let body = self.encode(shared, listing, after)?;
+        let query = Query::parse(request.uri().query().unwrap_or_default());
+        let body = self.encode(shared, listing, &query)?;
+        let reader = query.reader;
         let kib = body.len().div_ceil(1_024).clamp(1, SERVED_KIB);
         let permit = self.room.clone().try_acquire_many_owned(kib as u32);
         let permit = permit.map_err(|_| {
@@ -370,35 +417,41 @@
         &mut self,
         shared: &Shared,
         listing: Listing,
-        after: Option<u64>,
+        query: &Query,
     ) -> Result<Bytes, Refusal> {
+        let version = shared.version_of(listing);
+        let version = version.ok_or(Refusal::Status(StatusCode::SERVICE_UNAVAILABLE))?;
+        if query.after.is_some_and(|after| version <= after) {
+            return Err(Refusal::Status(StatusCode::NOT_MODIFIED));
+        }
+        let base = match listing {
+            Listing::Configuration => query.in_force,
+            Listing::Servers | Listing::Routers => query.after,
+        };
         let now_ms = Clock.now_ms();
         self.encoded
             .retain(|one| now_ms < one.encoded_ms + Self::ENCODED_MS);
         let mut encoded = self.encoded.iter();
-        if after.is_none()
-            && let Some(known) = encoded.find(|one| one.listing == listing)
-            && shared.version_of(listing) == Some(known.version)
+        if let Some(known) =
+            encoded.find(|one| one.listing == listing && one.base == base && one.version == version)
         {
             return Ok(known.body.clone());
         }
-        let snapshot = Snapshot::take(shared, listing, after);
+        let snapshot = Snapshot::take(shared, listing, base);
         let snapshot = snapshot.ok_or(Refusal::Status(StatusCode::SERVICE_UNAVAILABLE))?;
-        if after.is_some_and(|after| snapshot.version <= after) {
-            return Err(Refusal::Status(StatusCode::NOT_MODIFIED));
-        }
-        let body = bincode::serialize(&snapshot);
+        let body = encoding().serialize(&snapshot);
         let body = body.map_err(|_| Refusal::Status(StatusCode::INTERNAL_SERVER_ERROR))?;
         let body = Bytes::from(body);
-        if snapshot.changes().is_none() {
-            self.encoded.retain(|one| one.listing != listing);
-            self.encoded.push(EncodedListing {
-                listing,
-                version: snapshot.version,
-                encoded_ms: now_ms,
-                body: body.clone(),
-            });
+        if self.encoded.len() == Self::MAX_ENCODED {
+            self.encoded.pop_front();
         }
+        self.encoded.push_back(EncodedListing {
+            listing,
+            base,
+            version,
+            encoded_ms: now_ms,
+            body: body.clone(),
+        });
         Ok(body)
     }
 }
--- a/crates/sapphiretrack-routing/src/configuration.rs
+++ b/crates/sapphiretrack-routing/src/configuration.rs
@@ -1,6 +1,7 @@
 //! The configuration in force: routes, services, limits of callers' connections, tenants' keys.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -32,7 +33,7 @@
 }
 
 /// A service that gets a share of a route's requests.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Target {
     /// The service's name.
     pub service: String,
@@ -77,7 +78,7 @@
 }
 
 /// A customer of the fleet.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Tenant {
     /// Its name, which backend servers are told.
     pub name: String,
@@ -86,16 +87,17 @@
 }
 
 /// All that operators decide, under one version that only rises.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     /// Its version.
     pub version: u64,
     /// Limits of callers' connections.
     pub limits: ClientLimits,
-    routes: HashMap<String, HashMap<String, Route>>,
-    services: HashMap<String, Service>,
-    tenants: Vec<Tenant>,
-    keys: HashMap<String, usize>,
+    /// By host and prefix; versions share the routes that did not change.
+    pub(crate) routes: HashMap<String, HashMap<String, Arc<Route>>>,
+    pub(crate) services: HashMap<String, Service>,
+    pub(crate) requires_keys: bool,
+    pub(crate) keys: HashMap<String, Arc<Tenant>>,
 }
 
 /// Why a request is not let through.
@@ -110,10 +112,10 @@
 impl Configuration {
     /// A configuration of these routes and services, still without tenants.
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>) -> Self {
-        let mut by_host: HashMap<String, HashMap<String, Route>> = HashMap::new();
+        let mut by_host: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
         for route in routes {
             let of_host = by_host.entry(route.host.clone()).or_default();
-            of_host.insert(route.prefix.clone(), route);
+            of_host.insert(route.prefix.clone(), Arc::new(route));
         }
         let services = services.into_iter();
         Self {
@@ -129,9 +131,10 @@
     where
         Keys: IntoIterator<Item = String>,
     {
-        let index = self.tenants.len();
-        self.tenants.push(tenant);
-        self.keys.extend(keys.into_iter().map(|key| (key, index)));
+        let tenant = Arc::new(tenant);
+        self.requires_keys = true;
+        let keys = keys.into_iter().map(|key| (key, tenant.clone()));
+        self.keys.extend(keys);
     }
 
     /// The route with the longest prefix that begins the path.
@@ -153,19 +156,19 @@
 
     /// The tenant of a key; none if no tenants are configured or the route needs no key.
     pub fn tenant(&self, route: &Route, key: Option<&str>) -> Result<Option<&Tenant>, RouteError> {
-        if self.tenants.is_empty() || route.anonymous {
+        if !self.needs_key(route) {
             return Ok(None);
         }
-        let index = key.and_then(|key| self.keys.get(key));
-        match index {
-            Some(&index) => Ok(Some(&self.tenants[index])),
+        let tenant = key.and_then(|key| self.keys.get(key));
+        match tenant {
+            Some(tenant) => Ok(Some(tenant)),
             None => Err(RouteError::UnknownKey),
         }
     }
 
     /// Whether requests on a route must show a key.
     pub fn needs_key(&self, route: &Route) -> bool {
-        !self.tenants.is_empty() && !route.anonymous
+        self.requires_keys && !route.anonymous
     }
 
     /// A service by name.
--- /dev/null
+++ b/crates/sapphiretrack-routing/src/configuration_change.rs
@@ -0,0 +1,269 @@
+//! Changes of the configuration between routers, so that a change costs what it changes.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ClientLimits, Configuration, RequestKind, Route, Service, Target, Tenant};
+
+/// What turns one configuration into a later one.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ConfigurationChange {
+    /// The version that it starts from; 0 is [`Configuration::default`].
+    pub before: u64,
+    /// The version that it leads to.
+    pub version: u64,
+    limits: ClientLimits,
+    requires_keys: bool,
+    /// Prefixes by host.
+    removed_routes: HashMap<String, Vec<String>>,
+    routes: Vec<RouteGroup>,
+    removed_services: Vec<String>,
+    services: Vec<Service>,
+    removed_keys: Vec<String>,
+    keys: Vec<KeyGroup>,
+}
+
+/// Routes of a host that differ in name and prefix only: thousands of routes share few terms.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct RouteGroup {
+    host: String,
+    terms: RouteTerms,
+    /// Prefix and name.
+    routes: Vec<(String, String)>,
+}
+
+/// What a route says besides its name, host and prefix.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+struct RouteTerms {
+    kind: RequestKind,
+    timeout_ms: u64,
+    objective_ms: u64,
+    priority: u8,
+    targets: Vec<Target>,
+    max_attempts: u32,
+    anonymous: bool,
+}
+
+/// Keys of a tenant.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct KeyGroup {
+    tenant: Arc<Tenant>,
+    keys: Vec<String>,
+}
+
+impl RouteTerms {
+    fn of(route: &Route) -> Self {
+        Self {
+            kind: route.kind,
+            timeout_ms: route.timeout_ms,
+            objective_ms: route.objective_ms,
+            priority: route.priority,
+            targets: route.targets.clone(),
+            max_attempts: route.max_attempts,
+            anonymous: route.anonymous,
+        }
+    }
+
+    fn route(&self, host: &str, prefix: String, name: String) -> Route {
+        let Self {
+            kind,
+            timeout_ms,
+            objective_ms,
+            priority,
+            ref targets,
+            max_attempts,
+            anonymous,
+        } = *self;
+        Route {
+            name,
+            host: host.to_owned(),
+            prefix,
+            kind,
+            timeout_ms,
+            objective_ms,
+            priority,
+            targets: targets.clone(),
+            max_attempts,
+            anonymous,
+        }
+    }
+}
+
+impl ConfigurationChange {
+    /// What turns `before` into `after`.
+    pub fn between(before: &Configuration, after: &Configuration) -> Self {
+        let removed_services = before.services.keys();
+        let removed_services = removed_services.filter(|name| !after.services.contains_key(*name));
+        let services = after.services.iter();
+        let services = services.filter(|(name, service)| before.service(name) != Some(service));
+        let removed_keys = before.keys.keys();
+        let removed_keys = removed_keys.filter(|key| !after.keys.contains_key(*key));
+        Self {
+            before: before.version,
+            version: after.version,
+            limits: after.limits.clone(),
+            requires_keys: after.requires_keys,
+            removed_routes: removed_routes(before, after),
+            routes: changed_routes(before, after),
+            removed_services: removed_services.cloned().collect(),
+            services: services.map(|(_, service)| service.clone()).collect(),
+            removed_keys: removed_keys.cloned().collect(),
+            keys: changed_keys(before, after),
+        }
+    }
+
+    /// How many routes, services and keys it names.
+    pub fn entries(&self) -> usize {
+        let removed_routes = self.removed_routes.values().map(Vec::len);
+        let routes = self.routes.iter().map(|group| group.routes.len());
+        let keys = self.keys.iter().map(|group| group.keys.len());
+        removed_routes.chain(routes).chain(keys).sum::<usize>()
+            + self.removed_services.len()
+            + self.services.len()
+            + self.removed_keys.len()
+    }
+
+    /// The configuration that it leads to; none from another version than its own.
+    pub fn apply(&self, before: &Configuration) -> Option<Configuration> {
+        if before.version != self.before {
+            return None;
+        }
+        let mut after = before.clone();
+        after.version = self.version;
+        after.limits = self.limits.clone();
+        after.requires_keys = self.requires_keys;
+        for (host, prefixes) in &self.removed_routes {
+            let Some(of_host) = after.routes.get_mut(host) else {
+                continue;
+            };
+            of_host.retain(|prefix, _| !prefixes.contains(prefix));
+            if of_host.is_empty() {
+                after.routes.remove(host);
+            }
+        }
+        for RouteGroup {
+            host,
+            terms,
+            routes,
+        } in &self.routes
+        {
+            let of_host = after.routes.entry(host.clone()).or_default();
+            let routes = routes.iter().map(|(prefix, name)| {
+                let route = terms.route(host, prefix.clone(), name.clone());
+                (prefix.clone(), Arc::new(route))
+            });
+            of_host.extend(routes);
+        }
+        for name in &self.removed_services {
+            after.services.remove(name);
+        }
+        let services = self.services.iter();
+        let services = services.map(|service| (service.name.clone(), service.clone()));
+        after.services.extend(services);
+        for key in &self.removed_keys {
+            after.keys.remove(key);
+        }
+        for KeyGroup { tenant, keys } in &self.keys {
+            let keys = keys.iter().map(|key| (key.clone(), tenant.clone()));
+            after.keys.extend(keys);
+        }
+        Some(after)
+    }
+}
+
+fn removed_routes(before: &Configuration, after: &Configuration) -> HashMap<String, Vec<String>> {
+    let removed = before.routes.iter().filter_map(|(host, routes)| {
+        let left = after.routes.get(host);
+        let is_gone = |prefix: &&String| left.is_none_or(|left| !left.contains_key(*prefix));
+        let gone: Vec<String> = routes.keys().filter(is_gone).cloned().collect();
+        (!gone.is_empty()).then(|| (host.clone(), gone))
+    });
+    removed.collect()
+}
+
+fn changed_routes(before: &Configuration, after: &Configuration) -> Vec<RouteGroup> {
+    let mut groups = Vec::new();
+    for (host, routes) in &after.routes {
+        let known = before.routes.get(host);
+        let changed = routes
+            .iter()
+            .filter(|(prefix, route)| known.and_then(|known| known.get(*prefix)) != Some(route));
+        let mut by_terms: HashMap<RouteTerms, Vec<(String, String)>> = HashMap::new();
+        for (prefix, route) in changed {
+            let of_terms = by_terms.entry(RouteTerms::of(route)).or_default();
+            of_terms.push((prefix.clone(), route.name.clone()));
+        }
+        let of_host = by_terms.into_iter().map(|(terms, routes)| RouteGroup {
+            host: host.clone(),
+            terms,
+            routes,
+        });
+        groups.extend(of_host);
+    }
+    groups
+}
+
+fn changed_keys(before: &Configuration, after: &Configuration) -> Vec<KeyGroup> {
+    let changed = after.keys.iter();
+    let changed = changed.filter(|(key, tenant)| before.keys.get(*key) != Some(tenant));
+    let mut by_tenant: HashMap<&Arc<Tenant>, Vec<String>> = HashMap::new();
+    for (key, tenant) in changed {
+        by_tenant.entry(tenant).or_default().push(key.clone());
+    }
+    let groups = by_tenant.into_iter().map(|(tenant, keys)| KeyGroup {
+        tenant: tenant.clone(),
+        keys,
+    });
+    groups.collect()
+}
+
+/// The latest changes of the configuration. A router that missed some reads only those.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigurationLog {
+    changes: VecDeque<Arc<ConfigurationChange>>,
+    entries: usize,
+}
+
+impl ConfigurationLog {
+    /// The most routes, services and keys that are kept.
+    pub const MAX_ENTRIES: usize = 8_192;
+    /// The most changes that are kept.
+    pub const MAX_CHANGES: usize = 256;
+
+    /// Adds a change that was put into force here.
+    pub fn note(&mut self, change: ConfigurationChange) {
+        if self
+            .version()
+            .is_some_and(|version| version != change.before)
+        {
+            self.changes.clear();
+            self.entries = 0;
+        }
+        self.entries += change.entries();
+        self.changes.push_back(Arc::new(change));
+        // The last change tells which version this router has, whatever its size.
+        while self.changes.len() > 1
+            && (self.entries > Self::MAX_ENTRIES || self.changes.len() > Self::MAX_CHANGES)
+        {
+            let oldest = self.changes.pop_front();
+            self.entries -= oldest.map_or(0, |oldest| oldest.entries());
+        }
+    }
+
+    /// All changes since a version, in their order; none if some are not known.
+    pub fn since(&self, version: u64) -> Option<Vec<Arc<ConfigurationChange>>> {
+        if self.version() == Some(version) {
+            return Some(Vec::new());
+        }
+        let mut changes = self.changes.iter();
+        let first = changes.position(|change| change.before == version)?;
+        Some(self.changes.range(first..).cloned().collect())
+    }
+
+    /// The version that the last change led to.
+    fn version(&self) -> Option<u64> {
+        self.changes.back().map(|change| change.version)
+    }
+}
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -3,6 +3,7 @@
 mod broadcast;
 mod change_log;
 mod configuration;
+mod configuration_change;
 mod discovery;
 mod event_stream;
 mod freshness;
@@ -28,6 +29,7 @@
 pub use broadcast::{BroadcastPlan, Recipient};
 pub use change_log::{ChangeLog, ChangesAssembly, ChangesFragment};
 pub use configuration::{ClientLimits, Configuration, Route, RouteError, Service, Target, Tenant};
+pub use configuration_change::{ConfigurationChange, ConfigurationLog};
 pub use discovery::sample_addresses;
 pub use event_stream::{EventSplitter, StreamEvent, StreamFault};
 pub use freshness::Freshness;
--- a/crates/sapphiretrack-routing/src/request.rs
+++ b/crates/sapphiretrack-routing/src/request.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// What may be done with a request whose attempt failed.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum RequestKind {
     /// A second run does no harm.
     Idempotent,
