Log a fingerprint of requests whose connection broke

Event 642 gains fingerprint where the connection ended before the answer: a hash of caller, method, host, path, query and body. Requests that come again have a new id each time; without it the log cannot tell a request that ends its servers from those that ran beside it. Computed on a break only.

--- a/crates/sapphiretrack-router/src/admission.rs
+++ b/crates/sapphiretrack-router/src/admission.rs
@@ -1,7 +1,7 @@
 //! Lets a request in or refuses it: route, key, body.
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use http::request::Parts;
@@ -100,6 +100,7 @@
         body,
         route,
         service,
+        fingerprint: OnceLock::new(),
         arrived_ms,
         ends_ms: arrived_ms + waits_ms,
         has_ended: AtomicBool::new(false),
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -51,6 +51,8 @@
     NotRun(&'static str),
     /// It may have run.
     MayHaveRun(&'static str),
+    /// Its connection ended before its answer; it may have run.
+    Broke(&'static str),
     /// No answer in the time that was left; it may have run.
     TimedOut(&'static str),
 }
@@ -64,27 +66,44 @@
             Self::NotSent(reason)
             | Self::NotRun(reason)
             | Self::MayHaveRun(reason)
+            | Self::Broke(reason)
             | Self::TimedOut(reason) => reason,
         }
     }
 
     /// Whether the request may have run.
     pub(crate) fn may_have_run(self) -> bool {
-        matches!(self, Self::MayHaveRun(_) | Self::TimedOut(_))
+        matches!(
+            self,
+            Self::MayHaveRun(_) | Self::Broke(_) | Self::TimedOut(_)
+        )
     }
 
     /// Counts the failure against its server and writes it to the log.
-    pub(crate) fn tell(self, id: &str, placed: &Placed) {
+    pub(crate) fn tell(self, job: &Job, placed: &Placed) {
         // A used-up share of connections says nothing about the server.
         if self != Self::NotSent("connections-used") {
             placed.note_outcome(true);
         }
+        let (id, server) = (&job.facts.id, &placed.server.id);
+        let (reason, may_have_run) = (self.as_str(), self.may_have_run());
+        if let Self::Broke(_) = self {
+            note!(
+                Event::ATTEMPT_FAILED,
+                id = id,
+                server = server,
+                reason = reason,
+                may_have_run = may_have_run,
+                fingerprint = job.fingerprint(),
+            );
+            return;
+        }
         note!(
             Event::ATTEMPT_FAILED,
             id = id,
-            server = placed.server.id,
-            reason = self.as_str(),
-            may_have_run = self.may_have_run(),
+            server = server,
+            reason = reason,
+            may_have_run = may_have_run,
         );
     }
 }
@@ -112,7 +131,7 @@
     )
     .await;
     if let Err((placed, failure)) = &result {
-        failure.tell(&job.facts.id, placed);
+        failure.tell(job, placed);
     }
     result.map_err(|(_, failure)| failure)
 }
@@ -204,7 +223,7 @@
                 }
                 let failure = match unsent {
                     true => AttemptFailure::NotSent("connection-closed"),
-                    false => AttemptFailure::MayHaveRun("connection-broke"),
+                    false => AttemptFailure::Broke("connection-broke"),
                 };
                 return Err((placed, failure));
             }
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -154,7 +154,9 @@
                 AttemptFailure::NoTimeLeft => return Err(failure),
                 AttemptFailure::Unplaced(_) | AttemptFailure::NotSent(_) => {}
                 AttemptFailure::NotRun(_) => attempts.offers += 1,
-                AttemptFailure::MayHaveRun(_) | AttemptFailure::TimedOut(_) => {
+                AttemptFailure::MayHaveRun(_)
+                | AttemptFailure::Broke(_)
+                | AttemptFailure::TimedOut(_) => {
                     attempts.offers += 1;
                     attempts.runs += 1;
                 }
--- a/crates/sapphiretrack-router/src/job.rs
+++ b/crates/sapphiretrack-router/src/job.rs
@@ -1,11 +1,11 @@
 //! A request on its way: what its attempts need, and how it ended.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use sapphiretrack_routing::{RequestFacts, Route};
+use sapphiretrack_routing::{Fingerprint, RequestFacts, Route};
 
 use crate::clock::Clock;
 use crate::events::{Event, note};
@@ -37,6 +37,8 @@
     pub(crate) route: Route,
     /// The service that it goes to.
     pub(crate) service: String,
+    /// Its fingerprint, once it was asked for.
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
     /// Labels of its metrics.
     pub(crate) labels: RequestLabels,
     /// Whether the log tells all of it; failures are always told.
@@ -59,6 +61,20 @@
         self.has_ended.store(true, Ordering::Relaxed);
     }
 
+    /// What it has in common with copies of it that come under other ids.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+            Fingerprint::of(&[
+                self.tenant.as_deref().unwrap_or_default().as_bytes(),
+                self.method.as_str().as_bytes(),
+                self.facts.host.as_bytes(),
+                path.as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+
     /// How long the caller still waits.
     pub(crate) fn left_ms(&self) -> u64 {
         self.ends_ms.saturating_sub(Clock.now_ms())
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -67,10 +67,10 @@
                 return Ok(ReadAnswer::Final(answer));
             }
             Ok(None) => break,
-            Ok(Some(Err(_))) => AttemptFailure::MayHaveRun("answer-broke-off"),
+            Ok(Some(Err(_))) => AttemptFailure::Broke("answer-broke-off"),
             Err(_) => AttemptFailure::TimedOut("answer-not-whole"),
         };
-        failure.tell(&job.facts.id, &placed);
+        failure.tell(job, &placed);
         return Err(failure);
     }
     connection.keep(facts.keep_alive_s);
@@ -215,13 +215,13 @@
                 Ok(true)
             }
             Ok(None) if self.splitter.has_partial() => {
-                Err(AttemptFailure::MayHaveRun("event-broke-off"))
+                Err(AttemptFailure::Broke("event-broke-off"))
             }
             Ok(None) => {
                 self.finish();
                 Ok(false)
             }
-            Ok(Some(Err(_))) => Err(AttemptFailure::MayHaveRun("stream-broke-off")),
+            Ok(Some(Err(_))) => Err(AttemptFailure::Broke("stream-broke-off")),
             Err(_) => Err(AttemptFailure::TimedOut("stream-not-whole")),
         }
     }
@@ -244,7 +244,7 @@
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
         // The connection closes with the answer: the first server stops before the next begins.
         if let Some(answer) = self.answer.take() {
-            failure.tell(&self.job.facts.id, &answer.placed);
+            failure.tell(&self.job, &answer.placed);
         }
         if !self.job.may_go_on(&self.attempts, failure) {
             return false;
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -6,6 +6,7 @@
 mod configuration_change;
 mod discovery;
 mod event_stream;
+mod fingerprint;
 mod freshness;
 mod heartbeat_pace;
 mod listing_readers;
@@ -32,6 +33,7 @@
 pub use configuration_change::{ConfigurationChange, ConfigurationLog};
 pub use discovery::sample_addresses;
 pub use event_stream::{EventSplitter, StreamEvent, StreamFault};
+pub use fingerprint::Fingerprint;
 pub use freshness::Freshness;
 pub use heartbeat_pace::HeartbeatPace;
 pub use listing_readers::{ListingReader, ListingReaders};
