Refuse requests that crash their servers

Requests that ran beside it broke off with it.

Cause: no router remembers what ran on a server that ended. Each copy was placed like any other. Class: a retry without a limit across requests (query of death, poison message). Ruled out: our own retries as what multiplies it (64 ids broke in the saved logs, none of them on more than one server).

Change: a fingerprint of caller, method, host, path, query and body; a record for each server that ended while it ran. A server has ended if its connections broke, it refuses others and it was listed as taking work. Records spread to all routers at once, four times, and two random routers compare digests four times a second. Three servers and no answer to a copy since: refused with 503 at once, without a time to come back. A whole answer makes the records void everywhere. A router's own repeat does not use the last server that it takes. What is refused stands in the store beside the routers' rows, so that a fleet that starts again as a whole knows it.

--- a/crates/sapphiretrack-logs/src/cause.rs
+++ b/crates/sapphiretrack-logs/src/cause.rs
@@ -115,6 +115,10 @@
         "configuration-stale" => {
             "the router could not know whether its configuration was still the newest"
         }
+        "configuration-replaced" => {
+            "the router knew of a newer configuration and had not read it in time"
+        }
+        "crashes-servers" => "copies of it crashed several backend servers (events 650 to 654)",
         "no-configuration" => "the router had not read any configuration yet",
         "unknown-key" => "the configuration in force has no such key",
         "no-route" => "the configuration in force has no such route",
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -10,6 +10,7 @@
 use sapphiretrack_routing::Service;
 use tokio::time::timeout;
 
+use crate::crashes::note_break;
 use crate::events::{Event, note};
 use crate::job::Job;
 use crate::placing::{NoServer, Placed};
@@ -49,6 +50,8 @@
     NotSent(&'static str),
     /// The server says that it did not run the request.
     NotRun(&'static str),
+    /// It crashes its servers.
+    Blocked,
     /// It may have run.
     MayHaveRun(&'static str),
     /// Its connection ended before its answer; it may have run.
@@ -63,6 +66,7 @@
         match self {
             Self::Unplaced(none) => none.as_str(),
             Self::NoTimeLeft => "no-time-left",
+            Self::Blocked => "crashes-servers",
             Self::NotSent(reason)
             | Self::NotRun(reason)
             | Self::MayHaveRun(reason)
@@ -88,6 +92,7 @@
         let (id, server) = (&job.facts.id, &placed.server.id);
         let (reason, may_have_run) = (self.as_str(), self.may_have_run());
         if let Self::Broke(_) = self {
+            note_break(job, &placed.server);
             note!(
                 Event::ATTEMPT_FAILED,
                 id = id,
--- a/crates/sapphiretrack-router/src/control.rs
+++ b/crates/sapphiretrack-router/src/control.rs
@@ -204,7 +204,7 @@
 pub(crate) fn note_useless(record: &Record) {
     match record {
         Record::Useless { key, reason } => note_unreadable(key, reason),
-        Record::Configuration(_) | Record::Server(_) | Record::Router(_) => {
+        Record::Configuration(_) | Record::Server(_) | Record::Router(_) | Record::Crashes(_) => {
             note_unreadable("?", "of another listing");
         }
     }
--- a/crates/sapphiretrack-router/src/discovery.rs
+++ b/crates/sapphiretrack-router/src/discovery.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::Clock;
 use crate::control::note_useless;
+use crate::crashes::merge_crashes;
 use crate::events::{Event, note};
 use crate::ports::{Listing, Record, StoreAnswer, StoreError, StorePort};
 use crate::shared::Shared;
@@ -118,6 +119,10 @@
             .into_iter()
             .filter_map(|record| match record {
                 Record::Router(router) => Some(router),
+                Record::Crashes(records) => {
+                    merge_crashes(&self.shared, &records, "store");
+                    None
+                }
                 other => {
                     note_useless(&other);
                     None
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::answer::{AnswerBody, own_answer};
 use crate::attempt::{AttemptFailure, ServerAnswer, send_attempt};
 use crate::clock::Clock;
+use crate::crashes::crashes;
 use crate::events::{Event, note};
 use crate::job::Job;
 use crate::placing::{NoServer, Placed, PlacementRequest, place};
@@ -29,6 +30,15 @@
     pub(crate) runs: u32,
     /// Servers that it was sent to.
     pub(crate) offers: u32,
+    /// Servers whose connection broke before the answer.
+    pub(crate) breaks: usize,
+}
+
+impl Attempts {
+    /// Counts a failure whose connection broke.
+    pub(crate) fn note_break(&mut self, failure: AttemptFailure) {
+        self.breaks += usize::from(matches!(failure, AttemptFailure::Broke(_)));
+    }
 }
 
 /// Answers one request of a caller.
@@ -99,6 +109,9 @@
             let drain = traffic.drain.entry(self.service.clone());
             drain.or_insert_with(|| DrainRate::new(now_ms));
         }
+        if self.is_blocked(attempts) {
+            return Err(AttemptFailure::Blocked);
+        }
         // Whether the repeat that comes next was already taken from the budget.
         let mut has_repeat = false;
         loop {
@@ -152,7 +165,9 @@
             };
             match failure {
                 AttemptFailure::NoTimeLeft => return Err(failure),
-                AttemptFailure::Unplaced(_) | AttemptFailure::NotSent(_) => {}
+                AttemptFailure::Blocked
+                | AttemptFailure::Unplaced(_)
+                | AttemptFailure::NotSent(_) => {}
                 AttemptFailure::NotRun(_) => attempts.offers += 1,
                 AttemptFailure::MayHaveRun(_)
                 | AttemptFailure::Broke(_)
@@ -161,12 +176,24 @@
                     attempts.runs += 1;
                 }
             }
+            attempts.note_break(failure);
             if !self.may_go_on(attempts, failure) {
                 return Err(failure);
             }
         }
     }
 
+    /// Whether it has crashed too many servers to be sent to another one. The last server that it takes to
+    /// show that is not spent by a repeat of this router.
+    fn is_blocked(&self, attempts: &Attempts) -> bool {
+        let crashes = crashes(self);
+        let max_crashes = self.shared.settings().attempts.max_crashes;
+        match attempts.runs {
+            0 => crashes >= max_crashes,
+            _ => crashes.max(attempts.breaks) + 1 >= max_crashes,
+        }
+    }
+
     /// Whether another attempt may follow a failed one.
     pub(crate) fn may_go_on(&self, attempts: &Attempts, failure: AttemptFailure) -> bool {
         let allowed = !failure.may_have_run() || self.route.kind.may_run_again();
@@ -234,6 +261,7 @@
             }
             Err(failure) => failure,
         };
+        attempts.note_break(failure);
         if !job.may_go_on(&attempts, failure) {
             return pass_on_or_give_up(&job, &attempts, failure, server_error);
         }
@@ -275,6 +303,17 @@
         );
         return own_answer(status, reason, None);
     }
+    if failure == AttemptFailure::Blocked {
+        // Without a time to come back: it is refused for as long as the evidence stands.
+        let refusal = Refusal::final_status(StatusCode::SERVICE_UNAVAILABLE, reason);
+        note!(
+            Event::BLOCKED_REFUSED,
+            id = job.facts.id,
+            fingerprint = job.fingerprint(),
+            crashes = crashes(job),
+        );
+        return refuse(&job.shared, &job.facts.id, refusal, leaving);
+    }
     // Nothing ran: the caller may come back, as soon as there is room.
     let full = matches!(
         failure,
--- a/crates/sapphiretrack-router/src/events.rs
+++ b/crates/sapphiretrack-router/src/events.rs
@@ -96,6 +96,16 @@
     FAILED = 644, Warn, "request failed";
     /// The caller left before its answer was complete.
     CALLER_LEFT = 645, Info, "caller left";
+    /// A backend server ended without notice while it ran requests.
+    SERVER_CRASHED = 650, Warn, "backend server crashed";
+    /// A request ran on two servers that crashed.
+    REQUEST_SUSPECTED = 651, Warn, "request suspected of crashing servers";
+    /// A request ran on so many servers that crashed that it is refused from now on.
+    REQUEST_BLOCKED = 652, Error, "request that crashes servers blocked";
+    /// A request that ran on servers that crashed got a whole answer.
+    REQUEST_CLEARED = 653, Info, "request cleared of crashing servers";
+    /// A request that is blocked came again and was refused.
+    BLOCKED_REFUSED = 654, Info, "blocked request refused";
     /// A listener cannot take connections for the moment.
     ACCEPT_FAILED = 646, Warn, "connection not accepted";
 }
--- a/crates/sapphiretrack-router/src/job.rs
+++ b/crates/sapphiretrack-router/src/job.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use sapphiretrack_routing::{Fingerprint, RequestFacts, Route};
+use sapphiretrack_routing::{Fingerprint, Outline, RequestFacts, RequestIdentity, Route};
 
 use crate::clock::Clock;
 use crate::events::{Event, note};
@@ -63,16 +63,25 @@
 
     /// What it has in common with copies of it that come under other ids.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            let path = self.uri.path_and_query().map_or("", |path| path.as_str());
-            Fingerprint::of(&[
-                self.tenant.as_deref().unwrap_or_default().as_bytes(),
-                self.method.as_str().as_bytes(),
-                self.facts.host.as_bytes(),
-                path.as_bytes(),
-                &self.body,
-            ])
-        })
+        *self
+            .fingerprint
+            .get_or_init(|| Fingerprint::of(&self.identity()))
+    }
+
+    /// The cheap part of its fingerprint.
+    pub(crate) fn outline(&self) -> Outline {
+        Outline::of(&self.identity())
+    }
+
+    fn identity(&self) -> RequestIdentity<'_> {
+        let path = self.uri.path_and_query();
+        RequestIdentity {
+            caller: self.tenant.as_deref().unwrap_or_default(),
+            method: self.method.as_str(),
+            host: &self.facts.host,
+            path: path.map_or("", |path| path.as_str()),
+            body: &self.body,
+        }
     }
 
     /// How long the caller still waits.
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod connect;
 mod control;
+mod crashes;
 mod discovery;
 mod dispatch;
 mod events;
@@ -37,8 +38,8 @@
 pub use logging::{dropped_log_lines, start_logging};
 pub use policy::{POLICY, PolicyError, PolicyKey, policy_help, set_policy};
 pub use ports::{
-    AnswerFacts, AttemptHeaders, BadRequest, Interface, ListPrefixes, Listing, Lookup, Ports,
-    ReadSettings, Record, StoreAnswer, StoreError, StorePort, WatchCall,
+    AnswerFacts, AttemptHeaders, BadRequest, Interface, KeepCrashes, ListPrefixes, Listing, Lookup,
+    Ports, ReadSettings, Record, StoreAnswer, StoreError, StorePort, WatchCall,
 };
 pub use router::{RunError, run};
 pub use settings::{AttemptSettings, RouterSettings, Times};
--- a/crates/sapphiretrack-router/src/lookups.rs
+++ b/crates/sapphiretrack-router/src/lookups.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -18,6 +18,7 @@
 use tokio::net::TcpListener;
 
 use crate::clock::Clock;
+use crate::crashes::{blocked_requests, lift_block};
 use crate::front::accept_next;
 use crate::logging::dropped_log_lines;
 use crate::metrics::Levels;
@@ -32,20 +33,36 @@
 /// Routers near a caller from which on others are not named: one alone would take its callers down
 /// with it.
 const ENOUGH_NEAR: usize = 2;
+/// Where operators see the requests that are blocked, and lift a block.
+const BLOCKED_PATH: &str = "/blocked-requests";
 /// The most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 
+/// Who reaches a listener.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Asker {
+    /// Whoever reads the metrics.
+    Operator,
+    /// Callers too.
+    Anyone,
+}
+
 /// Answers questions on one listener until the process ends.
 pub(crate) async fn serve_questions(
     shared: Arc<Shared>,
     interface: Interface,
     listener: TcpListener,
+    asker: Asker,
 ) {
     loop {
         let stream = accept_next(&listener).await;
         let shared = shared.clone();
         let answer = service_fn(move |request: Request<Incoming>| {
-            let answer = answer_question(&shared, &interface, &request);
+            let answer = match asker {
+                Asker::Operator => answer_operator(&shared, &request),
+                Asker::Anyone => None,
+            };
+            let answer = answer.unwrap_or_else(|| answer_question(&shared, &interface, &request));
             async move { Ok::<_, Infallible>(answer) }
         });
         let connection = http1::Builder::new()
@@ -57,6 +74,23 @@
     }
 }
 
+/// What operators may ask besides: which requests are blocked, and to let one through again.
+fn answer_operator(shared: &Shared, request: &Request<Incoming>) -> Option<Response<Full<Bytes>>> {
+    let rest = request.uri().path().strip_prefix(BLOCKED_PATH)?;
+    if rest.is_empty() && request.method() == Method::GET {
+        let text = blocked_requests(shared);
+        return Some(Response::new(Full::new(Bytes::from(text))));
+    }
+    let hash = rest.strip_prefix('/');
+    let hash = hash.and_then(|hash| u128::from_str_radix(hash, 16).ok());
+    let is_lifted =
+        request.method() == Method::DELETE && hash.is_some_and(|hash| lift_block(shared, hash));
+    Some(status_answer(match is_lifted {
+        true => StatusCode::NO_CONTENT,
+        false => StatusCode::NOT_FOUND,
+    }))
+}
+
 fn answer_question(
     shared: &Shared,
     interface: &Interface,
--- a/crates/sapphiretrack-router/src/peer_messages.rs
+++ b/crates/sapphiretrack-router/src/peer_messages.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::crashes::take_crashes;
 use crate::events::{Event, note};
 use crate::shared::Shared;
 
@@ -150,6 +151,12 @@
     }
 }
 
+/// Sends a message to all routers at once.
+pub(crate) async fn send_to_all(shared: &Shared, socket: &UdpSocket, turn: usize, message: &[u8]) {
+    let plan = plan(shared, turn, URGENT_COPIES);
+    send_planned(socket, &plan, message, 0, plan.len()).await;
+}
+
 /// Sends a message to some of the routers of a plan.
 async fn send_planned(
     socket: &UdpSocket,
@@ -278,6 +285,17 @@
                 shared.peers().note_listings(&name, configuration, servers);
                 continue;
             }
+            RouterMessage::Crashes {
+                records,
+                digest,
+                is_final,
+            } => {
+                let answer = take_crashes(&shared, from, &records, digest, is_final);
+                if let Some(answer) = answer {
+                    drop(socket.send_to(&encode(&answer), from).await);
+                }
+                continue;
+            }
             RouterMessage::Prefixes(prefixes) => {
                 shared
                     .traffic()
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -183,6 +183,8 @@
         "time after which an idempotent request is taken from a silent server; 1000: never";
     "offers", "servers", 1.0..=16.0, attempts.max_offers: u32,
         "servers that one request is offered to; 1: no second attempt";
+    "max-crashes", "servers", 1.0..=1_000.0, attempts.max_crashes: usize,
+        "servers that a request may crash before it is refused; 1000: it never is";
     "full-service", "ms", 0.0..=60_000.0, retry.full_ms: u64,
         "time after a refusal for want of room in which failed attempts are not repeated; 0: they are";
     "plain-queue", "slots", 1.0..=100.0, attempts.plain_queue_factor: u32,
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -9,7 +9,8 @@
 use http::response::Parts as ResponseParts;
 use http::{HeaderMap, Uri};
 use sapphiretrack_routing::{
-    Configuration, ListedRouter, PromptPrefix, RequestFacts, ServerChange, ServerEntry,
+    Configuration, CrashRecord, Fingerprint, ListedRouter, PromptPrefix, RequestFacts,
+    ServerChange, ServerEntry,
 };
 use snafu::Snafu;
 
@@ -114,6 +115,8 @@
     Server(ServerChange),
     /// A router.
     Router(ListedRouter),
+    /// What is known against a request that is refused; listed beside the routers.
+    Crashes(Vec<CrashRecord>),
     /// A record of another listing that is gone or cannot be read, so that it names nothing to use.
     Useless {
         /// Its key.
@@ -181,10 +184,19 @@
         Box<dyn Fn(Listing) -> BoxFuture<'static, Result<StoreAnswer, StoreError>> + Send + Sync>,
     /// The records that changed after a version; waits up to so many milliseconds for one.
     pub watch: WatchCall,
+    /// Keeps the crashes under a request beside the routers; none removes them.
+    pub keep_crashes: KeepCrashes,
     /// Makes this router known, or forgets it.
     pub register: Box<dyn Fn(bool) -> BoxFuture<'static, Result<(), StoreError>> + Send + Sync>,
 }
 
+/// A call that writes what is known against a request.
+pub type KeepCrashes = Box<
+    dyn Fn(Fingerprint, Vec<CrashRecord>) -> BoxFuture<'static, Result<(), StoreError>>
+        + Send
+        + Sync,
+>;
+
 /// A call that waits for changes of a listing: after which version, and how long.
 pub type WatchCall = Box<
     dyn Fn(Listing, u64, u64) -> BoxFuture<'static, Result<StoreAnswer, StoreError>> + Send + Sync,
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::answer::{AnswerBody, CutOff, streamed, strip_connection_headers, whole};
 use crate::attempt::{AttemptFailure, ServerAnswer};
 use crate::clock::Clock;
+use crate::crashes;
 use crate::dispatch::Attempts;
 use crate::events::{Event, note};
 use crate::job::Job;
@@ -110,7 +111,12 @@
                 None
             }
             Ok(Some(Err(_))) | Err(_) => {
-                let cut = cut_off(&job, "answer-broke-off");
+                let failure = match frame {
+                    Err(_) => AttemptFailure::TimedOut("answer-not-whole"),
+                    _ => AttemptFailure::Broke("answer-broke-off"),
+                };
+                failure.tell(&job, &answer?.placed);
+                let cut = cut_off(&job, failure.as_str());
                 Some((Err(cut), (job, None, None)))
             }
         }
@@ -246,6 +252,7 @@
         if let Some(answer) = self.answer.take() {
             failure.tell(&self.job, &answer.placed);
         }
+        self.attempts.note_break(failure);
         if !self.job.may_go_on(&self.attempts, failure) {
             return false;
         }
@@ -308,6 +315,7 @@
 /// Counts a request that got a whole answer; whether the log tells of it.
 fn end_whole(job: &Job) -> bool {
     job.end();
+    crashes::note_answered(job);
     job.shared.metrics.whole(&job.labels, job.age_ms());
     job.logs_all
 }
--- a/crates/sapphiretrack-router/src/router.rs
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -13,11 +13,12 @@
 
 use crate::clock::Clock;
 use crate::control::{watch_configuration, watch_servers};
+use crate::crashes::{compare_crashes, keep_crashes, send_crash_news};
 use crate::discovery::find_routers;
 use crate::events::{Event, note};
 use crate::front::serve_callers;
 use crate::loads::{collect_loads, report_loads};
-use crate::lookups::serve_questions;
+use crate::lookups::{Asker, serve_questions};
 use crate::peer_messages::{advertise_listings, receive_messages, send_heartbeats};
 use crate::ports::{Interface, Ports, ReadSettings};
 use crate::prefixes::recover_prefixes;
@@ -89,13 +90,16 @@
         address: peer_address,
     })?);
     let questions = [
-        Some(settings.ready_address),
-        settings.lookup_address,
-        settings.metrics_address,
+        (Some(settings.ready_address), Asker::Anyone),
+        (settings.lookup_address, Asker::Anyone),
+        (settings.metrics_address, Asker::Operator),
     ];
-    for address in questions.into_iter().flatten() {
+    for (address, asker) in questions {
+        let Some(address) = address else {
+            continue;
+        };
         let listener = listen(address)?;
-        tokio::spawn(serve_questions(shared.clone(), interface, listener));
+        tokio::spawn(serve_questions(shared.clone(), interface, listener, asker));
     }
     let snapshots = listen(peer_address)?;
     tokio::spawn(serve_snapshots(shared.clone(), snapshots));
@@ -107,6 +111,9 @@
     tokio::spawn(report_loads(shared.clone(), socket.clone()));
     tokio::spawn(collect_loads(shared.clone(), socket.clone()));
     tokio::spawn(send_heartbeats(shared.clone(), socket.clone()));
+    tokio::spawn(send_crash_news(shared.clone(), socket.clone()));
+    tokio::spawn(compare_crashes(shared.clone(), socket.clone()));
+    tokio::spawn(keep_crashes(shared.clone(), store.clone()));
     tokio::spawn(recover_prefixes(
         shared.clone(),
         socket,
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -61,6 +61,8 @@
     /// The most servers that one request is offered to while none has run it: beyond that the
     /// caller does better to come back.
     pub max_offers: u32,
+    /// Servers that a request may crash before it is refused.
+    pub max_crashes: usize,
     /// Objectives after which an idempotent request is given up on at a silent server.
     pub silent_objectives: f64,
     /// How many times its slots a plain service's server may hold: what waits behind the running
@@ -74,6 +76,7 @@
     fn default() -> Self {
         Self {
             max_offers: 3,
+            max_crashes: 3,
             silent_objectives: 2.0,
             plain_queue_factor: 3,
             engine_queue_factor: 1.0,
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -8,14 +8,15 @@
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use sapphiretrack_core::DrainRate;
 use sapphiretrack_routing::{
-    ChangeLog, ChangesFragment, Configuration, ConfigurationLog, Incarnation, LoadDigest,
-    LoadsByServer, LogSampling, PeerLoads, PeerTable, PrefixIndex, PrefixRecovery, RankKey,
-    RetryShare, RouterState, ServerChanges, ServerEntry, ServerHealth, ServerLoad, ServiceTime,
-    WatchState,
+    ChangeLog, ChangesFragment, Configuration, ConfigurationLog, CrashEvidence, CrashRecord,
+    Incarnation, LoadDigest, LoadsByServer, LogSampling, PeerLoads, PeerTable, PrefixIndex,
+    PrefixRecovery, RankKey, RetryShare, RouterState, ServerChanges, ServerEntry, ServerHealth,
+    ServerLoad, ServiceTime, WatchState,
 };
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::Clock;
+use crate::crashes::{KeptCrashes, Suspects};
 use crate::events::{Event, note};
 use crate::loads::LoadExchange;
 use crate::metrics::Metrics;
@@ -53,6 +54,10 @@
     pub(crate) state_changed: Notify,
     /// Wakes whoever advertises what a watch of the store brings.
     pub(crate) listings_read: Notify,
+    /// Wakes whoever tells the other routers of requests that crash servers.
+    pub(crate) crash_news: Notify,
+    /// Wakes whoever writes them to the store.
+    pub(crate) kept_crashes_changed: Notify,
     configuration_watch: SharedWatch,
     servers_watch: SharedWatch,
     peers: Mutex<PeerTable>,
@@ -69,6 +74,11 @@
     change_log: Mutex<ChangeLog>,
     /// The same of the configuration.
     configuration_log: Mutex<ConfigurationLog>,
+    /// Requests that crash servers.
+    crash_evidence: Mutex<CrashEvidence>,
+    suspects: Mutex<Suspects>,
+    crashes_to_tell: Mutex<Vec<CrashRecord>>,
+    kept_crashes: Mutex<KeptCrashes>,
     started_ms: u64,
     leaving_since_ms: AtomicU64,
     in_flight: AtomicUsize,
@@ -161,6 +171,12 @@
             pool: ServerPool::default(),
             state_changed: Notify::new(),
             listings_read: Notify::new(),
+            crash_news: Notify::new(),
+            crash_evidence: Mutex::default(),
+            suspects: Mutex::default(),
+            crashes_to_tell: Mutex::default(),
+            kept_crashes: Mutex::default(),
+            kept_crashes_changed: Notify::new(),
             configuration_watch: SharedWatch::default(),
             servers_watch: SharedWatch::default(),
             peers: Mutex::default(),
@@ -336,6 +352,32 @@
         lock(&self.configuration_log)
     }
 
+    /// What is known of requests that crash servers.
+    pub(crate) fn crash_evidence(&self) -> MutexGuard<'_, CrashEvidence> {
+        lock(&self.crash_evidence)
+    }
+
+    /// Servers that may have crashed.
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
+    /// Has records told to all routers.
+    pub(crate) fn tell_crashes(&self, records: &[CrashRecord]) {
+        lock(&self.crashes_to_tell).extend_from_slice(records);
+        self.crash_news.notify_one();
+    }
+
+    /// What the store keeps of requests that crash servers.
+    pub(crate) fn kept_crashes(&self) -> MutexGuard<'_, KeptCrashes> {
+        lock(&self.kept_crashes)
+    }
+
+    /// The records to tell now.
+    pub(crate) fn take_crash_news(&self) -> Vec<CrashRecord> {
+        std::mem::take(&mut *lock(&self.crashes_to_tell))
+    }
+
     /// Whether the log tells a request in full.
     pub(crate) fn logs_in_full(&self, id: &str) -> bool {
         lock(&self.log_sampling).keeps(id, Clock.now_ms())
--- a/crates/sapphiretrack-router/src/watch.rs
+++ b/crates/sapphiretrack-router/src/watch.rs
@@ -51,6 +51,8 @@
     Registration,
     /// It looks for the other routers.
     Discovery,
+    /// A request is refused because it crashes servers, or not any more.
+    Crashes,
 }
 
 impl CallReason {
@@ -63,6 +65,7 @@
             Self::Stale => "stale",
             Self::Registration => "registration",
             Self::Discovery => "discovery",
+            Self::Crashes => "crashes",
         }
     }
 }
@@ -283,7 +286,10 @@
     fn pass_on(&self, after: u64, answer: &StoreAnswer) {
         let changes = answer.records.iter().filter_map(|record| match record {
             Record::Server(change) => Some(change.clone()),
-            Record::Configuration(_) | Record::Router(_) | Record::Useless { .. } => None,
+            Record::Configuration(_)
+            | Record::Router(_)
+            | Record::Crashes(_)
+            | Record::Useless { .. } => None,
         });
         let changes: Vec<ServerChange> = changes.collect();
         if !changes.is_empty() {
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ChangesFragment, Incarnation, ListingAdvert, LoadDigest, LoadReport, LoadsByServer, Recipient,
-    SentPrefix, SentPrompts, ServerChange, ZoneLoads, router_tag,
+    ChangesFragment, CrashRecord, Incarnation, ListingAdvert, LoadDigest, LoadReport,
+    LoadsByServer, Recipient, SentPrefix, SentPrompts, ServerChange, ZoneLoads, router_tag,
 };
 
 /// Whether callers may be sent to a router.
@@ -103,6 +103,15 @@
         /// How far the sender knows the backend servers.
         advert: ListingAdvert,
     },
+    /// Evidence against requests that crash servers.
+    Crashes {
+        /// Some of what the sender knows.
+        records: Vec<CrashRecord>,
+        /// The digest of all that it would send.
+        digest: u64,
+        /// Whether it asks for nothing; else who knows something else answers.
+        is_final: bool,
+    },
 }
 
 /// All changes of the backend servers between two versions of the store.
--- a/crates/sapphiretrack-routing/tests/messages.rs
+++ b/crates/sapphiretrack-routing/tests/messages.rs
@@ -5,10 +5,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sapphiretrack_routing::{
-    ChangesAssembly, ChangesFragment, Heartbeat, ListingAdvert, LoadCollector, LoadDigest,
-    LoadEntry, LoadReport, LoadReporter, PeerTable, PrefixIndex, RouterMessage, RouterState,
-    SentPrefix, SentPrompts, SentTokens, ServerChange, ServerChanges, ServerLoad, WatchAnswer,
-    WatchState, ZoneLoads,
+    ChangesAssembly, ChangesFragment, CrashEvidence, CrashRecord, Fingerprint, Heartbeat,
+    ListingAdvert, LoadCollector, LoadDigest, LoadEntry, LoadReport, LoadReporter, Outline,
+    PeerTable, PrefixIndex, RouterMessage, RouterState, SentPrefix, SentPrompts, SentTokens,
+    ServerChange, ServerChanges, ServerLoad, WatchAnswer, WatchState, ZoneLoads,
 };
 
 /// What a router keeps of messages.
@@ -19,6 +19,7 @@
     reporter: LoadReporter,
     prefixes: PrefixIndex,
     assembly: ChangesAssembly,
+    crashes: CrashEvidence,
     watch: WatchState,
 }
 
@@ -66,6 +67,12 @@
                 self.reporter
                     .note_digest(([10, 0, 0, 1], 1).into(), &digest.loads, now_ms);
             }
+            RouterMessage::Crashes { records, .. } => {
+                self.crashes.merge(&records, now_ms);
+                let records = self.crashes.records(usize::MAX, now_ms);
+                let _digest = CrashRecord::digest(&records);
+                self.crashes.expire(now_ms);
+            }
             RouterMessage::Relay(_) | RouterMessage::AskPrefixes { .. } => {}
         }
         // What is asked of it while it serves.
@@ -195,11 +202,31 @@
     )
 }
 
+fn crashes() -> impl Strategy<Value = RouterMessage> {
+    let record = any::<(u64, u128, u64, u32, bool)>();
+    let record = record.prop_map(|(outline, hash, server, age_ms, is_void)| CrashRecord {
+        fingerprint: Fingerprint {
+            outline: Outline(outline),
+            hash,
+        },
+        server,
+        age_ms,
+        is_void,
+    });
+    let fields = (prop::collection::vec(record, 0..5), any::<(u64, bool)>());
+    fields.prop_map(|(records, (digest, is_final))| RouterMessage::Crashes {
+        records,
+        digest,
+        is_final,
+    })
+}
+
 fn message() -> impl Strategy<Value = RouterMessage> {
     prop_oneof![
         heartbeat(),
         fragment(),
         load_message(),
+        crashes(),
         prefixes().prop_map(RouterMessage::Prefixes),
         (advert(), advert()).prop_map(|(configuration, servers)| RouterMessage::Listings {
             name: String::from("a"),
