Give a router time to read what changed in an outage of the store

What callers would have seen: when the store came back, routers whose last proof was older than the bound refused everything from the advert of the first change until they had read it.

Cause: the bound counts from the last proof, which says nothing of how long a router has known that it lacks something.

Change: for 500 ms after it learns of the first change that it lacks, a router uses what it served by until then. Repeats and further versions give no more time, and a router in touch learns of changes while its proof is young.

--- a/crates/sapphiretrack-router/src/peer_listings.rs
+++ b/crates/sapphiretrack-router/src/peer_listings.rs
@@ -81,7 +81,7 @@
             return Some((records, true));
         };
         let mut state = self.watch().state();
-        if !state.note_changes(changes.after, changes.version) {
+        if !state.note_changes(changes.after, changes.version, now_ms) {
             return None;
         }
         state.note_advert(&snapshot.advert, now_ms);
@@ -109,6 +109,7 @@
 
     /// All changes that other routers passed on and that are missing here.
     pub(crate) fn take_relayed(&mut self) -> Vec<ServerChange> {
+        let now_ms = Clock.now_ms();
         let mut update = Vec::new();
         let Some(mut queue) = self.relayed.take() else {
             return update;
@@ -120,7 +121,7 @@
                 continue;
             };
             let mut state = self.watch().state();
-            if state.note_changes(passed_on.after, passed_on.version) {
+            if state.note_changes(passed_on.after, passed_on.version, now_ms) {
                 update.extend(passed_on.changes.iter().cloned());
                 self.shared.change_log().note(passed_on);
             }
--- a/crates/sapphiretrack-routing/src/watch_state.rs
+++ b/crates/sapphiretrack-routing/src/watch_state.rs
@@ -28,6 +28,8 @@
     advert: ListingAdvert,
     /// The version of the last change that another router advertised.
     advertised_version: u64,
+    /// Since when a change is advertised that is not known here.
+    behind_since_ms: Option<u64>,
     /// Since when calls of this router fail.
     failing_since_ms: Option<u64>,
 }
@@ -87,6 +89,7 @@
         };
         self.advert.changed_version = self.advert.changed_version.max(changed);
         self.advert.proven_store_ms = Some(answer.store_now_ms);
+        self.note_behind(received_ms);
         away_since_ms.map_or(0, |since| received_ms.saturating_sub(since))
     }
 
@@ -97,6 +100,7 @@
             .recovered_store_ms
             .max(advert.recovered_store_ms);
         self.advertised_version = self.advertised_version.max(advert.changed_version);
+        self.note_behind(now_ms);
         let Some(version) = self.version else {
             return advert.proven_store_ms.is_some();
         };
@@ -117,7 +121,7 @@
     /// Takes in that another router passes on all changes after one version up to another; true
     /// if they are advert here and nothing is missing before them. They are to be applied at once:
     /// older ones that are applied after newer ones would bring back servers that are gone.
-    pub fn note_changes(&mut self, after: u64, version: u64) -> bool {
+    pub fn note_changes(&mut self, after: u64, version: u64, now_ms: u64) -> bool {
         let Some(known) = self.version else {
             return false;
         };
@@ -126,6 +130,7 @@
         }
         self.version = Some(version);
         self.advert.changed_version = self.advert.changed_version.max(version);
+        self.note_behind(now_ms);
         true
     }
 
@@ -198,16 +203,28 @@
             .is_some_and(|version| self.advertised_version > version)
     }
 
+    /// How long a router that learns of a change after an outage of the store has to read it: it served on
+    /// by what it knew until then, and all others learn of it in the same moment.
+    const READ_MS: u64 = 500;
+
     /// Whether what is known here may decide about something that happened at a time: nothing newer is
     /// known to exist, or this was the newest less than `bound_ms` before.
     ///
     /// While nobody reaches the store nothing newer is known, and what is known here stays usable.
     pub fn is_usable(&self, at_ms: u64, bound_ms: u64) -> bool {
-        let known = self.version.unwrap_or(self.advert.changed_version);
-        self.advertised_version <= known
+        let Some(since_ms) = self.behind_since_ms else {
+            return true;
+        };
+        at_ms < since_ms + Self::READ_MS
             || self.age_ms(at_ms).is_some_and(|age_ms| age_ms < bound_ms)
     }
 
+    fn note_behind(&mut self, now_ms: u64) {
+        let known = self.version.unwrap_or(self.advert.changed_version);
+        let is_behind = self.advertised_version > known;
+        self.behind_since_ms = is_behind.then(|| self.behind_since_ms.unwrap_or(now_ms));
+    }
+
     /// What to advertise.
     pub fn advert(&self) -> ListingAdvert {
         self.advert
--- a/crates/sapphiretrack-routing/tests/messages.rs
+++ b/crates/sapphiretrack-routing/tests/messages.rs
@@ -57,7 +57,8 @@
             }
             RouterMessage::Servers { fragment, advert } => {
                 if let Some(changes) = self.assembly.add(fragment) {
-                    self.watch.note_changes(changes.after, changes.version);
+                    self.watch
+                        .note_changes(changes.after, changes.version, now_ms);
                 }
                 self.watch.note_advert(&advert, now_ms);
             }
--- a/crates/sapphiretrack-routing/tests/watch_state.rs
+++ b/crates/sapphiretrack-routing/tests/watch_state.rs
@@ -157,7 +157,10 @@
     let after = watcher.changed_version();
     watcher.note_answer(&answer(41, Some(41)));
     assert!(follower.note_advert(&watcher.advert(), 200));
-    assert!(follower.note_changes(after, 41), "nothing is missing");
+    assert!(
+        follower.note_changes(after, 41, 1_000),
+        "nothing is missing"
+    );
     assert!(!follower.is_behind());
 }
 
@@ -202,7 +205,7 @@
 fn changes_that_are_passed_on_count_once_and_without_a_gap() {
     let mut state = WatchState::default();
     assert!(
-        !state.note_changes(0, 5),
+        !state.note_changes(0, 5, 1_000),
         "the listing itself is not known yet"
     );
     state.note_answer(&WatchAnswer {
@@ -220,15 +223,15 @@
     assert!(state.note_advert(&advert(12), 10));
     assert!(state.is_behind());
     assert!(
-        !state.note_changes(11, 12),
+        !state.note_changes(11, 12, 1_000),
         "what came between 10 and 11 is missing"
     );
     assert!(state.is_behind());
-    assert!(state.note_changes(9, 12));
+    assert!(state.note_changes(9, 12, 1_000));
     assert!(!state.is_behind(), "the store need not be asked");
-    assert!(!state.note_changes(9, 12), "once is enough");
+    assert!(!state.note_changes(9, 12, 1_000), "once is enough");
     assert!(
-        !state.note_changes(10, 11),
+        !state.note_changes(10, 11, 1_000),
         "older ones would undo newer ones"
     );
 }
@@ -263,3 +266,68 @@
     assert!(alone.note_answer(&answer(8_000, 58_002)) > 5_900);
     assert_eq!(alone.note_answer(&answer(9_000, 59_002)), 0, "it is over");
 }
+
+/// A router that knows version 10, proven at the local time 1,002, and an advert of a newer one.
+fn behind_router() -> (WatchState, ListingAdvert) {
+    let mut state = WatchState::default();
+    state.note_answer(&WatchAnswer {
+        may_hide_removals: false,
+        sent_ms: 1_000,
+        received_ms: 1_004,
+        version: 10,
+        changed_version: Some(10),
+        store_now_ms: 50_002,
+    });
+    let newer = ListingAdvert {
+        changed_version: 13,
+        proven_store_ms: Some(50_900),
+        recovered_store_ms: None,
+    };
+    (state, newer)
+}
+
+/// Guards against decisions by a version that is known to be replaced.
+#[test]
+fn what_is_known_to_be_replaced_is_used_within_the_bound_only() {
+    let (mut state, newer) = behind_router();
+    assert!(state.is_usable(9_000, 2_000), "nothing newer is known");
+    state.note_advert(&newer, 1_600);
+    let proven_ms = 1_600 - state.age_ms(1_600).expect("proven");
+    assert!(state.is_usable(proven_ms + 1_999, 2_000));
+    assert!(!state.is_usable(proven_ms + 2_000, 2_000));
+    // Another version right behind it gives no more time, nor does its proof.
+    let later = ListingAdvert {
+        changed_version: 16,
+        proven_store_ms: Some(51_700),
+        ..newer
+    };
+    state.note_advert(&later, 2_700);
+    assert!(!state.is_usable(proven_ms + 2_000, 2_000));
+    // The first of the two is not the newest.
+    state.note_snapshot(13, &newer, 3_000);
+    assert!(state.is_behind());
+    state.note_snapshot(16, &later, 3_100);
+    assert!(state.is_usable(9_000, 2_000));
+}
+
+/// Guards against a whole fleet that refuses while it reads what changed in an outage of the store.
+#[test]
+fn a_router_that_learns_of_a_change_after_an_outage_has_time_to_read_it() {
+    let (mut state, newer) = behind_router();
+    state.note_advert(&newer, 9_000);
+    assert!(state.age_ms(9_000).expect("proven") > 2_000);
+    assert!(state.is_usable(9_400, 2_000));
+    for now_ms in [9_100, 9_200, 9_400] {
+        state.note_advert(&newer, now_ms);
+    }
+    assert!(!state.is_usable(9_500, 2_000), "repeats give no more time");
+}
+
+/// Guards against a lost history that makes a router forget that it is behind.
+#[test]
+fn a_router_whose_history_was_lost_still_knows_what_it_lacks() {
+    let (mut state, newer) = behind_router();
+    state.forget_version();
+    state.note_advert(&newer, 1_600);
+    assert!(!state.is_usable(9_000, 2_000));
+}
