Leave a call to the store that hangs when others have the change

What callers would have seen: a router whose own call to the store hung read a change up to 1.6 s after all others had it, and with the bounds of refused meanwhile.

Cause: a router waits for one source at a time. While its call was open, or paused after a failure, it did not look whether another router had what it waited for; a watcher asked the store only. Class: a wait on one source for what another one has.

Change: a call to the store is left 250 ms after another router advertised a change that is missing here, if one can be asked for it; a watcher that the store does not answer reads changes like any other router.

--- a/crates/sapphiretrack-router/src/watch.rs
+++ b/crates/sapphiretrack-router/src/watch.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::future::BoxFuture;
 use rand::RngExt;
 use sapphiretrack_routing::{
     ChangesAssembly, ChangesFragment, Holder, ListingNeed, ListingSource, ListingStep, ListingView,
@@ -21,6 +22,11 @@
 
 /// How often a waiting router looks whether it has become a watcher.
 const ROLE_CHECK_MS: u64 = 250;
+/// How long after an advert of a change the store's answer may still come: two watchers have it at about
+/// the same time.
+const HANGS_MS: u64 = 250;
+/// How often a router that waits longer looks whether another one has the change.
+const HANGS_CHECK_MS: u64 = 50;
 
 /// A watch of one listing.
 pub(crate) struct Watch {
@@ -144,10 +150,11 @@
             };
             let version = self.watch().state().version();
             let sent_ms = Clock.now_ms();
-            let answer = match version {
-                None => (self.store.list)(self.listing).await,
-                Some(version) => (self.store.watch)(self.listing, version, wait_ms).await,
+            let call = match version {
+                None => (self.store.list)(self.listing),
+                Some(version) => (self.store.watch)(self.listing, version, wait_ms),
             };
+            let answer = self.wait_for_answer(call).await;
             let outcome = answer.as_ref().map(|answer| answer.version);
             self.shared
                 .note_store_call(self.listing, reason, sent_ms, outcome);
@@ -162,6 +169,30 @@
         }
     }
 
+    /// Waits for the store, unless other routers have had a change for some time: then its answer hangs here
+    /// only, and the change is read from them.
+    async fn wait_for_answer(
+        &self,
+        mut call: BoxFuture<'static, Result<StoreAnswer, StoreError>>,
+    ) -> Result<StoreAnswer, StoreError> {
+        loop {
+            let now_ms = Clock.now_ms();
+            let behind_since_ms = self.watch().state().behind_since_ms();
+            let left_ms =
+                behind_since_ms.map(|since_ms| (since_ms + HANGS_MS).saturating_sub(now_ms));
+            if left_ms == Some(0) && !self.holders(now_ms).is_empty() {
+                let reason = "other routers had a change first".to_owned();
+                return Err(StoreError::NoAnswer { reason });
+            }
+            let pause_ms = left_ms.unwrap_or(ROLE_CHECK_MS).max(HANGS_CHECK_MS);
+            tokio::select! {
+                answer = &mut call => return answer,
+                () = sleep(Duration::from_millis(pause_ms)), if left_ms.is_some() => {}
+                () = self.watch().changed.notified() => {}
+            }
+        }
+    }
+
     /// Waits until this router has to read the listing, and decides from where.
     async fn wait_for_turn(&mut self, limit_ms: u64) -> Turn {
         let start_ms = Clock.now_ms();
@@ -226,7 +257,7 @@
         };
         self.source.step(&ListingView {
             need,
-            is_watcher: self.shared.is_watcher(),
+            is_watcher: self.shared.is_watcher() && !self.is_served_by_others(now_ms),
             is_discovered: self.shared.is_discovered.load(Ordering::Relaxed),
             holders: &holders,
             live,
@@ -317,9 +348,20 @@
         self.source.note_store_failure(live, draw, now_ms);
         let pause_ms = self.shared.settings().times.store_retry_ms << self.failures.min(2);
         self.failures += 1;
+        if self.is_served_by_others(now_ms) {
+            return;
+        }
         sleep(Duration::from_millis(pause_ms)).await;
     }
 
+    /// Whether other routers have a change that the store does not give to this one.
+    fn is_served_by_others(&self, now_ms: u64) -> bool {
+        let state = self.watch().state();
+        let is_missing = state.is_behind() && state.failing_since_ms().is_some();
+        drop(state);
+        is_missing && !self.holders(now_ms).is_empty()
+    }
+
     /// Waits after a change, so that many in a row cost few calls.
     pub(crate) async fn pause(&self) {
         let pause_ms = self.shared.settings().times.change_pause_ms;
--- a/crates/sapphiretrack-routing/src/watch_state.rs
+++ b/crates/sapphiretrack-routing/src/watch_state.rs
@@ -225,6 +225,11 @@
         self.behind_since_ms = is_behind.then(|| self.behind_since_ms.unwrap_or(now_ms));
     }
 
+    /// Since when a change is advertised that is not known here.
+    pub fn behind_since_ms(&self) -> Option<u64> {
+        self.behind_since_ms
+    }
+
     /// What to advertise.
     pub fn advert(&self) -> ListingAdvert {
         self.advert
