Tell only stewards of the first crash under a request

Cause: a server that crashes takes dozens of requests with it, and each router that had one there told all others of it, four times. Class: a broadcast for what concerns nobody yet.

Change: the first crash under a request goes to three routers, by rendezvous hash of its fingerprint among the live ones; whoever knows of two crashes tells all. Digests cover what all are to know, and are kept until that changes. The store is written only when a block begins or ends.

--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -1,12 +1,14 @@
 //! Requests that crash their servers: evidence, what routers tell each other of it, and refusals.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
-use sapphiretrack_routing::{CrashRecord, Fingerprint, Incarnation, RouterMessage, ServerEntry};
+use sapphiretrack_routing::{
+    CrashEvidence, CrashRecord, Fingerprint, Incarnation, RouterMessage, ServerEntry,
+};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
 
@@ -23,7 +25,7 @@
 const PROBE_PAUSES_MS: [u64; 4] = [0, 20, 100, 400];
 /// How long a connection may take.
 const PROBE_MS: u64 = 250;
-/// When records are sent to all routers, each time this much later: datagrams may be lost.
+/// When records are sent, each time this much later: datagrams may be lost.
 const REPEAT_PAUSES_MS: [u64; 4] = [0, 100, 300, 900];
 /// How often two routers compare what they know.
 const COMPARE: Duration = Duration::from_millis(250);
@@ -31,8 +33,8 @@
 const COMPARED: usize = 2;
 /// How long after its start a router asks though it knows nothing.
 const START_MS: u64 = 10_000;
-/// The most records in one datagram.
-const MAX_RECORDS: usize = 256;
+/// Routers that are told of the first crash under a request: two of them may be lost before the second one.
+const STEWARDS: usize = 3;
 /// The pause after a call to the store that failed, which doubles.
 const STORE_RETRY_MS: u64 = 100;
 /// How often it doubles.
@@ -70,7 +72,8 @@
 
 impl KeptCrashes {
     /// Notes whether a request is refused now; `writes` tells whether this router writes it to the store.
-    fn note(&mut self, fingerprint: Fingerprint, is_blocked: bool, writes: bool) {
+    /// Returns whether there is something to write now.
+    fn note(&mut self, fingerprint: Fingerprint, is_blocked: bool, writes: bool) -> bool {
         let has_changed = match is_blocked {
             true => self.blocked.insert(fingerprint),
             false => self.blocked.remove(&fingerprint),
@@ -78,6 +81,7 @@
         if has_changed && writes {
             self.waiting.push(fingerprint);
         }
+        has_changed && writes
     }
 }
 
@@ -215,9 +219,12 @@
             (evidence.crashes(record.fingerprint), known)
         };
         let is_blocked = crashes >= max_crashes;
-        shared
+        if shared
             .kept_crashes()
-            .note(record.fingerprint, is_blocked, keeps);
+            .note(record.fingerprint, is_blocked, keeps)
+        {
+            shared.kept_crashes_changed.notify_one();
+        }
         let event = match record.is_void {
             // One crash is evidence against all that ran there, most of which did no harm.
             _ if known < 2 => continue,
@@ -234,27 +241,85 @@
             age_ms = record.age_ms
         );
     }
-    shared.kept_crashes_changed.notify_one();
 }
 
-/// Tells all routers what is new, until the process ends.
+/// Tells other routers what is new, until the process ends.
 pub(crate) async fn send_crash_news(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     loop {
         shared.crash_news.notified().await;
-        let records = shared.take_crash_news();
+        let news = News::of(&shared, shared.take_crash_news());
         // Later news do not wait for the repeats of earlier ones.
-        tokio::spawn(send_repeatedly(shared.clone(), socket.clone(), records));
+        tokio::spawn(news.send_repeatedly(shared.clone(), socket.clone()));
     }
 }
 
-async fn send_repeatedly(shared: Arc<Shared>, socket: Arc<UdpSocket>, records: Vec<CrashRecord>) {
-    let first_turn = rand::random::<u16>() as usize;
-    for (turn, pause_ms) in REPEAT_PAUSES_MS.into_iter().enumerate() {
-        sleep(Duration::from_millis(pause_ms)).await;
-        for records in records.chunks(MAX_RECORDS) {
-            let message = encode(&message(&shared, records.to_vec(), true));
-            send_to_all(&shared, &socket, first_turn + turn, &message).await;
+/// Records that are new here.
+struct News {
+    /// For all routers: all records of the requests that they belong to.
+    shared: Vec<CrashRecord>,
+    /// For the stewards of their requests.
+    reports: Vec<CrashRecord>,
+}
+
+impl News {
+    fn of(shared: &Shared, records: Vec<CrashRecord>) -> Self {
+        let now_ms = Clock.now_ms();
+        let evidence = shared.crash_evidence();
+        let is_shared = |record: &CrashRecord| evidence.is_shared(record.fingerprint);
+        let (to_all, reports): (Vec<_>, Vec<_>) = records.into_iter().partition(is_shared);
+        let requests: HashSet<Fingerprint> = to_all.iter().map(|one| one.fingerprint).collect();
+        let all = requests.into_iter();
+        Self {
+            shared: all
+                .flat_map(|request| evidence.records_of(request, now_ms))
+                .collect(),
+            reports,
+        }
+    }
+
+    async fn send_repeatedly(self, shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+        let first_turn = rand::random::<u16>() as usize;
+        for (turn, pause_ms) in REPEAT_PAUSES_MS.into_iter().enumerate() {
+            sleep(Duration::from_millis(pause_ms)).await;
+            for records in self.shared.chunks(CrashEvidence::MAX_SENT) {
+                let message = encode(&message(&shared, records.to_vec(), true));
+                send_to_all(&shared, &socket, first_turn + turn, &message).await;
+            }
+            for (steward, records) in self.reports_by_steward(&shared) {
+                let message = encode(&RouterMessage::CrashReports(records));
+                drop(socket.send_to(&message, steward).await);
+            }
+        }
+    }
+
+    fn reports_by_steward(&self, shared: &Shared) -> HashMap<SocketAddr, Vec<CrashRecord>> {
+        let settings = shared.settings();
+        let own = (settings.name.as_str(), settings.peer_address);
+        let (peers, now_ms) = (shared.peers(), Clock.now_ms());
+        let mut reports: HashMap<SocketAddr, Vec<CrashRecord>> = HashMap::new();
+        for record in &self.reports {
+            let key = record.fingerprint.hash as u64;
+            for steward in peers.stewards(key, own, STEWARDS, now_ms) {
+                let is_other = steward != settings.peer_address;
+                let records = is_other.then(|| reports.entry(steward).or_default());
+                // A crash takes no more requests with it than a server runs.
+                let records = records.filter(|records| records.len() < CrashEvidence::MAX_SENT);
+                records
+                    .into_iter()
+                    .for_each(|records| records.push(*record));
+            }
         }
+        reports
+    }
+}
+
+/// Takes in reports of first crashes; what is not the first one goes to all.
+pub(crate) fn take_crash_reports(shared: &Shared, from: SocketAddr, records: &[CrashRecord]) {
+    let news = merge_crashes(shared, records, &from.to_string());
+    let is_shared = |record: &CrashRecord| shared.crash_evidence().is_shared(record.fingerprint);
+    let second: Vec<CrashRecord> = news.into_iter().filter(is_shared).collect();
+    if !second.is_empty() {
+        shared.tell_crashes(&second);
     }
 }
 
@@ -266,12 +331,13 @@
         if !expired.is_empty() && shared.is_watcher() {
             for fingerprint in expired {
                 let is_blocked = !blocked_records(&shared, fingerprint).is_empty();
-                shared.kept_crashes().note(fingerprint, is_blocked, true);
+                if shared.kept_crashes().note(fingerprint, is_blocked, true) {
+                    shared.kept_crashes_changed.notify_one();
+                }
             }
-            shared.kept_crashes_changed.notify_one();
         }
-        let is_empty = shared.crash_evidence().is_empty();
-        if is_empty && shared.uptime_ms() >= START_MS {
+        let knows_nothing = shared.crash_evidence().digest() == 0;
+        if knows_nothing && shared.uptime_ms() >= START_MS {
             continue;
         }
         let others: Vec<SocketAddr> = {
@@ -291,20 +357,20 @@
 fn message(shared: &Shared, records: Vec<CrashRecord>, is_final: bool) -> RouterMessage {
     RouterMessage::Crashes {
         records,
-        digest: digest(shared),
+        digest: shared.crash_evidence().digest(),
         is_final,
     }
 }
 
-fn digest(shared: &Shared) -> u64 {
-    let evidence = shared.crash_evidence();
-    CrashRecord::digest(&evidence.records(MAX_RECORDS, Clock.now_ms()))
-}
-
-/// Takes in records of another router or of the store.
-pub(crate) fn merge_crashes(shared: &Shared, records: &[CrashRecord], from: &str) {
+/// Takes in records of another router or of the store; those that were news.
+pub(crate) fn merge_crashes(
+    shared: &Shared,
+    records: &[CrashRecord],
+    from: &str,
+) -> Vec<CrashRecord> {
     let news = shared.crash_evidence().merge(records, Clock.now_ms());
     note_news(shared, &news, from);
+    news
 }
 
 /// Takes in another router's records, and the answer to it if that router knows something else.
@@ -316,10 +382,10 @@
     is_final: bool,
 ) -> Option<RouterMessage> {
     merge_crashes(shared, records, &from.to_string());
-    if is_final || digest(shared) == their_digest {
+    if is_final || shared.crash_evidence().digest() == their_digest {
         return None;
     }
-    let own = shared.crash_evidence().records(MAX_RECORDS, Clock.now_ms());
+    let own = shared.crash_evidence().shared_records(Clock.now_ms());
     Some(message(shared, own, !records.is_empty()))
 }
 
--- a/crates/sapphiretrack-router/src/peer_messages.rs
+++ b/crates/sapphiretrack-router/src/peer_messages.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
-use crate::crashes::take_crashes;
+use crate::crashes::{take_crash_reports, take_crashes};
 use crate::events::{Event, note};
 use crate::shared::Shared;
 
@@ -296,6 +296,10 @@
                 }
                 continue;
             }
+            RouterMessage::CrashReports(records) => {
+                take_crash_reports(&shared, from, &records);
+                continue;
+            }
             RouterMessage::Prefixes(prefixes) => {
                 shared
                     .traffic()
--- a/crates/sapphiretrack-routing/src/crash_evidence.rs
+++ b/crates/sapphiretrack-routing/src/crash_evidence.rs
@@ -19,12 +19,17 @@
     pub is_void: bool,
 }
 
-/// What all routers together know of requests that crash servers: a set of records that only grows, until
-/// they expire. Routers merge what they send each other in any order and as often as it comes.
+/// What a router knows of requests that crash servers: a set of records that only grows, until they expire.
+/// Routers merge what they send each other in any order and as often as it comes.
+///
+/// One crash is evidence against all requests that ran there. Only a few routers, the stewards of a request,
+/// are told of its first crash; all are told from the second one on.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
     requests: HashMap<Fingerprint, BTreeMap<u64, Crash>>,
     outlines: HashSet<Outline>,
+    /// The digest of what all routers are to know, until something changes.
+    digest: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +39,10 @@
 }
 
 impl CrashEvidence {
+    /// The records of a request from which on all routers are to know them.
+    pub const SHARED_FROM: usize = 2;
+    /// The most records that are compared and sent at once.
+    pub const MAX_SENT: usize = 256;
     /// How long a record counts.
     pub const KEPT_MS: u64 = 3_600_000;
     /// The most requests that are kept.
@@ -64,6 +73,7 @@
         for (server, crash) in crashes.into_iter().flatten() {
             if !crash.is_void {
                 crash.is_void = true;
+                self.digest = None;
                 voided.push(crash.record(fingerprint, *server, now_ms));
             }
         }
@@ -91,6 +101,9 @@
         if let Some(known) = crashes.get_mut(&record.server) {
             let is_news = record.is_void && !known.is_void;
             known.is_void |= record.is_void;
+            if is_news {
+                self.digest = None;
+            }
             return is_news;
         }
         if crashes.len() == Self::MAX_SERVERS {
@@ -101,6 +114,7 @@
             is_void: record.is_void,
         };
         crashes.insert(record.server, crash);
+        self.digest = None;
         true
     }
 
@@ -114,6 +128,7 @@
             (valid(crashes), last_ms, **fingerprint)
         });
         if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.digest = None;
             self.requests.remove(&fingerprint);
             self.note_outlines();
         }
@@ -136,6 +151,7 @@
             !crashes.is_empty()
         });
         if !expired.is_empty() {
+            self.digest = None;
             self.note_outlines();
         }
         expired
@@ -176,9 +192,33 @@
             .collect()
     }
 
-    /// Up to `count` records for another router, those of the requests with the most crashes first.
-    pub fn records(&self, count: usize, now_ms: u64) -> Vec<CrashRecord> {
-        let mut requests: Vec<_> = self.requests.iter().collect();
+    /// Whether all routers are to know what is known of a request.
+    pub fn is_shared(&self, fingerprint: Fingerprint) -> bool {
+        let crashes = self.requests.get(&fingerprint);
+        crashes.is_some_and(|crashes| crashes.len() >= Self::SHARED_FROM)
+    }
+
+    /// What all routers are to know, up to what is sent at once.
+    pub fn shared_records(&self, now_ms: u64) -> Vec<CrashRecord> {
+        self.records(Self::SHARED_FROM, Self::MAX_SENT, now_ms)
+    }
+
+    /// A number for what all routers are to know: equal at routers that know the same. 0 for nothing.
+    pub fn digest(&mut self) -> u64 {
+        if let Some(digest) = self.digest {
+            return digest;
+        }
+        let digest = CrashRecord::digest(&self.shared_records(0));
+        self.digest = Some(digest);
+        digest
+    }
+
+    /// Up to `count` records of requests with `least` of them at least, those with the most crashes first.
+    pub fn records(&self, least: usize, count: usize, now_ms: u64) -> Vec<CrashRecord> {
+        let requests = self.requests.iter();
+        let mut requests: Vec<_> = requests
+            .filter(|(_, crashes)| crashes.len() >= least)
+            .collect();
         requests.sort_unstable_by_key(|(fingerprint, crashes)| {
             (usize::MAX - valid(crashes), **fingerprint)
         });
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 
-use sapphiretrack_core::RouterId;
+use sapphiretrack_core::{RouterId, top_by_rendezvous};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -112,6 +112,8 @@
         /// Whether it asks for nothing; else who knows something else answers.
         is_final: bool,
     },
+    /// First crashes under requests, for the stewards of these requests.
+    CrashReports(Vec<CrashRecord>),
 }
 
 /// All changes of the backend servers between two versions of the store.
@@ -409,6 +411,25 @@
         ranked.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// The live routers that come first for a key in an order that differs from key to key, `own` among
+    /// them.
+    pub fn stewards(
+        &self,
+        key: u64,
+        own: (&str, SocketAddr),
+        count: usize,
+        now_ms: u64,
+    ) -> Vec<SocketAddr> {
+        let live = self.peers.iter().filter(|(_, peer)| {
+            peer.heartbeat.state != RouterState::Leaving && self.is_live(peer, now_ms)
+        });
+        let live = live.map(|(name, peer)| (name.as_str(), peer.heartbeat.peer_address));
+        let routers: Vec<(&str, SocketAddr)> = live.chain([own]).collect();
+        let id = |router: &(&str, SocketAddr)| (RouterId::from_name(router.0).0, 1.0);
+        let first = top_by_rendezvous(key, &routers, count, id);
+        first.into_iter().map(|(_, address)| *address).collect()
+    }
+
     /// The availability zones of the other routers.
     pub fn zones(&self) -> BTreeSet<&str> {
         let peers = self.peers.values();
--- a/crates/sapphiretrack-routing/tests/crash_evidence.rs
+++ b/crates/sapphiretrack-routing/tests/crash_evidence.rs
@@ -32,7 +32,7 @@
 
 /// What an evidence says, without ages.
 fn content(evidence: &CrashEvidence) -> Vec<(Fingerprint, u64, bool)> {
-    let records = evidence.records(usize::MAX, 0);
+    let records = evidence.records(1, usize::MAX, 0);
     let mut content: Vec<_> = records
         .iter()
         .map(|one| (one.fingerprint, one.server, one.is_void))
@@ -107,10 +107,10 @@
         prop_assert_eq!(content(&whole), content(&merged(&[&third, &other, &one])));
         prop_assert_eq!(content(&whole), content(&merged(&[&one, &other, &one, &third, &other])));
         // What two routers know together, told to the third.
-        let pair = merged(&[&other, &third]).records(usize::MAX, 0);
+        let pair = merged(&[&other, &third]).records(1, usize::MAX, 0);
         let grouped = merged(&[&one, &pair]);
         prop_assert_eq!(content(&whole), content(&grouped));
-        let digest = |evidence: &CrashEvidence| CrashRecord::digest(&evidence.records(usize::MAX, 0));
+        let digest = |evidence: &CrashEvidence| CrashRecord::digest(&evidence.records(1, usize::MAX, 0));
         prop_assert_eq!(digest(&whole), digest(&grouped));
     }
 
@@ -161,8 +161,8 @@
     let mut other = CrashEvidence::default();
     // Two routers send it to each other all the time.
     for now_ms in (2_000..end_ms).step_by(60_000) {
-        other.merge(&evidence.records(usize::MAX, now_ms), now_ms);
-        evidence.merge(&other.records(usize::MAX, now_ms), now_ms);
+        other.merge(&evidence.records(1, usize::MAX, now_ms), now_ms);
+        evidence.merge(&other.records(1, usize::MAX, now_ms), now_ms);
     }
     for evidence in [&mut evidence, &mut other] {
         evidence.expire(end_ms - 1);
@@ -184,13 +184,13 @@
     for number in 1..flood {
         evidence.note_crash(fingerprint(number), 7, 10 + number);
     }
-    let kept = evidence.records(usize::MAX, flood);
+    let kept = evidence.records(1, usize::MAX, flood);
     assert!(kept.len() <= CrashEvidence::MAX_REQUESTS + MAX_CRASHES);
     assert_eq!(evidence.crashes(fingerprint(0)), MAX_CRASHES);
     assert_eq!(evidence.crashes(fingerprint(1)), 0, "the oldest");
     assert_eq!(evidence.crashes(fingerprint(flood - 1)), 1);
     assert_eq!(
-        evidence.records(MAX_CRASHES, flood)[0].fingerprint,
+        evidence.records(1, MAX_CRASHES, flood)[0].fingerprint,
         fingerprint(0)
     );
     for server in 0..1_000 {
@@ -199,65 +199,124 @@
     assert!(evidence.crashes(fingerprint(0)) <= CrashEvidence::MAX_SERVERS);
 }
 
-/// Routers that tell each other, as the program does: each piece of news to all four times within 1.3 s,
-/// and two others each quarter of a second what they know. Messages are lost with a chance, and all of them
-/// between two halves during a partition. Returns how long after its third crash, and after the end of
-/// the partition, the last router refuses the request.
-fn play(routers: usize, loss: f64, partition_ms: u64, seed: u64) -> u64 {
-    const STEP_MS: u64 = 20;
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut fleet = vec![CrashEvidence::default(); routers];
-    let crashes: Vec<(u64, usize)> = (0..3)
-        .map(|one| (one * 400, one as usize * 7 % routers))
-        .collect();
-    let (last_ms, _) = crashes[2];
-    let mut news: Vec<(u64, usize, CrashRecord)> = Vec::new();
-    for now_ms in (0..60_000).step_by(STEP_MS as usize) {
-        let reaches = |from: usize, to: usize, draw: f64| {
-            let is_parted =
-                now_ms < last_ms + partition_ms && (from < routers / 2) != (to < routers / 2);
-            from != to && !is_parted && draw >= loss
-        };
-        for (server, (at_ms, router)) in crashes.iter().enumerate() {
-            if now_ms == *at_ms {
-                let record = fleet[*router].note_crash(fingerprint(1), server as u64, now_ms);
-                let record = record.expect("new");
-                let times = [0, 100, 400, 1_300].map(|pause| (now_ms + pause, *router, record));
-                news.extend(times);
+const STEWARDS: usize = 3;
+const STEP_MS: u64 = 20;
+/// When a message is sent, after the first time.
+const REPEATS_MS: [u64; 4] = [0, 100, 400, 1_300];
+
+/// Routers that tell each other, as the program does: the stewards of a request of its first crash, all of what
+/// is known from the second one on, each time four times within 1.3 s, and two others each quarter of a
+/// second what all are to know. Messages are lost with a chance, and all of them between two halves
+/// during a partition.
+struct Fleet {
+    routers: Vec<CrashEvidence>,
+    /// When, from whom, to whom.
+    messages: Vec<(u64, usize, Vec<usize>, Vec<CrashRecord>)>,
+    random: ChaCha8Rng,
+    loss: f64,
+    parted_until_ms: u64,
+}
+
+impl Fleet {
+    fn reaches(&mut self, from: usize, to: usize, now_ms: u64) -> bool {
+        let half = self.routers.len() / 2;
+        let is_parted = now_ms < self.parted_until_ms && (from < half) != (to < half);
+        from != to && !is_parted && self.random.random::<f64>() >= self.loss
+    }
+
+    fn tell(&mut self, from: usize, records: &[CrashRecord], now_ms: u64) {
+        let evidence = &self.routers[from];
+        let is_shared = records
+            .iter()
+            .any(|one| evidence.is_shared(one.fingerprint));
+        let count = self.routers.len();
+        // During a partition only the routers of the own half are live.
+        let is_parted = now_ms < self.parted_until_ms && from >= count / 2;
+        let first = if is_parted { count / 2 } else { 0 };
+        let (to, records): (Vec<usize>, _) = match is_shared {
+            true => {
+                let all = (0..count).collect();
+                (all, evidence.records_of(records[0].fingerprint, now_ms))
             }
-        }
-        for (at_ms, from, record) in &news {
-            for (to, router) in fleet.iter_mut().enumerate() {
-                if *at_ms == now_ms && reaches(*from, to, random.random()) {
-                    router.merge(&[*record], now_ms);
+            false => {
+                let stewards = first..(first + STEWARDS).min(count);
+                (stewards.collect(), records.to_vec())
+            }
+        };
+        let times =
+            REPEATS_MS.map(|pause_ms| (now_ms + pause_ms, from, to.clone(), records.clone()));
+        self.messages.extend(times);
+    }
+
+    fn deliver(&mut self, now_ms: u64) {
+        let (due, later) = std::mem::take(&mut self.messages)
+            .into_iter()
+            .partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.messages = later;
+        let due: Vec<(u64, usize, Vec<usize>, Vec<CrashRecord>)> = due;
+        for (_, from, recipients, records) in due {
+            let is_report = records.len() < CrashEvidence::SHARED_FROM;
+            for to in recipients {
+                if !self.reaches(from, to, now_ms) {
+                    continue;
+                }
+                let news = self.routers[to].merge(&records, now_ms);
+                let is_second = !news.is_empty() && self.routers[to].is_shared(news[0].fingerprint);
+                if is_report && is_second {
+                    self.tell(to, &news, now_ms);
                 }
             }
         }
-        if now_ms % 240 == 0 {
-            for from in 0..routers {
-                let others = rand::seq::index::sample(&mut random, routers - 1, 2);
-                for other in others {
-                    let to = (from + 1 + other) % routers;
-                    let known = fleet[from].records(256, now_ms);
-                    let asked = reaches(from, to, random.random());
-                    if !asked || known == fleet[to].records(256, now_ms) {
-                        continue;
-                    }
-                    let answer = fleet[to].records(256, now_ms);
-                    if reaches(to, from, random.random()) {
-                        fleet[from].merge(&answer, now_ms);
-                        if reaches(from, to, random.random()) {
-                            fleet[to].merge(&known, now_ms);
-                        }
+    }
+
+    fn compare(&mut self, now_ms: u64) {
+        let count = self.routers.len();
+        for from in 0..count {
+            for other in rand::seq::index::sample(&mut self.random, count - 1, 2) {
+                let to = (from + 1 + other) % count;
+                if !self.reaches(from, to, now_ms)
+                    || self.routers[from].digest() == self.routers[to].digest()
+                {
+                    continue;
+                }
+                let answer = self.routers[to].shared_records(now_ms);
+                if self.reaches(to, from, now_ms) {
+                    self.routers[from].merge(&answer, now_ms);
+                    let own = self.routers[from].shared_records(now_ms);
+                    if self.reaches(from, to, now_ms) {
+                        self.routers[to].merge(&own, now_ms);
                     }
                 }
             }
         }
-        let all = fleet
-            .iter()
-            .all(|one| one.crashes(fingerprint(1)) >= MAX_CRASHES);
-        if now_ms >= last_ms + partition_ms && all {
-            return now_ms - last_ms - partition_ms;
+    }
+}
+
+/// How long after its third crash, and after the end of a partition, the last router refuses a request.
+fn play(routers: usize, loss: f64, partition_ms: u64, seed: u64) -> u64 {
+    let crashes = [0, 400, 800];
+    let since_ms = crashes[2] + partition_ms;
+    let mut fleet = Fleet {
+        routers: vec![CrashEvidence::default(); routers],
+        messages: Vec::new(),
+        random: ChaCha8Rng::seed_from_u64(seed),
+        loss,
+        parted_until_ms: if partition_ms > 0 { since_ms } else { 0 },
+    };
+    for now_ms in (0..60_000).step_by(STEP_MS as usize) {
+        if let Some(server) = crashes.iter().position(|at_ms| *at_ms == now_ms) {
+            let router = fleet.random.random_range(0..routers);
+            let record = fleet.routers[router].note_crash(fingerprint(1), server as u64, now_ms);
+            fleet.tell(router, &[record.expect("new")], now_ms);
+        }
+        fleet.deliver(now_ms);
+        if now_ms % 240 == 0 {
+            fleet.compare(now_ms);
+        }
+        let mut all = fleet.routers.iter();
+        let all = all.all(|one| one.crashes(fingerprint(1)) >= MAX_CRASHES);
+        if now_ms >= since_ms && all {
+            return now_ms - since_ms;
         }
     }
     panic!("not all know it");
--- a/crates/sapphiretrack-routing/tests/messages.rs
+++ b/crates/sapphiretrack-routing/tests/messages.rs
@@ -68,10 +68,9 @@
                 self.reporter
                     .note_digest(([10, 0, 0, 1], 1).into(), &digest.loads, now_ms);
             }
-            RouterMessage::Crashes { records, .. } => {
+            RouterMessage::Crashes { records, .. } | RouterMessage::CrashReports(records) => {
                 self.crashes.merge(&records, now_ms);
-                let records = self.crashes.records(usize::MAX, now_ms);
-                let _digest = CrashRecord::digest(&records);
+                let _digest = self.crashes.digest();
                 self.crashes.expire(now_ms);
             }
             RouterMessage::Relay(_) | RouterMessage::AskPrefixes { .. } => {}
@@ -215,10 +214,13 @@
         is_void,
     });
     let fields = (prop::collection::vec(record, 0..5), any::<(u64, bool)>());
-    fields.prop_map(|(records, (digest, is_final))| RouterMessage::Crashes {
-        records,
-        digest,
-        is_final,
+    fields.prop_map(|(records, (digest, is_final))| match digest % 2 {
+        0 => RouterMessage::CrashReports(records),
+        _ => RouterMessage::Crashes {
+            records,
+            digest,
+            is_final,
+        },
     })
 }
 
