--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -1,4 +1,4 @@
-//! Requests that crash their servers: evidence, what routers tell each other of it, and refusals.
+//! Requests that crash their servers: evidence, its exchange between routers, and refusals.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -33,7 +33,7 @@
 const COMPARED: usize = 2;
 /// How long after its start a router asks though it knows nothing.
 const START_MS: u64 = 10_000;
-/// Routers that are told of the first crash under a request: two of them may be lost before the second one.
+/// Routers that learn of the first crash under a request: two of them may be lost before the second one.
 const STEWARDS: usize = 3;
 /// The pause after a call to the store that failed, which doubles.
 const STORE_RETRY_MS: u64 = 100;
@@ -71,7 +71,7 @@
 }
 
 impl KeptCrashes {
-    /// Notes whether a request is refused now; `writes` tells whether this router writes it to the store.
+    /// Notes whether a request is refused now; `writes` says whether this router writes it to the store.
     /// Returns whether there is something to write now.
     fn note(&mut self, fingerprint: Fingerprint, is_blocked: bool, writes: bool) -> bool {
         let has_changed = match is_blocked {
@@ -93,7 +93,7 @@
     let listed = services.get(&server.service);
     let is_listed =
         listed.is_some_and(|list| list.iter().any(|one| one.incarnation == server.incarnation));
-    // A server that was told to leave ends its connections when its time is up.
+    // A server on a planned stop ends its connections when its time is up.
     if !is_listed {
         return;
     }
@@ -139,7 +139,7 @@
         requests = news.len()
     );
     note_news(&shared, &news, "own");
-    shared.tell_crashes(&news);
+    shared.announce_crashes(&news);
 }
 
 /// Notes that a request got a whole answer, which clears it of what is known against it.
@@ -187,7 +187,7 @@
     let voided = shared.crash_evidence().note_answered(fingerprint, now_ms);
     if !voided.is_empty() {
         note_news(shared, &voided, "own");
-        shared.tell_crashes(&voided);
+        shared.announce_crashes(&voided);
     }
 }
 
@@ -243,11 +243,11 @@
     }
 }
 
-/// Tells other routers what is new, until the process ends.
+/// Announces what is new to other routers, until the process ends.
 pub(crate) async fn send_crash_news(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     loop {
         shared.crash_news.notified().await;
-        let news = News::of(&shared, shared.take_crash_news());
+        let news = News::of(&shared, shared.take_crash_announcements());
         // Later news do not wait for the repeats of earlier ones.
         tokio::spawn(news.send_repeatedly(shared.clone(), socket.clone()));
     }
@@ -319,7 +319,7 @@
     let is_shared = |record: &CrashRecord| shared.crash_evidence().is_shared(record.fingerprint);
     let second: Vec<CrashRecord> = news.into_iter().filter(is_shared).collect();
     if !second.is_empty() {
-        shared.tell_crashes(&second);
+        shared.announce_crashes(&second);
     }
 }
 
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -54,7 +54,7 @@
     pub(crate) state_changed: Notify,
     /// Wakes whoever advertises what a watch of the store brings.
     pub(crate) listings_read: Notify,
-    /// Wakes whoever tells the other routers of requests that crash servers.
+    /// Wakes whoever announces requests that crash servers to the other routers.
     pub(crate) crash_news: Notify,
     /// Wakes whoever writes them to the store.
     pub(crate) kept_crashes_changed: Notify,
@@ -77,7 +77,7 @@
     /// Requests that crash servers.
     crash_evidence: Mutex<CrashEvidence>,
     suspects: Mutex<Suspects>,
-    crashes_to_tell: Mutex<Vec<CrashRecord>>,
+    crash_announcements: Mutex<Vec<CrashRecord>>,
     kept_crashes: Mutex<KeptCrashes>,
     started_ms: u64,
     leaving_since_ms: AtomicU64,
@@ -176,7 +176,7 @@
             crash_news: Notify::new(),
             crash_evidence: Mutex::default(),
             suspects: Mutex::default(),
-            crashes_to_tell: Mutex::default(),
+            crash_announcements: Mutex::default(),
             kept_crashes: Mutex::default(),
             kept_crashes_changed: Notify::new(),
             configuration_watch: SharedWatch::default(),
@@ -364,9 +364,9 @@
         lock(&self.suspects)
     }
 
-    /// Has records told to all routers.
-    pub(crate) fn tell_crashes(&self, records: &[CrashRecord]) {
-        lock(&self.crashes_to_tell).extend_from_slice(records);
+    /// Has records announced to the other routers.
+    pub(crate) fn announce_crashes(&self, records: &[CrashRecord]) {
+        lock(&self.crash_announcements).extend_from_slice(records);
         self.crash_news.notify_one();
     }
 
@@ -375,9 +375,9 @@
         lock(&self.kept_crashes)
     }
 
-    /// The records to tell now.
-    pub(crate) fn take_crash_news(&self) -> Vec<CrashRecord> {
-        std::mem::take(&mut *lock(&self.crashes_to_tell))
+    /// The records to announce now.
+    pub(crate) fn take_crash_announcements(&self) -> Vec<CrashRecord> {
+        std::mem::take(&mut *lock(&self.crash_announcements))
     }
 
     /// Whether the log tells a request in full.
--- a/crates/sapphiretrack-routing/src/crash_evidence.rs
+++ b/crates/sapphiretrack-routing/src/crash_evidence.rs
@@ -23,7 +23,7 @@
 /// Routers merge what they send each other in any order and as often as it comes.
 ///
 /// One crash is evidence against all requests that ran there. Only a few routers, the stewards of a request,
-/// are told of its first crash; all are told from the second one on.
+/// learn of its first crash; all learn of it from the second one on.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
     requests: HashMap<Fingerprint, BTreeMap<u64, Crash>>,
