Avoid crashed servers and pass over unreachable ones

Cause: the entries of crashed servers lapse only seconds later, and placement chose them although the crash evidence names their incarnations; and an attempt whose connection was refused used up one of the three servers that are tried.

Crashed incarnations are suspect for 30 s now, so that they are chosen only if nothing else is left. Up to six servers to which nothing was written do not count towards the limit (setting 'unreachable'); they cost no retry budget, as before. Ruled out: a longer pause in the tests, which would have hidden it.

--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
 use crate::relay::{self, ReadAnswer};
+use crate::settings::AttemptSettings;
 use crate::shared::Shared;
 
 /// Counts of a request's attempts so far.
@@ -35,6 +36,14 @@
 }
 
 impl Attempts {
+    /// Whether another server may be tried. Servers to which nothing was sent count towards the
+    /// limit only beyond an allowance of their own.
+    fn may_try_another(&self, settings: &AttemptSettings) -> bool {
+        let unreachable = (self.tried.len() as u32).saturating_sub(self.offers);
+        let counted = self.offers + unreachable.saturating_sub(settings.max_unreachable);
+        counted < settings.max_offers
+    }
+
     /// Counts a failure if the connection was lost.
     pub(crate) fn note_connection_loss(&mut self, failure: AttemptFailure) {
         self.connection_losses += usize::from(matches!(failure, AttemptFailure::ConnectionLost(_)));
@@ -208,7 +217,7 @@
         is_allowed
             && !self.is_service_full()
             && attempts.possible_runs < self.route.max_attempts.max(1)
-            && (attempts.tried.len() as u32) < self.shared.settings().attempts.max_offers
+            && attempts.may_try_another(&self.shared.settings().attempts)
             && self.left_ms() > 0
     }
 
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -219,6 +219,7 @@
             .iter()
             .map(|server| self.candidate(server, &peer_loads));
         let mut candidates: Vec<Candidate> = candidates.collect();
+        self.mark_crashed(&mut candidates);
         self.mark_home(&mut candidates);
         candidates
     }
@@ -237,6 +238,18 @@
             .is_outdated(service_ms, self.now_ms)
     }
 
+    /// Marks the servers that crashed recently as suspect: their entries lapse only after several
+    /// seconds.
+    fn mark_crashed(&self, candidates: &mut [Candidate]) {
+        let evidence = self.shared.crash_evidence();
+        if evidence.is_empty() {
+            return;
+        }
+        for candidate in candidates {
+            candidate.suspect |= evidence.has_crashed(candidate.server.0, self.now_ms);
+        }
+    }
+
     /// Marks the home server of the prompt's last shared prefix, and whether that prefix has
     /// several homes.
     fn mark_home(&self, candidates: &mut [Candidate]) {
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -184,6 +184,8 @@
         "time after which an idempotent request is moved from an unresponsive server, as a multiple of its route's objective; 1000: never";
     "offers", "servers", 1.0..=16.0, attempts.max_offers: u32,
         "most servers that are tried for one request; 1: no second attempt";
+    "unreachable", "servers", 0.0..=64.0, attempts.max_unreachable: u32,
+        "servers that may be unreachable without counting as tried; 0: all count";
     "max-crashes", "servers", 1.0..=1_000.0, attempts.max_crashes: usize,
         "servers that a request may crash before it is refused; 1000: never refused";
     "full-service", "ms", 0.0..=60_000.0, retry.full_ms: u64,
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -64,6 +64,9 @@
     /// The most servers that are tried for one request. Beyond that, the caller is better served by
     /// a later retry.
     pub max_offers: u32,
+    /// The number of servers that may be unreachable, or have no connection left for this router,
+    /// without counting towards `max_offers`: nothing was sent to them.
+    pub max_unreachable: u32,
     /// The number of servers that a request may crash before it is refused.
     pub max_crashes: usize,
     /// The time after which an attempt at an unresponsive server is abandoned, as a multiple of the
@@ -81,6 +84,7 @@
     fn default() -> Self {
         Self {
             max_offers: 3,
+            max_unreachable: 6,
             max_crashes: 3,
             silent_objectives: 2.0,
             plain_queue_factor: 3,
--- a/crates/sapphiretrack-routing/src/crash_evidence.rs
+++ b/crates/sapphiretrack-routing/src/crash_evidence.rs
@@ -31,6 +31,8 @@
 pub struct CrashEvidence {
     requests: HashMap<Fingerprint, BTreeMap<u64, Crash>>,
     outlines: HashSet<Outline>,
+    /// When each recorded server crashed.
+    servers: HashMap<u64, u64>,
     /// Cached digest of the shared records; `None` after a change.
     digest: Option<u64>,
 }
@@ -52,6 +54,9 @@
     pub const MAX_REQUESTS: usize = 1_024;
     /// Maximum number of servers kept per request.
     pub const MAX_SERVERS: usize = 16;
+    /// Time in milliseconds after a crash for which the server is avoided. Its entry lapses earlier
+    /// unless the store is unavailable.
+    pub const AVOID_MS: u64 = 30_000;
 
     /// Records that a server ended while it ran a request. Returns the record; `None` if it was
     /// recorded before or exceeds [`Self::MAX_SERVERS`].
@@ -119,6 +124,7 @@
             is_void: record.is_void,
         };
         crashes.insert(record.server, crash);
+        self.servers.insert(record.server, crash.at_ms);
         self.digest = None;
         true
     }
@@ -136,13 +142,17 @@
         if let Some(fingerprint) = fewest.map(|(fingerprint, _)| *fingerprint) {
             self.digest = None;
             self.requests.remove(&fingerprint);
-            self.rebuild_outlines();
+            self.rebuild_indexes();
         }
     }
 
-    fn rebuild_outlines(&mut self) {
+    fn rebuild_indexes(&mut self) {
         let requests = self.requests.keys();
         self.outlines = requests.map(|fingerprint| fingerprint.outline).collect();
+        let crashes = self.requests.values().flatten();
+        self.servers = crashes
+            .map(|(server, crash)| (*server, crash.at_ms))
+            .collect();
     }
 
     /// Removes expired records. Returns the requests that lost any.
@@ -158,7 +168,7 @@
         });
         if !expired.is_empty() {
             self.digest = None;
-            self.rebuild_outlines();
+            self.rebuild_indexes();
         }
         expired
     }
@@ -168,6 +178,12 @@
         self.requests.is_empty()
     }
 
+    /// Returns whether an incarnation of a server crashed recently, whichever request caused it.
+    pub fn has_crashed(&self, server: u64, now_ms: u64) -> bool {
+        let at_ms = self.servers.get(&server);
+        at_ms.is_some_and(|at_ms| now_ms < at_ms.saturating_add(Self::AVOID_MS))
+    }
+
     /// Returns whether there may be records of requests with an outline. An outline is cheaper to
     /// compute than a fingerprint.
     pub fn may_have_records(&self, outline: Outline) -> bool {
--- a/crates/sapphiretrack-routing/tests/crash_evidence.rs
+++ b/crates/sapphiretrack-routing/tests/crash_evidence.rs
@@ -360,3 +360,18 @@
         }
     }
 }
+
+/// Guards against sending requests to servers that crashed, whose entries lapse only seconds later.
+#[test]
+fn a_crashed_server_is_avoided_until_its_entry_must_have_lapsed() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_crash(fingerprint(1), 7, 1_000);
+    evidence.merge(&[record(2, 8, true)], 1_000);
+    for server in [7, 8] {
+        assert!(evidence.has_crashed(server, 1_000 + CrashEvidence::AVOID_MS - 1));
+        assert!(!evidence.has_crashed(server, 1_000 + CrashEvidence::AVOID_MS));
+    }
+    assert!(!evidence.has_crashed(9, 1_000));
+    evidence.expire(1_000 + CrashEvidence::RETENTION_MS);
+    assert!(!evidence.has_crashed(7, 1_000));
+}
