--- a/crates/sapphiretrack-logs/src/cause.rs
+++ b/crates/sapphiretrack-logs/src/cause.rs
@@ -130,6 +130,15 @@
         "no-route" => "the configuration in force has no such route",
         "route-moved" => "its route had moved to another service in the meantime",
         "no-server" => "no backend server of its service was listed",
+        "zone-evacuated" => "the servers that could serve it were in evacuated availability zones",
+        "evacuations-stale" => {
+            "the router knew of a newer evacuation order and had not read it in time"
+        }
+        "region-not-allowed" => "no server was in a region that its route and its tenant allow",
+        "server-cold" => "the server was cold and had got as many requests as it tolerates",
+        "servers-cold" => {
+            "all servers with capacity were cold and had got as many requests as they tolerate"
+        }
         "servers-full" => "all backend servers of its service were full",
         "servers-tried" => "all backend servers of its service had been tried",
         "server-refused" => "the server refused it without running it",
--- a/crates/sapphiretrack-router/src/admission.rs
+++ b/crates/sapphiretrack-router/src/admission.rs
@@ -91,6 +91,10 @@
             .as_ref()
             .and_then(|tenant| tenant.priority)
             .unwrap_or(route.priority),
+        tenant_regions: tenant
+            .as_ref()
+            .map(|tenant| tenant.allowed_regions.clone())
+            .unwrap_or_default(),
         tenant: tenant.map(|tenant| tenant.name),
         is_log_sampled: shared.is_log_sampled(&facts.id),
         shared: shared.clone(),
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -86,7 +86,14 @@
     /// Counts the failure against the server and logs it.
     pub(crate) fn record(self, job: &Job, placement: &Placement) {
         // Running out of this router's share of connections says nothing about the server's health.
-        if self != Self::NotSent("connections-used") {
+        // Neither does a change of what may be sent there.
+        let is_own_limit = matches!(
+            self,
+            Self::NotSent(
+                "connections-used" | "server-cold" | "zone-evacuated" | "region-not-allowed"
+            )
+        );
+        if !is_own_limit {
             placement.record_outcome(true);
         }
         let (id, server) = (&job.facts.id, &placement.server.id);
@@ -188,6 +195,11 @@
         if left_ms == 0 {
             return Err((placement, AttemptFailure::NoTimeLeft));
         }
+        // What the placement was based on may have changed while the connection was opened.
+        if let Some(exclusion) = placement.exclusion_at_send(job.placement_request(service, &[])) {
+            connection.return_to_pool(None);
+            return Err((placement, AttemptFailure::NotSent(exclusion.as_str())));
+        }
         let request = attempt_request(job, &placement, resume_after, left_ms);
         if job.is_log_sampled {
             note!(
@@ -249,6 +261,10 @@
 ) -> Result<ServerAnswer, (Placement, AttemptFailure)> {
     let (head, body) = answer.into_parts();
     let facts = (job.interface.read_answer)(&head);
+    if let Some(left_ms) = facts.cold_left_ms {
+        let cold_servers = &job.shared.cold_servers;
+        cold_servers.record_told(&placement.server, left_ms);
+    }
     if facts.wrong_server || facts.not_run {
         let reason = match facts.wrong_server {
             true => "wrong-server",
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use rand::RngExt;
 use sapphiretrack_core::DrainRate;
-use sapphiretrack_routing::{Configuration, Incarnation, RequestKind};
+use sapphiretrack_routing::{Configuration, Exclusion, Incarnation, RequestKind, Service};
 
 use crate::admission::{admit, receive_request};
 use crate::answer::{AnswerBody, generated_answer};
@@ -22,6 +22,9 @@
 use crate::settings::AttemptSettings;
 use crate::shared::Shared;
 
+/// The retry delay if all servers of a service are in evacuated zones: an operator has to act first.
+const EVACUATED_RETRY_MS: u64 = 1_000;
+
 /// Counts of a request's attempts so far.
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
@@ -106,6 +109,20 @@
         Ok(in_force.configuration)
     }
 
+    /// The input of a placement of this request.
+    pub(crate) fn placement_request<'a>(
+        &'a self,
+        service: &'a Service,
+        tried: &'a [Incarnation],
+    ) -> PlacementRequest<'a> {
+        PlacementRequest {
+            service,
+            facts: &self.facts,
+            tried,
+            allowed_regions: [&self.route.allowed_regions, &self.tenant_regions],
+        }
+    }
+
     /// Sends the request to servers until one responds or no further attempt is allowed.
     pub(crate) async fn attempt(
         &self,
@@ -135,11 +152,10 @@
             if !self.shared.servers_are_usable() {
                 return Err(AttemptFailure::NotSent("servers-replaced"));
             }
-            let request = PlacementRequest {
-                service,
-                facts: &self.facts,
-                tried: &attempts.tried,
-            };
+            if !self.shared.evacuations_are_usable() {
+                return Err(AttemptFailure::NotSent("evacuations-stale"));
+            }
+            let request = self.placement_request(service, &attempts.tried);
             let placement = place(&self.shared, request);
             let placement = placement.map_err(|error| self.note_placement_failure(error))?;
             if attempts.offers > 0 && !retry_reserved && !self.try_reserve_retry() {
@@ -338,6 +354,17 @@
         failure,
         AttemptFailure::NotPlaced(PlacementError::AllFull) | AttemptFailure::NotRun(_)
     );
+    let wait_ms = match failure {
+        AttemptFailure::NotPlaced(PlacementError::OnlyCold(wait_ms)) => Some(wait_ms),
+        AttemptFailure::NotPlaced(PlacementError::Excluded(Exclusion::Evacuated)) => {
+            Some(EVACUATED_RETRY_MS)
+        }
+        _ => None,
+    };
+    if let Some(wait_ms) = wait_ms {
+        let refusal = Refusal::retryable_after(reason, wait_ms);
+        return refuse(&job.shared, &job.facts.id, refusal, leaving);
+    }
     let refusal = match full {
         true => {
             let mut traffic = job.shared.traffic();
--- a/crates/sapphiretrack-router/src/endpoints.rs
+++ b/crates/sapphiretrack-router/src/endpoints.rs
@@ -176,6 +176,8 @@
         busiest_server_requests: loads.values().copied().max().unwrap_or(0),
         configuration_version: configuration.as_ref().map_or(0, |one| one.version),
         configuration_age_ms: age_ms.map_or(-1, |age| age as i64),
+        cold_servers: shared.cold_servers.count(shared),
+        evacuated_zones: shared.evacuations.zones().len(),
         servers: shared.servers.load().values().map(Vec::len).sum(),
         ready_peers: shared
             .peers()
--- a/crates/sapphiretrack-router/src/events.rs
+++ b/crates/sapphiretrack-router/src/events.rs
@@ -79,6 +79,12 @@
     SERVICE_FULL = 625, Warn, "service at capacity";
     /// A listing could not be read from another router.
     LISTING_FETCH_FAILED = 626, Info, "listing not read from another router";
+    /// An order to evacuate an availability zone is in force here.
+    EVACUATION_BEGUN = 627, Info, "availability zone evacuated";
+    /// An order to evacuate an availability zone was withdrawn.
+    EVACUATION_ENDED = 628, Info, "evacuation of an availability zone ended";
+    /// A backend server counts as cold.
+    SERVER_COLD = 629, Info, "backend server cold";
     /// Another router was discovered, came back or changed its state.
     PEER_CHANGED = 630, Info, "router discovered or changed";
     /// Another router's heartbeats stopped.
--- a/crates/sapphiretrack-router/src/job.rs
+++ b/crates/sapphiretrack-router/src/job.rs
@@ -31,6 +31,8 @@
     pub(crate) body: Bytes,
     /// The name of the caller's tenant; none for an anonymous request.
     pub(crate) tenant: Option<String>,
+    /// The regions that the tenant allows; all if empty.
+    pub(crate) tenant_regions: Vec<String>,
     /// The priority; 0 is the highest.
     pub(crate) priority: u8,
     /// The route that it matched.
--- a/crates/sapphiretrack-router/src/listing_updates.rs
+++ b/crates/sapphiretrack-router/src/listing_updates.rs
@@ -4,7 +4,8 @@
 use std::sync::atomic::Ordering;
 
 use sapphiretrack_routing::{
-    Configuration, ConfigurationChange, Incarnation, ServerChange, ServerEntry, ServerList,
+    ColdReport, Configuration, ConfigurationChange, Incarnation, ServerChange, ServerEntry,
+    ServerList,
 };
 
 use crate::clock::Clock;
@@ -32,7 +33,9 @@
         };
         let changed = !update.records.is_empty();
         let unusable = update.records.iter();
-        let unusable = unusable.filter(|record| !matches!(record, Record::Configuration(_)));
+        let is_used =
+            |record: &Record| matches!(record, Record::Configuration(_) | Record::Evacuation(_));
+        let unusable = unusable.filter(|record| !is_used(record));
         unusable.for_each(log_unusable);
         let state = shared.state();
         if last_state != Some(state) {
@@ -99,7 +102,7 @@
         if let Some(recovered_ms) = recovered_ms {
             list.record_peer_recovery(recovered_ms);
         }
-        let changed = update.is_some_and(|update| apply_update(&mut list, update, now_ms));
+        let changed = update.is_some_and(|update| apply_update(&shared, &mut list, update, now_ms));
         for id in list.drop_missing(now_ms) {
             note!(
                 Event::SERVER_LEAVING,
@@ -117,8 +120,9 @@
 /// Applies an update. Returns whether it contains changes from a call to the store, after which the
 /// caller pauses before its next call. Updates that other routers relay cost no call and are
 /// frequent: with a pause after each they would wait in the queue for seconds.
-fn apply_update(list: &mut ServerList, update: Update, now_ms: u64) -> bool {
+fn apply_update(shared: &Shared, list: &mut ServerList, update: Update, now_ms: u64) -> bool {
     let changed = update.is_from_store && !update.records.is_empty();
+    record_cold_servers(shared, &update);
     if update.is_whole_listing {
         apply_whole_listing(list, update.records, now_ms);
         return changed;
@@ -129,12 +133,29 @@
     changed
 }
 
+/// Records which servers of an update are cold, before they can get requests.
+fn record_cold_servers(shared: &Shared, update: &Update) {
+    let entries = update.records.iter().filter_map(|record| match record {
+        Record::Server(ServerChange::Entry(entry)) => Some(entry),
+        _ => None,
+    });
+    let cold_servers = &shared.cold_servers;
+    cold_servers.record_listed(entries, update.is_whole_listing);
+    let reports = update.records.iter().filter_map(|record| match record {
+        Record::Cold(report) => Some(*report),
+        _ => None,
+    });
+    let reports: Vec<ColdReport> = reports.collect();
+    cold_servers.record_reports(&reports);
+}
+
 fn apply_whole_listing(list: &mut ServerList, records: Vec<Record>, now_ms: u64) {
     let mut entries = Vec::new();
     for record in records {
         match record {
             Record::Server(ServerChange::Entry(entry)) => entries.push(entry),
             Record::Server(ServerChange::Unreadable { id, reason }) => log_unreadable(&id, &reason),
+            Record::Cold(_) => {}
             other => log_unusable(&other),
         }
     }
@@ -203,13 +224,19 @@
         .retain(|server, health| listed.contains(server) || health.in_flight > 0);
     drop(traffic);
     shared.pool.sweep(|server| listed.contains(&server));
+    shared.cold_servers.retain_listed(&listed);
 }
 
 /// Logs a record that its listing cannot use.
 pub(crate) fn log_unusable(record: &Record) {
     match record {
         Record::Unusable { key, reason } => log_unreadable(key, reason),
-        Record::Configuration(_) | Record::Server(_) | Record::Router(_) | Record::Crashes(_) => {
+        Record::Configuration(_)
+        | Record::Evacuation(_)
+        | Record::Server(_)
+        | Record::Cold(_)
+        | Record::Router(_)
+        | Record::Crashes(_) => {
             log_unreadable("?", "of another listing");
         }
     }
--- a/crates/sapphiretrack-router/src/metrics.rs
+++ b/crates/sapphiretrack-router/src/metrics.rs
@@ -53,6 +53,8 @@
     configuration_age_ms: Gauge,
     servers_age_ms: Gauge,
     servers: Gauge,
+    cold_servers: Gauge,
+    evacuated_zones: Gauge,
     server_requests: Gauge,
     busiest_server_requests: Gauge,
     ready_peers: Gauge,
@@ -71,6 +73,10 @@
     pub(crate) servers_age_ms: i64,
     /// Backend servers that take work.
     pub(crate) servers: usize,
+    /// Backend servers that count as cold.
+    pub(crate) cold_servers: usize,
+    /// Availability zones that are evacuated.
+    pub(crate) evacuated_zones: usize,
     /// Requests of all routers at backend servers, as estimated from the reported loads.
     pub(crate) server_requests: u32,
     /// The same at the busiest server.
@@ -103,6 +109,8 @@
             configuration_age_ms: Gauge::default(),
             servers_age_ms: Gauge::default(),
             servers: Gauge::default(),
+            cold_servers: Gauge::default(),
+            evacuated_zones: Gauge::default(),
             server_requests: Gauge::default(),
             busiest_server_requests: Gauge::default(),
             ready_peers: Gauge::default(),
@@ -185,6 +193,8 @@
         self.configuration_age_ms.set(gauges.configuration_age_ms);
         self.servers_age_ms.set(gauges.servers_age_ms);
         self.servers.set(gauges.servers as i64);
+        self.cold_servers.set(gauges.cold_servers as i64);
+        self.evacuated_zones.set(gauges.evacuated_zones as i64);
         self.server_requests.set(i64::from(gauges.server_requests));
         let busiest = i64::from(gauges.busiest_server_requests);
         self.busiest_server_requests.set(busiest);
@@ -261,7 +271,32 @@
                 "Age of its last proof",
                 &self.configuration_age_ms,
             ),
+            (
+                "servers_age_ms",
+                "Age of the last proof of the list of backend servers",
+                &self.servers_age_ms,
+            ),
             ("servers", "Backend servers that take work", &self.servers),
+            (
+                "cold_servers",
+                "Backend servers that are cold",
+                &self.cold_servers,
+            ),
+            (
+                "evacuated_zones",
+                "Availability zones that are evacuated",
+                &self.evacuated_zones,
+            ),
+            (
+                "server_requests",
+                "Requests of all routers at backend servers",
+                &self.server_requests,
+            ),
+            (
+                "busiest_server_requests",
+                "Requests of all routers at the busiest backend server",
+                &self.busiest_server_requests,
+            ),
             (
                 "ready_peers",
                 "Other routers that are ready",
--- a/crates/sapphiretrack-router/src/peer_listings.rs
+++ b/crates/sapphiretrack-router/src/peer_listings.rs
@@ -71,9 +71,17 @@
     fn apply(&mut self, snapshot: Snapshot, now_ms: u64) -> Option<(Vec<Record>, bool)> {
         let Some(changes) = snapshot.changes() else {
             let (version, advert) = (snapshot.version, snapshot.advert);
+            let is_older = {
+                let state = self.shared_watch().state();
+                let known = state.version().max(Some(state.changed_version()));
+                known > Some(version)
+            };
+            if is_older {
+                return None;
+            }
             let in_force = self.shared.configuration.load();
             let records = snapshot.into_records(in_force.as_ref())?;
-            self.put_in_force(&records);
+            self.put_in_force(&records, true, "router");
             let is_newer = self
                 .shared_watch()
                 .state()
--- a/crates/sapphiretrack-router/src/peer_messages.rs
+++ b/crates/sapphiretrack-router/src/peer_messages.rs
@@ -28,6 +28,8 @@
 const MAX_RECEIVED_BYTES: usize = 64 * 1024;
 /// The most bytes of server changes in one message.
 const MAX_CHANGES_BYTES: usize = 16 * 1024;
+/// The most reports of cold servers in one message.
+const MAX_COLD_REPORTS: usize = 256;
 /// The number of relays in each other availability zone for an urgent message, which cannot wait
 /// for the next one if a datagram is lost.
 const URGENT_COPIES: usize = 2;
@@ -144,6 +146,14 @@
                 send_planned(&socket, &plan, &message, 0, plan.len()).await;
             }
         }
+        for reports in shared
+            .cold_servers
+            .take_announcements()
+            .chunks(MAX_COLD_REPORTS)
+        {
+            let message = encode(&RouterMessage::ColdServers(reports.to_vec()));
+            send_planned(&socket, &plan, &message, 0, plan.len()).await;
+        }
         let message = encode(&RouterMessage::Listings {
             name: shared.settings().name.clone(),
             configuration,
@@ -304,6 +314,10 @@
                 merge_crash_reports(&shared, from, &records);
                 continue;
             }
+            RouterMessage::ColdServers(reports) => {
+                shared.cold_servers.record_reports(&reports);
+                continue;
+            }
             RouterMessage::Prefixes(prefixes) => {
                 shared
                     .traffic()
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -1,15 +1,18 @@
 //! Placement of requests on backend servers, and accounting of the load that they cause.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rand::RngExt;
 use sapphiretrack_routing::{
-    Candidate, Incarnation, PeerLoads, RequestFacts, ServerEntry, Service, ServiceTime,
-    choose_server, fetch_source, home_count, home_server, sample_candidates, sample_server,
+    Candidate, EligibilityView, Exclusion, Incarnation, PeerLoads, RequestFacts, ServerEntry,
+    Service, ServiceTime, choose_server, fetch_source, home_count, home_server, sample_candidates,
+    sample_server,
 };
 
 use crate::clock::Clock;
+use crate::cold_servers::ColdView;
 use crate::settings::RouterSettings;
 use crate::shared::{Shared, Traffic};
 
@@ -40,6 +43,11 @@
     AllFull,
     /// The request was already placed on every server.
     AllTried,
+    /// No server may get the request, for the reason that applies to the last of them.
+    Excluded(Exclusion),
+    /// Only cold servers are left, and this router may send none of them a request for a number of
+    /// milliseconds.
+    OnlyCold(u64),
 }
 
 impl PlacementError {
@@ -49,6 +57,8 @@
             Self::NoneListed => "no-server",
             Self::AllFull => "servers-full",
             Self::AllTried => "servers-tried",
+            Self::Excluded(exclusion) => exclusion.as_str(),
+            Self::OnlyCold(_) => "servers-cold",
         }
     }
 }
@@ -83,6 +93,26 @@
         }
     }
 
+    /// Why the request must not be sent to the server any more; none if it may be sent. Counts it if
+    /// the server is cold.
+    pub(crate) fn exclusion_at_send(&self, request: PlacementRequest<'_>) -> Option<Exclusion> {
+        let shared = &self.shared;
+        let incarnation = self.server.incarnation;
+        let cold_view = shared.cold_servers.view(shared, request.service);
+        let is_cold = |view: &ColdView<'_>| view.is_cold(incarnation);
+        let settings = shared.settings();
+        let view = EligibilityView {
+            evacuated: &shared.evacuations.zones(),
+            allowed_regions: request.allowed_regions,
+            region: settings.regions.get(&self.server.zone).map(String::as_str),
+            is_cold: cold_view.as_ref().is_some_and(is_cold),
+        };
+        let exclusion = view.exclusion(&self.server)?;
+        let is_sent = exclusion == Exclusion::Cold
+            && cold_view.is_some_and(|mut cold| cold.try_send(incarnation));
+        (!is_sent).then_some(exclusion)
+    }
+
     /// Whether the server makes no progress on any of this router's requests.
     pub(crate) fn is_unresponsive(&self) -> bool {
         let traffic = self.shared.traffic();
@@ -120,6 +150,74 @@
     pub(crate) facts: &'a RequestFacts,
     /// Servers that the request was already placed on.
     pub(crate) tried: &'a [Incarnation],
+    /// The regions that its route and its tenant allow; all if empty.
+    pub(crate) allowed_regions: [&'a [String]; 2],
+}
+
+/// The servers of a service that may get a request.
+struct EligibleServers {
+    /// All that may get it now.
+    servers: Vec<Arc<ServerEntry>>,
+    /// Those of them that are cold.
+    cold: HashSet<Incarnation>,
+    /// Why the others may not get it; the last reason that applies.
+    last_exclusion: Option<Exclusion>,
+    /// The time until a cold server may get it, if there are any.
+    cold_wait_ms: Option<u64>,
+}
+
+impl EligibleServers {
+    fn of(shared: &Shared, request: PlacementRequest<'_>, listed: &[Arc<ServerEntry>]) -> Self {
+        let evacuated = shared.evacuations.zones();
+        let settings = shared.settings();
+        let mut cold_view = shared.cold_servers.view(shared, request.service);
+        let mut eligible = Self {
+            servers: Vec::with_capacity(listed.len()),
+            cold: HashSet::new(),
+            last_exclusion: None,
+            cold_wait_ms: None,
+        };
+        let mut waiting = Vec::new();
+        for server in listed {
+            let is_cold = |view: &ColdView<'_>| view.is_cold(server.incarnation);
+            let view = EligibilityView {
+                evacuated: &evacuated,
+                allowed_regions: request.allowed_regions,
+                region: settings.regions.get(&server.zone).map(String::as_str),
+                is_cold: cold_view.as_ref().is_some_and(is_cold),
+            };
+            let exclusion = view.exclusion(server);
+            eligible.last_exclusion = exclusion.or(eligible.last_exclusion);
+            let cold_view = cold_view
+                .as_mut()
+                .filter(|_| exclusion == Some(Exclusion::Cold));
+            match cold_view.map(|view| view.is_due(server.incarnation)) {
+                Some(true) => {
+                    eligible.cold.insert(server.incarnation);
+                    eligible.servers.push(server.clone());
+                }
+                Some(false) => waiting.push(server),
+                None if exclusion.is_none() => eligible.servers.push(server.clone()),
+                None => {}
+            }
+        }
+        if let Some(view) = &mut cold_view
+            && !waiting.is_empty()
+        {
+            let waiting = waiting.into_iter().map(|server| &**server);
+            eligible.cold_wait_ms = Some(view.wait_ms(waiting));
+        }
+        eligible
+    }
+
+    /// Why no server may get the request.
+    fn error(&self) -> PlacementError {
+        match (self.cold_wait_ms, self.last_exclusion) {
+            (Some(wait_ms), _) => PlacementError::OnlyCold(wait_ms),
+            (None, Some(exclusion)) => PlacementError::Excluded(exclusion),
+            (None, None) => PlacementError::NoneListed,
+        }
+    }
 }
 
 /// Chooses a server for a request and adds the request's load to it.
@@ -131,6 +229,26 @@
     let listed = servers.get(&request.service.name);
     let listed = listed.filter(|list| !list.is_empty());
     let listed = listed.ok_or(PlacementError::NoneListed)?;
+    let is_limited = request.allowed_regions.iter().any(|list| !list.is_empty())
+        || !shared.evacuations.zones().is_empty()
+        || shared.cold_servers.view(shared, request.service).is_some();
+    if !is_limited {
+        return place_on(shared, request, listed, &HashSet::new());
+    }
+    let eligible = EligibleServers::of(shared, request, listed);
+    if eligible.servers.is_empty() {
+        return Err(eligible.error());
+    }
+    place_on(shared, request, &eligible.servers, &eligible.cold)
+}
+
+/// Chooses one of these servers for a request and adds the request's load to it.
+fn place_on(
+    shared: &Arc<Shared>,
+    request: PlacementRequest<'_>,
+    listed: &[Arc<ServerEntry>],
+    cold: &HashSet<Incarnation>,
+) -> Result<Placement, PlacementError> {
     let settings = shared.settings();
     let mut traffic = shared.traffic();
     let now_ms = Clock.now_ms();
@@ -139,6 +257,7 @@
         settings: &settings,
         traffic: &traffic,
         request,
+        cold,
         now_ms,
     };
     let candidates = context.candidates(listed);
@@ -208,6 +327,8 @@
     settings: &'a RouterSettings,
     traffic: &'a Traffic,
     request: PlacementRequest<'a>,
+    /// Those of the servers that are cold.
+    cold: &'a HashSet<Incarnation>,
     now_ms: u64,
 }
 
@@ -262,7 +383,9 @@
             .share_of_sends(prefix.id, self.now_ms);
         let in_flight = candidates.iter().map(|candidate| candidate.in_flight).sum();
         let homes = home_count(&self.settings.costs, share, in_flight, candidates.len());
-        let servers = candidates.iter().map(|candidate| candidate.server);
+        // A cold server gets too few requests for its caches to be worth more than others.
+        let servers = candidates.iter().filter(|candidate| !candidate.is_cold);
+        let servers = servers.map(|candidate| candidate.server);
         let home = home_server(prefix, servers, homes, rand::rng().random());
         for candidate in candidates {
             candidate.is_home = Some(candidate.server) == home;
@@ -301,6 +424,7 @@
             ),
             failure_share,
             suspect,
+            is_cold: self.cold.contains(&server.incarnation),
             tried: self.request.tried.contains(&server.incarnation),
         }
     }
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -166,6 +166,8 @@
         "cost of a server whose attempts all fail; 0: failures are ignored";
     "suspect", "ms", 0.0..=60_000.0, costs.suspect_ms: f64,
         "cost of a server that is unresponsive or unreachable; 0: no penalty";
+    "cold", "ms", 0.0..=60_000.0, costs.cold_ms: f64,
+        "cost of a cold server, in addition to the limit on requests to it; 0: no penalty, 60000: used only if no other server has capacity";
     "home-part", "1", 0.0..=2.0, costs.home_part: f64,
         "fraction of the time to process shared prompt prefixes that is deducted for their home server; 0: no homes";
     "home-load", "1", 0.1..=1_000_000.0, costs.home_load: f64,
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -9,8 +9,8 @@
 use http::response::Parts as ResponseParts;
 use http::{HeaderMap, Uri};
 use sapphiretrack_routing::{
-    Configuration, CrashRecord, Fingerprint, ListedRouter, PromptPrefix, RequestFacts,
-    ServerChange, ServerEntry,
+    ColdReport, Configuration, CrashRecord, EvacuationOrder, Fingerprint, ListedRouter,
+    PromptPrefix, RequestFacts, ServerChange, ServerEntry,
 };
 use snafu::Snafu;
 
@@ -75,6 +75,8 @@
     pub is_encoded: bool,
     /// The numbers of requests that run and that wait at the server, if it reports them.
     pub load: Option<(u32, u32)>,
+    /// For how long the server says that it stays cold, in milliseconds, if it states that.
+    pub cold_left_ms: Option<u32>,
     /// How long the server keeps an idle connection open, in seconds, if it reports that.
     pub keep_alive_s: Option<u64>,
 }
@@ -89,7 +91,7 @@
 /// What the store lists.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Listing {
-    /// The configuration.
+    /// The configuration and the evacuation orders.
     Configuration,
     /// The backend servers.
     Servers,
@@ -113,8 +115,12 @@
 pub enum Record {
     /// A configuration.
     Configuration(Arc<Configuration>),
+    /// An order to evacuate an availability zone, listed together with the configuration.
+    Evacuation(EvacuationOrder),
     /// A change of the backend servers.
     Server(ServerChange),
+    /// Another router's report of a cold server, listed together with the servers.
+    Cold(ColdReport),
     /// A router.
     Router(ListedRouter),
     /// Crash records of a request that is refused; listed together with the routers.
--- a/crates/sapphiretrack-router/src/refusal.rs
+++ b/crates/sapphiretrack-router/src/refusal.rs
@@ -34,6 +34,17 @@
         }
     }
 
+    /// A 503 refusal of a request that no router can serve before `wait_ms`. The delay is spread
+    /// over half as much again.
+    pub(crate) fn retryable_after(reason: &'static str, wait_ms: u64) -> Self {
+        let spread_ms = rand::rng().random_range(0..=wait_ms / 2);
+        let retryable = Self::retryable(reason);
+        Self {
+            retry_after_ms: retryable.retry_after_ms.max(Some(wait_ms + spread_ms)),
+            ..retryable
+        }
+    }
+
     /// A refusal without a retry delay: asking another router would not help.
     pub(crate) fn permanent(status: StatusCode, reason: &'static str) -> Self {
         Self {
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -36,6 +36,14 @@
     /// How long requests may still be sent to a backend server after its draining was accepted, by
     /// the operators' contract.
     pub drain_bound_ms: u64,
+    /// How long requests may still be sent to the backend servers of an availability zone after
+    /// the order to evacuate it was accepted, by the operators' contract.
+    pub evacuation_bound_ms: u64,
+    /// The most requests that a cold backend server may get in any second, as a multiple of the
+    /// rate that its service states, by the operators' contract.
+    pub cold_overrun: f64,
+    /// The number of requests on top of that.
+    pub cold_slack: f64,
     /// How long callers may cache the result of a lookup, in seconds.
     pub lookup_ttl_s: u64,
     /// The time from the stop signal until the process is killed.
@@ -161,6 +169,9 @@
             key_bound_ms: 5_000,
             configuration_bound_ms: 2_000,
             drain_bound_ms: 2_000,
+            evacuation_bound_ms: 5_000,
+            cold_overrun: 1.5,
+            cold_slack: 5.0,
             lookup_ttl_s: 5,
             grace_ms: 8_000,
             is_first_start: false,
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -16,7 +16,9 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::Clock;
+use crate::cold_servers::ColdServerTable;
 use crate::crashes::{StoredBlocks, SuspectedServers};
+use crate::evacuation::Evacuations;
 use crate::events::{Event, note};
 use crate::load_exchange::LoadExchange;
 use crate::metrics::Metrics;
@@ -38,6 +40,10 @@
     pub(crate) configuration: ArcSwapOption<Configuration>,
     /// The backend servers that accept new work.
     pub(crate) servers: ArcSwap<ServersByService>,
+    /// The availability zones that are evacuated.
+    pub(crate) evacuations: Evacuations,
+    /// The backend servers that are cold.
+    pub(crate) cold_servers: ColdServerTable,
     /// The load that other routers cause on the servers.
     pub(crate) peer_loads: ArcSwap<PeerLoads>,
     /// The servers that have an entry in the store, for routers that read the listing from this
@@ -166,6 +172,8 @@
             settings: ArcSwap::from_pointee(settings),
             configuration: ArcSwapOption::empty(),
             servers: ArcSwap::default(),
+            evacuations: Evacuations::default(),
+            cold_servers: ColdServerTable::default(),
             peer_loads: ArcSwap::default(),
             present_servers: ArcSwap::default(),
             is_discovered: AtomicBool::new(false),
@@ -501,6 +509,18 @@
         state.is_usable(Clock.now_ms(), bound_ms)
     }
 
+    /// Whether this router knows all evacuation orders that are older than
+    /// `evacuation_bound_ms`, as far as it can know: false if one may be missing here that other
+    /// routers have.
+    pub(crate) fn evacuations_are_usable(&self) -> bool {
+        let bound_ms = self
+            .settings()
+            .evacuation_bound_ms
+            .saturating_sub(SEND_ALLOWANCE_MS);
+        let state = self.configuration_watch.state();
+        state.is_usable(Clock.now_ms(), bound_ms)
+    }
+
     /// The state that this router advertises.
     pub(crate) fn state(&self) -> RouterState {
         if self.leaving_for_ms().is_some() {
--- a/crates/sapphiretrack-router/src/snapshots.rs
+++ b/crates/sapphiretrack-router/src/snapshots.rs
@@ -16,8 +16,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sapphiretrack_routing::{
-    Configuration, ConfigurationChange, ListingAdvert, ListingReader, ListingReaders, ServerChange,
-    ServerChanges, ServerEntry,
+    ColdReport, Configuration, ConfigurationChange, EvacuationOrder, ListingAdvert, ListingReader,
+    ListingReaders, ServerChange, ServerChanges, ServerEntry,
 };
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -46,8 +46,9 @@
 /// Kibibytes that are served at a time. Readers beyond that ask another router, so that the number
 /// of routers with a large listing doubles step by step instead of all reading it through one link.
 const MAX_SERVED_KIB: usize = 64;
-/// The start of the path of a listing, before its name.
-const PATH_PREFIX: &str = "/listing/";
+/// The start of the path of a listing, before its name. The number increases with each change of
+/// the encoding, so that routers of different releases read from the store instead.
+const PATH_PREFIX: &str = "/listing/2/";
 
 /// Why another router's listing could not be read; another router is asked.
 #[derive(Debug, Snafu)]
@@ -98,10 +99,18 @@
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
 enum Content {
-    /// The changes from the reader's configuration, or from the empty one, to the newest.
-    Configuration(Vec<Arc<ConfigurationChange>>),
-    /// All servers.
-    Servers(Vec<Arc<ServerEntry>>),
+    Configuration {
+        /// The changes from the reader's configuration, or from the empty one, to the newest.
+        changes: Vec<Arc<ConfigurationChange>>,
+        /// All evacuation orders.
+        evacuations: Vec<EvacuationOrder>,
+    },
+    Servers {
+        /// All servers.
+        servers: Vec<Arc<ServerEntry>>,
+        /// Those that may be cold.
+        cold: Vec<ColdReport>,
+    },
     /// The server changes that the reader lacks.
     Changes(ServerChanges),
 }
@@ -184,11 +193,17 @@
                     vec![Arc::new(from_empty)]
                 });
                 let watch = shared.configuration_watch();
-                (watch, Content::Configuration(changes))
+                let evacuations = shared.evacuations.zones().orders();
+                let content = Content::Configuration {
+                    changes,
+                    evacuations,
+                };
+                (watch, content)
             }
             Listing::Servers => {
                 let servers = shared.present_servers.load().to_vec();
-                (shared.servers_watch(), Content::Servers(servers))
+                let cold = shared.cold_servers.reports(shared);
+                (shared.servers_watch(), Content::Servers { servers, cold })
             }
             Listing::Routers => return None,
         };
@@ -203,8 +218,14 @@
     /// Returns the number of records that it holds.
     pub(crate) fn record_count(&self) -> usize {
         match &self.content {
-            Content::Configuration(changes) => changes.iter().map(|one| one.entries()).sum(),
-            Content::Servers(servers) => servers.len(),
+            Content::Configuration {
+                changes,
+                evacuations,
+            } => {
+                let entries: usize = changes.iter().map(|one| one.entries()).sum();
+                entries + evacuations.len()
+            }
+            Content::Servers { servers, .. } => servers.len(),
             Content::Changes(batch) => batch.changes.len(),
         }
     }
@@ -213,7 +234,7 @@
     pub(crate) fn changes(&self) -> Option<&ServerChanges> {
         match &self.content {
             Content::Changes(changes) => Some(changes),
-            Content::Configuration(_) | Content::Servers(_) => None,
+            Content::Configuration { .. } | Content::Servers { .. } => None,
         }
     }
 
@@ -221,7 +242,10 @@
     /// `in_force`. None if the changes start from another configuration.
     pub(crate) fn into_records(self, in_force: Option<&Arc<Configuration>>) -> Option<Vec<Record>> {
         let records = match self.content {
-            Content::Configuration(changes) => {
+            Content::Configuration {
+                changes,
+                evacuations,
+            } => {
                 let mut newest = in_force.cloned().unwrap_or_default();
                 for change in changes {
                     newest = match change.before {
@@ -229,12 +253,16 @@
                         _ => Arc::new(change.apply(&newest)?),
                     };
                 }
-                vec![Record::Configuration(newest)]
+                let orders = evacuations.into_iter().map(Record::Evacuation);
+                [Record::Configuration(newest)]
+                    .into_iter()
+                    .chain(orders)
+                    .collect()
             }
-            Content::Servers(servers) => {
+            Content::Servers { servers, cold } => {
                 let entries = servers.into_iter().map(|entry| (*entry).clone());
                 let changes = entries.map(|entry| Record::Server(ServerChange::Entry(entry)));
-                changes.collect()
+                changes.chain(cold.into_iter().map(Record::Cold)).collect()
             }
             Content::Changes(batch) => batch.changes.into_iter().map(Record::Server).collect(),
         };
--- a/crates/sapphiretrack-router/src/watch.rs
+++ b/crates/sapphiretrack-router/src/watch.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::evacuation::apply_evacuations;
 use crate::events::{Event, note};
 use crate::listing_updates::apply_configuration;
 use crate::ports::{Listing, Record, StoreAnswer, StoreError, StorePort};
@@ -284,11 +285,12 @@
         let had_failed = self.failures > 0;
         self.failures = 0;
         self.source.reset();
-        self.put_in_force(&answer.records);
+        let evacuation_ended = self.put_in_force(&answer.records, is_whole_listing, "store");
         let outage_ms = self.shared_watch().state().record_answer(&WatchAnswer {
-            // The configuration is a single record that is replaced: its listing cannot hide a
-            // removal.
-            may_hide_removals: is_whole_listing && self.listing != Listing::Configuration,
+            // The configuration is a single record that is replaced, so that its listing can only
+            // hide that an evacuation order was withdrawn.
+            may_hide_removals: is_whole_listing
+                && (self.listing != Listing::Configuration || evacuation_ended),
             sent_ms,
             received_ms: now_ms,
             version: answer.version,
@@ -316,13 +318,23 @@
         }
     }
 
-    /// Puts a configuration into force, before the proof that it is the newest is recorded.
-    pub(crate) fn put_in_force(&self, records: &[Record]) {
+    /// Puts a configuration and evacuation orders into force, before the proof that they are the
+    /// newest is recorded. Returns whether an evacuation ended.
+    pub(crate) fn put_in_force(
+        &self,
+        records: &[Record],
+        is_whole_listing: bool,
+        source: &str,
+    ) -> bool {
+        if self.listing != Listing::Configuration {
+            return false;
+        }
         for record in records {
             if let Record::Configuration(newest) = record {
                 apply_configuration(&self.shared, newest);
             }
         }
+        apply_evacuations(&self.shared, records, is_whole_listing, source)
     }
 
     /// Relays changes of the backend servers to the other routers, which then need not ask for
@@ -331,6 +343,8 @@
         let changes = answer.records.iter().filter_map(|record| match record {
             Record::Server(change) => Some(change.clone()),
             Record::Configuration(_)
+            | Record::Evacuation(_)
+            | Record::Cold(_)
             | Record::Router(_)
             | Record::Crashes(_)
             | Record::Unusable { .. } => None,
--- a/crates/sapphiretrack-routing/benches/placement.rs
+++ b/crates/sapphiretrack-routing/benches/placement.rs
@@ -86,6 +86,7 @@
         suspect: false,
         average_in_flight: 0.0,
         slots: 8,
+        is_cold: false,
         tried: false,
     });
     let candidates: Vec<Candidate> = candidates.collect();
--- a/crates/sapphiretrack-routing/src/configuration.rs
+++ b/crates/sapphiretrack-routing/src/configuration.rs
@@ -30,6 +30,8 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub anonymous: bool,
+    /// Regions whose servers may get its requests; all if empty.
+    pub allowed_regions: Vec<String>,
 }
 
 /// A service that receives a share of a route's requests.
@@ -54,6 +56,10 @@
     pub memory_tokens: u64,
     /// Number of requests that an engine runs concurrently.
     pub slots: u32,
+    /// Time for which a server is cold after it starts, in milliseconds.
+    pub cold_start_ms: u64,
+    /// Requests per second that a cold server tolerates; 0 if any number.
+    pub cold_requests_per_s: f64,
 }
 
 /// Limits on what a caller may send and how long its connection may stay idle.
@@ -84,6 +90,8 @@
     pub name: String,
     /// Priority; overrides the route's if set.
     pub priority: Option<u8>,
+    /// Regions whose servers may get its requests, in addition to the route's limit; all if empty.
+    pub allowed_regions: Vec<String>,
 }
 
 /// Everything that operators configure, under one version that only increases.
@@ -172,6 +180,11 @@
         self.requires_keys && !route.anonymous
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/crates/sapphiretrack-routing/src/configuration_change.rs
+++ b/crates/sapphiretrack-routing/src/configuration_change.rs
@@ -45,6 +45,7 @@
     targets: Vec<Target>,
     max_attempts: u32,
     anonymous: bool,
+    allowed_regions: Vec<String>,
 }
 
 /// New or changed keys of a tenant.
@@ -64,6 +65,7 @@
             targets: route.targets.clone(),
             max_attempts: route.max_attempts,
             anonymous: route.anonymous,
+            allowed_regions: route.allowed_regions.clone(),
         }
     }
 
@@ -76,6 +78,7 @@
             ref targets,
             max_attempts,
             anonymous,
+            ref allowed_regions,
         } = *self;
         Route {
             name,
@@ -88,6 +91,7 @@
             targets: targets.clone(),
             max_attempts,
             anonymous,
+            allowed_regions: allowed_regions.clone(),
         }
     }
 }
--- /dev/null
+++ b/crates/sapphiretrack-routing/src/eligibility.rs
@@ -0,0 +1,56 @@
+//! Decides whether a request may be sent to a backend server at all. Placement asks before it compares
+//! servers, and each attempt asks again right before it writes.
+
+use crate::{EvacuatedZones, ServerEntry};
+
+/// Why nothing, or only little, may be sent to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Exclusion {
+    /// Its availability zone is evacuated.
+    Evacuated,
+    /// It is in a region that the request must not leave its own for.
+    OtherRegion,
+    /// It is cold: only its owners may send requests, at a limited rate.
+    Cold,
+}
+
+/// What decides whether a server may get a request.
+#[derive(Clone, Copy)]
+pub struct EligibilityView<'a> {
+    /// The evacuated availability zones.
+    pub evacuated: &'a EvacuatedZones,
+    /// Lists of regions, each of which must contain the server's region; an empty list allows all.
+    pub allowed_regions: [&'a [String]; 2],
+    /// The region of the server's availability zone, if it is known.
+    pub region: Option<&'a str>,
+    /// Whether the server counts as cold.
+    pub is_cold: bool,
+}
+
+impl EligibilityView<'_> {
+    /// Returns why a server may not get a request like any other server; `None` if it may.
+    pub fn exclusion(&self, server: &ServerEntry) -> Option<Exclusion> {
+        if self.evacuated.contains(&server.zone) {
+            return Some(Exclusion::Evacuated);
+        }
+        let is_allowed = |regions: &&[String]| {
+            let mut regions_iter = regions.iter();
+            regions.is_empty() || regions_iter.any(|region| Some(region.as_str()) == self.region)
+        };
+        if !self.allowed_regions.iter().all(is_allowed) {
+            return Some(Exclusion::OtherRegion);
+        }
+        self.is_cold.then_some(Exclusion::Cold)
+    }
+}
+
+impl Exclusion {
+    /// Returns the reason for logs, metrics and answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Evacuated => "zone-evacuated",
+            Self::OtherRegion => "region-not-allowed",
+            Self::Cold => "server-cold",
+        }
+    }
+}
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -2,10 +2,14 @@
 
 mod broadcast;
 mod change_log;
+mod cold_limit;
+mod cold_servers;
 mod configuration;
 mod configuration_change;
 mod crash_evidence;
 mod discovery;
+mod eligibility;
+mod evacuation;
 mod event_stream;
 mod fingerprint;
 mod freshness;
@@ -30,10 +34,14 @@
 
 pub use broadcast::{BroadcastPlan, Recipient};
 pub use change_log::{ChangeLog, ChangesAssembly, ChangesFragment};
+pub use cold_limit::{ColdLimit, ColdPace, ColdShare};
+pub use cold_servers::{ColdReport, ColdServers};
 pub use configuration::{ClientLimits, Configuration, Route, RouteError, Service, Target, Tenant};
 pub use configuration_change::{ConfigurationChange, ConfigurationLog};
 pub use crash_evidence::{CrashEvidence, CrashRecord};
 pub use discovery::sample_addresses;
+pub use eligibility::{EligibilityView, Exclusion};
+pub use evacuation::{EvacuatedZones, EvacuationChanges, EvacuationOrder};
 pub use event_stream::{EventSplitter, StreamEvent, StreamFault};
 pub use fingerprint::{Fingerprint, Outline, RequestIdentity};
 pub use freshness::Freshness;
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -4,11 +4,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 
-use sapphiretrack_core::{RouterId, top_by_rendezvous};
+use sapphiretrack_core::{RouterId, rendezvous_score, top_by_rendezvous};
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ChangesFragment, CrashRecord, Incarnation, ListingAdvert, LoadDigest, LoadReport,
+    ChangesFragment, ColdReport, CrashRecord, Incarnation, ListingAdvert, LoadDigest, LoadReport,
     LoadsByServer, Recipient, SentPrefix, SentPrompts, ServerChange, ZoneLoads, router_tag,
 };
 
@@ -114,6 +114,8 @@
     },
     /// Records of first crashes, for the routers that keep the records of these requests.
     CrashReports(Vec<CrashRecord>),
+    /// Servers that stated that they are cold.
+    ColdServers(Vec<ColdReport>),
 }
 
 /// All changes of the backend servers between two versions of the store.
@@ -439,6 +441,31 @@
         first.into_iter().map(|(_, address)| *address).collect()
     }
 
+    /// Returns whether this router is one of the first `owners` for a key by rendezvous hashing.
+    ///
+    /// A router that is cut off from most of the others must not take over what they own. So
+    /// routers that are not live are skipped only while most of those that may exist are live.
+    pub fn is_owner(&self, key: u64, own_name: &str, owners: usize, now_ms: u64) -> bool {
+        let peers = self.peers.values();
+        let peers = peers.filter(|peer| peer.heartbeat.state != RouterState::Leaving);
+        let peers = peers.map(|peer| (&peer.heartbeat.name, self.is_live(peer, now_ms)));
+        let listed = self.listed.keys().map(|name| (name, false));
+        let others: Vec<(&String, bool)> = peers.chain(listed).collect();
+        let live = others.iter().filter(|(_, is_live)| *is_live).count();
+        let skips_silent = 2 * (live + 1) > others.len() + 1;
+        let score = |name: &str| rendezvous_score(key, RouterId::from_name(name).0, 1.0);
+        let own = (score(own_name), own_name);
+        let others = others.iter();
+        let others = others.filter(|(_, is_live)| *is_live || !skips_silent);
+        let ahead = others.filter(|(name, _)| (score(name), name.as_str()) > own);
+        ahead.count() < owners
+    }
+
+    /// Returns the number of routers that may exist, including this one.
+    pub fn fleet_size(&self) -> usize {
+        self.peers.len() + self.listed.len() + 1
+    }
+
     /// Returns the availability zones of the other routers.
     pub fn zones(&self) -> BTreeSet<&str> {
         let peers = self.peers.values();
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -22,6 +22,8 @@
     pub failure_ms: f64,
     /// Added for a server that is unreachable or makes no progress.
     pub suspect_ms: f64,
+    /// Added for a cold server: the next requests for the same prompts go elsewhere.
+    pub cold_ms: f64,
     /// Fraction of the processing time of the uncached tokens that is deducted at their home
     /// server. Where no server is known to hold the shared prefixes, all routers choose the same
     /// one, and the prefixes are processed once. With the whole time, requests would queue at a
@@ -52,6 +54,7 @@
             other_region_ms: 40.0,
             failure_ms: 500.0,
             suspect_ms: 5_000.0,
+            cold_ms: 20.0,
             home_part: 0.8,
             bound_factor: 1.8,
             bound_requests: 2.0,
@@ -118,6 +121,8 @@
     pub failure_share: f64,
     /// Whether it is unreachable or makes no progress.
     pub suspect: bool,
+    /// Whether it is cold, so that it gets only part of the requests that placement prefers it for.
+    pub is_cold: bool,
     /// Whether this request was already sent there.
     pub tried: bool,
 }
@@ -342,5 +347,8 @@
     if candidate.suspect {
         cost += costs.suspect_ms;
     }
+    if candidate.is_cold {
+        cost += costs.cold_ms;
+    }
     cost + candidate.failure_share * costs.failure_ms
 }
--- a/crates/sapphiretrack-routing/src/server_list.rs
+++ b/crates/sapphiretrack-routing/src/server_list.rs
@@ -51,6 +51,10 @@
     pub slots: u32,
     /// State that it reports.
     pub state: ServerState,
+    /// For how long it stays cold, in milliseconds, by an entry that was just read from the store.
+    /// Other routers get a [`crate::ColdReport`] instead, since the value ages.
+    #[serde(skip)]
+    pub cold_left_ms: u32,
 }
 
 /// A change of the list.
--- a/crates/sapphiretrack-routing/tests/configuration.rs
+++ b/crates/sapphiretrack-routing/tests/configuration.rs
@@ -29,6 +29,7 @@
         ],
         max_attempts: 2,
         anonymous,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -79,6 +80,7 @@
     let tenant = Tenant {
         name: "t".to_owned(),
         priority: Some(0),
+        allowed_regions: Vec::new(),
     };
     configuration.add_tenant(tenant, ["k1".to_owned(), "k2".to_owned()]);
     assert!(configuration.needs_key(protected));
--- a/crates/sapphiretrack-routing/tests/configuration_change.rs
+++ b/crates/sapphiretrack-routing/tests/configuration_change.rs
@@ -39,6 +39,10 @@
         }],
         max_attempts: 2,
         anonymous: variant.is_multiple_of(2),
+        allowed_regions: match variant % 4 {
+            0 => Vec::new(),
+            region => vec![format!("region-{region}")],
+        },
     }
 }
 
@@ -49,6 +53,8 @@
         let services = self.services.iter().map(|(name, slots)| Service {
             name: format!("service-{name}"),
             slots: u32::from(*slots),
+            cold_start_ms: u64::from(*slots) * 100,
+            cold_requests_per_s: f64::from(*slots) / 4.0,
             ..Service::default()
         });
         let mut built = Configuration::new(version, routes.collect(), services.collect());
@@ -60,6 +66,9 @@
             let tenant = Tenant {
                 name: format!("tenant-{tenant}"),
                 priority: tenant.is_multiple_of(2).then_some(*tenant),
+                allowed_regions: (0..tenant % 3)
+                    .map(|region| format!("region-{region}"))
+                    .collect(),
             };
             built.add_tenant(tenant, [format!("key-{key}")]);
         }
--- /dev/null
+++ b/crates/sapphiretrack-routing/tests/eligibility.rs
@@ -0,0 +1,71 @@
+//! Whether a request may be sent to a server at all: evacuated zones, regions, and cold servers.
+
+use std::sync::Arc;
+
+use sapphiretrack_routing::{
+    EligibilityView, EvacuatedZones, EvacuationOrder, Exclusion, Incarnation, ServerEntry,
+    ServerState,
+};
+
+fn server(zone: &str) -> ServerEntry {
+    ServerEntry {
+        id: Arc::from("a"),
+        incarnation: Incarnation::new("a", None),
+        service: "s".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: zone.to_owned(),
+        slots: 8,
+        state: ServerState::Ready,
+        cold_left_ms: 0,
+    }
+}
+
+fn evacuated(zones: &[&str]) -> EvacuatedZones {
+    let orders = zones.iter().map(|zone| EvacuationOrder {
+        zone: (*zone).to_owned(),
+        version: 1,
+        is_withdrawn: false,
+    });
+    EvacuatedZones::from_listing(&orders.collect::<Vec<_>>())
+}
+
+fn regions(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+#[test]
+fn a_server_in_an_evacuated_zone_gets_nothing() {
+    let evacuated = evacuated(&["z1", "unknown"]);
+    let view = EligibilityView {
+        evacuated: &evacuated,
+        allowed_regions: [&[], &[]],
+        region: None,
+        is_cold: true,
+    };
+    assert_eq!(view.exclusion(&server("z1")), Some(Exclusion::Evacuated));
+    assert_eq!(view.exclusion(&server("z2")), Some(Exclusion::Cold));
+}
+
+#[test]
+fn a_request_stays_in_the_regions_that_its_route_and_its_tenant_allow() {
+    let evacuated = evacuated(&[]);
+    let (east, both) = (regions(&["east"]), regions(&["east", "west"]));
+    let exclusion = |route: &[String], tenant: &[String], region| {
+        let view = EligibilityView {
+            evacuated: &evacuated,
+            allowed_regions: [route, tenant],
+            region,
+            is_cold: false,
+        };
+        view.exclusion(&server("z1"))
+    };
+    let west = Some("west");
+    assert_eq!(exclusion(&[], &[], west), None);
+    assert_eq!(exclusion(&both, &[], west), None);
+    assert_eq!(exclusion(&both, &east, west), Some(Exclusion::OtherRegion));
+    assert_eq!(exclusion(&east, &both, west), Some(Exclusion::OtherRegion));
+    assert_eq!(exclusion(&east, &both, Some("east")), None);
+    // A zone whose region is not known is in none of the allowed ones.
+    assert_eq!(exclusion(&both, &[], None), Some(Exclusion::OtherRegion));
+    assert_eq!(exclusion(&[], &[], None), None);
+}
--- a/crates/sapphiretrack-routing/tests/few_slots.rs
+++ b/crates/sapphiretrack-routing/tests/few_slots.rs
@@ -131,6 +131,7 @@
         cached_tokens: 0,
         failure_share: 0.0,
         suspect: false,
+        is_cold: false,
         tried: tried.contains(&index),
     });
     candidates.collect()
--- a/crates/sapphiretrack-routing/tests/messages.rs
+++ b/crates/sapphiretrack-routing/tests/messages.rs
@@ -1,14 +1,17 @@
 //! Routers tolerate any input from each other: bytes that are not a message, and messages with
 //! arbitrary numbers.
 
+use std::collections::HashSet;
+
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sapphiretrack_routing::{
-    ChangesAssembly, ChangesFragment, CrashEvidence, CrashRecord, Fingerprint, Heartbeat,
-    ListingAdvert, LoadCollector, LoadDigest, LoadEntry, LoadReport, LoadReporter, Outline,
-    PeerTable, PrefixIndex, RouterMessage, RouterState, SentPrefix, SentPrompts, SentTokens,
-    ServerChange, ServerChanges, ServerLoad, WatchAnswer, WatchState, ZoneLoads,
+    ChangesAssembly, ChangesFragment, ColdReport, ColdServers, CrashEvidence, CrashRecord,
+    Fingerprint, Heartbeat, ListingAdvert, LoadCollector, LoadDigest, LoadEntry, LoadReport,
+    LoadReporter, Outline, PeerTable, PrefixIndex, RouterMessage, RouterState, SentPrefix,
+    SentPrompts, SentTokens, ServerChange, ServerChanges, ServerLoad, WatchAnswer, WatchState,
+    ZoneLoads,
 };
 
 /// The state that a router builds from messages.
@@ -20,6 +23,7 @@
     prefixes: PrefixIndex,
     assembly: ChangesAssembly,
     crashes: CrashEvidence,
+    cold: ColdServers,
     watch: WatchState,
 }
 
@@ -73,6 +77,13 @@
                 let _digest = self.crashes.digest();
                 self.crashes.expire(now_ms);
             }
+            RouterMessage::ColdServers(reports) => {
+                for report in &reports {
+                    self.cold.record_report(report, now_ms);
+                }
+                let _reports = self.cold.reports(3_000, now_ms);
+                self.cold.retain_listed(&HashSet::new(), now_ms);
+            }
             RouterMessage::Relay(_) | RouterMessage::AskPrefixes { .. } => {}
         }
         // Queries of a router that serves requests.
@@ -224,10 +235,21 @@
     })
 }
 
+fn cold_servers() -> impl Strategy<Value = RouterMessage> {
+    let report = any::<(u64, u32, Option<u32>)>();
+    let report = report.prop_map(|(server, left_ms, event_age_ms)| ColdReport {
+        server,
+        left_ms,
+        event_age_ms,
+    });
+    prop::collection::vec(report, 0..5).prop_map(RouterMessage::ColdServers)
+}
+
 fn message() -> impl Strategy<Value = RouterMessage> {
     prop_oneof![
         heartbeat(),
         fragment(),
+        cold_servers(),
         load_message(),
         crashes(),
         prefixes().prop_map(RouterMessage::Prefixes),
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -25,6 +25,7 @@
         suspect: false,
         average_in_flight: 0.0,
         slots: 8,
+        is_cold: false,
         tried: false,
     }
 }
@@ -467,3 +468,23 @@
     // one among them.
     assert!(requests_at[7] <= 40, "{}", requests_at[7]);
 }
+
+/// Pattern: a zone has returned and its servers are cold, while the others run the load of all zones.
+#[test]
+fn a_cold_server_gets_requests_once_the_others_are_busy() {
+    let costs = PlacementCosts::default();
+    let cold = Candidate {
+        is_cold: true,
+        ..candidate(1)
+    };
+    let warm = |in_flight| Candidate {
+        in_flight,
+        ..candidate(2)
+    };
+    let choose = |in_flight| {
+        let candidates = [cold.clone(), warm(in_flight)];
+        choose_server(&costs, true, 1_000, &candidates, &[0, 1])
+    };
+    assert_eq!(choose(1), Some(1), "an idle server needs no help");
+    assert_eq!(choose(30), Some(0));
+}
