Tell other routers which listed servers are gone

What callers saw: when most engines crash beneath a burst, hundreds of requests a second are refused with reason retry-budget, though servers have capacity.

An answer of another server counts against the retry budget, which was gone within a second (1,035 refusals). Ruled out: the limit for cold servers (12 attempts).

An incarnation whose address answers for another one gets nothing any more, and routers report to each other which servers are replaced, refuse connections or are silent (two routers must agree on the last). Reports wait up to 40 ms, so that the first one saves the others theirs. Setting 'reported'; 0 switches the exchange off.

--- a/crates/sapphiretrack-logs/src/cause.rs
+++ b/crates/sapphiretrack-logs/src/cause.rs
@@ -135,6 +135,7 @@
             "the router knew of a newer evacuation order and had not read it in time"
         }
         "region-not-allowed" => "no server was in a region that its route and its tenant allow",
+        "server-ended" => "another server had taken over the address",
         "server-cold" => "the server was cold and had got as many requests as it tolerates",
         "servers-cold" => {
             "all servers with capacity were cold and had got as many requests as they tolerate"
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -182,6 +182,8 @@
             }
             Err(PoolError::Unreachable { source }) => {
                 placement.record_unreachable();
+                let ended_servers = &shared.ended_servers;
+                ended_servers.record_unreachable(shared, &placement.server, &source);
                 note!(
                     Event::SERVER_UNREACHABLE,
                     id = job.facts.id,
@@ -271,6 +273,9 @@
             false => "server-refused",
         };
         if facts.wrong_server {
+            let shared = &job.shared;
+            let ended_servers = &shared.ended_servers;
+            ended_servers.record_replaced(shared, &placement.server);
             placement.record_unreachable();
         }
         let read_body = Limited::new(body, MAX_REFUSAL_BODY_BYTES).collect();
--- a/crates/sapphiretrack-router/src/events.rs
+++ b/crates/sapphiretrack-router/src/events.rs
@@ -85,6 +85,8 @@
     EVACUATION_ENDED = 628, Info, "evacuation of an availability zone ended";
     /// A backend server counts as cold.
     SERVER_COLD = 629, Info, "backend server cold";
+    /// Another router reported that listed backend servers are gone.
+    SERVERS_REPORTED_GONE = 633, Info, "backend servers reported gone";
     /// Another router was discovered, came back or changed its state.
     PEER_CHANGED = 630, Info, "router discovered or changed";
     /// Another router's heartbeats stopped.
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod discovery;
 mod dispatch;
+mod ended_servers;
 mod endpoints;
 mod evacuation;
 mod events;
--- a/crates/sapphiretrack-router/src/listing_updates.rs
+++ b/crates/sapphiretrack-router/src/listing_updates.rs
@@ -225,6 +225,7 @@
     drop(traffic);
     shared.pool.sweep(|server| listed.contains(&server));
     shared.cold_servers.retain_listed(&listed);
+    shared.ended_servers.retain_listed(&listed);
 }
 
 /// Logs a record that its listing cannot use.
--- a/crates/sapphiretrack-router/src/peer_messages.rs
+++ b/crates/sapphiretrack-router/src/peer_messages.rs
@@ -318,6 +318,10 @@
                 shared.cold_servers.record_reports(&reports);
                 continue;
             }
+            RouterMessage::EndedServers(reports) => {
+                shared.ended_servers.record_reports(&shared, from, &reports);
+                continue;
+            }
             RouterMessage::Prefixes(prefixes) => {
                 shared
                     .traffic()
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -105,6 +105,7 @@
             evacuated: &shared.evacuations.zones(),
             allowed_regions: request.allowed_regions,
             region: settings.regions.get(&self.server.zone).map(String::as_str),
+            has_ended: shared.ended_servers.servers().is_replaced(incarnation),
             is_cold: cold_view.as_ref().is_some_and(is_cold),
         };
         let exclusion = view.exclusion(&self.server)?;
@@ -170,6 +171,7 @@
     fn of(shared: &Shared, request: PlacementRequest<'_>, listed: &[Arc<ServerEntry>]) -> Self {
         let evacuated = shared.evacuations.zones();
         let settings = shared.settings();
+        let ended = shared.ended_servers.servers();
         let mut cold_view = shared.cold_servers.view(shared, request.service);
         let mut eligible = Self {
             servers: Vec::with_capacity(listed.len()),
@@ -184,6 +186,7 @@
                 evacuated: &evacuated,
                 allowed_regions: request.allowed_regions,
                 region: settings.regions.get(&server.zone).map(String::as_str),
+                has_ended: ended.is_replaced(server.incarnation),
                 is_cold: cold_view.as_ref().is_some_and(is_cold),
             };
             let exclusion = view.exclusion(server);
@@ -231,6 +234,7 @@
     let listed = listed.ok_or(PlacementError::NoneListed)?;
     let is_limited = request.allowed_regions.iter().any(|list| !list.is_empty())
         || !shared.evacuations.zones().is_empty()
+        || !shared.ended_servers.servers().is_empty()
         || shared.cold_servers.view(shared, request.service).is_some();
     if !is_limited {
         return place_on(shared, request, listed, &HashSet::new());
@@ -341,6 +345,7 @@
             .map(|server| self.candidate(server, &peer_loads));
         let mut candidates: Vec<Candidate> = candidates.collect();
         self.mark_crashed(&mut candidates);
+        self.mark_ended(&mut candidates);
         self.mark_home(&mut candidates);
         candidates
     }
@@ -371,6 +376,18 @@
         }
     }
 
+    /// Marks the servers that are probably gone as suspect.
+    fn mark_ended(&self, candidates: &mut [Candidate]) {
+        let ended = self.shared.ended_servers.servers();
+        if ended.is_empty() {
+            return;
+        }
+        let valid_ms = self.settings.attempts.reported_ms;
+        for candidate in candidates {
+            candidate.suspect |= ended.is_suspect(candidate.server, valid_ms, self.now_ms);
+        }
+    }
+
     /// Marks the home server of the prompt's last shared prefix, and whether that prefix has
     /// several homes.
     fn mark_home(&self, candidates: &mut [Candidate]) {
--- a/crates/sapphiretrack-router/src/router.rs
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::crashes::{compare_crashes, send_crash_records, store_blocked_requests};
 use crate::discovery::find_routers;
+use crate::ended_servers::report_ended_servers;
 use crate::endpoints::{Audience, serve_endpoints};
 use crate::events::{Event, note};
 use crate::listing_updates::{watch_configuration, watch_servers};
@@ -118,6 +119,7 @@
     tokio::spawn(collect_loads(shared.clone(), socket.clone()));
     tokio::spawn(send_heartbeats(shared.clone(), socket.clone()));
     tokio::spawn(send_crash_records(shared.clone(), socket.clone()));
+    tokio::spawn(report_ended_servers(shared.clone(), socket.clone()));
     tokio::spawn(compare_crashes(shared.clone(), socket.clone()));
     tokio::spawn(store_blocked_requests(shared.clone(), store.clone()));
     tokio::spawn(recover_prefixes(
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -75,6 +75,9 @@
     /// The number of servers that may be unreachable, or have no connection left for this router,
     /// without counting towards `max_offers`: nothing was sent to them.
     pub max_unreachable: u32,
+    /// How long a report of another router that a server refuses connections or is silent counts, in
+    /// milliseconds: about the time until the entry of a crashed server lapses.
+    pub reported_ms: u64,
     /// The number of servers that a request may crash before it is refused.
     pub max_crashes: usize,
     /// The time after which an attempt at an unresponsive server is abandoned, as a multiple of the
@@ -93,6 +96,7 @@
         Self {
             max_offers: 3,
             max_unreachable: 6,
+            reported_ms: 3_000,
             max_crashes: 3,
             silent_objectives: 2.0,
             plain_queue_factor: 3,
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::cold_servers::ColdServerTable;
 use crate::crashes::{StoredBlocks, SuspectedServers};
+use crate::ended_servers::EndedServerTable;
 use crate::evacuation::Evacuations;
 use crate::events::{Event, note};
 use crate::load_exchange::LoadExchange;
@@ -44,6 +45,8 @@
     pub(crate) evacuations: Evacuations,
     /// The backend servers that are cold.
     pub(crate) cold_servers: ColdServerTable,
+    /// The backend servers that are gone although they are listed.
+    pub(crate) ended_servers: EndedServerTable,
     /// The load that other routers cause on the servers.
     pub(crate) peer_loads: ArcSwap<PeerLoads>,
     /// The servers that have an entry in the store, for routers that read the listing from this
@@ -174,6 +177,7 @@
             servers: ArcSwap::default(),
             evacuations: Evacuations::default(),
             cold_servers: ColdServerTable::default(),
+            ended_servers: EndedServerTable::default(),
             peer_loads: ArcSwap::default(),
             present_servers: ArcSwap::default(),
             is_discovered: AtomicBool::new(false),
--- a/crates/sapphiretrack-routing/src/eligibility.rs
+++ b/crates/sapphiretrack-routing/src/eligibility.rs
@@ -10,6 +10,8 @@
     Evacuated,
     /// It is in a region that the request must not leave its own for.
     OtherRegion,
+    /// It has ended, although it is still listed.
+    Ended,
     /// It is cold: only its owners may send requests, at a limited rate.
     Cold,
 }
@@ -23,6 +25,8 @@
     pub allowed_regions: [&'a [String]; 2],
     /// The region of the server's availability zone, if it is known.
     pub region: Option<&'a str>,
+    /// Whether another server is known to have its address.
+    pub has_ended: bool,
     /// Whether the server counts as cold.
     pub is_cold: bool,
 }
@@ -40,6 +44,9 @@
         if !self.allowed_regions.iter().all(is_allowed) {
             return Some(Exclusion::OtherRegion);
         }
+        if self.has_ended {
+            return Some(Exclusion::Ended);
+        }
         self.is_cold.then_some(Exclusion::Cold)
     }
 }
@@ -50,6 +57,7 @@
         match self {
             Self::Evacuated => "zone-evacuated",
             Self::OtherRegion => "region-not-allowed",
+            Self::Ended => "server-ended",
             Self::Cold => "server-cold",
         }
     }
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -8,8 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ChangesFragment, ColdReport, CrashRecord, Incarnation, ListingAdvert, LoadDigest, LoadReport,
-    LoadsByServer, Recipient, SentPrefix, SentPrompts, ServerChange, ZoneLoads, router_tag,
+    ChangesFragment, ColdReport, CrashRecord, EndReport, Incarnation, ListingAdvert, LoadDigest,
+    LoadReport, LoadsByServer, Recipient, SentPrefix, SentPrompts, ServerChange, ZoneLoads,
+    router_tag,
 };
 
 /// Whether callers may be sent to a router.
@@ -116,6 +117,8 @@
     CrashReports(Vec<CrashRecord>),
     /// Servers that stated that they are cold.
     ColdServers(Vec<ColdReport>),
+    /// Listed servers that are gone.
+    EndedServers(Vec<EndReport>),
 }
 
 /// All changes of the backend servers between two versions of the store.
--- a/crates/sapphiretrack-routing/tests/eligibility.rs
+++ b/crates/sapphiretrack-routing/tests/eligibility.rs
@@ -40,6 +40,7 @@
         evacuated: &evacuated,
         allowed_regions: [&[], &[]],
         region: None,
+        has_ended: false,
         is_cold: true,
     };
     assert_eq!(view.exclusion(&server("z1")), Some(Exclusion::Evacuated));
@@ -55,6 +56,7 @@
             evacuated: &evacuated,
             allowed_regions: [route, tenant],
             region,
+            has_ended: false,
             is_cold: false,
         };
         view.exclusion(&server("z1"))
--- a/crates/sapphiretrack-routing/tests/messages.rs
+++ b/crates/sapphiretrack-routing/tests/messages.rs
@@ -8,10 +8,10 @@
 use rand_chacha::ChaCha8Rng;
 use sapphiretrack_routing::{
     ChangesAssembly, ChangesFragment, ColdReport, ColdServers, CrashEvidence, CrashRecord,
-    Fingerprint, Heartbeat, ListingAdvert, LoadCollector, LoadDigest, LoadEntry, LoadReport,
-    LoadReporter, Outline, PeerTable, PrefixIndex, RouterMessage, RouterState, SentPrefix,
-    SentPrompts, SentTokens, ServerChange, ServerChanges, ServerLoad, WatchAnswer, WatchState,
-    ZoneLoads,
+    EndEvidence, EndReport, EndedServers, Fingerprint, Heartbeat, ListingAdvert, LoadCollector,
+    LoadDigest, LoadEntry, LoadReport, LoadReporter, Outline, PeerTable, PrefixIndex,
+    RouterMessage, RouterState, SentPrefix, SentPrompts, SentTokens, ServerChange, ServerChanges,
+    ServerLoad, WatchAnswer, WatchState, ZoneLoads,
 };
 
 /// The state that a router builds from messages.
@@ -24,6 +24,7 @@
     assembly: ChangesAssembly,
     crashes: CrashEvidence,
     cold: ColdServers,
+    ended: EndedServers,
     watch: WatchState,
 }
 
@@ -84,6 +85,13 @@
                 let _reports = self.cold.reports(3_000, now_ms);
                 self.cold.retain_listed(&HashSet::new(), now_ms);
             }
+            RouterMessage::EndedServers(reports) => {
+                for report in reports {
+                    let from = ([10, 0, 0, 3], 2).into();
+                    self.ended.record(report, from, 3_000, now_ms);
+                }
+                self.ended.retain_listed(&HashSet::new(), now_ms);
+            }
             RouterMessage::Relay(_) | RouterMessage::AskPrefixes { .. } => {}
         }
         // Queries of a router that serves requests.
@@ -245,11 +253,24 @@
     prop::collection::vec(report, 0..5).prop_map(RouterMessage::ColdServers)
 }
 
+fn ended_servers() -> impl Strategy<Value = RouterMessage> {
+    let report = any::<(u64, u8)>().prop_map(|(server, kind)| EndReport {
+        server,
+        evidence: match kind % 3 {
+            0 => EndEvidence::Replaced,
+            1 => EndEvidence::Refused,
+            _ => EndEvidence::Silent,
+        },
+    });
+    prop::collection::vec(report, 0..5).prop_map(RouterMessage::EndedServers)
+}
+
 fn message() -> impl Strategy<Value = RouterMessage> {
     prop_oneof![
         heartbeat(),
         fragment(),
         cold_servers(),
+        ended_servers(),
         load_message(),
         crashes(),
         prefixes().prop_map(RouterMessage::Prefixes),
