--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -344,8 +344,9 @@
             .iter()
             .map(|server| self.candidate(server, &peer_loads));
         let mut candidates: Vec<Candidate> = candidates.collect();
-        let gone = self.mark_gone(&mut candidates);
-        self.mark_home(&mut candidates, &gone);
+        self.mark_crashed(&mut candidates);
+        self.mark_ended(&mut candidates);
+        self.mark_home(&mut candidates);
         candidates
     }
 
@@ -363,31 +364,33 @@
             .is_outdated(service_ms, self.now_ms)
     }
 
-    /// Marks the servers that are probably gone as suspect, by what the routers tell each other:
-    /// entries lapse only after several seconds. Returns these servers.
-    fn mark_gone(&self, candidates: &mut [Candidate]) -> HashSet<Incarnation> {
+    /// Marks the servers that crashed recently as suspect: their entries lapse only after several
+    /// seconds.
+    fn mark_crashed(&self, candidates: &mut [Candidate]) {
         let evidence = self.shared.crash_evidence();
+        if evidence.is_empty() {
+            return;
+        }
+        for candidate in candidates {
+            candidate.suspect |= evidence.has_crashed(candidate.server.0, self.now_ms);
+        }
+    }
+
+    /// Marks the servers that are probably gone as suspect.
+    fn mark_ended(&self, candidates: &mut [Candidate]) {
         let ended = self.shared.ended_servers.servers();
-        if evidence.is_empty() && ended.is_empty() {
-            return HashSet::new();
+        if ended.is_empty() {
+            return;
         }
         let valid_ms = self.settings.attempts.reported_ms;
-        let mut gone = HashSet::new();
         for candidate in candidates {
-            let server = candidate.server;
-            let is_gone = evidence.has_crashed(server.0, self.now_ms)
-                || ended.is_suspect(server, valid_ms, self.now_ms);
-            if is_gone {
-                candidate.suspect = true;
-                gone.insert(server);
-            }
+            candidate.suspect |= ended.is_suspect(candidate.server, valid_ms, self.now_ms);
         }
-        gone
     }
 
     /// Marks the home server of the prompt's last shared prefix, and whether that prefix has
     /// several homes.
-    fn mark_home(&self, candidates: &mut [Candidate], gone: &HashSet<Incarnation>) {
+    fn mark_home(&self, candidates: &mut [Candidate]) {
         let Some(prefix) = self.request.facts.shared_prefixes().last() else {
             return;
         };
@@ -397,10 +400,8 @@
             .share_of_sends(prefix.id, self.now_ms);
         let in_flight = candidates.iter().map(|candidate| candidate.in_flight).sum();
         let homes = home_count(&self.settings.costs, share, in_flight, candidates.len());
-        // A cold server gets too few requests to be a home, and the homes of a server that is gone
-        // move at once, to the same servers at all routers that know of it.
-        let servers = candidates.iter();
-        let servers = servers.filter(|one| !one.is_cold && !gone.contains(&one.server));
+        // A cold server gets too few requests for its caches to be worth more than others.
+        let servers = candidates.iter().filter(|candidate| !candidate.is_cold);
         let servers = servers.map(|candidate| candidate.server);
         let home = home_server(prefix, servers, homes, rand::rng().random());
         for candidate in candidates {
