Fetch prompt prefixes from servers that drain

Cause: a server that drains is on no list, so that no router names it as a source, though it keeps running for the bound of a drain at least. It gets no requests as before; another server may fetch from its memory until then. Not from evacuated zones: nothing is to be sent there. Ruled out: keeping it a candidate.

Pattern without a network in placement.rs.

--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod discovery;
 mod dispatch;
+mod draining_servers;
 mod ended_servers;
 mod endpoints;
 mod evacuation;
--- a/crates/sapphiretrack-router/src/listing_updates.rs
+++ b/crates/sapphiretrack-router/src/listing_updates.rs
@@ -5,7 +5,7 @@
 
 use sapphiretrack_routing::{
     ColdReport, Configuration, ConfigurationChange, Incarnation, ServerChange, ServerEntry,
-    ServerList,
+    ServerList, ServerState,
 };
 
 use crate::clock::Clock;
@@ -128,7 +128,7 @@
         return changed;
     }
     for record in update.records {
-        apply_change(list, record, now_ms);
+        apply_change(shared, list, record, now_ms);
     }
     changed
 }
@@ -164,13 +164,18 @@
     }
 }
 
-fn apply_change(list: &mut ServerList, record: Record, now_ms: u64) {
+fn apply_change(shared: &Shared, list: &mut ServerList, record: Record, now_ms: u64) {
     match record {
         Record::Server(ServerChange::Entry(entry)) => {
             let id = entry.id.clone();
             let is_new = !list.contains(&entry);
+            let draining = (entry.state == ServerState::Draining).then(|| entry.clone());
             if list.upsert(entry) {
                 note!(Event::SERVER_LEAVING, server = id, reason = "draining");
+                let runs_ms = shared.settings().drain_bound_ms;
+                draining
+                    .into_iter()
+                    .for_each(|entry| shared.draining_servers.record(entry, runs_ms));
             } else if is_new {
                 note!(Event::SERVER_LISTED, server = id);
             }
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -7,8 +7,8 @@
 use rand::RngExt;
 use sapphiretrack_routing::{
     Candidate, EligibilityView, Exclusion, Incarnation, PeerLoads, RequestFacts, ServerEntry,
-    Service, ServiceTime, choose_server, fetch_source, home_count, home_server, sample_candidates,
-    sample_server,
+    Service, ServiceTime, choose_server, draining_source, fetch_source, home_count, home_server,
+    sample_candidates, sample_server,
 };
 
 use crate::clock::Clock;
@@ -280,10 +280,14 @@
         false => PlacementError::AllFull,
     })?;
     let chosen = &candidates[index];
-    let holder = fetch_source(&settings.costs, &candidates, index);
-    let reusable_tokens = holder.map_or(chosen.cached_tokens, |holder| {
-        candidates[holder].cached_tokens
+    let source = fetch_source(&settings.costs, &candidates, index).map(|holder| FetchSource {
+        address: listed[holder].address,
+        tokens: candidates[holder].cached_tokens,
     });
+    let source = context.draining_source(chosen, source.as_ref()).or(source);
+    let reusable_tokens = source
+        .as_ref()
+        .map_or(chosen.cached_tokens, |source| source.tokens);
     let added_load = add_load(&mut traffic, chosen.server, request.facts, reusable_tokens);
     drop(traffic);
     Ok(Placement {
@@ -291,7 +295,7 @@
         cached_tokens: chosen.cached_tokens,
         load: chosen.in_flight,
         servers: candidates.len(),
-        fetch_from: holder.map(|holder| listed[holder].address),
+        fetch_from: source.map(|source| source.address),
         shared: shared.clone(),
         sent_ms: now_ms,
         tokens: added_load.tokens,
@@ -299,6 +303,13 @@
     })
 }
 
+/// A server with more of a prompt in its cache than the chosen one.
+struct FetchSource {
+    address: SocketAddr,
+    /// Tokens of the prompt that it holds.
+    tokens: u32,
+}
+
 /// The load that a request adds to its server.
 struct RequestLoad {
     tokens: u64,
@@ -344,8 +355,7 @@
             .iter()
             .map(|server| self.candidate(server, &peer_loads));
         let mut candidates: Vec<Candidate> = candidates.collect();
-        self.mark_crashed(&mut candidates);
-        self.mark_ended(&mut candidates);
+        self.mark_gone(&mut candidates);
         self.mark_home(&mut candidates);
         candidates
     }
@@ -364,30 +374,49 @@
             .is_outdated(service_ms, self.now_ms)
     }
 
-    /// Marks the servers that crashed recently as suspect: their entries lapse only after several
+    /// Marks the servers that are probably gone as suspect: entries lapse only after several
     /// seconds.
-    fn mark_crashed(&self, candidates: &mut [Candidate]) {
+    fn mark_gone(&self, candidates: &mut [Candidate]) {
         let evidence = self.shared.crash_evidence();
-        if evidence.is_empty() {
-            return;
-        }
-        for candidate in candidates {
-            candidate.suspect |= evidence.has_crashed(candidate.server.0, self.now_ms);
-        }
-    }
-
-    /// Marks the servers that are probably gone as suspect.
-    fn mark_ended(&self, candidates: &mut [Candidate]) {
         let ended = self.shared.ended_servers.servers();
-        if ended.is_empty() {
+        if evidence.is_empty() && ended.is_empty() {
             return;
         }
         let valid_ms = self.settings.attempts.reported_ms;
         for candidate in candidates {
-            candidate.suspect |= ended.is_suspect(candidate.server, valid_ms, self.now_ms);
+            let server = candidate.server;
+            candidate.suspect |= evidence.has_crashed(server.0, self.now_ms)
+                || ended.is_suspect(server, valid_ms, self.now_ms);
         }
     }
 
+    /// A draining server that holds more of the prompt than the chosen server and the best source
+    /// among the others; none if there is none.
+    fn draining_source(
+        &self,
+        chosen: &Candidate,
+        best: Option<&FetchSource>,
+    ) -> Option<FetchSource> {
+        let evacuated = self.shared.evacuations.zones();
+        let mut draining = self.shared.draining_servers.running(self.now_ms);
+        draining.retain(|one| {
+            one.entry.service == self.request.service.name && !evacuated.contains(&one.entry.zone)
+        });
+        let shared_prefixes = self.request.facts.shared_prefixes();
+        let held = draining.iter().map(|one| {
+            let index = &self.traffic.prefix_index;
+            index.cached_tokens(one.entry.incarnation, shared_prefixes, self.now_ms)
+        });
+        let held: Vec<u32> = held.collect();
+        let best = best.map_or(0, |best| best.tokens);
+        let costs = &self.settings.costs;
+        let source = draining_source(costs, &held, chosen.cached_tokens, best)?;
+        Some(FetchSource {
+            address: draining[source].entry.address,
+            tokens: held[source],
+        })
+    }
+
     /// Marks the home server of the prompt's last shared prefix, and whether that prefix has
     /// several homes.
     fn mark_home(&self, candidates: &mut [Candidate]) {
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::cold_servers::ColdServerTable;
 use crate::crashes::{StoredBlocks, SuspectedServers};
+use crate::draining_servers::DrainingServers;
 use crate::ended_servers::EndedServerTable;
 use crate::evacuation::Evacuations;
 use crate::events::{Event, note};
@@ -45,6 +46,8 @@
     pub(crate) evacuations: Evacuations,
     /// The backend servers that are cold.
     pub(crate) cold_servers: ColdServerTable,
+    /// The backend servers that drain.
+    pub(crate) draining_servers: DrainingServers,
     /// The backend servers that are gone although they are listed.
     pub(crate) ended_servers: EndedServerTable,
     /// The load that other routers cause on the servers.
@@ -177,6 +180,7 @@
             servers: ArcSwap::default(),
             evacuations: Evacuations::default(),
             cold_servers: ColdServerTable::default(),
+            draining_servers: DrainingServers::default(),
             ended_servers: EndedServerTable::default(),
             peer_loads: ArcSwap::default(),
             present_servers: ArcSwap::default(),
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -182,6 +182,22 @@
     (one.cached_tokens >= held.saturating_add(costs.min_fetch_tokens)).then_some(holder)
 }
 
+/// Returns the index of the draining server from which the chosen server should fetch a prefix:
+/// the one that holds the most of the prompt, if it holds enough tokens more than the chosen server
+/// (`held`) and more than the best other source (`best`). A server that drains gets no requests, so
+/// its memory is lost to prompts that are not fetched in time.
+pub fn draining_source(
+    costs: &PlacementCosts,
+    draining: &[u32],
+    held: u32,
+    best: u32,
+) -> Option<usize> {
+    let sources = draining.iter().enumerate();
+    let (source, tokens) = sources.max_by_key(|(_, tokens)| **tokens)?;
+    let is_worth = *tokens >= held.saturating_add(costs.min_fetch_tokens) && *tokens > best;
+    is_worth.then_some(source)
+}
+
 /// Minimum weight of a failing server. The requests it still gets show when it has recovered.
 const MIN_SUCCESS_WEIGHT: f64 = 0.05;
 /// Maximum number of servers for which all are compared. So few servers have few routers, which
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -5,8 +5,8 @@
 use prompts::{advertised_prefix, request_with_prefixes};
 use sapphiretrack_routing::{
     Candidate, Distance, Incarnation, PlacementCosts, PrefixIndex, PromptPrefix, SentPrompts,
-    SentTokens, ServerHealth, ServerHealthSettings, choose_server, fetch_source, home_count,
-    home_server, sample_candidates,
+    SentTokens, ServerHealth, ServerHealthSettings, choose_server, draining_source, fetch_source,
+    home_count, home_server, sample_candidates,
 };
 
 const PROMPT_TOKENS: u32 = 9_200;
@@ -488,3 +488,22 @@
     assert_eq!(choose(1), Some(1), "an idle server needs no help");
     assert_eq!(choose(30), Some(0));
 }
+
+/// Pattern: the servers of a service are replaced one after the other, and the prompts of each are needed again
+/// while it drains.
+#[test]
+fn prefixes_are_fetched_from_a_draining_server_that_holds_the_most() {
+    let costs = PlacementCosts::default();
+    assert_eq!(draining_source(&costs, &[], 0, 0), None);
+    assert_eq!(draining_source(&costs, &[500, 3_000, 900], 100, 0), Some(1));
+    assert_eq!(
+        draining_source(&costs, &[3_000], 2_900, 0),
+        None,
+        "too few tokens more"
+    );
+    assert_eq!(
+        draining_source(&costs, &[3_000], 0, 3_000),
+        None,
+        "another server has them"
+    );
+}
