Let no failing write of crash records hold up the others

Cause (found by reading): the queue of records was a stack, so that a write that failed was repeated before all others, and the pause between writes kept doubling until the queue was empty, also after writes that succeeded.

--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -8,7 +8,7 @@
 
 use rand::seq::IndexedRandom;
 use sapphiretrack_routing::{
-    CrashEvidence, CrashRecord, Fingerprint, Incarnation, RouterMessage, ServerEntry,
+    CrashEvidence, CrashRecord, Fingerprint, Incarnation, RouterMessage, ServerEntry, WriteQueue,
 };
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
@@ -39,10 +39,6 @@
 /// The number of routers that receive reports of a request's first crash. Two of them may be lost
 /// before the second crash without losing the evidence.
 const REPORT_RECIPIENTS: usize = 3;
-/// The base delay of the backoff after failed calls to the store, which doubles with each failure.
-const STORE_RETRY_DELAY_MS: u64 = 100;
-/// The most doublings of the backoff delay.
-const MAX_BACKOFF_DOUBLINGS: u32 = 5;
 
 /// Servers that may have crashed because connections to them were lost, with the requests that ran
 /// on these connections.
@@ -72,7 +68,7 @@
     /// The requests that this router blocks; only these may have a record in the store.
     blocked: HashSet<Fingerprint>,
     /// The requests whose record in the store has yet to be updated.
-    pending: Vec<Fingerprint>,
+    pending: WriteQueue<Fingerprint>,
 }
 
 impl StoredBlocks {
@@ -412,7 +408,6 @@
 pub(crate) async fn store_blocked_requests(shared: Arc<Shared>, store: Arc<StorePort>) {
     loop {
         shared.stored_blocks_changed.notified().await;
-        let mut failures = 0;
         loop {
             let next = shared.stored_blocks().pending.pop();
             let Some(fingerprint) = next else {
@@ -424,12 +419,12 @@
             let outcome = answer.as_ref().map(|()| 0);
             let reason = CallReason::Crashes;
             shared.note_store_call(Listing::Routers, reason, sent_ms, outcome);
-            if answer.is_err() {
-                shared.stored_blocks().pending.push(fingerprint);
-                failures += 1;
-                let pause_ms = STORE_RETRY_DELAY_MS << failures.min(MAX_BACKOFF_DOUBLINGS);
-                sleep(Duration::from_millis(pause_ms)).await;
+            if answer.is_ok() {
+                shared.stored_blocks().pending.record_success();
+                continue;
             }
+            let pause_ms = shared.stored_blocks().pending.record_failure(fingerprint);
+            sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 }
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -32,6 +32,7 @@
 mod server_list;
 mod stop;
 mod watch_state;
+mod write_queue;
 
 pub use broadcast::{BroadcastPlan, Recipient};
 pub use change_log::{ChangeLog, ChangesAssembly, ChangesFragment};
@@ -74,3 +75,4 @@
 };
 pub use stop::{StopPhase, StopTimes};
 pub use watch_state::{ListingAdvert, WatchAnswer, WatchState};
+pub use write_queue::WriteQueue;
