Listen for callers before the control thread starts

Tests of promises.rs got 'Connection refused' in 4 of 1,800 runs beside load: a router reports itself as ready from the control thread, while the traffic thread may not listen yet. The listener is opened before the control thread is spawned now, so that no order of threads can show it.

--- a/crates/sapphiretrack-router/src/router.rs
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -67,6 +67,11 @@
     let shared = Arc::new(Shared::new(settings));
     let control = runtime()?;
     let traffic = runtime()?;
+    // The router listens before the control thread can report it as ready.
+    let callers = {
+        let _guard = traffic.enter();
+        listen(shared.settings().caller_address)?
+    };
     {
         let shared = shared.clone();
         std::thread::spawn(move || {
@@ -76,7 +81,7 @@
             }
         });
     }
-    traffic.block_on(run_traffic(shared, interface))
+    traffic.block_on(run_traffic(shared, interface, callers))
 }
 
 async fn run_control(
@@ -170,9 +175,12 @@
     }
 }
 
-async fn run_traffic(shared: Arc<Shared>, interface: Interface) -> Result<(), RunError> {
-    let listener = listen(shared.settings().caller_address)?;
-    tokio::spawn(serve_callers(shared.clone(), interface, listener));
+async fn run_traffic(
+    shared: Arc<Shared>,
+    interface: Interface,
+    callers: TcpListener,
+) -> Result<(), RunError> {
+    tokio::spawn(serve_callers(shared.clone(), interface, callers));
     let times = StopTimes {
         grace_ms: shared.settings().grace_ms,
     };
--- a/crates/sapphiretrack-routing/tests/ended_servers.rs
+++ b/crates/sapphiretrack-routing/tests/ended_servers.rs
@@ -79,10 +79,9 @@
                 }
             }
         }
-        for index in 0..ROUTERS {
+        for (index, ended) in routers.iter_mut().enumerate() {
             // Seven requests a second at each router, as many attempts as needed for each.
             while rng.random_bool(0.07) {
-                let ended = &mut routers[index];
                 let usable = (0..SERVERS)
                     .filter(|server| !ended.is_suspect(Incarnation(*server), 3_000, now_ms));
                 let usable: Vec<u64> = usable.collect();
