Part request counts and locks from the router's shared state

shared.rs held the counts of requests in flight, the memory of bodies and the phases of the process beside everything else; they are activity.rs now, and functions that only count requests no longer need the whole state.

--- /dev/null
+++ b/crates/sapphiretrack-router/src/activity.rs
@@ -0,0 +1,110 @@
+//! The requests in flight, the memory of their bodies, and the phases of the process.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+use crate::clock::Clock;
+
+/// What the process does, for its planned stop and for the limit on memory.
+#[derive(Debug)]
+pub(crate) struct Activity {
+    started_ms: u64,
+    /// When the planned stop began; 0 before.
+    leaving_since_ms: AtomicU64,
+    in_flight: AtomicUsize,
+    last_request_ms: AtomicU64,
+    body_bytes: AtomicUsize,
+}
+
+/// Counts a request as in flight until this is dropped.
+pub(crate) struct InFlight(Arc<Activity>);
+
+/// Memory reserved for a request's body until this is dropped.
+pub(crate) struct BodyMemory {
+    activity: Arc<Activity>,
+    bytes: usize,
+}
+
+impl Activity {
+    /// The state of a process that has just started.
+    pub(crate) fn new() -> Self {
+        Self {
+            started_ms: Clock.now_ms(),
+            leaving_since_ms: AtomicU64::new(0),
+            in_flight: AtomicUsize::new(0),
+            last_request_ms: AtomicU64::new(0),
+            body_bytes: AtomicUsize::new(0),
+        }
+    }
+
+    /// The time since the process started.
+    pub(crate) fn uptime_ms(&self) -> u64 {
+        Clock.now_ms().saturating_sub(self.started_ms)
+    }
+
+    /// Begins the planned stop. Returns false if it has begun before.
+    pub(crate) fn begin_stop(&self) -> bool {
+        let now_ms = Clock.now_ms().max(1);
+        self.leaving_since_ms
+            .compare_exchange(0, now_ms, Ordering::Relaxed, Ordering::Relaxed)
+            .is_ok()
+    }
+
+    /// The time since the planned stop began; none if it has not begun.
+    pub(crate) fn leaving_for_ms(&self) -> Option<u64> {
+        match self.leaving_since_ms.load(Ordering::Relaxed) {
+            0 => None,
+            since_ms => Some(Clock.now_ms().saturating_sub(since_ms)),
+        }
+    }
+
+    /// Counts a request as in flight.
+    pub(crate) fn begin_request(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.last_request_ms
+            .store(Clock.now_ms(), Ordering::Relaxed);
+        InFlight(self.clone())
+    }
+
+    /// The number of requests in flight.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// The time since the last request arrived or ended.
+    pub(crate) fn quiet_ms(&self) -> u64 {
+        let last_ms = self.last_request_ms.load(Ordering::Relaxed);
+        Clock.now_ms().saturating_sub(last_ms)
+    }
+
+    /// Reserves memory for a body; none if all bodies would exceed `limit_bytes`.
+    pub(crate) fn reserve_body(
+        self: &Arc<Self>,
+        bytes: usize,
+        limit_bytes: usize,
+    ) -> Option<BodyMemory> {
+        let before = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let memory = BodyMemory {
+            activity: self.clone(),
+            bytes,
+        };
+        (before + bytes <= limit_bytes).then_some(memory)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.0
+            .last_request_ms
+            .store(Clock.now_ms(), Ordering::Relaxed);
+    }
+}
+
+impl Drop for BodyMemory {
+    fn drop(&mut self) {
+        self.activity
+            .body_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/sapphiretrack-router/src/admission.rs
+++ b/crates/sapphiretrack-router/src/admission.rs
@@ -14,12 +14,13 @@
 };
 use tokio::time::{sleep, timeout};
 
+use crate::activity::InFlight;
 use crate::answer::strip_connection_headers;
 use crate::clock::Clock;
 use crate::job::Job;
 use crate::ports::Interface;
 use crate::refusal::Refusal;
-use crate::shared::{ConfigurationInForce, InFlight, Shared};
+use crate::shared::{ConfigurationInForce, Shared};
 
 /// Requests that arrive within this time after process start wait until the router is ready.
 const STARTUP_WAIT_MS: u64 = 400;
@@ -36,11 +37,15 @@
     in_flight: InFlight,
 ) -> Result<Job, Refusal> {
     let arrived_ms = Clock.now_ms();
-    if let Some(since_ms) = shared.leaving_for_ms() {
+    if let Some(since_ms) = shared.activity.leaving_for_ms() {
         let times = StopTimes {
             grace_ms: shared.settings().grace_ms,
         };
-        let phase = times.phase(since_ms, shared.in_flight(), shared.quiet_ms());
+        let phase = times.phase(
+            since_ms,
+            shared.activity.in_flight(),
+            shared.activity.quiet_ms(),
+        );
         if phase != StopPhase::Serving {
             return Err(Refusal::retryable("leaving"));
         }
@@ -77,7 +82,8 @@
             return Err(Refusal::permanent(status, "body-too-slow"));
         }
     };
-    let body_memory = shared.reserve_body(body.len());
+    let limit_bytes = shared.settings().body_memory_bytes;
+    let body_memory = shared.activity.reserve_body(body.len(), limit_bytes);
     let body_memory = body_memory.ok_or_else(|| Refusal::retryable("no-memory"))?;
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
@@ -118,7 +124,7 @@
 /// Delays a request that arrives right after process start until the router is ready. When the
 /// whole fleet restarts at once, no other router could serve it.
 async fn wait_until_ready(shared: &Shared) {
-    while shared.uptime_ms() < STARTUP_WAIT_MS && shared.state() == RouterState::NotReady {
+    while shared.activity.uptime_ms() < STARTUP_WAIT_MS && shared.state() == RouterState::NotReady {
         sleep(STARTUP_POLL_INTERVAL).await;
     }
 }
--- a/crates/sapphiretrack-router/src/cold_servers.rs
+++ b/crates/sapphiretrack-router/src/cold_servers.rs
@@ -1,7 +1,7 @@
 //! Limits the requests that this router sends to cold backend servers.
 
 use std::collections::HashSet;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use sapphiretrack_routing::{
     ColdLimit, ColdReport, ColdServers, ColdShare, Incarnation, RouterState, ServerEntry, Service,
@@ -9,6 +9,7 @@
 
 use crate::clock::Clock;
 use crate::events::{Event, note};
+use crate::lock::lock;
 use crate::shared::Shared;
 
 /// Time after its start for which a router may have been an owner in its former run.
@@ -208,7 +209,7 @@
             let peers = self.shared.peers();
             peers.is_owner(server.0, &settings.name, share.owners, self.now_ms)
         };
-        let is_new = self.shared.uptime_ms() < NEW_ROUTER_MS;
+        let is_new = self.shared.activity.uptime_ms() < NEW_ROUTER_MS;
         let pace = self.servers.pace(server);
         pace.record_owner(is_owner, is_new, share, self.now_ms);
         is_owner.then_some(share)
@@ -221,7 +222,3 @@
     let services = configuration.iter().flat_map(|one| one.services());
     services.map(|one| one.cold_start_ms).max().unwrap_or(0)
 }
-
-fn lock<State>(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -347,7 +347,7 @@
             }
         }
         let has_no_records = shared.crash_evidence().digest() == 0;
-        if has_no_records && shared.uptime_ms() >= STARTUP_QUERY_MS {
+        if has_no_records && shared.activity.uptime_ms() >= STARTUP_QUERY_MS {
             continue;
         }
         let others: Vec<SocketAddr> = {
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -59,9 +59,9 @@
     interface: Interface,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let in_flight = shared.begin_request();
+    let in_flight = shared.activity.begin_request();
     let (head, body) = request.into_parts();
-    let leaving = shared.leaving_for_ms().is_some();
+    let leaving = shared.activity.leaving_for_ms().is_some();
     let facts = match (interface.read_request)(&head) {
         Ok(facts) => facts,
         Err(error) => {
@@ -75,7 +75,7 @@
         Err(refusal) => return refuse(&shared, &id, refusal, leaving),
     };
     let mut answer = run_attempts(Arc::new(job)).await;
-    if shared.leaving_for_ms().is_some() {
+    if shared.activity.leaving_for_ms().is_some() {
         let close = header::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
     }
@@ -321,7 +321,7 @@
 fn failure_answer(job: &Job, attempts: &Attempts, failure: AttemptFailure) -> Response<AnswerBody> {
     job.mark_ended();
     let reason = failure.as_str();
-    let leaving = job.shared.leaving_for_ms().is_some();
+    let leaving = job.shared.activity.leaving_for_ms().is_some();
     if attempts.possible_runs > 0 {
         let status = match failure {
             AttemptFailure::TimedOut(_) => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/sapphiretrack-router/src/ended_servers.rs
+++ b/crates/sapphiretrack-router/src/ended_servers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use rand::RngExt;
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::connect::ConnectError;
 use crate::events::{Event, note};
+use crate::lock::lock;
 use crate::peer_messages::{encode, send_to_all};
 use crate::shared::Shared;
 
@@ -125,7 +126,3 @@
         }
     }
 }
-
-fn lock<State>(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/sapphiretrack-router/src/endpoints.rs
+++ b/crates/sapphiretrack-router/src/endpoints.rs
@@ -183,7 +183,7 @@
             .peers()
             .ready(shared.configuration_proof(), Clock.now_ms())
             .len(),
-        in_flight: shared.in_flight(),
+        in_flight: shared.activity.in_flight(),
         dropped_lines: dropped_log_lines(),
     }
 }
--- a/crates/sapphiretrack-router/src/job.rs
+++ b/crates/sapphiretrack-router/src/job.rs
@@ -7,11 +7,12 @@
 use http::{HeaderMap, Method, Uri};
 use sapphiretrack_routing::{Fingerprint, Outline, RequestFacts, RequestIdentity, Route};
 
+use crate::activity::{BodyMemory, InFlight};
 use crate::clock::Clock;
 use crate::events::{Event, note};
 use crate::metrics::RequestLabels;
 use crate::ports::Interface;
-use crate::shared::{BodyMemory, InFlight, Shared};
+use crate::shared::Shared;
 
 /// An accepted request with everything that its attempts need.
 pub(crate) struct Job {
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -1,5 +1,6 @@
 //! Forwards opaque requests to backend servers: the request path that all interfaces share.
 
+mod activity;
 mod admission;
 mod answer;
 mod attempt;
@@ -19,6 +20,7 @@
 mod job;
 mod listing_updates;
 mod load_exchange;
+mod lock;
 mod logging;
 mod metrics;
 mod peer_listings;
--- a/crates/sapphiretrack-router/src/router.rs
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -143,7 +143,7 @@
     tokio::spawn(watch_settings(shared.clone(), hangup, ports.read_settings));
     let mut stop = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     stop.recv().await;
-    note!(Event::STOPPING, in_flight = shared.in_flight());
+    note!(Event::STOPPING, in_flight = shared.activity.in_flight());
     shared.begin_stop();
     // A heartbeat announces the stop to the other routers at once; the row only lists this router
     // as a recipient of heartbeats.
@@ -186,15 +186,19 @@
     };
     loop {
         sleep(STOP_CHECK_INTERVAL).await;
-        let Some(since_ms) = shared.leaving_for_ms() else {
+        let Some(since_ms) = shared.activity.leaving_for_ms() else {
             sleep(STOP_CHECK_INTERVAL * 4).await;
             continue;
         };
-        let phase = times.phase(since_ms, shared.in_flight(), shared.quiet_ms());
+        let phase = times.phase(
+            since_ms,
+            shared.activity.in_flight(),
+            shared.activity.quiet_ms(),
+        );
         if phase == StopPhase::Finished {
             note!(
                 Event::STOPPED,
-                in_flight = shared.in_flight(),
+                in_flight = shared.activity.in_flight(),
                 since_ms = since_ms,
                 uptime_ms = Clock.now_ms(),
             );
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use sapphiretrack_core::DrainRate;
@@ -15,6 +15,7 @@
 };
 use tokio::sync::{Notify, mpsc};
 
+use crate::activity::Activity;
 use crate::clock::Clock;
 use crate::cold_servers::ColdServerTable;
 use crate::crashes::{StoredBlocks, SuspectedServers};
@@ -23,6 +24,7 @@
 use crate::evacuation::Evacuations;
 use crate::events::{Event, note};
 use crate::load_exchange::LoadExchange;
+use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::ports::{Listing, StoreError};
 use crate::server_pool::ServerPool;
@@ -63,6 +65,8 @@
     pub(crate) metrics: Metrics,
     /// Connections to backend servers.
     pub(crate) pool: ServerPool,
+    /// The requests in flight, and the phases of the process.
+    pub(crate) activity: Arc<Activity>,
     /// Notified when this router's advertised state may have changed.
     pub(crate) state_changed: Notify,
     /// Notified when there are new results from the store to advertise to other routers.
@@ -92,11 +96,6 @@
     suspected_servers: Mutex<SuspectedServers>,
     crash_announcements: Mutex<Vec<CrashRecord>>,
     stored_blocks: Mutex<StoredBlocks>,
-    started_ms: u64,
-    leaving_since_ms: AtomicU64,
-    in_flight: AtomicUsize,
-    last_request_ms: AtomicU64,
-    body_bytes: AtomicUsize,
 }
 
 /// Data observed on this router's own requests.
@@ -157,15 +156,6 @@
     pub(crate) is_usable: bool,
 }
 
-/// Counts a request as in flight until this is dropped.
-pub(crate) struct InFlight(Arc<Shared>);
-
-/// Memory reserved for a request's body until this is dropped.
-pub(crate) struct BodyMemory {
-    shared: Arc<Shared>,
-    bytes: usize,
-}
-
 impl Shared {
     /// The state of a router that has just started.
     pub(crate) fn new(settings: RouterSettings) -> Self {
@@ -188,6 +178,7 @@
             has_server_list: AtomicBool::new(false),
             metrics: Metrics::new(),
             pool: ServerPool::default(),
+            activity: Arc::new(Activity::new()),
             state_changed: Notify::new(),
             listings_read: Notify::new(),
             crashes_announced: Notify::new(),
@@ -214,11 +205,6 @@
             change_log: Mutex::default(),
             configuration_log: Mutex::default(),
             log_sampling: Mutex::new(LogSampling::new(FULL_LOGS_PER_S)),
-            started_ms: Clock.now_ms(),
-            leaving_since_ms: AtomicU64::new(0),
-            in_flight: AtomicUsize::new(0),
-            last_request_ms: AtomicU64::new(0),
-            body_bytes: AtomicUsize::new(0),
         }
     }
 
@@ -531,7 +517,7 @@
 
     /// The state that this router advertises.
     pub(crate) fn state(&self) -> RouterState {
-        if self.leaving_for_ms().is_some() {
+        if self.activity.leaving_for_ms().is_some() {
             return RouterState::Leaving;
         }
         match self.serves_open_routes() && self.keys_are_fresh() {
@@ -547,62 +533,16 @@
         has_server_list
             && self.configuration.load().is_some()
             && self.configuration_is_usable(Clock.now_ms())
-            && self.leaving_for_ms().is_none()
+            && self.activity.leaving_for_ms().is_none()
     }
 
-    /// The time since the process started.
-    pub(crate) fn uptime_ms(&self) -> u64 {
-        Clock.now_ms().saturating_sub(self.started_ms)
-    }
-
-    /// Begins the planned stop; further calls have no effect.
+    /// Begins the planned stop, and announces it to the other routers; further calls have no effect.
     pub(crate) fn begin_stop(&self) {
-        let now_ms = Clock.now_ms().max(1);
-        let first =
-            self.leaving_since_ms
-                .compare_exchange(0, now_ms, Ordering::Relaxed, Ordering::Relaxed);
-        if first.is_ok() {
+        if self.activity.begin_stop() {
             self.state_changed.notify_one();
         }
     }
 
-    /// The time since the planned stop began; none if it has not begun.
-    pub(crate) fn leaving_for_ms(&self) -> Option<u64> {
-        match self.leaving_since_ms.load(Ordering::Relaxed) {
-            0 => None,
-            since_ms => Some(Clock.now_ms().saturating_sub(since_ms)),
-        }
-    }
-
-    /// Counts a request as in flight.
-    pub(crate) fn begin_request(self: &Arc<Self>) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        self.last_request_ms
-            .store(Clock.now_ms(), Ordering::Relaxed);
-        InFlight(self.clone())
-    }
-
-    /// The number of requests in flight.
-    pub(crate) fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Relaxed)
-    }
-
-    /// The time since the last request arrived or ended.
-    pub(crate) fn quiet_ms(&self) -> u64 {
-        let last_ms = self.last_request_ms.load(Ordering::Relaxed);
-        Clock.now_ms().saturating_sub(last_ms)
-    }
-
-    /// Reserves memory for a body; none if that exceeds `body_memory_bytes`.
-    pub(crate) fn reserve_body(self: &Arc<Self>, bytes: usize) -> Option<BodyMemory> {
-        let before = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let memory = BodyMemory {
-            shared: self.clone(),
-            bytes,
-        };
-        (before + bytes <= self.settings().body_memory_bytes).then_some(memory)
-    }
-
     /// The load that this router causes on the servers.
     pub(crate) fn own_loads(&self) -> Vec<ServerLoad> {
         let traffic = self.traffic();
@@ -616,26 +556,3 @@
         loads.collect()
     }
 }
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-        self.0
-            .last_request_ms
-            .store(Clock.now_ms(), Ordering::Relaxed);
-    }
-}
-
-impl Drop for BodyMemory {
-    fn drop(&mut self) {
-        self.shared
-            .body_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// Locks a mutex and ignores poisoning: the guarded state is consistent between any two statements,
-/// so that a panic of another holder does not corrupt it.
-fn lock<State>(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
-}
