--- /dev/null
+++ b/crates/sapphiretrack-router/src/eligible_servers.rs
@@ -0,0 +1,126 @@
+//! Decides which backend servers may get a request at all, by what this router knows.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use arc_swap::Guard;
+use sapphiretrack_routing::{EligibilityView, EvacuatedZones, Exclusion, Incarnation, ServerEntry};
+
+use crate::cold_servers::ColdView;
+use crate::placement::{PlacementError, PlacementRequest};
+use crate::settings::RouterSettings;
+use crate::shared::Shared;
+
+/// What decides about the servers of one service for one request.
+pub(crate) struct EligibilityCheck<'a> {
+    shared: &'a Shared,
+    request: PlacementRequest<'a>,
+    evacuated: Guard<Arc<EvacuatedZones>>,
+    settings: Guard<Arc<RouterSettings>>,
+    /// The cold servers; none if there are none.
+    cold: Option<ColdView<'a>>,
+}
+
+/// The servers of a service that may get a request.
+pub(crate) struct EligibleServers {
+    /// All that may get it now.
+    pub(crate) servers: Vec<Arc<ServerEntry>>,
+    /// Those of them that are cold.
+    pub(crate) cold: HashSet<Incarnation>,
+    /// Why the others may not get it; the last reason that applies.
+    last_exclusion: Option<Exclusion>,
+    /// The time until a cold server may get it, if there are any.
+    cold_wait_ms: Option<u64>,
+}
+
+impl<'a> EligibilityCheck<'a> {
+    pub(crate) fn new(shared: &'a Shared, request: PlacementRequest<'a>) -> Self {
+        Self {
+            shared,
+            request,
+            evacuated: shared.evacuations.zones(),
+            settings: shared.settings(),
+            cold: shared.cold_servers.view(shared, request.service),
+        }
+    }
+
+    /// Whether nothing is known that excludes any server.
+    pub(crate) fn allows_all(&self) -> bool {
+        self.cold.is_none()
+            && self.evacuated.is_empty()
+            && self
+                .request
+                .allowed_regions
+                .iter()
+                .all(|list| list.is_empty())
+            && self.shared.ended_servers.servers().is_empty()
+    }
+
+    /// Why a server may not get the request like any other server; none if it may.
+    fn exclusion(&self, server: &ServerEntry) -> Option<Exclusion> {
+        let incarnation = server.incarnation;
+        let cold = self.cold.as_ref();
+        let view = EligibilityView {
+            evacuated: &self.evacuated,
+            allowed_regions: self.request.allowed_regions,
+            region: self.settings.regions.get(&server.zone).map(String::as_str),
+            has_ended: self.shared.ended_servers.servers().is_replaced(incarnation),
+            is_cold: cold.is_some_and(|cold| cold.is_cold(incarnation)),
+        };
+        view.exclusion(server)
+    }
+
+    /// Why the request must not be sent to a server now; none if it may be sent. Counts it if the
+    /// server is cold.
+    pub(crate) fn exclusion_at_send(mut self, server: &ServerEntry) -> Option<Exclusion> {
+        let exclusion = self.exclusion(server)?;
+        let cold = self.cold.as_mut();
+        let is_sent = exclusion == Exclusion::Cold
+            && cold.is_some_and(|cold| cold.try_send(server.incarnation));
+        (!is_sent).then_some(exclusion)
+    }
+
+    /// Selects the servers that may get the request now.
+    pub(crate) fn into_eligible(mut self, listed: &[Arc<ServerEntry>]) -> EligibleServers {
+        let mut eligible = EligibleServers {
+            servers: Vec::with_capacity(listed.len()),
+            cold: HashSet::new(),
+            last_exclusion: None,
+            cold_wait_ms: None,
+        };
+        let mut waiting = Vec::new();
+        for server in listed {
+            let exclusion = self.exclusion(server);
+            eligible.last_exclusion = exclusion.or(eligible.last_exclusion);
+            let cold = self.cold.as_mut();
+            let cold = cold.filter(|_| exclusion == Some(Exclusion::Cold));
+            match cold.map(|cold| cold.is_due(server.incarnation)) {
+                Some(true) => {
+                    eligible.cold.insert(server.incarnation);
+                    eligible.servers.push(server.clone());
+                }
+                Some(false) => waiting.push(server),
+                None if exclusion.is_none() => eligible.servers.push(server.clone()),
+                None => {}
+            }
+        }
+        if let Some(cold) = &mut self.cold
+            && !waiting.is_empty()
+        {
+            let waiting = waiting.into_iter().map(|server| &**server);
+            eligible.cold_wait_ms = Some(cold.wait_ms(waiting));
+        }
+        eligible
+    }
+}
+
+impl EligibleServers {
+    /// Why no server may get the request.
+    pub(crate) fn error(&self) -> PlacementError {
+        match (self.cold_wait_ms, self.last_exclusion) {
+            (Some(wait_ms), _) => PlacementError::OnlyCold(wait_ms),
+            (None, Some(exclusion)) => PlacementError::Excluded(exclusion),
+            (None, None) => PlacementError::NoneListed,
+        }
+    }
+}
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -12,6 +12,7 @@
 mod discovery;
 mod dispatch;
 mod draining_servers;
+mod eligible_servers;
 mod ended_servers;
 mod endpoints;
 mod evacuation;
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -6,13 +6,13 @@
 
 use rand::RngExt;
 use sapphiretrack_routing::{
-    Candidate, EligibilityView, Exclusion, Incarnation, PeerLoads, RequestFacts, ServerEntry,
-    Service, ServiceTime, choose_server, draining_source, fetch_source, home_count, home_server,
-    sample_candidates, sample_server,
+    Candidate, Exclusion, Incarnation, PeerLoads, RequestFacts, ServerEntry, Service, ServiceTime,
+    choose_server, draining_source, fetch_source, home_count, home_server, sample_candidates,
+    sample_server,
 };
 
 use crate::clock::Clock;
-use crate::cold_servers::ColdView;
+use crate::eligible_servers::EligibilityCheck;
 use crate::settings::RouterSettings;
 use crate::shared::{Shared, Traffic};
 
@@ -96,22 +96,7 @@
     /// Why the request must not be sent to the server any more; none if it may be sent. Counts it if
     /// the server is cold.
     pub(crate) fn exclusion_at_send(&self, request: PlacementRequest<'_>) -> Option<Exclusion> {
-        let shared = &self.shared;
-        let incarnation = self.server.incarnation;
-        let cold_view = shared.cold_servers.view(shared, request.service);
-        let is_cold = |view: &ColdView<'_>| view.is_cold(incarnation);
-        let settings = shared.settings();
-        let view = EligibilityView {
-            evacuated: &shared.evacuations.zones(),
-            allowed_regions: request.allowed_regions,
-            region: settings.regions.get(&self.server.zone).map(String::as_str),
-            has_ended: shared.ended_servers.servers().is_replaced(incarnation),
-            is_cold: cold_view.as_ref().is_some_and(is_cold),
-        };
-        let exclusion = view.exclusion(&self.server)?;
-        let is_sent = exclusion == Exclusion::Cold
-            && cold_view.is_some_and(|mut cold| cold.try_send(incarnation));
-        (!is_sent).then_some(exclusion)
+        EligibilityCheck::new(&self.shared, request).exclusion_at_send(&self.server)
     }
 
     /// Whether the server makes no progress on any of this router's requests.
@@ -155,74 +140,6 @@
     pub(crate) allowed_regions: [&'a [String]; 2],
 }
 
-/// The servers of a service that may get a request.
-struct EligibleServers {
-    /// All that may get it now.
-    servers: Vec<Arc<ServerEntry>>,
-    /// Those of them that are cold.
-    cold: HashSet<Incarnation>,
-    /// Why the others may not get it; the last reason that applies.
-    last_exclusion: Option<Exclusion>,
-    /// The time until a cold server may get it, if there are any.
-    cold_wait_ms: Option<u64>,
-}
-
-impl EligibleServers {
-    fn of(shared: &Shared, request: PlacementRequest<'_>, listed: &[Arc<ServerEntry>]) -> Self {
-        let evacuated = shared.evacuations.zones();
-        let settings = shared.settings();
-        let ended = shared.ended_servers.servers();
-        let mut cold_view = shared.cold_servers.view(shared, request.service);
-        let mut eligible = Self {
-            servers: Vec::with_capacity(listed.len()),
-            cold: HashSet::new(),
-            last_exclusion: None,
-            cold_wait_ms: None,
-        };
-        let mut waiting = Vec::new();
-        for server in listed {
-            let is_cold = |view: &ColdView<'_>| view.is_cold(server.incarnation);
-            let view = EligibilityView {
-                evacuated: &evacuated,
-                allowed_regions: request.allowed_regions,
-                region: settings.regions.get(&server.zone).map(String::as_str),
-                has_ended: ended.is_replaced(server.incarnation),
-                is_cold: cold_view.as_ref().is_some_and(is_cold),
-            };
-            let exclusion = view.exclusion(server);
-            eligible.last_exclusion = exclusion.or(eligible.last_exclusion);
-            let cold_view = cold_view
-                .as_mut()
-                .filter(|_| exclusion == Some(Exclusion::Cold));
-            match cold_view.map(|view| view.is_due(server.incarnation)) {
-                Some(true) => {
-                    eligible.cold.insert(server.incarnation);
-                    eligible.servers.push(server.clone());
-                }
-                Some(false) => waiting.push(server),
-                None if exclusion.is_none() => eligible.servers.push(server.clone()),
-                None => {}
-            }
-        }
-        if let Some(view) = &mut cold_view
-            && !waiting.is_empty()
-        {
-            let waiting = waiting.into_iter().map(|server| &**server);
-            eligible.cold_wait_ms = Some(view.wait_ms(waiting));
-        }
-        eligible
-    }
-
-    /// Why no server may get the request.
-    fn error(&self) -> PlacementError {
-        match (self.cold_wait_ms, self.last_exclusion) {
-            (Some(wait_ms), _) => PlacementError::OnlyCold(wait_ms),
-            (None, Some(exclusion)) => PlacementError::Excluded(exclusion),
-            (None, None) => PlacementError::NoneListed,
-        }
-    }
-}
-
 /// Chooses a server for a request and adds the request's load to it.
 pub(crate) fn place(
     shared: &Arc<Shared>,
@@ -232,14 +149,12 @@
     let listed = servers.get(&request.service.name);
     let listed = listed.filter(|list| !list.is_empty());
     let listed = listed.ok_or(PlacementError::NoneListed)?;
-    let is_limited = request.allowed_regions.iter().any(|list| !list.is_empty())
-        || !shared.evacuations.zones().is_empty()
-        || !shared.ended_servers.servers().is_empty()
-        || shared.cold_servers.view(shared, request.service).is_some();
-    if !is_limited {
+    let check = EligibilityCheck::new(shared, request);
+    if check.allows_all() {
+        drop(check);
         return place_on(shared, request, listed, &HashSet::new());
     }
-    let eligible = EligibleServers::of(shared, request, listed);
+    let eligible = check.into_eligible(listed);
     if eligible.servers.is_empty() {
         return Err(eligible.error());
     }
