Bound the load of a service by the mean of all its servers

Cause: since servers that may get nothing are no candidates, so that the bound followed the mean of the servers that are left: in a service with a third of its servers evacuated, one and a half times the mean. The bound uses the mean over all listed servers again. Test with this pattern in placement.rs.

--- a/crates/sapphiretrack-router/src/eligible_servers.rs
+++ b/crates/sapphiretrack-router/src/eligible_servers.rs
@@ -27,6 +27,8 @@
     pub(crate) servers: Vec<Arc<ServerEntry>>,
     /// Those of them that are cold.
     pub(crate) cold: HashSet<Incarnation>,
+    /// Those that may not get it now.
+    pub(crate) others: Vec<Arc<ServerEntry>>,
     /// Why the others may not get it; the last reason that applies.
     last_exclusion: Option<Exclusion>,
     /// The time until a cold server may get it, if there are any.
@@ -85,6 +87,7 @@
         let mut eligible = EligibleServers {
             servers: Vec::with_capacity(listed.len()),
             cold: HashSet::new(),
+            others: Vec::new(),
             last_exclusion: None,
             cold_wait_ms: None,
         };
@@ -99,9 +102,12 @@
                     eligible.cold.insert(server.incarnation);
                     eligible.servers.push(server.clone());
                 }
-                Some(false) => waiting.push(server),
+                Some(false) => {
+                    waiting.push(server);
+                    eligible.others.push(server.clone());
+                }
                 None if exclusion.is_none() => eligible.servers.push(server.clone()),
-                None => {}
+                None => eligible.others.push(server.clone()),
             }
         }
         if let Some(cold) = &mut self.cold
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -7,12 +7,12 @@
 use rand::RngExt;
 use sapphiretrack_routing::{
     Candidate, Exclusion, Incarnation, PeerLoads, RequestFacts, ServerEntry, Service, ServiceTime,
-    choose_server, draining_source, fetch_source, home_count, home_server, sample_candidates,
-    sample_server,
+    choose_server_among, draining_source, fetch_source, home_count, home_server, mean_load,
+    sample_candidates, sample_server,
 };
 
 use crate::clock::Clock;
-use crate::eligible_servers::EligibilityCheck;
+use crate::eligible_servers::{EligibilityCheck, EligibleServers};
 use crate::settings::RouterSettings;
 use crate::shared::{Shared, Traffic};
 
@@ -152,21 +152,29 @@
     let check = EligibilityCheck::new(shared, request);
     if check.allows_all() {
         drop(check);
-        return place_on(shared, request, listed, &HashSet::new());
+        return place_on(shared, request, listed, &HashSet::new(), &[]);
     }
     let eligible = check.into_eligible(listed);
     if eligible.servers.is_empty() {
         return Err(eligible.error());
     }
-    place_on(shared, request, &eligible.servers, &eligible.cold)
+    let EligibleServers {
+        servers,
+        cold,
+        others,
+        ..
+    } = &eligible;
+    place_on(shared, request, servers, cold, others)
 }
 
-/// Chooses one of these servers for a request and adds the request's load to it.
+/// Chooses one of these servers for a request and adds the request's load to it. `others` are the
+/// servers of the service that may not get it.
 fn place_on(
     shared: &Arc<Shared>,
     request: PlacementRequest<'_>,
     listed: &[Arc<ServerEntry>],
     cold: &HashSet<Incarnation>,
+    others: &[Arc<ServerEntry>],
 ) -> Result<Placement, PlacementError> {
     let settings = shared.settings();
     let mut traffic = shared.traffic();
@@ -182,12 +190,13 @@
     let candidates = context.candidates(listed);
     let index = match context.has_outdated_loads() {
         true => sample_server(&candidates, || rand::rng().random()),
-        false => choose_server(
+        false => choose_server_among(
             &settings.costs,
             request.service.is_engine,
             request.facts.prompt_tokens,
             &candidates,
             &sample_candidates(&candidates, || rand::rng().random()),
+            mean_load(&candidates, others.len(), context.in_flight(others)),
         ),
     };
     let index = index.ok_or_else(|| match candidates.iter().all(|one| one.tried) {
@@ -275,6 +284,17 @@
         candidates
     }
 
+    /// The requests that these servers hold, from all routers.
+    fn in_flight(&self, servers: &[Arc<ServerEntry>]) -> u32 {
+        let peer_loads = self.shared.peer_loads.load();
+        let in_flight = servers.iter().map(|server| {
+            let (peers, _) = peer_loads.count(server.incarnation.tag());
+            let health = self.traffic.health.get(&server.incarnation);
+            peers + health.map_or(0, |health| health.in_flight)
+        });
+        in_flight.sum()
+    }
+
     /// Whether the other routers' loads are too old to compare servers by load.
     fn has_outdated_loads(&self) -> bool {
         // For engines, the location of the cached prompt matters more than the load.
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -62,8 +62,8 @@
     ServerLoad,
 };
 pub use placement::{
-    Candidate, Distance, PlacementCosts, choose_server, draining_source, fetch_source, home_count,
-    home_server, sample_candidates, sample_server,
+    Candidate, Distance, PlacementCosts, choose_server, choose_server_among, draining_source,
+    fetch_source, home_count, home_server, mean_load, sample_candidates, sample_server,
 };
 pub use prefix_index::{PrefixIndex, SentPrefix, SentPrompts, SentTokens, WarmSettings};
 pub use prefix_recovery::{PrefixRecovery, PrefixReplyLimiter, PrefixStep};
--- a/crates/sapphiretrack-routing/src/placement.rs
+++ b/crates/sapphiretrack-routing/src/placement.rs
@@ -237,18 +237,41 @@
     chosen
 }
 
+/// Returns the index of the best of the sampled candidates, where the candidates are all servers of
+/// the service; see [`choose_server_among`].
+pub fn choose_server(
+    costs: &PlacementCosts,
+    is_engine: bool,
+    prompt_tokens: u32,
+    candidates: &[Candidate],
+    sampled: &[usize],
+) -> Option<usize> {
+    let mean = mean_load(candidates, 0, 0);
+    choose_server_among(costs, is_engine, prompt_tokens, candidates, sampled, mean)
+}
+
+/// Returns the mean number of requests at the servers of a service: at the candidates, and at
+/// `others` servers that get no requests now and still hold `others_in_flight`.
+pub fn mean_load(candidates: &[Candidate], others: usize, others_in_flight: u32) -> f64 {
+    let total: u32 = candidates.iter().map(|one| one.in_flight).sum();
+    let servers = (candidates.len() + others).max(1);
+    f64::from(total + others_in_flight) / servers as f64
+}
+
 /// Returns the index of the best of the sampled candidates. If these are all full, tried, suspect
 /// or above the load bound, the best of all candidates that are neither full nor tried; `None` if
 /// there is none. The load bound and suspicion only add to the cost.
-pub fn choose_server(
+///
+/// The bound follows from the mean over all servers of the service, also over those that get no
+/// requests: the others may not hold more because of them.
+pub fn choose_server_among(
     costs: &PlacementCosts,
     is_engine: bool,
     prompt_tokens: u32,
     candidates: &[Candidate],
     sampled: &[usize],
+    mean: f64,
 ) -> Option<usize> {
-    let total: u32 = candidates.iter().map(|one| one.in_flight).sum();
-    let mean = f64::from(total) / candidates.len().max(1) as f64;
     let bound = mean * costs.bound_factor + costs.bound_requests;
     let cost = |index: &usize| {
         let one = &candidates[*index];
--- a/crates/sapphiretrack-routing/tests/placement.rs
+++ b/crates/sapphiretrack-routing/tests/placement.rs
@@ -5,8 +5,8 @@
 use prompts::{advertised_prefix, request_with_prefixes};
 use sapphiretrack_routing::{
     Candidate, Distance, Incarnation, PlacementCosts, PrefixIndex, PromptPrefix, SentPrompts,
-    SentTokens, ServerHealth, ServerHealthSettings, choose_server, draining_source, fetch_source,
-    home_count, home_server, sample_candidates,
+    SentTokens, ServerHealth, ServerHealthSettings, choose_server, choose_server_among,
+    draining_source, fetch_source, home_count, home_server, mean_load, sample_candidates,
 };
 
 const PROMPT_TOKENS: u32 = 9_200;
@@ -507,3 +507,26 @@
         "another server has them"
     );
 }
+
+/// Pattern: a zone is evacuated, and the other servers run its load. The mean of the service falls with the servers
+/// that get nothing, so that the load bound must not rise to the mean of those that are left.
+#[test]
+fn the_load_bound_follows_the_mean_of_all_servers_of_the_service() {
+    let costs = PlacementCosts::default();
+    let holder = Candidate {
+        in_flight: 14,
+        cached_tokens: 8_000,
+        ..candidate(1)
+    };
+    let others = (2..=4).map(|server| Candidate {
+        in_flight: 7,
+        ..candidate(server)
+    });
+    let candidates: Vec<Candidate> = std::iter::once(holder).chain(others).collect();
+    let choose = |evacuated| {
+        let mean = mean_load(&candidates, evacuated, 0);
+        choose_server_among(&costs, true, 8_000, &candidates, &[0, 1, 2, 3], mean)
+    };
+    assert_eq!(choose(0), Some(0), "8.75 requests on average");
+    assert_ne!(choose(2), Some(0), "5.8 requests on average");
+}
