Pace the reports of servers that are gone by the size of the fleet

A zone that is lost makes 1,000 servers silent, and each router reported each of them to all.

A router waits 3.3 ms for each receiver before it reports again, which sends what has gathered as one message: 30 ms in a fleet of 9, 0.2 s at 68, 1 s at 300. The first report after a quiet time waits no longer than before.

--- a/crates/sapphiretrack-router/src/ended_servers.rs
+++ b/crates/sapphiretrack-router/src/ended_servers.rs
@@ -23,6 +23,9 @@
 /// The longest delay of a report. The delays are random, so that the first router to report a server
 /// saves the others their reports.
 const MAX_REPORT_DELAY_MS: u64 = 40;
+/// The pause after a report, for each router that receives it: while many servers are gone, a router
+/// sends about 300 datagrams a second at most, whatever the size of the fleet.
+const PAUSE_PER_ROUTER: Duration = Duration::from_micros(3_300);
 /// The most reports in one message.
 const MAX_REPORTS: usize = 256;
 
@@ -124,5 +127,7 @@
             let message = encode(&RouterMessage::EndedServers(reports.to_vec()));
             send_to_all(&shared, &socket, turn, &message).await;
         }
+        let routers = shared.peers().known_count() as u32;
+        sleep(PAUSE_PER_ROUTER * routers).await;
     }
 }
