--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -265,7 +265,7 @@
     let facts = (job.interface.read_answer)(&head);
     if let Some(left_ms) = facts.cold_left_ms {
         let cold_servers = &job.shared.cold_servers;
-        cold_servers.record_told(&placement.server, left_ms);
+        cold_servers.record_statement(&placement.server, left_ms);
     }
     if facts.wrong_server || facts.not_run {
         let reason = match facts.wrong_server {
--- a/crates/sapphiretrack-router/src/cold_servers.rs
+++ b/crates/sapphiretrack-router/src/cold_servers.rs
@@ -47,7 +47,7 @@
             let left_ms = entry.cold_left_ms;
             if servers.record_listed(entry.incarnation, left_ms, now_ms) {
                 note!(Event::SERVER_COLD, server = entry.id, source = "new");
-            } else if servers.record_told(entry.incarnation, left_ms, now_ms) {
+            } else if servers.record_statement(entry.incarnation, left_ms, now_ms) {
                 note!(
                     Event::SERVER_COLD,
                     server = entry.id,
@@ -69,10 +69,10 @@
     }
 
     /// Records that a server stated in an answer for how long it stays cold.
-    pub(crate) fn record_told(&self, server: &ServerEntry, left_ms: u32) {
+    pub(crate) fn record_statement(&self, server: &ServerEntry, left_ms: u32) {
         let is_new = self
             .servers()
-            .record_told(server.incarnation, left_ms, Clock.now_ms());
+            .record_statement(server.incarnation, left_ms, Clock.now_ms());
         if is_new {
             note!(
                 Event::SERVER_COLD,
--- a/crates/sapphiretrack-router/src/ended_servers.rs
+++ b/crates/sapphiretrack-router/src/ended_servers.rs
@@ -101,9 +101,9 @@
             note!(Event::SERVERS_REPORTED_GONE, from = from, servers = new);
         }
         // What others have just reported need not be reported again.
-        let told: HashSet<&EndReport> = reports.iter().collect();
+        let reported: HashSet<&EndReport> = reports.iter().collect();
         lock(&self.announcements)
-            .retain(|report| !told.contains(report) || report.evidence == EndEvidence::Silent);
+            .retain(|report| !reported.contains(report) || report.evidence == EndEvidence::Silent);
     }
 
     /// Forgets servers that are no longer listed.
--- a/crates/sapphiretrack-routing/src/cold_servers.rs
+++ b/crates/sapphiretrack-routing/src/cold_servers.rs
@@ -28,16 +28,16 @@
     servers: HashMap<Incarnation, ColdServer>,
     /// Whether the servers were listed before, so that others are known to be new.
     has_listing: bool,
-    /// When the last event occurred. Together with `told_until_ms` it shows without a search that no
+    /// When the last event occurred. Together with `stated_until_ms` it shows without a search that no
     /// server is cold.
     last_event_ms: Option<u64>,
     /// The latest time until which any server says that it is cold.
-    told_until_ms: u64,
+    stated_until_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct ColdServer {
-    told_until_ms: u64,
+    stated_until_ms: u64,
     event_ms: Option<u64>,
     last_listed_ms: u64,
     pace: ColdPace,
@@ -47,9 +47,9 @@
     /// Time in milliseconds for which a server that is no longer listed is remembered, so that it
     /// is not new if its entry is restored after an outage of the store.
     const REMEMBERED_MS: u64 = 60_000;
-    /// Maximum time in milliseconds that a statement of a server is believed, so that a damaged entry
+    /// Maximum time in milliseconds that a statement of a server is valid, so that a damaged entry
     /// does not keep it out of use.
-    const MAX_TOLD_MS: u64 = 600_000;
+    const MAX_STATED_MS: u64 = 600_000;
 
     /// Records that a server is listed, with the time for which its entry says that it stays cold.
     /// Returns whether it counts as new.
@@ -60,7 +60,7 @@
         if is_new {
             self.record_event(server, now_ms);
         }
-        self.record_told(server, left_ms, now_ms);
+        self.record_statement(server, left_ms, now_ms);
         is_new
     }
 
@@ -71,15 +71,15 @@
 
     /// Records for how long a server said that it stays cold. Returns whether no statement by which
     /// it is cold was known before.
-    pub fn record_told(&mut self, server: Incarnation, left_ms: u32, now_ms: u64) -> bool {
+    pub fn record_statement(&mut self, server: Incarnation, left_ms: u32, now_ms: u64) -> bool {
         if left_ms == 0 {
             return false;
         }
-        let until_ms = now_ms + u64::from(left_ms).min(Self::MAX_TOLD_MS);
+        let until_ms = now_ms + u64::from(left_ms).min(Self::MAX_STATED_MS);
         let state = self.servers.entry(server).or_default();
-        let was_cold = now_ms < state.told_until_ms;
-        state.told_until_ms = state.told_until_ms.max(until_ms);
-        self.told_until_ms = self.told_until_ms.max(until_ms);
+        let was_cold = now_ms < state.stated_until_ms;
+        state.stated_until_ms = state.stated_until_ms.max(until_ms);
+        self.stated_until_ms = self.stated_until_ms.max(until_ms);
         !was_cold
     }
 
@@ -93,7 +93,7 @@
     /// Records the report of another router.
     pub fn record_report(&mut self, report: &ColdReport, now_ms: u64) {
         let server = Incarnation(report.server);
-        self.record_told(server, report.left_ms, now_ms);
+        self.record_statement(server, report.left_ms, now_ms);
         if let Some(age_ms) = report.event_age_ms {
             self.record_event(server, now_ms.saturating_sub(u64::from(age_ms)));
         }
@@ -107,7 +107,7 @@
         let reports = cold.map(|(server, state)| ColdReport {
             server: server.0,
             left_ms: state
-                .told_until_ms
+                .stated_until_ms
                 .saturating_sub(now_ms)
                 .min(u64::from(u32::MAX)) as u32,
             event_age_ms: state
@@ -119,7 +119,7 @@
 
     /// Returns whether any server may be cold.
     pub fn may_be_any(&self, start_ms: u64, now_ms: u64) -> bool {
-        now_ms < self.told_until_ms
+        now_ms < self.stated_until_ms
             || self
                 .last_event_ms
                 .is_some_and(|event_ms| now_ms < event_ms.saturating_add(start_ms))
@@ -157,7 +157,7 @@
 impl ColdServer {
     fn cold_until_ms(&self, start_ms: u64) -> u64 {
         let from_event_ms = self.event_ms.map_or(0, |event_ms| event_ms + start_ms);
-        self.told_until_ms.max(from_event_ms)
+        self.stated_until_ms.max(from_event_ms)
     }
 
     fn is_cold(&self, start_ms: u64, now_ms: u64) -> bool {
--- a/crates/sapphiretrack-routing/src/ended_servers.rs
+++ b/crates/sapphiretrack-routing/src/ended_servers.rs
@@ -57,7 +57,7 @@
     const MAX_REPORTERS: usize = 4;
 
     /// Records an observation; `reporter` is the address of the router that made it. Returns whether
-    /// it is worth telling other routers: nothing as strong was known in the last `valid_ms`.
+    /// it is worth a report to other routers: nothing as strong was known in the last `valid_ms`.
     pub fn record(
         &mut self,
         report: EndReport,
--- a/crates/sapphiretrack-routing/tests/cold_servers.rs
+++ b/crates/sapphiretrack-routing/tests/cold_servers.rs
@@ -52,9 +52,9 @@
 fn later_statements_never_shorten_the_time() {
     let mut cold = listed(&[A], 0);
     cold.record_event(A, 1_000);
-    cold.record_told(A, 100, 1_500);
+    cold.record_statement(A, 100, 1_500);
     assert!(cold.is_cold(A, START_MS, 3_999));
-    cold.record_told(A, 5_000, 2_000);
+    cold.record_statement(A, 5_000, 2_000);
     cold.record_event(A, 2_000);
     assert!(cold.is_cold(A, START_MS, 6_999));
     assert!(!cold.is_cold(A, START_MS, 7_000));
@@ -65,7 +65,7 @@
 fn a_router_that_starts_learns_the_remaining_time() {
     let mut cold = listed(&[A, B], 0);
     cold.record_event(A, 1_000);
-    cold.record_told(B, 4_000, 1_000);
+    cold.record_statement(B, 4_000, 1_000);
     let reports = cold.reports(START_MS, 2_000);
     assert_eq!(reports.len(), 2);
     let mut other = listed(&[A, B], 50_000);
