Log the pause that a refusal asks for

The log could not tell whether a router knew of the pause: event 642 says 'server-refused' with and without Retry-After. Event 634 now names the request, the server and the pause. Nothing is decided by it yet.

--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -267,6 +267,16 @@
         let cold_servers = &job.shared.cold_servers;
         cold_servers.record_statement(&placement.server, left_ms);
     }
+    if let Some(pause_ms) = facts.availability.pause_ms
+        && !facts.wrong_server
+    {
+        note!(
+            Event::SERVER_PAUSED,
+            id = job.facts.id,
+            server = placement.server.id,
+            pause_ms = pause_ms,
+        );
+    }
     if facts.wrong_server || facts.not_run {
         let reason = match facts.wrong_server {
             true => "wrong-server",
--- a/crates/sapphiretrack-router/src/events.rs
+++ b/crates/sapphiretrack-router/src/events.rs
@@ -87,6 +87,8 @@
     SERVER_COLD = 629, Info, "backend server cold";
     /// Another router reported that listed backend servers are gone.
     SERVERS_REPORTED_GONE = 633, Info, "backend servers reported gone";
+    /// A backend server asked this router for a pause.
+    SERVER_PAUSED = 634, Info, "backend server asked for a pause";
     /// Another router was discovered, came back or changed its state.
     PEER_CHANGED = 630, Info, "router discovered or changed";
     /// Another router's heartbeats stopped.
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -79,6 +79,15 @@
     pub cold_left_ms: Option<u32>,
     /// How long the server keeps an idle connection open, in seconds, if it reports that.
     pub keep_alive_s: Option<u64>,
+    /// What the server states about its availability.
+    pub availability: StatedAvailability,
+}
+
+/// What a backend server states in an answer about its availability to this router.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StatedAvailability {
+    /// For how long it wants no requests from this router, in milliseconds, if it states that.
+    pub pause_ms: Option<u64>,
 }
 
 /// A caller's lookup of the routers to connect to.
