Send nothing to a server during the pause that it asked for

What callers saw: nothing directly; a request that a shedding server refused was served by another one, at the cost of a retry of the budget.

Cause: Retry-After of a refusal was not part of the answer's facts, so that no decision knew of it. The refusal only added to the server's share of failures, which fades, while a server that refuses at once looks idle (load=0 in event 641 of each of these sends).

The pause is now one more reason of the eligibility question, which placement asks before it compares servers and each attempt asks again right before it writes. First sends, retries, resumed streams and sends whose connection took long all pass there, so that none of them needs a check of its own. A later statement only extends a pause. If all servers of a service pause, the request is refused at once as not run, with Retry-After until the first pause ends.

--- a/crates/sapphiretrack-logs/src/cause.rs
+++ b/crates/sapphiretrack-logs/src/cause.rs
@@ -140,6 +140,10 @@
         "servers-cold" => {
             "all servers with capacity were cold and had got as many requests as they tolerate"
         }
+        "server-paused" => "the server had asked the router for a pause",
+        "servers-paused" => {
+            "all servers that could serve it had asked the router for a pause (event 634)"
+        }
         "servers-full" => "all backend servers of its service were full",
         "servers-tried" => "all backend servers of its service had been tried",
         "server-refused" => "the server refused it without running it",
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -90,7 +90,11 @@
         let is_own_limit = matches!(
             self,
             Self::NotSent(
-                "connections-used" | "server-cold" | "zone-evacuated" | "region-not-allowed"
+                "connections-used"
+                    | "server-cold"
+                    | "server-paused"
+                    | "zone-evacuated"
+                    | "region-not-allowed"
             )
         );
         if !is_own_limit {
@@ -267,15 +271,10 @@
         let cold_servers = &job.shared.cold_servers;
         cold_servers.record_statement(&placement.server, left_ms);
     }
-    if let Some(pause_ms) = facts.availability.pause_ms
-        && !facts.wrong_server
-    {
-        note!(
-            Event::SERVER_PAUSED,
-            id = job.facts.id,
-            server = placement.server.id,
-            pause_ms = pause_ms,
-        );
+    // What another server states at the same address says nothing about this one.
+    if !facts.wrong_server {
+        let pauses = &job.shared.server_pauses;
+        pauses.record_answer(&placement.server, facts.availability, &job.facts.id);
     }
     if facts.wrong_server || facts.not_run {
         let reason = match facts.wrong_server {
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::crashes::crash_count;
 use crate::events::{Event, note};
 use crate::job::Job;
-use crate::placement::{Placement, PlacementError, PlacementRequest, place};
+use crate::placement::{Placement, PlacementError, PlacementRequest, place, wait_for_server_ms};
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
 use crate::relay::{self, ReadAnswer};
@@ -237,6 +237,14 @@
             && self.left_ms() > 0
     }
 
+    /// The time until some server may get this request, if none may get it now and that time is
+    /// known.
+    fn wait_for_server_ms(&self) -> Option<u64> {
+        let configuration = self.shared.configuration.load();
+        let service = configuration.as_ref()?.service(&self.service)?;
+        wait_for_server_ms(&self.shared, self.placement_request(service, &[]))
+    }
+
     /// Converts a failed placement into a failure. Records a full service, and logs it if that is
     /// new.
     fn note_placement_failure(&self, error: PlacementError) -> AttemptFailure {
@@ -355,10 +363,11 @@
         AttemptFailure::NotPlaced(PlacementError::AllFull) | AttemptFailure::NotRun(_)
     );
     let wait_ms = match failure {
-        AttemptFailure::NotPlaced(PlacementError::OnlyCold(wait_ms)) => Some(wait_ms),
         AttemptFailure::NotPlaced(PlacementError::Excluded(Exclusion::Evacuated)) => {
             Some(EVACUATED_RETRY_MS)
         }
+        AttemptFailure::NotPlaced(error) => error.wait_ms(),
+        AttemptFailure::NotRun(_) => job.wait_for_server_ms(),
         _ => None,
     };
     if let Some(wait_ms) = wait_ms {
--- a/crates/sapphiretrack-router/src/eligible_servers.rs
+++ b/crates/sapphiretrack-router/src/eligible_servers.rs
@@ -1,11 +1,14 @@
 //! Decides which backend servers may get a request at all, by what this router knows.
 
 use std::collections::HashSet;
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard};
 
 use arc_swap::Guard;
-use sapphiretrack_routing::{EligibilityView, EvacuatedZones, Exclusion, Incarnation, ServerEntry};
+use sapphiretrack_routing::{
+    EligibilityView, EvacuatedZones, Exclusion, Incarnation, ServerEntry, ServerPauses,
+};
 
+use crate::clock::Clock;
 use crate::cold_servers::ColdView;
 use crate::placement::{PlacementError, PlacementRequest};
 use crate::settings::RouterSettings;
@@ -17,6 +20,8 @@
     request: PlacementRequest<'a>,
     evacuated: Guard<Arc<EvacuatedZones>>,
     settings: Guard<Arc<RouterSettings>>,
+    pauses: MutexGuard<'a, ServerPauses>,
+    now_ms: u64,
     /// The cold servers; none if there are none.
     cold: Option<ColdView<'a>>,
 }
@@ -33,6 +38,8 @@
     last_exclusion: Option<Exclusion>,
     /// The time until a cold server may get it, if there are any.
     cold_wait_ms: Option<u64>,
+    /// The time until the first pause of a server ends, if there are any.
+    pause_wait_ms: Option<u64>,
 }
 
 impl<'a> EligibilityCheck<'a> {
@@ -42,6 +49,8 @@
             request,
             evacuated: shared.evacuations.zones(),
             settings: shared.settings(),
+            pauses: shared.server_pauses.pauses(),
+            now_ms: Clock.now_ms(),
             cold: shared.cold_servers.view(shared, request.service),
         }
     }
@@ -49,6 +58,7 @@
     /// Whether nothing is known that excludes any server.
     pub(crate) fn allows_all(&self) -> bool {
         self.cold.is_none()
+            && !self.pauses.may_be_any(self.now_ms)
             && self.evacuated.is_empty()
             && self
                 .request
@@ -67,6 +77,7 @@
             allowed_regions: self.request.allowed_regions,
             region: self.settings.regions.get(&server.zone).map(String::as_str),
             has_ended: self.shared.ended_servers.servers().is_replaced(incarnation),
+            is_paused: self.pauses.left_ms(incarnation, self.now_ms).is_some(),
             is_cold: cold.is_some_and(|cold| cold.is_cold(incarnation)),
         };
         view.exclusion(server)
@@ -90,11 +101,17 @@
             others: Vec::new(),
             last_exclusion: None,
             cold_wait_ms: None,
+            pause_wait_ms: None,
         };
         let mut waiting = Vec::new();
         for server in listed {
             let exclusion = self.exclusion(server);
             eligible.last_exclusion = exclusion.or(eligible.last_exclusion);
+            if exclusion == Some(Exclusion::Paused) {
+                let left_ms = self.pauses.left_ms(server.incarnation, self.now_ms);
+                let waits_ms = eligible.pause_wait_ms.into_iter().chain(left_ms);
+                eligible.pause_wait_ms = waits_ms.min();
+            }
             let cold = self.cold.as_mut();
             let cold = cold.filter(|_| exclusion == Some(Exclusion::Cold));
             match cold.map(|cold| cold.is_due(server.incarnation)) {
@@ -123,10 +140,14 @@
 impl EligibleServers {
     /// Why no server may get the request.
     pub(crate) fn error(&self) -> PlacementError {
-        match (self.cold_wait_ms, self.last_exclusion) {
-            (Some(wait_ms), _) => PlacementError::OnlyCold(wait_ms),
-            (None, Some(exclusion)) => PlacementError::Excluded(exclusion),
-            (None, None) => PlacementError::NoneListed,
+        match (self.cold_wait_ms, self.pause_wait_ms, self.last_exclusion) {
+            (Some(cold_ms), Some(pause_ms), _) if pause_ms < cold_ms => {
+                PlacementError::OnlyPaused(pause_ms)
+            }
+            (Some(cold_ms), _, _) => PlacementError::OnlyCold(cold_ms),
+            (None, Some(pause_ms), _) => PlacementError::OnlyPaused(pause_ms),
+            (None, None, Some(exclusion)) => PlacementError::Excluded(exclusion),
+            (None, None, None) => PlacementError::NoneListed,
         }
     }
 }
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -33,6 +33,7 @@
 mod refusal;
 mod relay;
 mod router;
+mod server_pauses;
 mod server_pool;
 mod settings;
 mod shared;
--- a/crates/sapphiretrack-router/src/listing_updates.rs
+++ b/crates/sapphiretrack-router/src/listing_updates.rs
@@ -231,6 +231,7 @@
     shared.pool.sweep(|server| listed.contains(&server));
     shared.cold_servers.retain_listed(&listed);
     shared.ended_servers.retain_listed(&listed);
+    shared.server_pauses.pauses().drop_ended(Clock.now_ms());
 }
 
 /// Logs a record that its listing cannot use.
--- a/crates/sapphiretrack-router/src/metrics.rs
+++ b/crates/sapphiretrack-router/src/metrics.rs
@@ -54,6 +54,7 @@
     servers_age_ms: Gauge,
     servers: Gauge,
     cold_servers: Gauge,
+    paused_servers: Gauge,
     evacuated_zones: Gauge,
     server_requests: Gauge,
     busiest_server_requests: Gauge,
@@ -75,6 +76,8 @@
     pub(crate) servers: usize,
     /// Backend servers that count as cold.
     pub(crate) cold_servers: usize,
+    /// Backend servers that asked this router for a pause that lasts.
+    pub(crate) paused_servers: usize,
     /// Availability zones that are evacuated.
     pub(crate) evacuated_zones: usize,
     /// Requests of all routers at backend servers, as estimated from the reported loads.
@@ -110,6 +113,7 @@
             servers_age_ms: Gauge::default(),
             servers: Gauge::default(),
             cold_servers: Gauge::default(),
+            paused_servers: Gauge::default(),
             evacuated_zones: Gauge::default(),
             server_requests: Gauge::default(),
             busiest_server_requests: Gauge::default(),
@@ -194,6 +198,7 @@
         self.servers_age_ms.set(gauges.servers_age_ms);
         self.servers.set(gauges.servers as i64);
         self.cold_servers.set(gauges.cold_servers as i64);
+        self.paused_servers.set(gauges.paused_servers as i64);
         self.evacuated_zones.set(gauges.evacuated_zones as i64);
         self.server_requests.set(i64::from(gauges.server_requests));
         let busiest = i64::from(gauges.busiest_server_requests);
@@ -282,6 +287,11 @@
                 "Backend servers that are cold",
                 &self.cold_servers,
             ),
+            (
+                "paused_servers",
+                "Backend servers that asked this router for a pause",
+                &self.paused_servers,
+            ),
             (
                 "evacuated_zones",
                 "Availability zones that are evacuated",
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -48,6 +48,9 @@
     /// Only cold servers are left, and this router may send none of them a request for a number of
     /// milliseconds.
     OnlyCold(u64),
+    /// Only servers are left that asked for a pause; the first pause ends in a number of
+    /// milliseconds.
+    OnlyPaused(u64),
 }
 
 impl PlacementError {
@@ -59,6 +62,17 @@
             Self::AllTried => "servers-tried",
             Self::Excluded(exclusion) => exclusion.as_str(),
             Self::OnlyCold(_) => "servers-cold",
+            Self::OnlyPaused(_) => "servers-paused",
+        }
+    }
+}
+
+impl PlacementError {
+    /// The time until a server may get a request, if that is known.
+    pub(crate) fn wait_ms(self) -> Option<u64> {
+        match self {
+            Self::OnlyCold(wait_ms) | Self::OnlyPaused(wait_ms) => Some(wait_ms),
+            Self::NoneListed | Self::AllFull | Self::AllTried | Self::Excluded(_) => None,
         }
     }
 }
@@ -167,6 +181,17 @@
     place_on(shared, request, servers, cold, others)
 }
 
+/// The time until some server may get a request, if none may get it now and that time is known.
+pub(crate) fn wait_for_server_ms(shared: &Shared, request: PlacementRequest<'_>) -> Option<u64> {
+    let servers = shared.servers.load();
+    let listed = servers.get(&request.service.name)?;
+    let eligible = EligibilityCheck::new(shared, request).into_eligible(listed);
+    if !eligible.servers.is_empty() {
+        return None;
+    }
+    eligible.error().wait_ms()
+}
+
 /// Chooses one of these servers for a request and adds the request's load to it. `others` are the
 /// servers of the service that may not get it.
 fn place_on(
--- a/crates/sapphiretrack-routing/src/eligibility.rs
+++ b/crates/sapphiretrack-routing/src/eligibility.rs
@@ -12,6 +12,8 @@
     OtherRegion,
     /// It has ended, although it is still listed.
     Ended,
+    /// It asked this router for a pause.
+    Paused,
     /// It is cold: only its owners may send requests, at a limited rate.
     Cold,
 }
@@ -27,6 +29,8 @@
     pub region: Option<&'a str>,
     /// Whether another server is known to have its address.
     pub has_ended: bool,
+    /// Whether the server asked for a pause that lasts.
+    pub is_paused: bool,
     /// Whether the server counts as cold.
     pub is_cold: bool,
 }
@@ -47,6 +51,9 @@
         if self.has_ended {
             return Some(Exclusion::Ended);
         }
+        if self.is_paused {
+            return Some(Exclusion::Paused);
+        }
         self.is_cold.then_some(Exclusion::Cold)
     }
 }
@@ -58,6 +65,7 @@
             Self::Evacuated => "zone-evacuated",
             Self::OtherRegion => "region-not-allowed",
             Self::Ended => "server-ended",
+            Self::Paused => "server-paused",
             Self::Cold => "server-cold",
         }
     }
