Send nothing to a server that states that it leaves

What servers would see: a server that leaves says so in each answer, and still got requests from routers that had passed such an answer on, until the store's list said the same. If a router is cut from the store, or the entry is restored, that lasts until the server ends, and requests break off there (DRAIN).

Cause: the same as of the pauses: what a server states in its answer was not read.

The statement is one more reason of the eligibility question, so that it holds at placement and right before each send, on any path. The server stays a source of prompt prefixes like one that the store lists as draining.

--- a/crates/sapphiretrack-logs/src/cause.rs
+++ b/crates/sapphiretrack-logs/src/cause.rs
@@ -140,6 +140,7 @@
         "servers-cold" => {
             "all servers with capacity were cold and had got as many requests as they tolerate"
         }
+        "server-leaving" => "the server had stated that it leaves",
         "server-paused" => "the server had asked the router for a pause",
         "servers-paused" => {
             "all servers that could serve it had asked the router for a pause (event 634)"
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::placement::{Placement, PlacementError};
 use crate::ports::{AnswerFacts, AttemptHeaders};
 use crate::server_pool::{Connection, PoolError};
+use crate::stated_availability::record_stated_availability;
 
 /// The time limit for reading the body of a refusal; after it, the connection is closed.
 const REFUSAL_BODY_TIMEOUT_MS: u64 = 100;
@@ -92,6 +93,7 @@
             Self::NotSent(
                 "connections-used"
                     | "server-cold"
+                    | "server-leaving"
                     | "server-paused"
                     | "zone-evacuated"
                     | "region-not-allowed"
@@ -273,8 +275,8 @@
     }
     // What another server states at the same address says nothing about this one.
     if !facts.wrong_server {
-        let pauses = &job.shared.server_pauses;
-        pauses.record_answer(&placement.server, facts.availability, &job.facts.id);
+        let (server, stated) = (&placement.server, facts.availability);
+        record_stated_availability(&job.shared, server, stated, &job.facts.id);
     }
     if facts.wrong_server || facts.not_run {
         let reason = match facts.wrong_server {
--- a/crates/sapphiretrack-router/src/draining_servers.rs
+++ b/crates/sapphiretrack-router/src/draining_servers.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Clock;
 
-/// The servers that drain; only the watch on the servers changes them.
+/// The servers that drain, by the store or by their own statement.
 #[derive(Debug, Default)]
 pub(crate) struct DrainingServers(ArcSwap<Vec<DrainingServer>>);
 
@@ -21,22 +21,30 @@
 }
 
 impl DrainingServers {
-    /// Records that a server drains and keeps running for `runs_ms`. Drops those that may have
-    /// ended.
-    pub(crate) fn record(&self, entry: ServerEntry, runs_ms: u64) {
+    /// Records that a server drains and keeps running for `runs_ms`; the first record of an
+    /// incarnation counts. Drops those that may have ended.
+    pub(crate) fn record(&self, entry: Arc<ServerEntry>, runs_ms: u64) {
         let now_ms = Clock.now_ms();
-        let mut servers: Vec<DrainingServer> = self.running(now_ms);
-        servers.push(DrainingServer {
-            entry: Arc::new(entry),
-            runs_until_ms: now_ms + runs_ms,
+        self.0.rcu(|servers| {
+            let mut running = running(servers, now_ms);
+            let mut known = running.iter().map(|one| one.entry.incarnation);
+            if !known.any(|incarnation| incarnation == entry.incarnation) {
+                running.push(DrainingServer {
+                    entry: entry.clone(),
+                    runs_until_ms: now_ms + runs_ms,
+                });
+            }
+            running
         });
-        self.0.store(Arc::new(servers));
     }
 
     /// The servers that drain and still run.
     pub(crate) fn running(&self, now_ms: u64) -> Vec<DrainingServer> {
-        let servers = self.0.load();
-        let running = servers.iter().filter(|one| now_ms < one.runs_until_ms);
-        running.cloned().collect()
+        running(&self.0.load(), now_ms)
     }
 }
+
+fn running(servers: &[DrainingServer], now_ms: u64) -> Vec<DrainingServer> {
+    let running = servers.iter().filter(|one| now_ms < one.runs_until_ms);
+    running.cloned().collect()
+}
--- a/crates/sapphiretrack-router/src/eligible_servers.rs
+++ b/crates/sapphiretrack-router/src/eligible_servers.rs
@@ -5,7 +5,8 @@
 
 use arc_swap::Guard;
 use sapphiretrack_routing::{
-    EligibilityView, EvacuatedZones, Exclusion, Incarnation, ServerEntry, ServerPauses,
+    EligibilityView, EvacuatedZones, Exclusion, Incarnation, LeavingServers, ServerEntry,
+    ServerPauses,
 };
 
 use crate::clock::Clock;
@@ -20,6 +21,7 @@
     request: PlacementRequest<'a>,
     evacuated: Guard<Arc<EvacuatedZones>>,
     settings: Guard<Arc<RouterSettings>>,
+    leaving: MutexGuard<'a, LeavingServers>,
     pauses: MutexGuard<'a, ServerPauses>,
     now_ms: u64,
     /// The cold servers; none if there are none.
@@ -49,7 +51,8 @@
             request,
             evacuated: shared.evacuations.zones(),
             settings: shared.settings(),
-            pauses: shared.server_pauses.pauses(),
+            leaving: shared.stated_availability.leaving(),
+            pauses: shared.stated_availability.pauses(),
             now_ms: Clock.now_ms(),
             cold: shared.cold_servers.view(shared, request.service),
         }
@@ -58,6 +61,7 @@
     /// Whether nothing is known that excludes any server.
     pub(crate) fn allows_all(&self) -> bool {
         self.cold.is_none()
+            && !self.leaving.may_be_listed()
             && !self.pauses.may_be_any(self.now_ms)
             && self.evacuated.is_empty()
             && self
@@ -77,6 +81,7 @@
             allowed_regions: self.request.allowed_regions,
             region: self.settings.regions.get(&server.zone).map(String::as_str),
             has_ended: self.shared.ended_servers.servers().is_replaced(incarnation),
+            is_leaving: self.leaving.contains(incarnation),
             is_paused: self.pauses.left_ms(incarnation, self.now_ms).is_some(),
             is_cold: cold.is_some_and(|cold| cold.is_cold(incarnation)),
         };
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -33,11 +33,11 @@
 mod refusal;
 mod relay;
 mod router;
-mod server_pauses;
 mod server_pool;
 mod settings;
 mod shared;
 mod snapshots;
+mod stated_availability;
 mod watch;
 
 pub use clock::Clock;
--- a/crates/sapphiretrack-router/src/listing_updates.rs
+++ b/crates/sapphiretrack-router/src/listing_updates.rs
@@ -175,7 +175,7 @@
                 let runs_ms = shared.settings().drain_bound_ms;
                 draining
                     .into_iter()
-                    .for_each(|entry| shared.draining_servers.record(entry, runs_ms));
+                    .for_each(|entry| shared.draining_servers.record(Arc::new(entry), runs_ms));
             } else if is_new {
                 note!(Event::SERVER_LISTED, server = id);
             }
@@ -231,7 +231,9 @@
     shared.pool.sweep(|server| listed.contains(&server));
     shared.cold_servers.retain_listed(&listed);
     shared.ended_servers.retain_listed(&listed);
-    shared.server_pauses.pauses().drop_ended(Clock.now_ms());
+    let stated = &shared.stated_availability;
+    stated.leaving().retain_listed(&listed, Clock.now_ms());
+    stated.pauses().drop_ended(Clock.now_ms());
 }
 
 /// Logs a record that its listing cannot use.
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -86,6 +86,8 @@
 /// What a backend server states in an answer about its availability to this router.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StatedAvailability {
+    /// Whether it leaves: it finishes its requests, then ends.
+    pub is_leaving: bool,
     /// For how long it wants no requests from this router, in milliseconds, if it states that.
     pub pause_ms: Option<u64>,
 }
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -27,10 +27,10 @@
 use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::ports::{Listing, StoreError};
-use crate::server_pauses::ServerPauseTable;
 use crate::server_pool::ServerPool;
 use crate::settings::RouterSettings;
 use crate::snapshots::{FetchError, Fetched};
+use crate::stated_availability::StatedAvailabilityTable;
 use crate::watch::CallReason;
 
 /// Backend servers that accept new work, by service name.
@@ -53,8 +53,8 @@
     pub(crate) draining_servers: DrainingServers,
     /// The backend servers that are gone although they are listed.
     pub(crate) ended_servers: EndedServerTable,
-    /// The backend servers that asked this router for a pause.
-    pub(crate) server_pauses: ServerPauseTable,
+    /// What the backend servers stated about their availability to this router.
+    pub(crate) stated_availability: StatedAvailabilityTable,
     /// The load that other routers cause on the servers.
     pub(crate) peer_loads: ArcSwap<PeerLoads>,
     /// The servers that have an entry in the store, for routers that read the listing from this
@@ -175,7 +175,7 @@
             cold_servers: ColdServerTable::default(),
             draining_servers: DrainingServers::default(),
             ended_servers: EndedServerTable::default(),
-            server_pauses: ServerPauseTable::default(),
+            stated_availability: StatedAvailabilityTable::default(),
             peer_loads: ArcSwap::default(),
             present_servers: ArcSwap::default(),
             is_discovered: AtomicBool::new(false),
--- a/crates/sapphiretrack-routing/src/eligibility.rs
+++ b/crates/sapphiretrack-routing/src/eligibility.rs
@@ -12,6 +12,8 @@
     OtherRegion,
     /// It has ended, although it is still listed.
     Ended,
+    /// It stated that it leaves.
+    Leaving,
     /// It asked this router for a pause.
     Paused,
     /// It is cold: only its owners may send requests, at a limited rate.
@@ -29,6 +31,8 @@
     pub region: Option<&'a str>,
     /// Whether another server is known to have its address.
     pub has_ended: bool,
+    /// Whether the server stated that it leaves.
+    pub is_leaving: bool,
     /// Whether the server asked for a pause that lasts.
     pub is_paused: bool,
     /// Whether the server counts as cold.
@@ -51,6 +55,9 @@
         if self.has_ended {
             return Some(Exclusion::Ended);
         }
+        if self.is_leaving {
+            return Some(Exclusion::Leaving);
+        }
         if self.is_paused {
             return Some(Exclusion::Paused);
         }
@@ -65,6 +72,7 @@
             Self::Evacuated => "zone-evacuated",
             Self::OtherRegion => "region-not-allowed",
             Self::Ended => "server-ended",
+            Self::Leaving => "server-leaving",
             Self::Paused => "server-paused",
             Self::Cold => "server-cold",
         }
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod fingerprint;
 mod freshness;
 mod heartbeat_pace;
+mod leaving_servers;
 mod listing_readers;
 mod listing_source;
 mod load_digest;
@@ -50,6 +51,7 @@
 pub use fingerprint::{Fingerprint, Outline, RequestIdentity};
 pub use freshness::Freshness;
 pub use heartbeat_pace::HeartbeatPace;
+pub use leaving_servers::LeavingServers;
 pub use listing_readers::{ListingReader, ListingReaders};
 pub use listing_source::{ListingNeed, ListingSource, ListingStep, ListingView};
 pub use load_digest::{
--- a/crates/sapphiretrack-routing/tests/eligibility.rs
+++ b/crates/sapphiretrack-routing/tests/eligibility.rs
@@ -41,6 +41,7 @@
         allowed_regions: [&[], &[]],
         region: None,
         has_ended: false,
+        is_leaving: false,
         is_paused: false,
         is_cold: true,
     };
@@ -48,6 +49,21 @@
     assert_eq!(view.exclusion(&server("z2")), Some(Exclusion::Cold));
 }
 
+#[test]
+fn a_server_that_leaves_gets_nothing_even_after_its_pause() {
+    let evacuated = evacuated(&[]);
+    let view = EligibilityView {
+        evacuated: &evacuated,
+        allowed_regions: [&[], &[]],
+        region: None,
+        has_ended: false,
+        is_leaving: true,
+        is_paused: true,
+        is_cold: true,
+    };
+    assert_eq!(view.exclusion(&server("z1")), Some(Exclusion::Leaving));
+}
+
 #[test]
 fn a_server_that_pauses_gets_nothing_even_if_it_is_cold() {
     let evacuated = evacuated(&[]);
@@ -56,6 +72,7 @@
         allowed_regions: [&[], &[]],
         region: None,
         has_ended: false,
+        is_leaving: false,
         is_paused: true,
         is_cold: true,
     };
@@ -72,6 +89,7 @@
             allowed_regions: [route, tenant],
             region,
             has_ended: false,
+            is_leaving: false,
             is_paused: false,
             is_cold: false,
         };
