Count the end of a server that states that it leaves as no crash

What callers would see: requests that ran on a server at the end of its planned stop become suspects, and after three such ends their copies are refused with 503.

Cause: a lost connection counts as evidence of a crash if the server is listed. A server that states that it leaves may still be listed.

Evidence: a_leaving_server_that_ends_is_no_crashed_server fails without this change (event 650 for the server) and passes with it.

--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -94,9 +94,13 @@
     let listed = services.get(&server.service);
     let is_listed =
         listed.is_some_and(|list| list.iter().any(|one| one.incarnation == server.incarnation));
-    // An unlisted server is leaving or gone: it closes its connections at the end of a planned
-    // stop.
-    if !is_listed {
+    // A server that is unlisted, or stated that it leaves, closes its connections at the end of a
+    // planned stop.
+    let is_leaving = shared
+        .stated_availability
+        .leaving()
+        .contains(server.incarnation);
+    if !is_listed || is_leaving {
         return;
     }
     let is_new = shared
