Ask the eligibility question before questions about caches, and read their answers

What servers would see: a router that has just started asks each engine which prefixes it has cached, also one that asked it for a pause or said that it leaves, and does not read such statements in the answers (BUDGET and DRAIN count any request that reaches the server).

Cause: the call to engines passed the adapter's client, which returns the status and the body only, and asked no eligibility question. The client returns the headers too now, and the engines are filtered by the same question as requests, without regions and the limit for cold servers.

--- a/crates/sapphiretrack-router/src/eligible_servers.rs
+++ b/crates/sapphiretrack-router/src/eligible_servers.rs
@@ -142,6 +142,26 @@
     }
 }
 
+/// Why this router must not send a server a question of its own, such as which prefixes it has
+/// cached; none if it may.
+pub(crate) fn exclusion_of_probe(shared: &Shared, server: &ServerEntry) -> Option<Exclusion> {
+    let stated = &shared.stated_availability;
+    let incarnation = server.incarnation;
+    let view = EligibilityView {
+        evacuated: &shared.evacuations.zones(),
+        allowed_regions: [&[], &[]],
+        region: None,
+        has_ended: shared.ended_servers.servers().is_replaced(incarnation),
+        is_leaving: stated.leaving().contains(incarnation),
+        is_paused: stated
+            .pauses()
+            .left_ms(incarnation, Clock.now_ms())
+            .is_some(),
+        is_cold: false,
+    };
+    view.exclusion(server)
+}
+
 impl EligibleServers {
     /// Why no server may get the request.
     pub(crate) fn error(&self) -> PlacementError {
--- a/crates/sapphiretrack-router/src/http_call.rs
+++ b/crates/sapphiretrack-router/src/http_call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -68,6 +68,17 @@
     pub total_ms: u64,
 }
 
+impl CallLimits {
+    /// A limit for the whole call, without shorter ones for its phases.
+    pub fn total(limit_ms: u64) -> Self {
+        Self {
+            head_ms: limit_ms,
+            idle_ms: limit_ms,
+            total_ms: limit_ms,
+        }
+    }
+}
+
 impl HttpCaller {
     /// Creates a client for an address. The first call opens the connection, within `connect_ms`.
     pub fn new(address: SocketAddr, connect_ms: u64) -> Self {
@@ -84,11 +95,7 @@
         request: Request<Full<Bytes>>,
         limit_ms: u64,
     ) -> Result<(StatusCode, Bytes), CallError> {
-        let limits = CallLimits {
-            head_ms: limit_ms,
-            idle_ms: limit_ms,
-            total_ms: limit_ms,
-        };
+        let limits = CallLimits::total(limit_ms);
         self.call_within(request, limits).await
     }
 
@@ -99,6 +106,16 @@
         request: Request<Full<Bytes>>,
         limits: CallLimits,
     ) -> Result<(StatusCode, Bytes), CallError> {
+        let answer = self.exchange(request, limits).await?;
+        Ok((answer.status(), answer.into_body()))
+    }
+
+    /// Makes one call like [`HttpCaller::call_within`], and returns the headers of its answer, too.
+    pub async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        limits: CallLimits,
+    ) -> Result<Response<Bytes>, CallError> {
         let mut connection = self.connection.lock().await;
         // Taken out of its slot, so that a call that is dropped midway leaves no connection with
         // half an answer behind.
@@ -113,7 +130,8 @@
             let sent = with_limit(limits.head_ms, sender.send_request(request));
             let answer = sent.await?.context(BrokenSnafu)?;
             let (head, body) = answer.into_parts();
-            Ok((head.status, read_body(body, limits.idle_ms).await?))
+            let body = read_body(body, limits.idle_ms).await?;
+            Ok(Response::from_parts(head, body))
         };
         let answer = with_limit(limits.total_ms, exchange).await??;
         *connection = Some((sender, driver));
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -47,8 +47,8 @@
 pub use policy::{POLICY, PolicyError, PolicyKey, policy_help, set_policy};
 pub use ports::{
     AnswerFacts, AttemptHeaders, BadRequest, Interface, ListPrefixes, Listing, Lookup, Ports,
-    ReadSettings, Record, SaveCrashes, StatedAvailability, StoreAnswer, StoreError, StorePort,
-    WatchCall,
+    PrefixAnswer, ReadSettings, Record, SaveCrashes, StatedAvailability, StoreAnswer, StoreError,
+    StorePort, WatchCall,
 };
 pub use router::{RunError, run};
 pub use settings::{AttemptSettings, RouterSettings, Times};
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -187,9 +187,16 @@
 pub type ReadSettings = Box<dyn Fn() -> Result<Option<RouterSettings>, String> + Send + Sync>;
 
 /// Asks a backend server which prompt prefixes it holds.
-pub type ListPrefixes = Box<
-    dyn Fn(&ServerEntry) -> BoxFuture<'static, Result<Vec<PromptPrefix>, String>> + Send + Sync,
->;
+pub type ListPrefixes = Box<dyn Fn(&ServerEntry) -> BoxFuture<'static, PrefixAnswer> + Send + Sync>;
+
+/// A backend server's answer to the question which prompt prefixes it holds.
+#[derive(Debug)]
+pub struct PrefixAnswer {
+    /// What the server states about its availability; nothing if it did not answer.
+    pub availability: StatedAvailability,
+    /// The prefixes, or why there are none.
+    pub prefixes: Result<Vec<PromptPrefix>, String>,
+}
 
 /// The functions by which a router reaches the store, its settings and the servers' caches.
 pub struct Ports {
--- a/crates/sapphiretrack-router/src/prefix_recovery.rs
+++ b/crates/sapphiretrack-router/src/prefix_recovery.rs
@@ -10,10 +10,12 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::eligible_servers::exclusion_of_probe;
 use crate::events::{Event, note};
 use crate::peer_messages::encode;
 use crate::ports::ListPrefixes;
 use crate::shared::Shared;
+use crate::stated_availability::record_stated_availability;
 
 /// Queries other routers, or the engines if no router has them, until the cached prefixes are
 /// known.
@@ -63,11 +65,15 @@
         let service = configuration.service(service);
         service.is_some_and(|service| service.is_engine)
     });
-    let engines: Vec<_> = engines.flat_map(|(_, servers)| servers).collect();
-    let lists = join_all(engines.iter().map(|engine| list_prefixes(engine))).await;
+    let engines = engines.flat_map(|(_, servers)| servers);
+    let engines: Vec<_> = engines
+        .filter(|engine| exclusion_of_probe(shared, engine).is_none())
+        .collect();
+    let answers = join_all(engines.iter().map(|engine| list_prefixes(engine))).await;
     let mut prefix_count = 0;
-    for (engine, list) in engines.iter().zip(lists) {
-        match list {
+    for (engine, answer) in engines.iter().zip(answers) {
+        record_stated_availability(shared, engine, answer.availability, "");
+        match answer.prefixes {
             Ok(prefixes) => {
                 let server = engine.incarnation.0;
                 let holdings = prefixes.into_iter().map(|prefix| SentPrefix {
--- a/crates/sapphiretrack-router/src/stated_availability.rs
+++ b/crates/sapphiretrack-router/src/stated_availability.rs
@@ -29,7 +29,8 @@
     }
 }
 
-/// Records what a server stated in its answer to the request `id`.
+/// Records what a server stated in its answer to the request `id`, which is empty if the answer is to
+/// a question of this router's own.
 pub(crate) fn record_stated_availability(
     shared: &Shared,
     server: &Arc<ServerEntry>,
