Hold no lock on statements of servers while others are taken

A request's placement held the locks on pauses and leaving servers and then took the one on ended servers; the question before a list of an engine's cache held that one and then took the other two. On two threads that can stop a router for good. Found by reading the diff.

Both ask the table now, which holds a lock for one lookup only.

--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -96,10 +96,7 @@
         listed.is_some_and(|list| list.iter().any(|one| one.incarnation == server.incarnation));
     // A server that is unlisted, or stated that it leaves, closes its connections at the end of a
     // planned stop.
-    let is_leaving = shared
-        .stated_availability
-        .leaving()
-        .contains(server.incarnation);
+    let is_leaving = shared.stated_availability.is_leaving(server.incarnation);
     if !is_listed || is_leaving {
         return;
     }
--- a/crates/sapphiretrack-router/src/eligible_servers.rs
+++ b/crates/sapphiretrack-router/src/eligible_servers.rs
@@ -1,13 +1,10 @@
 //! Decides which backend servers may get a request at all, by what this router knows.
 
 use std::collections::HashSet;
-use std::sync::{Arc, MutexGuard};
+use std::sync::Arc;
 
 use arc_swap::Guard;
-use sapphiretrack_routing::{
-    EligibilityView, EvacuatedZones, Exclusion, Incarnation, LeavingServers, ServerEntry,
-    ServerPauses,
-};
+use sapphiretrack_routing::{EligibilityView, EvacuatedZones, Exclusion, Incarnation, ServerEntry};
 
 use crate::clock::Clock;
 use crate::cold_servers::ColdView;
@@ -21,8 +18,6 @@
     request: PlacementRequest<'a>,
     evacuated: Guard<Arc<EvacuatedZones>>,
     settings: Guard<Arc<RouterSettings>>,
-    leaving: MutexGuard<'a, LeavingServers>,
-    pauses: MutexGuard<'a, ServerPauses>,
     now_ms: u64,
     /// The cold servers; none if there are none.
     cold: Option<ColdView<'a>>,
@@ -51,8 +46,6 @@
             request,
             evacuated: shared.evacuations.zones(),
             settings: shared.settings(),
-            leaving: shared.stated_availability.leaving(),
-            pauses: shared.stated_availability.pauses(),
             now_ms: Clock.now_ms(),
             cold: shared.cold_servers.view(shared, request.service),
         }
@@ -61,8 +54,7 @@
     /// Whether nothing is known that excludes any server.
     pub(crate) fn allows_all(&self) -> bool {
         self.cold.is_none()
-            && !self.leaving.may_be_listed()
-            && !self.pauses.may_be_any(self.now_ms)
+            && !self.shared.stated_availability.may_exclude_any(self.now_ms)
             && self.evacuated.is_empty()
             && self
                 .request
@@ -76,13 +68,14 @@
     fn exclusion(&self, server: &ServerEntry) -> Option<Exclusion> {
         let incarnation = server.incarnation;
         let cold = self.cold.as_ref();
+        let stated = &self.shared.stated_availability;
         let view = EligibilityView {
             evacuated: &self.evacuated,
             allowed_regions: self.request.allowed_regions,
             region: self.settings.regions.get(&server.zone).map(String::as_str),
             has_ended: self.shared.ended_servers.servers().is_replaced(incarnation),
-            is_leaving: self.leaving.contains(incarnation),
-            is_paused: self.pauses.left_ms(incarnation, self.now_ms).is_some(),
+            is_leaving: stated.is_leaving(incarnation),
+            is_paused: stated.pause_left_ms(incarnation, self.now_ms).is_some(),
             is_cold: cold.is_some_and(|cold| cold.is_cold(incarnation)),
         };
         view.exclusion(server)
@@ -113,7 +106,8 @@
             let exclusion = self.exclusion(server);
             eligible.last_exclusion = exclusion.or(eligible.last_exclusion);
             if exclusion == Some(Exclusion::Paused) {
-                let left_ms = self.pauses.left_ms(server.incarnation, self.now_ms);
+                let stated = &self.shared.stated_availability;
+                let left_ms = stated.pause_left_ms(server.incarnation, self.now_ms);
                 let waits_ms = eligible.pause_wait_ms.into_iter().chain(left_ms);
                 eligible.pause_wait_ms = waits_ms.min();
             }
@@ -152,11 +146,8 @@
         allowed_regions: [&[], &[]],
         region: None,
         has_ended: shared.ended_servers.servers().is_replaced(incarnation),
-        is_leaving: stated.leaving().contains(incarnation),
-        is_paused: stated
-            .pauses()
-            .left_ms(incarnation, Clock.now_ms())
-            .is_some(),
+        is_leaving: stated.is_leaving(incarnation),
+        is_paused: stated.pause_left_ms(incarnation, Clock.now_ms()).is_some(),
         is_cold: false,
     };
     view.exclusion(server)
--- a/crates/sapphiretrack-router/src/listing_updates.rs
+++ b/crates/sapphiretrack-router/src/listing_updates.rs
@@ -231,9 +231,7 @@
     shared.pool.sweep(|server| listed.contains(&server));
     shared.cold_servers.retain_listed(&listed);
     shared.ended_servers.retain_listed(&listed);
-    let stated = &shared.stated_availability;
-    stated.leaving().retain_listed(&listed, Clock.now_ms());
-    stated.pauses().drop_ended(Clock.now_ms());
+    shared.stated_availability.retain_listed(&listed);
 }
 
 /// Logs a record that its listing cannot use.
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -65,9 +65,7 @@
             Self::OnlyPaused(_) => "servers-paused",
         }
     }
-}
 
-impl PlacementError {
     /// The time until a server may get a request, if that is known.
     pub(crate) fn wait_ms(self) -> Option<u64> {
         match self {
--- a/crates/sapphiretrack-router/src/stated_availability.rs
+++ b/crates/sapphiretrack-router/src/stated_availability.rs
@@ -1,8 +1,9 @@
 //! Applies what backend servers state in their answers about their availability to this router.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
 
-use sapphiretrack_routing::{LeavingServers, ServerEntry, ServerPauses};
+use sapphiretrack_routing::{Incarnation, LeavingServers, ServerEntry, ServerPauses};
 
 use crate::clock::Clock;
 use crate::events::{Event, note};
@@ -18,14 +19,31 @@
 }
 
 impl StatedAvailabilityTable {
-    /// Locks the servers that stated that they leave.
-    pub(crate) fn leaving(&self) -> MutexGuard<'_, LeavingServers> {
-        lock(&self.leaving)
+    /// Whether a statement may keep requests from any listed server.
+    pub(crate) fn may_exclude_any(&self, now_ms: u64) -> bool {
+        lock(&self.leaving).may_be_listed() || lock(&self.pauses).may_be_any(now_ms)
     }
 
-    /// Locks the pauses that servers asked this router for.
-    pub(crate) fn pauses(&self) -> MutexGuard<'_, ServerPauses> {
-        lock(&self.pauses)
+    /// Whether a server stated that it leaves.
+    pub(crate) fn is_leaving(&self, server: Incarnation) -> bool {
+        lock(&self.leaving).contains(server)
+    }
+
+    /// The time until a server's pause ends; none if it does not pause.
+    pub(crate) fn pause_left_ms(&self, server: Incarnation, now_ms: u64) -> Option<u64> {
+        lock(&self.pauses).left_ms(server, now_ms)
+    }
+
+    /// The number of servers that pause.
+    pub(crate) fn paused_count(&self, now_ms: u64) -> usize {
+        lock(&self.pauses).count(now_ms)
+    }
+
+    /// Forgets statements that no longer matter. `listed` are the servers that are listed.
+    pub(crate) fn retain_listed(&self, listed: &HashSet<Incarnation>) {
+        let now_ms = Clock.now_ms();
+        lock(&self.leaving).retain_listed(listed, now_ms);
+        lock(&self.pauses).drop_ended(now_ms);
     }
 }
 
@@ -39,7 +57,7 @@
 ) {
     let now_ms = Clock.now_ms();
     let table = &shared.stated_availability;
-    if stated.is_leaving && table.leaving().record(server.incarnation, now_ms) {
+    if stated.is_leaving && lock(&table.leaving).record(server.incarnation, now_ms) {
         note!(
             Event::SERVER_LEAVING,
             server = server.id,
@@ -50,7 +68,7 @@
         shared.draining_servers.record(server.clone(), runs_ms);
     }
     if let Some(pause_ms) = stated.pause_ms {
-        let is_new = table.pauses().record(server.incarnation, pause_ms, now_ms);
+        let is_new = lock(&table.pauses).record(server.incarnation, pause_ms, now_ms);
         note!(
             Event::SERVER_PAUSED,
             id = id,
