Read refusals that come just after the caller's deadline

What servers would see: a server that cannot start a queued request in time refuses it at its deadline, with Retry-After. The router gives up at the same moment and closes the connection, so that it does not learn of the pause and sends on (BUDGET).

Cause: of the same class as the pauses that were not read; found by looking for answers that no decision gets to see.

The caller gets its 504 at the deadline as before, and nothing is sent again.

--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -1,6 +1,5 @@
 //! A single attempt: sends a request to one backend server and reads the head of the answer.
 
-use std::pin::pin;
 use std::time::Duration;
 
 use http::response::Parts;
@@ -13,6 +12,7 @@
 use crate::crashes::note_connection_loss;
 use crate::events::{Event, note};
 use crate::job::Job;
+use crate::late_answer::read_late_answer;
 use crate::placement::{Placement, PlacementError};
 use crate::ports::{AnswerFacts, AttemptHeaders};
 use crate::server_pool::{Connection, PoolError};
@@ -181,7 +181,7 @@
             .pool
             .get(&placement.server, limit, connect_ms, force_new)
             .await;
-        let mut connection = match connection {
+        let connection = match connection {
             Ok(connection) => connection,
             Err(PoolError::LimitReached { .. }) => {
                 return Err((placement, AttemptFailure::NotSent("connections-used")));
@@ -227,17 +227,19 @@
                 configuration_age_ms = shared.configuration_age_ms().unwrap_or(u64::MAX),
             );
         }
-        let answer = {
-            let mut sending = pin!(connection.send(request));
-            loop {
-                let left_ms = job.left_ms();
-                let limit = Duration::from_millis(attempt_timeout_ms.clamp(1, left_ms.max(1)));
-                if let Ok(answer) = timeout(limit, &mut sending).await {
-                    break answer;
-                }
-                if job.left_ms() == 0 || should_abandon(&placement) {
-                    return Err((placement, AttemptFailure::TimedOut("no-answer")));
-                }
+        let mut sending = Box::pin(connection.send(request));
+        let (connection, answer) = loop {
+            let left_ms = job.left_ms();
+            let limit = Duration::from_millis(attempt_timeout_ms.clamp(1, left_ms.max(1)));
+            if let Ok(sent) = timeout(limit, &mut sending).await {
+                break sent;
+            }
+            if job.left_ms() == 0 {
+                read_late_answer(job, &placement.server, sending);
+                return Err((placement, AttemptFailure::TimedOut("no-answer")));
+            }
+            if should_abandon(&placement) {
+                return Err((placement, AttemptFailure::TimedOut("no-answer")));
             }
         };
         let answer = match answer {
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -19,6 +19,7 @@
 mod events;
 mod http_call;
 mod job;
+mod late_answer;
 mod listing_updates;
 mod load_exchange;
 mod lock;
--- a/crates/sapphiretrack-router/src/server_pool.rs
+++ b/crates/sapphiretrack-router/src/server_pool.rs
@@ -59,6 +59,12 @@
     slot: Slot,
 }
 
+/// The connection on which a request was sent, and the head of its answer.
+pub(crate) type SentRequest = (
+    Connection,
+    Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>,
+);
+
 /// A slot among the connections that this router may open to a server.
 #[derive(Debug)]
 struct Slot(Arc<ServerConnections>);
@@ -178,15 +184,13 @@
 impl Connection {
     /// Sends a request. If the connection turns out to be closed before anything was written, the
     /// error contains the request.
-    pub(crate) async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+    pub(crate) async fn send(mut self, request: Request<Full<Bytes>>) -> SentRequest {
         let (sender, _) = self
             .open
             .as_mut()
             .expect("the connection is open until it is returned");
-        sender.try_send_request(request).await
+        let answer = sender.try_send_request(request).await;
+        (self, answer)
     }
 
     /// Returns the connection to the pool. Only valid after a complete answer was read.
