--- a/crates/sapphiretrack-routing/tests/eligibility.rs
+++ b/crates/sapphiretrack-routing/tests/eligibility.rs
@@ -33,17 +33,25 @@
     names.iter().map(|name| (*name).to_owned()).collect()
 }
 
-#[test]
-fn a_server_in_an_evacuated_zone_gets_nothing() {
-    let evacuated = evacuated(&["z1", "unknown"]);
-    let view = EligibilityView {
-        evacuated: &evacuated,
+/// A view in which nothing is known against any server.
+fn view(evacuated: &EvacuatedZones) -> EligibilityView<'_> {
+    EligibilityView {
+        evacuated,
         allowed_regions: [&[], &[]],
         region: None,
         has_ended: false,
         is_leaving: false,
         is_paused: false,
+        is_cold: false,
+    }
+}
+
+#[test]
+fn a_server_in_an_evacuated_zone_gets_nothing() {
+    let evacuated = evacuated(&["z1", "unknown"]);
+    let view = EligibilityView {
         is_cold: true,
+        ..view(&evacuated)
     };
     assert_eq!(view.exclusion(&server("z1")), Some(Exclusion::Evacuated));
     assert_eq!(view.exclusion(&server("z2")), Some(Exclusion::Cold));
@@ -53,13 +61,10 @@
 fn a_server_that_leaves_gets_nothing_even_after_its_pause() {
     let evacuated = evacuated(&[]);
     let view = EligibilityView {
-        evacuated: &evacuated,
-        allowed_regions: [&[], &[]],
-        region: None,
-        has_ended: false,
         is_leaving: true,
         is_paused: true,
         is_cold: true,
+        ..view(&evacuated)
     };
     assert_eq!(view.exclusion(&server("z1")), Some(Exclusion::Leaving));
 }
@@ -68,13 +73,9 @@
 fn a_server_that_pauses_gets_nothing_even_if_it_is_cold() {
     let evacuated = evacuated(&[]);
     let view = EligibilityView {
-        evacuated: &evacuated,
-        allowed_regions: [&[], &[]],
-        region: None,
-        has_ended: false,
-        is_leaving: false,
         is_paused: true,
         is_cold: true,
+        ..view(&evacuated)
     };
     assert_eq!(view.exclusion(&server("z1")), Some(Exclusion::Paused));
 }
@@ -85,13 +86,9 @@
     let (east, both) = (regions(&["east"]), regions(&["east", "west"]));
     let exclusion = |route: &[String], tenant: &[String], region| {
         let view = EligibilityView {
-            evacuated: &evacuated,
             allowed_regions: [route, tenant],
             region,
-            has_ended: false,
-            is_leaving: false,
-            is_paused: false,
-            is_cold: false,
+            ..view(&evacuated)
         };
         view.exclusion(&server("z1"))
     };
