--- a/crates/sapphiretrack-router/src/late_answer.rs
+++ b/crates/sapphiretrack-router/src/late_answer.rs
@@ -13,7 +13,7 @@
 /// How long after the caller's deadline the head of an answer is still read.
 const LATE_ANSWER_MS: u64 = 100;
 
-/// Waits in the background for the answer to a request whose caller has been told that it timed out.
+/// Waits in the background for the answer to a request that has timed out for its caller.
 /// A server that has queued the request refuses it at the same deadline, and may ask for a pause.
 pub(crate) fn read_late_answer<Sending>(job: &Job, server: &Arc<ServerEntry>, sending: Sending)
 where
