Open connections to servers through a port of the router

Tests could not cut the path of one router to the servers: all routers of a test share the servers' addresses and the loopback interface. Ports now has connect_server beside the store and the settings; the program connects directly.

No change of behaviour.

--- a/crates/sapphiretrack-router/src/connect.rs
+++ b/crates/sapphiretrack-router/src/connect.rs
@@ -13,6 +13,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::ports::ConnectServer;
+
 /// The idle time before the first keep-alive probe, and between probes: the smallest that the
 /// system supports.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -64,11 +66,12 @@
 /// Opens a connection that carries one request at a time. The TCP connection must be established
 /// within `limit_ms`.
 pub async fn connect(
+    open: &ConnectServer,
     address: SocketAddr,
     limit_ms: u64,
 ) -> Result<(SendRequest<Full<Bytes>>, ConnectionDriver), ConnectError> {
     let limit = Duration::from_millis(limit_ms);
-    let stream = timeout(limit, TcpStream::connect(address)).await;
+    let stream = timeout(limit, open(address)).await;
     let stream = stream.map_err(|_| ConnectError::TimedOut { address, limit_ms })?;
     let stream = stream.context(RefusedSnafu { address })?;
     enable_dead_peer_detection(&stream).context(RefusedSnafu { address })?;
--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -10,8 +10,8 @@
 use sapphiretrack_routing::{
     CrashEvidence, CrashRecord, Fingerprint, Incarnation, RouterMessage, ServerEntry, WriteQueue,
 };
-use tokio::net::{TcpStream, UdpSocket};
-use tokio::time::{sleep, timeout};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
 use crate::clock::Clock;
 use crate::events::{Event, note};
@@ -113,15 +113,9 @@
     let mut has_crashed = false;
     for delay_ms in PROBE_DELAYS_MS {
         sleep(Duration::from_millis(delay_ms)).await;
-        let connection = TcpStream::connect(server.address);
-        let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
+        let probed = shared.pool.probe(&server, PROBE_TIMEOUT_MS).await;
         // Only a refused connection proves a crash: a timeout may be a network failure.
-        let is_refused =
-            |error: &std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
-        if timeout(limit, connection)
-            .await
-            .is_ok_and(|result| result.is_err_and(|error| is_refused(&error)))
-        {
+        if probed.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused) {
             has_crashed = true;
             break;
         }
--- a/crates/sapphiretrack-router/src/http_call.rs
+++ b/crates/sapphiretrack-router/src/http_call.rs
@@ -14,13 +14,14 @@
 use tokio::time::timeout;
 
 use crate::connect::{ConnectError, ConnectionDriver, connect};
+use crate::ports::{ConnectServer, connect_directly};
 
 /// The largest answer body that is read: a page of rows has at most 1 MB, base64 included.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// Calls one address over one connection, which is replaced after any failed or cancelled call.
-#[derive(Debug)]
 pub struct HttpCaller {
+    open: ConnectServer,
     address: SocketAddr,
     connect_ms: u64,
     connection: Mutex<Option<(SendRequest<Full<Bytes>>, ConnectionDriver)>>,
@@ -82,7 +83,13 @@
 impl HttpCaller {
     /// Creates a client for an address. The first call opens the connection, within `connect_ms`.
     pub fn new(address: SocketAddr, connect_ms: u64) -> Self {
+        Self::with_connect(connect_directly(), address, connect_ms)
+    }
+
+    /// Creates a client like [`HttpCaller::new`] whose TCP connection `open` opens.
+    pub fn with_connect(open: ConnectServer, address: SocketAddr, connect_ms: u64) -> Self {
         Self {
+            open,
             address,
             connect_ms,
             connection: Mutex::new(None),
@@ -122,7 +129,7 @@
         let reusable = connection.take().filter(|(sender, _)| sender.is_ready());
         let (mut sender, driver) = match reusable {
             Some(reusable) => reusable,
-            None => connect(self.address, self.connect_ms)
+            None => connect(&self.open, self.address, self.connect_ms)
                 .await
                 .context(NotConnectedSnafu)?,
         };
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -47,9 +47,9 @@
 pub use logging::{dropped_log_lines, start_logging};
 pub use policy::{POLICY, PolicyError, PolicyKey, policy_help, set_policy};
 pub use ports::{
-    AnswerFacts, AttemptHeaders, BadRequest, Interface, ListPrefixes, Listing, Lookup, Ports,
-    PrefixAnswer, ReadSettings, Record, SaveCrashes, StatedAvailability, StoreAnswer, StoreError,
-    StorePort, WatchCall,
+    AnswerFacts, AttemptHeaders, BadRequest, ConnectServer, Interface, ListPrefixes, Listing,
+    Lookup, Ports, PrefixAnswer, ReadSettings, Record, SaveCrashes, StatedAvailability,
+    StoreAnswer, StoreError, StorePort, WatchCall, connect_directly,
 };
 pub use router::{RunError, run};
 pub use settings::{AttemptSettings, RouterSettings, Times};
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -1,5 +1,6 @@
 //! The functions that the program that embeds a router provides to it, in plain structs.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -13,6 +14,7 @@
     PromptPrefix, RequestFacts, ServerChange, ServerEntry,
 };
 use snafu::Snafu;
+use tokio::net::TcpStream;
 
 use crate::settings::RouterSettings;
 
@@ -198,12 +200,23 @@
     pub prefixes: Result<Vec<PromptPrefix>, String>,
 }
 
-/// The functions by which a router reaches the store, its settings and the servers' caches.
+/// Opens a TCP connection to a backend server; without a time limit.
+pub type ConnectServer =
+    Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> + Send + Sync>;
+
+/// Connects directly to the address.
+pub fn connect_directly() -> ConnectServer {
+    Arc::new(|address| Box::pin(TcpStream::connect(address)))
+}
+
+/// The functions by which a router reaches the store, its settings and the backend servers.
 pub struct Ports {
     /// Calls to the store.
     pub store: StorePort,
     /// Reads the settings again.
     pub read_settings: ReadSettings,
+    /// Opens a connection to a backend server.
+    pub connect_server: ConnectServer,
     /// Asks a backend server for its cached prefixes.
     pub list_prefixes: ListPrefixes,
 }
--- a/crates/sapphiretrack-router/src/router.rs
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -64,7 +64,7 @@
 /// Runs a router until its planned stop ends: a new thread runs the control tasks, the calling
 /// thread serves traffic.
 pub fn run(settings: RouterSettings, interface: Interface, ports: Ports) -> Result<(), RunError> {
-    let shared = Arc::new(Shared::new(settings));
+    let shared = Arc::new(Shared::new(settings, ports.connect_server.clone()));
     let control = runtime()?;
     let traffic = runtime()?;
     // The router listens before the control thread can report it as ready.
--- a/crates/sapphiretrack-router/src/server_pool.rs
+++ b/crates/sapphiretrack-router/src/server_pool.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -12,9 +13,11 @@
 use hyper::client::conn::http1::SendRequest;
 use sapphiretrack_routing::{Incarnation, ServerEntry};
 use snafu::Snafu;
+use tokio::time::timeout;
 
 use crate::clock::Clock;
 use crate::connect::{ConnectError, ConnectionDriver, connect};
+use crate::ports::ConnectServer;
 
 /// How long an idle connection is kept if the server states no keep-alive limit.
 const DEFAULT_IDLE_MS: u64 = 8_000;
@@ -25,8 +28,8 @@
 const MAX_IDLE: usize = 16;
 
 /// The connections to all servers.
-#[derive(Debug, Default)]
 pub(crate) struct ServerPool {
+    open: ConnectServer,
     servers: Mutex<HashMap<Incarnation, Arc<ServerConnections>>>,
 }
 
@@ -93,6 +96,21 @@
 }
 
 impl ServerPool {
+    /// An empty pool that opens connections with `open`.
+    pub(crate) fn new(open: ConnectServer) -> Self {
+        Self {
+            open,
+            servers: Mutex::default(),
+        }
+    }
+
+    /// Opens a TCP connection to a server and closes it; fails after `limit_ms`.
+    pub(crate) async fn probe(&self, server: &ServerEntry, limit_ms: u64) -> std::io::Result<()> {
+        let limit = Duration::from_millis(limit_ms);
+        timeout(limit, (self.open)(server.address)).await??;
+        Ok(())
+    }
+
     /// Returns an idle connection to a server, or opens a new one if fewer than `limit` are open.
     /// If `force_new` is set, idle connections are not used.
     pub(crate) async fn get(
@@ -114,7 +132,7 @@
             return Err(PoolError::LimitReached { limit });
         }
         let slot = Slot(connections);
-        let open = connect(server.address, connect_ms).await?;
+        let open = connect(&self.open, server.address, connect_ms).await?;
         Ok(Connection {
             is_reused: false,
             open: Some(open),
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -26,7 +26,7 @@
 use crate::load_exchange::LoadExchange;
 use crate::lock::lock;
 use crate::metrics::Metrics;
-use crate::ports::{Listing, StoreError};
+use crate::ports::{ConnectServer, Listing, StoreError};
 use crate::server_pool::ServerPool;
 use crate::settings::RouterSettings;
 use crate::snapshots::{FetchError, Fetched};
@@ -161,7 +161,7 @@
 
 impl Shared {
     /// The state of a router that has just started.
-    pub(crate) fn new(settings: RouterSettings) -> Self {
+    pub(crate) fn new(settings: RouterSettings, connect_server: ConnectServer) -> Self {
         let retries = RetryShare::new(settings.retry.clone());
         let (relayed, relayed_queue) = mpsc::channel(MAX_QUEUED_CHANGES);
         let mut prefix_index = PrefixIndex::default();
@@ -181,7 +181,7 @@
             is_discovered: AtomicBool::new(false),
             has_server_list: AtomicBool::new(false),
             metrics: Metrics::new(),
-            pool: ServerPool::default(),
+            pool: ServerPool::new(connect_server),
             activity: Arc::new(Activity::new()),
             state_changed: Notify::new(),
             listings_read: Notify::new(),
