--- a/crates/sapphiretrack-router/src/admission.rs
+++ b/crates/sapphiretrack-router/src/admission.rs
@@ -18,6 +18,7 @@
 use crate::answer::strip_connection_headers;
 use crate::clock::Clock;
 use crate::job::Job;
+use crate::peer_hop::HopRequest;
 use crate::ports::Interface;
 use crate::refusal::Refusal;
 use crate::shared::{ConfigurationInForce, Shared};
@@ -35,6 +36,7 @@
     facts: RequestFacts,
     body: Incoming,
     in_flight: InFlight,
+    hop: Option<HopRequest>,
 ) -> Result<Job, Refusal> {
     let arrived_ms = Clock.now_ms();
     if let Some(since_ms) = shared.activity.leaving_for_ms() {
@@ -116,6 +118,7 @@
         arrived_ms,
         expires_ms: arrived_ms + timeout_ms,
         has_ended: AtomicBool::new(false),
+        hop,
         _in_flight: in_flight,
         _body_memory: body_memory,
     })
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -6,16 +6,18 @@
 use http::{Request, StatusCode, Version};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use sapphiretrack_routing::Service;
+use sapphiretrack_routing::{Incarnation, Service};
 use tokio::time::timeout;
 
+use crate::connection_pool::{Connection, PoolError};
 use crate::crashes::note_connection_loss;
 use crate::events::{Event, note};
 use crate::job::Job;
 use crate::late_answer::read_late_answer;
+use crate::peer_hops::PeerSlot;
 use crate::placement::{Placement, PlacementError};
 use crate::ports::{AnswerFacts, AttemptHeaders};
-use crate::server_pool::{Connection, PoolError};
+use crate::server_paths::check_path_soon;
 use crate::stated_availability::record_stated_availability;
 
 /// The time limit for reading the body of a refusal; after it, the connection is closed.
@@ -36,8 +38,53 @@
     pub(crate) body: Incoming,
     /// The connection, reusable once the whole body has been read.
     pub(crate) connection: Connection,
-    /// The placement on the server that sent the answer.
-    pub(crate) placement: Placement,
+    /// Where the answer comes from.
+    pub(crate) target: AttemptTarget,
+}
+
+/// Where an attempt was sent.
+pub(crate) enum AttemptTarget {
+    /// A backend server.
+    Server(Placement),
+    /// Another router, which has placed the request on a server.
+    Peer(PeerSlot),
+}
+
+impl AttemptTarget {
+    /// The server, if the attempt was sent there directly.
+    pub(crate) fn server(&self) -> Option<Incarnation> {
+        match self {
+            Self::Server(placement) => Some(placement.server.incarnation),
+            Self::Peer(_) => None,
+        }
+    }
+
+    /// Records that bytes of an answer arrived.
+    pub(crate) fn record_progress(&mut self) {
+        if let Self::Server(placement) = self {
+            placement.record_progress();
+        }
+    }
+
+    /// Records how the attempt ended.
+    pub(crate) fn record_outcome(&self, failed: bool) {
+        if let Self::Server(placement) = self {
+            placement.record_outcome(failed);
+        }
+    }
+
+    /// Records and logs a failure of the attempt.
+    pub(crate) fn record_failure(&self, job: &Job, failure: AttemptFailure) {
+        match self {
+            Self::Server(placement) => failure.record(job, placement),
+            Self::Peer(peer) => note!(
+                Event::RELAY_FAILED,
+                id = job.facts.id,
+                peer = peer.address,
+                reason = failure.as_str(),
+            ),
+        }
+    }
 }
 
 /// Why an attempt ended without a usable answer.
@@ -51,6 +98,8 @@
     NotSent(&'static str),
     /// The server stated that it did not run the request.
     NotRun(&'static str),
+    /// Another router refused the request, which has not run.
+    RefusedByRouter,
     /// The request is blocked because it has crashed too many servers.
     Blocked,
     /// The server failed or its answer is unusable; the request may have run.
@@ -68,6 +117,7 @@
             Self::NotPlaced(error) => error.as_str(),
             Self::NoTimeLeft => "no-time-left",
             Self::Blocked => "crashes-servers",
+            Self::RefusedByRouter => "refused-by-router",
             Self::NotSent(reason)
             | Self::NotRun(reason)
             | Self::MayHaveRun(reason)
@@ -85,7 +135,7 @@
     }
 
     /// Counts the failure against the server and logs it.
-    pub(crate) fn record(self, job: &Job, placement: &Placement) {
+    fn record(self, job: &Job, placement: &Placement) {
         // Running out of this router's share of connections says nothing about the server's health.
         // Neither does a change of what may be sent there.
         let is_own_limit = matches!(
@@ -179,17 +229,36 @@
     loop {
         let connection = shared
             .pool
-            .get(&placement.server, limit, connect_ms, force_new)
+            .get(
+                (placement.server.incarnation, placement.server.address),
+                limit,
+                connect_ms,
+                force_new,
+            )
             .await;
+        let server = &placement.server;
         let connection = match connection {
-            Ok(connection) => connection,
+            Ok(connection) => {
+                if !connection.is_reused {
+                    shared
+                        .server_paths
+                        .record_reached(shared, server.incarnation);
+                }
+                connection
+            }
             Err(PoolError::LimitReached { .. }) => {
                 return Err((placement, AttemptFailure::NotSent("connections-used")));
             }
             Err(PoolError::Unreachable { source }) => {
                 placement.record_unreachable();
+                if shared
+                    .server_paths
+                    .record_failed(shared, server.incarnation)
+                {
+                    check_path_soon(shared, server);
+                }
                 let ended_servers = &shared.ended_servers;
-                ended_servers.record_unreachable(shared, &placement.server, &source);
+                ended_servers.record_unreachable(shared, server, &source);
                 note!(
                     Event::SERVER_UNREACHABLE,
                     id = job.facts.id,
@@ -204,7 +273,9 @@
             return Err((placement, AttemptFailure::NoTimeLeft));
         }
         // What the placement was based on may have changed while the connection was opened.
-        if let Some(exclusion) = placement.exclusion_at_send(job.placement_request(service, &[])) {
+        if let Some(exclusion) =
+            placement.exclusion_at_send(job.placement_request(service, &[], true))
+        {
             connection.return_to_pool(None);
             return Err((placement, AttemptFailure::NotSent(exclusion.as_str())));
         }
@@ -320,7 +391,7 @@
         facts,
         body,
         connection,
-        placement,
+        target: AttemptTarget::Server(placement),
     })
 }
 
--- a/crates/sapphiretrack-router/src/caller_listener.rs
+++ b/crates/sapphiretrack-router/src/caller_listener.rs
@@ -19,7 +19,7 @@
 /// The pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The read buffer beyond the limit of a request's head, so that most bodies take one read.
-const BODY_BUFFER_BYTES: usize = 32 * 1024;
+pub(crate) const BODY_BUFFER_BYTES: usize = 32 * 1024;
 
 /// Accepts and serves callers' connections until the process ends.
 pub(crate) async fn serve_callers(
--- a/crates/sapphiretrack-router/src/server_pool.rs
+++ b/crates/sapphiretrack-router/src/connection_pool.rs
@@ -1,7 +1,9 @@
-//! A pool of connections to backend servers. Each connection carries one request at a time and is
-//! reused only after a complete answer.
+//! A pool of connections to backend servers or routers. Each connection carries one request at a time
+//! and is reused only after a complete answer.
 
 use std::collections::HashMap;
+use std::hash::Hash;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,7 +13,6 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
-use sapphiretrack_routing::{Incarnation, ServerEntry};
 use snafu::Snafu;
 use tokio::time::timeout;
 
@@ -27,15 +28,15 @@
 /// The most idle connections to one server: as many as it has requests in flight at usual load.
 const MAX_IDLE: usize = 16;
 
-/// The connections to all servers.
-pub(crate) struct ServerPool {
+/// The connections to all peers of one kind. A key stands for one run of a peer.
+pub(crate) struct ConnectionPool<Key> {
     open: ConnectServer,
-    servers: Mutex<HashMap<Incarnation, Arc<ServerConnections>>>,
+    peers: Mutex<HashMap<Key, Arc<PeerConnections>>>,
 }
 
-/// The connections of one server.
+/// The connections to one peer.
 #[derive(Debug, Default)]
-struct ServerConnections {
+struct PeerConnections {
     state: Mutex<PoolState>,
 }
 
@@ -70,7 +71,7 @@
 
 /// A slot among the connections that this router may open to a server.
 #[derive(Debug)]
-struct Slot(Arc<ServerConnections>);
+struct Slot(Arc<PeerConnections>);
 
 impl Drop for Slot {
     fn drop(&mut self) {
@@ -95,32 +96,35 @@
     },
 }
 
-impl ServerPool {
+impl<Key> ConnectionPool<Key>
+where
+    Key: Copy + Eq + Hash,
+{
     /// An empty pool that opens connections with `open`.
     pub(crate) fn new(open: ConnectServer) -> Self {
         Self {
             open,
-            servers: Mutex::default(),
+            peers: Mutex::default(),
         }
     }
 
-    /// Opens a TCP connection to a server and closes it; fails after `limit_ms`.
-    pub(crate) async fn probe(&self, server: &ServerEntry, limit_ms: u64) -> std::io::Result<()> {
+    /// Opens a TCP connection and closes it; fails after `limit_ms`.
+    pub(crate) async fn probe(&self, address: SocketAddr, limit_ms: u64) -> std::io::Result<()> {
         let limit = Duration::from_millis(limit_ms);
-        timeout(limit, (self.open)(server.address)).await??;
+        timeout(limit, (self.open)(address)).await??;
         Ok(())
     }
 
-    /// Returns an idle connection to a server, or opens a new one if fewer than `limit` are open.
-    /// If `force_new` is set, idle connections are not used.
+    /// Returns an idle connection to a peer, or opens a new one if fewer than `limit` are open. If
+    /// `force_new` is set, idle connections are not used.
     pub(crate) async fn get(
         &self,
-        server: &ServerEntry,
+        (key, address): (Key, SocketAddr),
         limit: u32,
         connect_ms: u64,
         force_new: bool,
     ) -> Result<Connection, PoolError> {
-        let connections = self.server(server.incarnation);
+        let connections = self.connections(key);
         if !force_new && let Some(connection) = connections.take_idle(Clock.now_ms()) {
             return Ok(Connection {
                 is_reused: true,
@@ -132,7 +136,7 @@
             return Err(PoolError::LimitReached { limit });
         }
         let slot = Slot(connections);
-        let open = connect(&self.open, server.address, connect_ms).await?;
+        let open = connect(&self.open, address, connect_ms).await?;
         Ok(Connection {
             is_reused: false,
             open: Some(open),
@@ -140,16 +144,16 @@
         })
     }
 
-    /// Closes expired idle connections, and all idle connections to servers that are not listed.
+    /// Closes expired idle connections, and all idle connections to peers that are not listed.
     pub(crate) fn sweep<Listed>(&self, is_listed: Listed)
     where
-        Listed: Fn(Incarnation) -> bool,
+        Listed: Fn(Key) -> bool,
     {
         let now_ms = Clock.now_ms();
-        let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
-        servers.retain(|incarnation, connections| {
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        peers.retain(|key, connections| {
             let mut state = connections.lock();
-            let listed = is_listed(*incarnation);
+            let listed = is_listed(*key);
             let before = state.idle.len();
             state
                 .idle
@@ -159,13 +163,23 @@
         });
     }
 
-    fn server(&self, incarnation: Incarnation) -> Arc<ServerConnections> {
-        let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
-        servers.entry(incarnation).or_default().clone()
+    /// Closes all idle connections.
+    pub(crate) fn close_idle(&self) {
+        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        for connections in peers.values() {
+            let mut state = connections.lock();
+            state.open_count -= state.idle.len() as u32;
+            state.idle.clear();
+        }
+    }
+
+    fn connections(&self, key: Key) -> Arc<PeerConnections> {
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        peers.entry(key).or_default().clone()
     }
 }
 
-impl ServerConnections {
+impl PeerConnections {
     fn lock(&self) -> MutexGuard<'_, PoolState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -113,7 +113,7 @@
     let mut has_crashed = false;
     for delay_ms in PROBE_DELAYS_MS {
         sleep(Duration::from_millis(delay_ms)).await;
-        let probed = shared.pool.probe(&server, PROBE_TIMEOUT_MS).await;
+        let probed = shared.pool.probe(server.address, PROBE_TIMEOUT_MS).await;
         // Only a refused connection proves a crash: a timeout may be a network failure.
         if probed.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused) {
             has_crashed = true;
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Handles a caller's request: runs attempts, decides on retries and builds the final answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use http::{Request, Response, StatusCode, header};
@@ -15,7 +16,11 @@
 use crate::crashes::crash_count;
 use crate::events::{Event, note};
 use crate::job::Job;
-use crate::placement::{Placement, PlacementError, PlacementRequest, place, wait_for_server_ms};
+use crate::peer_hop::{HopAnswer, HopOutcome, HopRequest};
+use crate::peer_hops::{HopResult, PeerHopTable, send_to_peer};
+use crate::placement::{
+    Placement, PlacementError, PlacementRequest, has_unreachable, place, wait_for_server_ms,
+};
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
 use crate::relay::{self, ReadAnswer};
@@ -25,6 +30,9 @@
 /// The retry delay if all servers of a service are in evacuated zones: an operator has to act first.
 const EVACUATED_RETRY_MS: u64 = 1_000;
 
+/// The most routers that a request is passed to without being served.
+const MAX_DECLINES: usize = 2;
+
 /// Counts of a request's attempts so far.
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
@@ -36,9 +44,38 @@
     pub(crate) offers: u32,
     /// Attempts whose connection was lost before the answer was complete.
     pub(crate) connection_losses: usize,
+    /// Whether the request counts towards the retry budget of this router or of the one that passed
+    /// it on.
+    is_counted: bool,
+    /// Whether the next attempt is charged to the retry budget already.
+    is_retry_reserved: bool,
+    /// Routers that did not serve the request.
+    declined_by: Vec<SocketAddr>,
+    /// Whether no other router is asked any more.
+    is_limited_to_servers: bool,
+    /// Another router's refusal.
+    refusal: Option<Response<AnswerBody>>,
 }
 
 impl Attempts {
+    /// The attempts before a request reached this router.
+    fn before(hop: Option<HopRequest>) -> Self {
+        let hop = hop.unwrap_or_default();
+        Self {
+            offers: hop.offers,
+            possible_runs: hop.possible_runs,
+            is_counted: hop.offers > 0,
+            is_retry_reserved: hop.is_retry_reserved,
+            ..Self::default()
+        }
+    }
+
+    /// Counts the attempts that another router made for the request.
+    fn add_stated(&mut self, stated: HopAnswer) {
+        self.offers = self.offers.max(stated.offers);
+        self.possible_runs = self.possible_runs.max(stated.possible_runs);
+    }
+
     /// Whether another server may be tried. Servers to which nothing was sent count towards the
     /// limit only beyond an allowance of their own.
     fn may_try_another(&self, settings: &AttemptSettings) -> bool {
@@ -58,6 +95,16 @@
     shared: Arc<Shared>,
     interface: Interface,
     request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    answer_request(shared, interface, request, None).await
+}
+
+/// Handles one request of a caller, or of another router that stated `hop`.
+pub(crate) async fn answer_request(
+    shared: Arc<Shared>,
+    interface: Interface,
+    request: Request<Incoming>,
+    hop: Option<HopRequest>,
 ) -> Response<AnswerBody> {
     let in_flight = shared.activity.begin_request();
     let (head, body) = request.into_parts();
@@ -70,7 +117,7 @@
         }
     };
     let id = facts.id.clone();
-    let job = match receive_request(&shared, interface, head, facts, body, in_flight).await {
+    let job = match receive_request(&shared, interface, head, facts, body, in_flight, hop).await {
         Ok(job) => job,
         Err(refusal) => return refuse(&shared, &id, refusal, leaving),
     };
@@ -114,12 +161,14 @@
         &'a self,
         service: &'a Service,
         tried: &'a [Incarnation],
+        tries_unreachable: bool,
     ) -> PlacementRequest<'a> {
         PlacementRequest {
             service,
             facts: &self.facts,
             tried,
             allowed_regions: [&self.route.allowed_regions, &self.tenant_regions],
+            tries_unreachable,
         }
     }
 
@@ -129,18 +178,9 @@
         attempts: &mut Attempts,
         resume_after: Option<u64>,
     ) -> Result<ServerAnswer, AttemptFailure> {
-        if attempts.offers == 0 {
-            let now_ms = Clock.now_ms();
-            let mut traffic = self.shared.traffic();
-            traffic.retries.record_request(&self.service, now_ms);
-            let drain_rate = traffic.drain_rates.entry(self.service.clone());
-            drain_rate.or_insert_with(|| DrainRate::new(now_ms));
-        }
         if self.is_blocked(attempts) {
             return Err(AttemptFailure::Blocked);
         }
-        // Whether the retry budget was already charged for the next attempt.
-        let mut retry_reserved = false;
         loop {
             let configuration = match self.recheck_admission() {
                 Ok(configuration) => configuration,
@@ -155,19 +195,31 @@
             if !self.shared.evacuations_are_usable() {
                 return Err(AttemptFailure::NotSent("evacuations-stale"));
             }
-            let request = self.placement_request(service, &attempts.tried);
-            let placement = place(&self.shared, request);
-            let placement = placement.map_err(|error| self.note_placement_failure(error))?;
-            if attempts.offers > 0 && !retry_reserved && !self.try_reserve_retry() {
+            let tries_unreachable = attempts.is_limited_to_servers;
+            let request = self.placement_request(service, &attempts.tried, tries_unreachable);
+            let placement = match place(&self.shared, request) {
+                Ok(placement) => placement,
+                Err(error) if self.may_use_peer(attempts, error, request) => {
+                    match self.attempt_at_peer(attempts, resume_after).await {
+                        Some(Ok(answer)) => return Ok(answer),
+                        Some(Err(failure)) if self.may_retry(attempts, failure) => continue,
+                        Some(Err(failure)) => return Err(failure),
+                        None => continue,
+                    }
+                }
+                Err(error) => return Err(self.note_placement_failure(error)),
+            };
+            if attempts.offers > 0 && !attempts.is_retry_reserved && !self.try_reserve_retry() {
                 return Err(AttemptFailure::NotSent("retry-budget"));
             }
+            self.count_request(attempts);
             attempts.tried.push(placement.server.incarnation);
             let cache_state = match placement.cached_tokens {
                 0 => "cold",
                 _ => "warm",
             };
             self.shared.metrics.count_placement(cache_state);
-            retry_reserved = false;
+            let mut retry_reserved = false;
             let attempt_timeout_ms = self.attempt_timeout_ms(attempts);
             // A request that is queued at a responsive server keeps its place, since another server
             // may have no capacity for it. It abandons only an unresponsive server, and only if the
@@ -187,6 +239,7 @@
                 should_abandon,
             )
             .await;
+            attempts.is_retry_reserved = retry_reserved;
             let failure = match sent {
                 Ok(answer) => {
                     attempts.offers += 1;
@@ -198,6 +251,7 @@
             match failure {
                 AttemptFailure::NoTimeLeft => return Err(failure),
                 AttemptFailure::Blocked
+                | AttemptFailure::RefusedByRouter
                 | AttemptFailure::NotPlaced(_)
                 | AttemptFailure::NotSent(_) => {}
                 AttemptFailure::NotRun(_) => attempts.offers += 1,
@@ -215,6 +269,106 @@
         }
     }
 
+    /// Counts the request towards this router's share of the retry budget, once.
+    fn count_request(&self, attempts: &mut Attempts) {
+        if attempts.is_counted {
+            return;
+        }
+        attempts.is_counted = true;
+        let now_ms = Clock.now_ms();
+        let mut traffic = self.shared.traffic();
+        traffic.retries.record_request(&self.service, now_ms);
+        let drain_rate = traffic.drain_rates.entry(self.service.clone());
+        drain_rate.or_insert_with(|| DrainRate::new(now_ms));
+    }
+
+    /// Whether the request is passed to another router because this one has no server for it that it
+    /// reaches. A request that was passed on once stays here.
+    fn may_use_peer(
+        &self,
+        attempts: &Attempts,
+        error: PlacementError,
+        request: PlacementRequest<'_>,
+    ) -> bool {
+        let is_local = match error {
+            PlacementError::NoPath => true,
+            PlacementError::AllFull | PlacementError::AllTried => {
+                has_unreachable(&self.shared, request)
+            }
+            _ => false,
+        };
+        is_local && self.hop.is_none() && !attempts.is_limited_to_servers
+    }
+
+    /// Passes the request to another router. None if there is no router to ask, or the one asked
+    /// declined.
+    async fn attempt_at_peer(
+        &self,
+        attempts: &mut Attempts,
+        resume_after: Option<u64>,
+    ) -> Option<Result<ServerAnswer, AttemptFailure>> {
+        let peer = match attempts.declined_by.len() < MAX_DECLINES {
+            true => PeerHopTable::choose(&self.shared, &attempts.declined_by),
+            false => None,
+        };
+        let Some(peer) = peer else {
+            attempts.is_limited_to_servers = true;
+            return None;
+        };
+        if attempts.offers > 0 && !attempts.is_retry_reserved {
+            if !self.try_reserve_retry() {
+                return Some(Err(AttemptFailure::NotSent("retry-budget")));
+            }
+            attempts.is_retry_reserved = true;
+        }
+        let configuration = self.shared.configuration.load();
+        let hop = HopRequest {
+            offers: attempts.offers,
+            possible_runs: attempts.possible_runs,
+            is_retry_reserved: attempts.is_retry_reserved,
+            configuration: configuration.as_ref().map_or(0, |one| one.version),
+        };
+        let address = peer.address;
+        let mut is_repeat_reserved = false;
+        let may_repeat = || {
+            is_repeat_reserved = self.route.kind.may_run_again() && self.try_reserve_retry();
+            is_repeat_reserved
+        };
+        let result = send_to_peer(self, peer, hop, resume_after, may_repeat).await;
+        match result {
+            HopResult::Answered(answer, stated) => {
+                attempts.add_stated(stated);
+                attempts.is_retry_reserved = false;
+                Some(Ok(*answer))
+            }
+            HopResult::Refused(refusal) => {
+                attempts.refusal = Some(refusal);
+                Some(Err(AttemptFailure::RefusedByRouter))
+            }
+            HopResult::Declined(stated) => {
+                if let Some(stated) = stated {
+                    attempts.is_retry_reserved &= stated.offers <= attempts.offers;
+                    attempts.add_stated(stated);
+                }
+                attempts.declined_by.push(address);
+                None
+            }
+            HopResult::Failed(failure, stated) => {
+                match stated {
+                    Some(stated) => attempts.add_stated(stated),
+                    None if failure.may_have_run() => {
+                        attempts.offers += 1;
+                        attempts.possible_runs += 1;
+                    }
+                    None => {}
+                }
+                attempts.is_retry_reserved = is_repeat_reserved;
+                attempts.declined_by.push(address);
+                Some(Err(failure))
+            }
+        }
+    }
+
     /// Whether the request has crashed too many servers to be sent to another one. A retry is
     /// already refused one crash below the limit, so that a router's own retries do not crash the
     /// last server.
@@ -231,6 +385,7 @@
     pub(crate) fn may_retry(&self, attempts: &Attempts, failure: AttemptFailure) -> bool {
         let is_allowed = !failure.may_have_run() || self.route.kind.may_run_again();
         is_allowed
+            && failure != AttemptFailure::RefusedByRouter
             && !self.is_service_full()
             && attempts.possible_runs < self.route.max_attempts.max(1)
             && attempts.may_try_another(&self.shared.settings().attempts)
@@ -242,7 +397,7 @@
     fn wait_for_server_ms(&self) -> Option<u64> {
         let configuration = self.shared.configuration.load();
         let service = configuration.as_ref()?.service(&self.service)?;
-        wait_for_server_ms(&self.shared, self.placement_request(service, &[]))
+        wait_for_server_ms(&self.shared, self.placement_request(service, &[], true))
     }
 
     /// Converts a failed placement into a failure. Records a full service, and logs it if that is
@@ -283,22 +438,34 @@
 
 /// Runs a request's attempts and builds the answer from their result.
 async fn run_attempts(job: Arc<Job>) -> Response<AnswerBody> {
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts::before(job.hop);
     let mut server_error = None;
     loop {
         let answer = match job.attempt(&mut attempts, job.facts.resume_after).await {
             Ok(answer) => answer,
             Err(failure) => {
-                return final_answer(&job, &attempts, failure, server_error);
+                return final_answer(&job, &mut attempts, failure, server_error);
             }
         };
         let streams = matches!(job.route.kind, RequestKind::Stream { .. });
+        let stated = HopAnswer {
+            outcome: HopOutcome::Answered,
+            offers: attempts.offers,
+            possible_runs: attempts.possible_runs,
+            server: answer.target.server(),
+        };
         if streams && answer.head.status.is_success() {
-            return relay::stream_events(job, attempts, answer);
+            let mut answer = relay::stream_events(job, attempts, answer);
+            answer.extensions_mut().insert(stated);
+            return answer;
         }
-        let failure = match relay::buffered_answer(&job, answer, &attempts).await {
-            Ok(ReadAnswer::Final(answer)) => return answer,
-            Ok(ReadAnswer::ServerError(answer)) => {
+        let failure = match relay::buffered_answer(&job, answer, attempts.offers).await {
+            Ok(ReadAnswer::Final(mut answer)) => {
+                answer.extensions_mut().insert(stated);
+                return answer;
+            }
+            Ok(ReadAnswer::ServerError(mut answer)) => {
+                answer.extensions_mut().insert(stated);
                 server_error = Some(answer);
                 AttemptFailure::MayHaveRun("server-error")
             }
@@ -306,22 +473,38 @@
         };
         attempts.note_connection_loss(failure);
         if !job.may_retry(&attempts, failure) {
-            return final_answer(&job, &attempts, failure, server_error);
+            return final_answer(&job, &mut attempts, failure, server_error);
         }
     }
 }
 
-/// Passes on a server's own 5xx answer if there is one, and fails the request otherwise.
+/// Passes on a server's own 5xx answer or another router's refusal if there is one, and fails the
+/// request otherwise.
 fn final_answer(
     job: &Job,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     failure: AttemptFailure,
     server_error: Option<Response<AnswerBody>>,
 ) -> Response<AnswerBody> {
-    let Some(answer) = server_error else {
-        return failure_answer(job, attempts, failure);
+    if let Some(answer) = server_error {
+        relay::record_answered(job, answer.status(), attempts.offers);
+        return answer;
+    }
+    if attempts.possible_runs == 0
+        && let Some(refusal) = attempts.refusal.take()
+    {
+        job.mark_ended();
+        return refusal;
+    }
+    let mut answer = failure_answer(job, attempts, failure);
+    let outcome = answer.extensions().get::<HopAnswer>();
+    let stated = HopAnswer {
+        outcome: outcome.map_or(HopOutcome::Failed, |stated| stated.outcome),
+        offers: attempts.offers,
+        possible_runs: attempts.possible_runs,
+        server: None,
     };
-    relay::record_answered(job, answer.status(), attempts.offers);
+    answer.extensions_mut().insert(stated);
     answer
 }
 
@@ -371,7 +554,10 @@
         _ => None,
     };
     if let Some(wait_ms) = wait_ms {
-        let refusal = Refusal::retryable_after(reason, wait_ms);
+        let refusal = Refusal {
+            is_local: failure == AttemptFailure::NotPlaced(PlacementError::NoPath),
+            ..Refusal::retryable_after(reason, wait_ms)
+        };
         return refuse(&job.shared, &job.facts.id, refusal, leaving);
     }
     let refusal = match full {
@@ -383,6 +569,7 @@
                 drain_rate.map(|drain_rate| drain_rate.retry_after_ms(draw, Clock.now_ms()));
             Refusal {
                 retry_after_ms: wait_ms,
+                is_local: false,
                 ..Refusal::retryable(reason)
             }
         }
--- a/crates/sapphiretrack-router/src/endpoints.rs
+++ b/crates/sapphiretrack-router/src/endpoints.rs
@@ -137,7 +137,7 @@
     let own_proof = shared.configuration_proof();
     let peers = shared.peers();
     let mut ready = peers.ready(own_proof, now_ms);
-    if shared.state() == RouterState::Ready && !peers.is_own_behind(own_proof, now_ms) {
+    if shared.advertised_state() == RouterState::Ready && !peers.is_own_behind(own_proof, now_ms) {
         ready.push((&settings.zone, settings.caller_address));
     }
     // If no router is ready, because none accepts keys, this one still serves routes that need
@@ -172,6 +172,7 @@
     }
     GaugeValues {
         servers_age_ms: servers_age_ms.map_or(-1, |age| age as i64),
+        is_server_path_lost: shared.server_paths.is_lost(),
         server_requests: loads.values().sum(),
         busiest_server_requests: loads.values().copied().max().unwrap_or(0),
         configuration_version: configuration.as_ref().map_or(0, |one| one.version),
--- a/crates/sapphiretrack-router/src/events.rs
+++ b/crates/sapphiretrack-router/src/events.rs
@@ -89,6 +89,10 @@
     SERVERS_REPORTED_GONE = 633, Info, "backend servers reported gone";
     /// A backend server asked this router for a pause.
     SERVER_PAUSED = 634, Info, "backend server asked for a pause";
+    /// This router opens no connection to any backend server.
+    SERVER_PATH_LOST = 635, Warn, "path to backend servers lost";
+    /// This router opens connections to backend servers again.
+    SERVER_PATH_RESTORED = 636, Info, "path to backend servers restored";
     /// Another router was discovered, came back or changed its state.
     PEER_CHANGED = 630, Info, "router discovered or changed";
     /// Another router's heartbeats stopped.
@@ -107,6 +111,10 @@
     FAILED = 644, Warn, "request failed";
     /// The caller disconnected before its answer was complete.
     CALLER_DISCONNECTED = 645, Info, "caller disconnected";
+    /// A request was passed to another router, as this one does not reach a backend server for it.
+    RELAYED = 647, Info, "request passed to another router";
+    /// Another router declined or failed a request that was passed to it.
+    RELAY_FAILED = 648, Info, "request not served by another router";
     /// A backend server terminated unexpectedly while it ran requests.
     SERVER_CRASHED = 650, Warn, "backend server crashed";
     /// A request ran on two servers that crashed.
--- a/crates/sapphiretrack-router/src/job.rs
+++ b/crates/sapphiretrack-router/src/job.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::events::{Event, note};
 use crate::metrics::RequestLabels;
+use crate::peer_hop::HopRequest;
 use crate::ports::Interface;
 use crate::shared::Shared;
 
@@ -52,6 +53,8 @@
     pub(crate) expires_ms: u64,
     /// Whether its outcome was recorded.
     pub(crate) has_ended: AtomicBool,
+    /// What the router stated that passed it on; none for a request of a caller.
+    pub(crate) hop: Option<HopRequest>,
     /// Counts the request as in flight until it is dropped.
     pub(crate) _in_flight: InFlight,
     /// Accounts for the memory of the body until it is dropped.
--- a/crates/sapphiretrack-router/src/late_answer.rs
+++ b/crates/sapphiretrack-router/src/late_answer.rs
@@ -6,8 +6,8 @@
 use sapphiretrack_routing::ServerEntry;
 use tokio::time::timeout;
 
+use crate::connection_pool::SentRequest;
 use crate::job::Job;
-use crate::server_pool::SentRequest;
 use crate::stated_availability::record_stated_availability;
 
 /// How long after the caller's deadline the head of an answer is still read.
--- a/crates/sapphiretrack-router/src/listing_updates.rs
+++ b/crates/sapphiretrack-router/src/listing_updates.rs
@@ -232,6 +232,7 @@
     shared.cold_servers.retain_listed(&listed);
     shared.ended_servers.retain_listed(&listed);
     shared.stated_availability.retain_listed(&listed);
+    shared.server_paths.apply_listed(shared, &listed);
 }
 
 /// Logs a record that its listing cannot use.
--- a/crates/sapphiretrack-router/src/metrics.rs
+++ b/crates/sapphiretrack-router/src/metrics.rs
@@ -46,6 +46,7 @@
     refusals: Family<ReasonLabels, Counter>,
     failures: Family<ReasonLabels, Counter>,
     repeats: Family<ReasonLabels, Counter>,
+    relays: Family<ReasonLabels, Counter>,
     store_calls: Family<StoreCallLabels, Counter>,
     placements: Family<ReasonLabels, Counter>,
     dropped_lines: Counter,
@@ -56,6 +57,7 @@
     cold_servers: Gauge,
     paused_servers: Gauge,
     evacuated_zones: Gauge,
+    server_path_lost: Gauge,
     server_requests: Gauge,
     busiest_server_requests: Gauge,
     ready_peers: Gauge,
@@ -80,6 +82,8 @@
     pub(crate) paused_servers: usize,
     /// Availability zones that are evacuated.
     pub(crate) evacuated_zones: usize,
+    /// Whether this router opens no connection to any backend server.
+    pub(crate) is_server_path_lost: bool,
     /// Requests of all routers at backend servers, as estimated from the reported loads.
     pub(crate) server_requests: u32,
     /// The same at the busiest server.
@@ -105,6 +109,7 @@
             refusals: Family::default(),
             failures: Family::default(),
             repeats: Family::default(),
+            relays: Family::default(),
             store_calls: Family::default(),
             placements: Family::default(),
             dropped_lines: Counter::default(),
@@ -115,6 +120,7 @@
             cold_servers: Gauge::default(),
             paused_servers: Gauge::default(),
             evacuated_zones: Gauge::default(),
+            server_path_lost: Gauge::default(),
             server_requests: Gauge::default(),
             busiest_server_requests: Gauge::default(),
             ready_peers: Gauge::default(),
@@ -176,6 +182,11 @@
         self.repeats.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    /// Counts a request that was passed to another router, by its outcome.
+    pub(crate) fn count_relay(&self, reason: &'static str) {
+        self.relays.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
     /// Counts a call to the store.
     pub(crate) fn count_store_call(&self, listing: &'static str, reason: &'static str) {
         let labels = StoreCallLabels { listing, reason };
@@ -200,6 +211,8 @@
         self.cold_servers.set(gauges.cold_servers as i64);
         self.paused_servers.set(gauges.paused_servers as i64);
         self.evacuated_zones.set(gauges.evacuated_zones as i64);
+        self.server_path_lost
+            .set(i64::from(gauges.is_server_path_lost));
         self.server_requests.set(i64::from(gauges.server_requests));
         let busiest = i64::from(gauges.busiest_server_requests);
         self.busiest_server_requests.set(busiest);
@@ -246,6 +259,11 @@
                 &self.failures,
             ),
             ("repeats", "Attempts beyond the first", &self.repeats),
+            (
+                "relays",
+                "Requests passed to other routers, by outcome",
+                &self.relays,
+            ),
             (
                 "placements",
                 "Placements by the state of the cache",
@@ -297,6 +315,11 @@
                 "Availability zones that are evacuated",
                 &self.evacuated_zones,
             ),
+            (
+                "server_path_lost",
+                "Whether no connection to any backend server opens",
+                &self.server_path_lost,
+            ),
             (
                 "server_requests",
                 "Requests of all routers at backend servers",
--- /dev/null
+++ b/crates/sapphiretrack-router/src/peer_hop.rs
@@ -0,0 +1,123 @@
+//! What routers tell each other about a request that one passes to another, in a header of both messages.
+
+use std::net::SocketAddr;
+
+use http::{HeaderName, HeaderValue};
+use sapphiretrack_routing::Incarnation;
+
+/// The header of a request that a router passes on, and of its answer. Only routers see it.
+pub(crate) const HOP: HeaderName = HeaderName::from_static("sapphiretrack-hop");
+
+/// What the sender states about a request that it passes on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct HopRequest {
+    /// Attempts in which the request was sent to a server so far.
+    pub(crate) offers: u32,
+    /// Attempts in which it may have run.
+    pub(crate) possible_runs: u32,
+    /// Whether the sender has charged the next attempt to the retry budget.
+    pub(crate) is_retry_reserved: bool,
+    /// The version of the sender's configuration.
+    pub(crate) configuration: u64,
+}
+
+/// How the receiver dealt with the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum HopOutcome {
+    /// The answer is a server's.
+    Answered,
+    /// It has not run, and another router would refuse it, too.
+    Refused,
+    /// It has not run, and another router may serve it.
+    Declined,
+    /// It may have run, and no server answered it.
+    Failed,
+}
+
+/// What the receiver states in its answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct HopAnswer {
+    /// How the request ended.
+    pub(crate) outcome: HopOutcome,
+    /// Attempts in which it was sent to a server, by both routers.
+    pub(crate) offers: u32,
+    /// Attempts in which it may have run, by both routers.
+    pub(crate) possible_runs: u32,
+    /// The server that answered.
+    pub(crate) server: Option<Incarnation>,
+}
+
+impl HopRequest {
+    /// The value of [`HOP`].
+    pub(crate) fn to_header(self) -> HeaderValue {
+        let Self {
+            offers,
+            possible_runs,
+            is_retry_reserved,
+            configuration,
+        } = self;
+        let reserved = u8::from(is_retry_reserved);
+        header_value(format!(
+            "{offers} {possible_runs} {reserved} {configuration}"
+        ))
+    }
+
+    /// Parses the value of [`HOP`]; none if it is malformed.
+    pub(crate) fn parse(value: &HeaderValue) -> Option<Self> {
+        let [offers, possible_runs, reserved, configuration] = numbers(value.to_str().ok()?)?;
+        Some(Self {
+            offers: offers.try_into().ok()?,
+            possible_runs: possible_runs.try_into().ok()?,
+            is_retry_reserved: reserved != 0,
+            configuration,
+        })
+    }
+}
+
+impl HopAnswer {
+    /// The value of [`HOP`].
+    pub(crate) fn to_header(self) -> HeaderValue {
+        let outcome = match self.outcome {
+            HopOutcome::Answered => 0,
+            HopOutcome::Refused => 1,
+            HopOutcome::Declined => 2,
+            HopOutcome::Failed => 3,
+        };
+        let server = self.server.map_or(0, |server| server.0);
+        let (offers, possible_runs) = (self.offers, self.possible_runs);
+        header_value(format!("{outcome} {offers} {possible_runs} {server}"))
+    }
+
+    /// Parses the value of [`HOP`]; none if it is malformed.
+    pub(crate) fn parse(value: &HeaderValue) -> Option<Self> {
+        let [outcome, offers, possible_runs, server] = numbers(value.to_str().ok()?)?;
+        let outcome = match outcome {
+            0 => HopOutcome::Answered,
+            1 => HopOutcome::Refused,
+            2 => HopOutcome::Declined,
+            3 => HopOutcome::Failed,
+            _ => return None,
+        };
+        Some(Self {
+            outcome,
+            offers: offers.try_into().ok()?,
+            possible_runs: possible_runs.try_into().ok()?,
+            server: (server != 0).then_some(Incarnation(server)),
+        })
+    }
+}
+
+/// The address on which a router accepts requests of other routers: the port after the one for messages.
+pub(crate) fn hop_address(peer_address: SocketAddr) -> SocketAddr {
+    SocketAddr::new(peer_address.ip(), peer_address.port().saturating_add(1))
+}
+
+fn header_value(text: String) -> HeaderValue {
+    // Digits and spaces always form a valid header value.
+    HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
+
+fn numbers<const COUNT: usize>(text: &str) -> Option<[u64; COUNT]> {
+    let numbers: Option<Vec<u64>> = text.split(' ').map(|number| number.parse().ok()).collect();
+    numbers?.try_into().ok()
+}
--- /dev/null
+++ b/crates/sapphiretrack-router/src/peer_hops.rs
@@ -0,0 +1,369 @@
+//! Passes requests to other routers, where this one does not reach a backend server for them.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, Version, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use rand::seq::IndexedRandom;
+use sapphiretrack_routing::{Distance, Incarnation};
+use tokio::net::TcpSocket;
+use tokio::time::timeout;
+
+use crate::answer::{AnswerBody, full_body};
+use crate::attempt::{AttemptFailure, AttemptTarget, ServerAnswer};
+use crate::clock::Clock;
+use crate::connection_pool::{Connection, ConnectionPool};
+use crate::events::{Event, note};
+use crate::job::Job;
+use crate::lock::lock;
+use crate::peer_hop::{HOP, HopAnswer, HopOutcome, HopRequest, hop_address};
+use crate::ports::ConnectServer;
+use crate::shared::Shared;
+use crate::stated_availability::record_stated_availability;
+
+/// How long a router that declined a request, or was not reached, gets no others.
+const AVOIDED_MS: u64 = 1_000;
+/// Routers of this router's availability zone, and of all zones, that are compared for a request.
+const COMPARED: usize = 2;
+/// By how many requests a router of another zone may have less of this router's than one of its own.
+const OTHER_ZONE_REQUESTS: u32 = 4;
+/// The most connections to one router.
+const MAX_CONNECTIONS: u32 = 256;
+/// The part of a request's time that is kept back for the way between the routers.
+const HOP_MS: u64 = 10;
+/// The interval at which a request is moved away from a router that is gone, if it may be.
+const LIVENESS_INTERVAL: Duration = Duration::from_millis(500);
+/// The time limit for reading the body of a refusal.
+const REFUSAL_BODY_LIMIT: Duration = Duration::from_millis(100);
+/// The longest body of a refusal that is passed on.
+const MAX_REFUSAL_BODY_BYTES: usize = 16 * 1024;
+
+/// The routers that requests are passed to.
+pub(crate) struct PeerHopTable {
+    peers: Mutex<HashMap<SocketAddr, PeerHop>>,
+    pool: ConnectionPool<SocketAddr>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerHop {
+    in_flight: u32,
+    avoided_until_ms: u64,
+}
+
+/// A router that a request is passed to. The request counts as in flight there until this is dropped.
+pub(crate) struct PeerSlot {
+    /// The address on which it accepts requests of other routers.
+    pub(crate) address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+/// How an attempt at another router ended.
+pub(crate) enum HopResult {
+    /// A server answered.
+    Answered(Box<ServerAnswer>, HopAnswer),
+    /// It has not run, and no router would serve it now: the router's refusal.
+    Refused(Response<AnswerBody>),
+    /// It has not run; another router may serve it. Holds the router's statement, if it made one.
+    Declined(Option<HopAnswer>),
+    /// It may have run.
+    Failed(AttemptFailure, Option<HopAnswer>),
+}
+
+impl PeerHopTable {
+    /// The table of a router with this IP address, which the others know it by.
+    pub(crate) fn new(own_ip: IpAddr) -> Self {
+        let open: ConnectServer = Arc::new(move |address| {
+            Box::pin(async move {
+                let socket = match address {
+                    SocketAddr::V4(_) => TcpSocket::new_v4(),
+                    SocketAddr::V6(_) => TcpSocket::new_v6(),
+                }?;
+                socket.bind(SocketAddr::new(own_ip, 0))?;
+                socket.connect(address).await
+            })
+        });
+        Self {
+            peers: Mutex::default(),
+            pool: ConnectionPool::new(open),
+        }
+    }
+
+    /// Chooses a router for a request that the `tried` ones did not serve.
+    pub(crate) fn choose(shared: &Arc<Shared>, tried: &[SocketAddr]) -> Option<PeerSlot> {
+        let (settings, now_ms) = (shared.settings(), Clock.now_ms());
+        let own_proof = shared.configuration_proof();
+        let mut hops = lock(&shared.peer_hops.peers);
+        let candidates: Vec<(bool, SocketAddr)> = {
+            let peers = shared.peers();
+            let ready = peers.ready_for_requests(own_proof, now_ms).into_iter();
+            let candidates = ready.map(|(zone, address)| {
+                let is_near = settings.distance(&settings.zone, zone) == Distance::SameZone;
+                (is_near, hop_address(address))
+            });
+            let is_usable = |address: &SocketAddr| {
+                let hop = hops.get(address);
+                !tried.contains(address) && hop.is_none_or(|hop| now_ms >= hop.avoided_until_ms)
+            };
+            candidates
+                .filter(|(_, address)| is_usable(address))
+                .collect()
+        };
+        let near: Vec<_> = candidates.iter().filter(|(is_near, _)| *is_near).collect();
+        let random = &mut rand::rng();
+        let near = near.sample(random, COMPARED).copied();
+        let compared: Vec<_> = near.chain(candidates.sample(random, COMPARED)).collect();
+        let cost = |(is_near, address): &&(bool, SocketAddr)| {
+            let in_flight = hops.get(address).map_or(0, |hop| hop.in_flight);
+            in_flight + if *is_near { 0 } else { OTHER_ZONE_REQUESTS }
+        };
+        let (_, address) = *compared.into_iter().min_by_key(cost)?;
+        hops.entry(address).or_default().in_flight += 1;
+        let shared = shared.clone();
+        Some(PeerSlot { address, shared })
+    }
+}
+
+impl PeerSlot {
+    /// Gives this router no requests for a while.
+    pub(crate) fn avoid(&self) {
+        let mut hops = lock(&self.shared.peer_hops.peers);
+        let hop = hops.entry(self.address).or_default();
+        hop.avoided_until_ms = Clock.now_ms() + AVOIDED_MS;
+    }
+
+    /// Whether the other router's heartbeats arrive.
+    fn is_live(&self) -> bool {
+        let peers = self.shared.peers();
+        peers.is_live_at(Clock.now_ms(), |address| {
+            hop_address(address) == self.address
+        })
+    }
+}
+
+impl Drop for PeerSlot {
+    fn drop(&mut self) {
+        let mut hops = lock(&self.shared.peer_hops.peers);
+        let now_ms = Clock.now_ms();
+        if let Some(hop) = hops.get_mut(&self.address) {
+            hop.in_flight = hop.in_flight.saturating_sub(1);
+            if hop.in_flight == 0 && now_ms >= hop.avoided_until_ms {
+                hops.remove(&self.address);
+            }
+        }
+    }
+}
+
+/// Passes a request to another router and waits for the head of the answer. `may_repeat` decides whether
+/// the request may be moved away if that router is gone.
+pub(crate) async fn send_to_peer<MayRepeat>(
+    job: &Job,
+    peer: PeerSlot,
+    hop: HopRequest,
+    resume_after: Option<u64>,
+    mut may_repeat: MayRepeat,
+) -> HopResult
+where
+    MayRepeat: FnMut() -> bool,
+{
+    let shared = &job.shared;
+    let connect_ms = shared.settings().times.connect_ms;
+    let mut force_new = false;
+    loop {
+        let connection = shared.peer_hops.pool.get(
+            (peer.address, peer.address),
+            MAX_CONNECTIONS,
+            connect_ms,
+            force_new,
+        );
+        let connection = match connection.await {
+            Ok(connection) => connection,
+            Err(error) => {
+                peer.avoid();
+                note_failed(job, &peer, &error.to_string());
+                return HopResult::Declined(None);
+            }
+        };
+        let left_ms = job.left_ms().saturating_sub(HOP_MS);
+        if left_ms == 0 {
+            return HopResult::Failed(AttemptFailure::NoTimeLeft, None);
+        }
+        if job.is_log_sampled {
+            note!(
+                Event::RELAYED,
+                id = job.facts.id,
+                service = job.service,
+                peer = peer.address,
+                offers = hop.offers,
+                left_ms = left_ms,
+            );
+        }
+        let mut sending = Box::pin(connection.send(hop_request(job, hop, resume_after, left_ms)));
+        let sent = loop {
+            let left = Duration::from_millis(job.left_ms().max(1));
+            if let Ok(sent) = timeout(left.min(LIVENESS_INTERVAL), &mut sending).await {
+                break sent;
+            }
+            if job.left_ms() == 0 || !peer.is_live() && may_repeat() {
+                note_failed(job, &peer, "no-answer");
+                return HopResult::Failed(AttemptFailure::TimedOut("no-answer"), None);
+            }
+        };
+        let (connection, answer) = sent;
+        return match answer {
+            Ok(answer) => read_head(job, peer, connection, answer).await,
+            Err(mut error) => {
+                let was_not_sent = error.take_message().is_some();
+                if was_not_sent && connection.is_reused && !force_new {
+                    force_new = true;
+                    continue;
+                }
+                peer.avoid();
+                note_failed(job, &peer, "connection-broke");
+                match was_not_sent {
+                    true => HopResult::Declined(None),
+                    false => {
+                        HopResult::Failed(AttemptFailure::ConnectionLost("connection-broke"), None)
+                    }
+                }
+            }
+        };
+    }
+}
+
+fn note_failed(job: &Job, peer: &PeerSlot, reason: &str) {
+    job.shared.metrics.count_relay("failed");
+    note!(
+        Event::RELAY_FAILED,
+        id = job.facts.id,
+        peer = peer.address,
+        reason = reason,
+    );
+}
+
+/// Reads what the other router states about the request. Without a statement the answer is not a
+/// router's, or that of a release that cannot serve requests of others.
+async fn read_head(
+    job: &Job,
+    peer: PeerSlot,
+    connection: Connection,
+    answer: Response<Incoming>,
+) -> HopResult {
+    let (mut head, body) = answer.into_parts();
+    let stated = head.headers.remove(HOP);
+    let Some(stated) = stated.as_ref().and_then(HopAnswer::parse) else {
+        peer.avoid();
+        note_failed(job, &peer, "not-a-router");
+        return HopResult::Failed(AttemptFailure::MayHaveRun("not-a-router"), None);
+    };
+    let facts = (job.interface.read_answer)(&head);
+    if stated.outcome == HopOutcome::Answered {
+        if facts.request_id.as_deref() != Some(&*job.facts.id) {
+            note_failed(job, &peer, "answer-of-another-request");
+            let failure = AttemptFailure::MayHaveRun("answer-of-another-request");
+            return HopResult::Failed(failure, Some(stated));
+        }
+        if facts.availability.is_leaving {
+            record_leaving(job, stated.server);
+        }
+        job.shared.metrics.count_relay("answered");
+        let answer = ServerAnswer {
+            head,
+            facts,
+            body,
+            connection,
+            target: AttemptTarget::Peer(peer),
+        };
+        return HopResult::Answered(Box::new(answer), stated);
+    }
+    let read = Limited::new(body, MAX_REFUSAL_BODY_BYTES).collect();
+    let body = match timeout(REFUSAL_BODY_LIMIT, read).await {
+        Ok(Ok(body)) => {
+            connection.return_to_pool(None);
+            body.to_bytes()
+        }
+        _ => Bytes::new(),
+    };
+    let reason = String::from_utf8_lossy(&body).into_owned();
+    match stated.outcome {
+        HopOutcome::Answered | HopOutcome::Failed => {
+            note_failed(job, &peer, &reason);
+            let failure = match head.status {
+                StatusCode::GATEWAY_TIMEOUT => AttemptFailure::TimedOut("router-timed-out"),
+                _ => AttemptFailure::MayHaveRun("router-failed"),
+            };
+            HopResult::Failed(failure, Some(stated))
+        }
+        HopOutcome::Declined => {
+            peer.avoid();
+            job.shared.metrics.count_relay("declined");
+            note!(
+                Event::RELAY_FAILED,
+                id = job.facts.id,
+                peer = peer.address,
+                reason = reason,
+            );
+            HopResult::Declined(Some(stated))
+        }
+        HopOutcome::Refused => {
+            job.shared.metrics.count_relay("refused");
+            let mut refusal = Response::new(full_body(body));
+            *refusal.status_mut() = head.status;
+            for name in [header::CONTENT_TYPE, header::RETRY_AFTER] {
+                if let Some(value) = head.headers.get(&name) {
+                    refusal.headers_mut().insert(name, value.clone());
+                }
+            }
+            note!(
+                Event::REFUSED,
+                id = job.facts.id,
+                status = head.status.as_u16(),
+                reason = reason,
+                peer = peer.address,
+            );
+            HopResult::Refused(refusal)
+        }
+    }
+}
+
+/// Records that the server which answered through another router stated that it leaves: it concerns
+/// this router, too, since the caller has seen the statement in this router's answer.
+fn record_leaving(job: &Job, server: Option<Incarnation>) {
+    let services = job.shared.servers.load();
+    let mut servers = services.values().flatten();
+    let Some(server) = servers.find(|one| Some(one.incarnation) == server) else {
+        return;
+    };
+    let stated = crate::ports::StatedAvailability {
+        is_leaving: true,
+        pause_ms: None,
+    };
+    record_stated_availability(&job.shared, server, stated, &job.facts.id);
+}
+
+/// Builds the request for the other router: the caller's own, with the time that is left.
+fn hop_request(
+    job: &Job,
+    hop: HopRequest,
+    resume_after: Option<u64>,
+    left_ms: u64,
+) -> Request<Full<Bytes>> {
+    let mut headers = job.headers.clone();
+    (job.interface.write_hop)(&mut headers, left_ms, resume_after);
+    headers.insert(HOP, hop.to_header());
+    if !headers.contains_key(header::HOST)
+        && let Ok(host) = HeaderValue::from_str(&job.facts.host)
+    {
+        headers.insert(header::HOST, host);
+    }
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = headers;
+    request
+}
--- a/crates/sapphiretrack-router/src/peer_messages.rs
+++ b/crates/sapphiretrack-router/src/peer_messages.rs
@@ -97,7 +97,7 @@
             cpu_millicores: settings.cpu_millicores,
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
-            state: shared.state(),
+            state: shared.advertised_state(),
             loads: shared.own_loads(),
             has_prefixes: shared.prefix_recovery().has_prefixes(now_ms),
             sent: SentPrompts {
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -34,6 +34,9 @@
     prefill_tokens: u64,
 }
 
+/// The retry delay while no router reaches a server: two rounds of probes.
+const NO_PATH_RETRY_MS: u64 = 500;
+
 /// Why a request could not be placed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum PlacementError {
@@ -45,6 +48,8 @@
     AllTried,
     /// No server may get the request, for the reason that applies to the last of them.
     Excluded(Exclusion),
+    /// No connection to any of the servers is expected to open.
+    NoPath,
     /// Only cold servers are left, and this router may send none of them a request for a number of
     /// milliseconds.
     OnlyCold(u64),
@@ -61,6 +66,7 @@
             Self::AllFull => "servers-full",
             Self::AllTried => "servers-tried",
             Self::Excluded(exclusion) => exclusion.as_str(),
+            Self::NoPath => "no-path",
             Self::OnlyCold(_) => "servers-cold",
             Self::OnlyPaused(_) => "servers-paused",
         }
@@ -70,6 +76,7 @@
     pub(crate) fn wait_ms(self) -> Option<u64> {
         match self {
             Self::OnlyCold(wait_ms) | Self::OnlyPaused(wait_ms) => Some(wait_ms),
+            Self::NoPath => Some(NO_PATH_RETRY_MS),
             Self::NoneListed | Self::AllFull | Self::AllTried | Self::Excluded(_) => None,
         }
     }
@@ -150,6 +157,9 @@
     pub(crate) tried: &'a [Incarnation],
     /// The regions that its route and its tenant allow; all if empty.
     pub(crate) allowed_regions: [&'a [String]; 2],
+    /// Whether servers are tried to which no connection is expected to open, unless all of them have
+    /// just failed.
+    pub(crate) tries_unreachable: bool,
 }
 
 /// Chooses a server for a request and adds the request's load to it.
@@ -164,12 +174,14 @@
     let check = EligibilityCheck::new(shared, request);
     if check.allows_all() {
         drop(check);
+        check_reachable(shared, request, listed)?;
         return place_on(shared, request, listed, &HashSet::new(), &[]);
     }
     let eligible = check.into_eligible(listed);
     if eligible.servers.is_empty() {
         return Err(eligible.error());
     }
+    check_reachable(shared, request, &eligible.servers)?;
     let EligibleServers {
         servers,
         cold,
@@ -179,6 +191,31 @@
     place_on(shared, request, servers, cold, others)
 }
 
+/// Fails if no connection to any of these servers is expected to open.
+fn check_reachable(
+    shared: &Shared,
+    request: PlacementRequest<'_>,
+    servers: &[Arc<ServerEntry>],
+) -> Result<(), PlacementError> {
+    let paths = &shared.server_paths;
+    let is_worth_trying = match request.tries_unreachable {
+        true => !paths.have_all_failed(servers),
+        false => paths.reachable_count(servers) > 0,
+    };
+    if is_worth_trying {
+        return Ok(());
+    }
+    shared.server_paths.want_probes(servers);
+    Err(PlacementError::NoPath)
+}
+
+/// Whether a connection to some of the servers that may get a request is not expected to open.
+pub(crate) fn has_unreachable(shared: &Shared, request: PlacementRequest<'_>) -> bool {
+    let servers = shared.servers.load();
+    let listed = servers.get(&request.service.name);
+    listed.is_some_and(|listed| shared.server_paths.reachable_count(listed) < listed.len())
+}
+
 /// The time until some server may get a request, if none may get it now and that time is known.
 pub(crate) fn wait_for_server_ms(shared: &Shared, request: PlacementRequest<'_>) -> Option<u64> {
     let servers = shared.servers.load();
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -25,6 +25,9 @@
     pub read_request: fn(&RequestParts) -> Result<RequestFacts, BadRequest>,
     /// Changes a caller's headers into those of an attempt.
     pub write_attempt: fn(&mut HeaderMap, &AttemptHeaders<'_>),
+    /// Changes a caller's headers into those for another router that serves the request: how long the
+    /// caller still waits, in milliseconds, and the id of the last event that it has.
+    pub write_hop: fn(&mut HeaderMap, u64, Option<u64>),
     /// Reads the facts of a backend server's answer.
     pub read_answer: fn(&ResponseParts) -> AnswerFacts,
     /// Parses a caller's lookup of router addresses; none for any other path.
--- a/crates/sapphiretrack-router/src/refusal.rs
+++ b/crates/sapphiretrack-router/src/refusal.rs
@@ -5,6 +5,7 @@
 
 use crate::answer::{AnswerBody, generated_answer};
 use crate::events::{Event, note};
+use crate::peer_hop::{HopAnswer, HopOutcome};
 use crate::shared::Shared;
 
 /// The least retry delay when another router may be able to serve the request. It is short because
@@ -21,6 +22,8 @@
     pub(crate) reason: &'static str,
     /// How long the caller should wait before it retries; none if a retry cannot help.
     pub(crate) retry_after_ms: Option<u64>,
+    /// Whether another router may serve the request now.
+    pub(crate) is_local: bool,
 }
 
 impl Refusal {
@@ -31,6 +34,7 @@
             status: StatusCode::SERVICE_UNAVAILABLE,
             reason,
             retry_after_ms: Some(RETRY_DELAY_MS + spread_ms),
+            is_local: true,
         }
     }
 
@@ -41,6 +45,7 @@
         let retryable = Self::retryable(reason);
         Self {
             retry_after_ms: retryable.retry_after_ms.max(Some(wait_ms + spread_ms)),
+            is_local: false,
             ..retryable
         }
     }
@@ -51,6 +56,7 @@
             status,
             reason,
             retry_after_ms: None,
+            is_local: false,
         }
     }
 }
@@ -76,5 +82,14 @@
         let close = header::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
     }
+    answer.extensions_mut().insert(HopAnswer {
+        outcome: match refusal.is_local {
+            true => HopOutcome::Declined,
+            false => HopOutcome::Refused,
+        },
+        offers: 0,
+        possible_runs: 0,
+        server: None,
+    });
     answer
 }
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -39,16 +39,16 @@
 pub(crate) async fn buffered_answer(
     job: &Arc<Job>,
     answer: ServerAnswer,
-    attempts: &Attempts,
+    offers: u32,
 ) -> Result<ReadAnswer, AttemptFailure> {
     let ServerAnswer {
         head,
         facts,
         mut body,
         connection,
-        mut placement,
+        mut target,
     } = answer;
-    placement.record_progress();
+    target.record_progress();
     let mut bytes = BytesMut::new();
     loop {
         let frame = timeout(Duration::from_millis(job.left_ms()), body.frame()).await;
@@ -65,7 +65,7 @@
                     facts,
                     body,
                     connection,
-                    placement,
+                    target,
                 };
                 let answer = streamed_answer(job.clone(), rest, bytes.freeze());
                 return Ok(ReadAnswer::Final(answer));
@@ -74,17 +74,17 @@
             Ok(Some(Err(_))) => AttemptFailure::ConnectionLost("answer-broke-off"),
             Err(_) => AttemptFailure::TimedOut("answer-not-whole"),
         };
-        failure.record(job, &placement);
+        target.record_failure(job, failure);
         return Err(failure);
     }
     connection.return_to_pool(facts.keep_alive_s);
     let failed = head.status.is_server_error();
-    placement.record_outcome(failed);
+    target.record_outcome(failed);
     let answer = Response::from_parts(caller_head(job, head), full_body(bytes.freeze()));
     if failed {
         return Ok(ReadAnswer::ServerError(answer));
     }
-    record_answered(job, answer.status(), attempts.offers);
+    record_answered(job, answer.status(), offers);
     Ok(ReadAnswer::Final(answer))
 }
 
@@ -105,11 +105,11 @@
                     head,
                     facts,
                     connection,
-                    placement,
+                    target,
                     ..
                 } = answer.take()?;
                 connection.return_to_pool(facts.keep_alive_s);
-                placement.record_outcome(head.status.is_server_error());
+                target.record_outcome(head.status.is_server_error());
                 record_answered(&job, head.status, 1);
                 None
             }
@@ -118,7 +118,7 @@
                     Err(_) => AttemptFailure::TimedOut("answer-not-whole"),
                     _ => AttemptFailure::ConnectionLost("answer-broke-off"),
                 };
-                failure.record(&job, &answer?.placement);
+                answer?.target.record_failure(&job, failure);
                 let truncated = fail_truncated(&job, failure.as_str());
                 Some((Err(truncated), (job, None, None)))
             }
@@ -217,7 +217,7 @@
         let frame = timeout(left, answer.body.frame()).await;
         match frame {
             Ok(Some(Ok(frame))) => {
-                answer.placement.record_progress();
+                answer.target.record_progress();
                 self.record_pause();
                 if let Some(data) = frame.data_ref() {
                     self.splitter.push(data);
@@ -243,7 +243,7 @@
             return;
         };
         answer.connection.return_to_pool(answer.facts.keep_alive_s);
-        answer.placement.record_outcome(false);
+        answer.target.record_outcome(false);
         let times = StreamTimes {
             first_ms: self.first_ms.unwrap_or(0),
             longest_pause_ms: self.longest_pause_ms,
@@ -256,7 +256,7 @@
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
         // Dropping the answer closes its connection: the first server stops before the next starts.
         if let Some(answer) = self.answer.take() {
-            failure.record(&self.job, &answer.placement);
+            answer.target.record_failure(&self.job, failure);
         }
         self.attempts.note_connection_loss(failure);
         if !self.job.may_retry(&self.attempts, failure) {
--- /dev/null
+++ b/crates/sapphiretrack-router/src/relayed_requests.rs
@@ -0,0 +1,131 @@
+//! Serves requests that other routers pass to this one, as they do not reach the backend servers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use sapphiretrack_routing::RouterState;
+use tokio::net::TcpListener;
+
+use crate::answer::{AnswerBody, generated_answer};
+use crate::caller_listener::{BODY_BUFFER_BYTES, accept_next};
+use crate::connect::enable_dead_peer_detection;
+use crate::dispatch::answer_request;
+use crate::events::{Event, note};
+use crate::peer_hop::{HOP, HopAnswer, HopOutcome, HopRequest};
+use crate::ports::Interface;
+use crate::refusal::{Refusal, refuse};
+use crate::shared::Shared;
+
+/// The most requests of other routers that are served at a time, so that they leave room for this
+/// router's own callers while most routers of an availability zone have no path.
+const MAX_IN_FLIGHT: u32 = 256;
+/// How long a connection may idle: longer than the other routers keep them.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Serves the requests of other routers until the process ends. Connections from other addresses are
+/// closed.
+pub(crate) async fn serve_routers(
+    shared: Arc<Shared>,
+    interface: Interface,
+    listener: TcpListener,
+) {
+    let in_flight = Arc::new(AtomicU32::new(0));
+    loop {
+        let stream = accept_next(&listener).await;
+        let is_router = stream
+            .peer_addr()
+            .is_ok_and(|from| shared.peers().is_known_ip(from.ip()));
+        let set_up = enable_dead_peer_detection(&stream);
+        if !is_router || set_up.is_err() {
+            let reason = if is_router { "closed" } else { "not a router" };
+            note!(Event::ACCEPT_FAILED, error = reason);
+            continue;
+        }
+        let limits = shared.configuration.load();
+        let limits = limits.as_ref().map(|one| one.limits.clone());
+        let limits = limits.unwrap_or_default();
+        let (shared, in_flight) = (shared.clone(), in_flight.clone());
+        let answer = service_fn(move |request| {
+            let answer = serve(shared.clone(), interface, request, in_flight.clone());
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(IDLE_TIMEOUT)
+            .max_buf_size(limits.header_bytes + BODY_BUFFER_BYTES)
+            .serve_connection(TokioIo::new(stream), answer);
+        // The log line of each request says how it ended.
+        tokio::spawn(async move { drop(connection.await) });
+    }
+}
+
+/// Counts a request of another router until the head of its answer is sent.
+struct Counted(Arc<AtomicU32>);
+
+impl Counted {
+    fn new(in_flight: &Arc<AtomicU32>) -> (Self, u32) {
+        let before = in_flight.fetch_add(1, Ordering::Relaxed);
+        (Self(in_flight.clone()), before)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(
+    shared: Arc<Shared>,
+    interface: Interface,
+    mut request: Request<Incoming>,
+    in_flight: Arc<AtomicU32>,
+) -> Response<AnswerBody> {
+    let (_counted, others) = Counted::new(&in_flight);
+    let stated = request.headers_mut().remove(HOP);
+    let Some(hop) = stated.as_ref().and_then(HopRequest::parse) else {
+        return generated_answer(StatusCode::BAD_REQUEST, "not-passed-on", None);
+    };
+    let mut answer = match decline_reason(&shared, &hop, others) {
+        Some(reason) => {
+            let leaving = shared.activity.leaving_for_ms().is_some();
+            let id = (interface.read_request)(&request.into_parts().0);
+            let id = id.map(|facts| facts.id).unwrap_or_default();
+            refuse(&shared, &id, Refusal::retryable(reason), leaving)
+        }
+        None => answer_request(shared, interface, request, Some(hop)).await,
+    };
+    // An answer without a statement is one of this router's own that says nothing of its request.
+    let stated = answer.extensions_mut().remove::<HopAnswer>();
+    let stated = stated.unwrap_or(HopAnswer {
+        outcome: HopOutcome::Failed,
+        offers: hop.offers,
+        possible_runs: hop.possible_runs,
+        server: None,
+    });
+    answer.headers_mut().insert(HOP, stated.to_header());
+    answer
+}
+
+/// Why this router does not take another one's request; none if it does.
+fn decline_reason(shared: &Shared, hop: &HopRequest, others: u32) -> Option<&'static str> {
+    if shared.server_paths.is_lost() {
+        return Some("no-path");
+    }
+    if shared.state() != RouterState::Ready {
+        return Some("router-not-ready");
+    }
+    if others >= MAX_IN_FLIGHT {
+        return Some("router-busy");
+    }
+    let configuration = shared.configuration.load();
+    let version = configuration.as_ref().map_or(0, |one| one.version);
+    (version < hop.configuration).then_some("configuration-older")
+}
--- a/crates/sapphiretrack-router/src/router.rs
+++ b/crates/sapphiretrack-router/src/router.rs
@@ -20,9 +20,12 @@
 use crate::events::{Event, note};
 use crate::listing_updates::{watch_configuration, watch_servers};
 use crate::load_exchange::{collect_loads, report_loads};
+use crate::peer_hop::hop_address;
 use crate::peer_messages::{advertise_listings, receive_messages, send_heartbeats};
 use crate::ports::{Interface, Ports, ReadSettings};
 use crate::prefix_recovery::recover_prefixes;
+use crate::relayed_requests::serve_routers;
+use crate::server_paths::{probe_lost_servers, watch_silent_servers};
 use crate::settings::RouterSettings;
 use crate::shared::Shared;
 use crate::snapshots::serve_snapshots;
@@ -68,9 +71,11 @@
     let control = runtime()?;
     let traffic = runtime()?;
     // The router listens before the control thread can report it as ready.
-    let callers = {
+    let (callers, routers) = {
         let _guard = traffic.enter();
-        listen(shared.settings().caller_address)?
+        let settings = shared.settings();
+        let hop_address = hop_address(settings.peer_address);
+        (listen(settings.caller_address)?, listen(hop_address)?)
     };
     {
         let shared = shared.clone();
@@ -81,7 +86,7 @@
             }
         });
     }
-    traffic.block_on(run_traffic(shared, interface, callers))
+    traffic.block_on(run_traffic(shared, interface, callers, routers))
 }
 
 async fn run_control(
@@ -179,8 +184,12 @@
     shared: Arc<Shared>,
     interface: Interface,
     callers: TcpListener,
+    routers: TcpListener,
 ) -> Result<(), RunError> {
     tokio::spawn(serve_callers(shared.clone(), interface, callers));
+    tokio::spawn(serve_routers(shared.clone(), interface, routers));
+    tokio::spawn(probe_lost_servers(shared.clone()));
+    tokio::spawn(watch_silent_servers(shared.clone()));
     let times = StopTimes {
         grace_ms: shared.settings().grace_ms,
     };
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -24,7 +24,8 @@
     pub ready_address: SocketAddr,
     /// The address on which callers look up router addresses; none if lookups are not served.
     pub lookup_address: Option<SocketAddr>,
-    /// The address on which messages of other routers are received.
+    /// The address on which messages of other routers are received. Requests that they pass on are
+    /// received on the next port.
     pub peer_address: SocketAddr,
     /// The address on which metrics are served; none if they are not.
     pub metrics_address: Option<SocketAddr>,
--- a/crates/sapphiretrack-router/src/shared.rs
+++ b/crates/sapphiretrack-router/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::activity::Activity;
 use crate::clock::Clock;
 use crate::cold_servers::ColdServerTable;
+use crate::connection_pool::ConnectionPool;
 use crate::crashes::{StoredBlocks, SuspectedServers};
 use crate::draining_servers::DrainingServers;
 use crate::ended_servers::EndedServerTable;
@@ -26,8 +27,9 @@
 use crate::load_exchange::LoadExchange;
 use crate::lock::lock;
 use crate::metrics::Metrics;
+use crate::peer_hops::PeerHopTable;
 use crate::ports::{ConnectServer, Listing, StoreError};
-use crate::server_pool::ServerPool;
+use crate::server_paths::ServerPathTable;
 use crate::settings::RouterSettings;
 use crate::snapshots::{FetchError, Fetched};
 use crate::stated_availability::StatedAvailabilityTable;
@@ -67,7 +69,11 @@
     /// Counters and histograms.
     pub(crate) metrics: Metrics,
     /// Connections to backend servers.
-    pub(crate) pool: ServerPool,
+    pub(crate) pool: ConnectionPool<Incarnation>,
+    /// Which backend servers this router reaches.
+    pub(crate) server_paths: ServerPathTable,
+    /// The routers that requests are passed to.
+    pub(crate) peer_hops: PeerHopTable,
     /// The requests in flight, and the phases of the process.
     pub(crate) activity: Arc<Activity>,
     /// Notified when this router's advertised state may have changed.
@@ -166,6 +172,7 @@
         let (relayed, relayed_queue) = mpsc::channel(MAX_QUEUED_CHANGES);
         let mut prefix_index = PrefixIndex::default();
         prefix_index.set_settings(settings.warm);
+        let peer_hops = PeerHopTable::new(settings.peer_address.ip());
         let recovery = PrefixRecovery::new(settings.is_first_start, Clock.now_ms());
         Self {
             settings: ArcSwap::from_pointee(settings),
@@ -181,7 +188,9 @@
             is_discovered: AtomicBool::new(false),
             has_server_list: AtomicBool::new(false),
             metrics: Metrics::new(),
-            pool: ServerPool::new(connect_server),
+            pool: ConnectionPool::new(connect_server),
+            server_paths: ServerPathTable::default(),
+            peer_hops,
             activity: Arc::new(Activity::new()),
             state_changed: Notify::new(),
             listings_read: Notify::new(),
@@ -519,7 +528,16 @@
         state.is_usable(Clock.now_ms(), bound_ms)
     }
 
-    /// The state that this router advertises.
+    /// The state that this router advertises to the others: without a path to the servers it is ready
+    /// for the callers that it has, and gets no others.
+    pub(crate) fn advertised_state(&self) -> RouterState {
+        match self.state() {
+            RouterState::Ready if self.server_paths.is_lost() => RouterState::NotReady,
+            state => state,
+        }
+    }
+
+    /// The state of this router.
     pub(crate) fn state(&self) -> RouterState {
         if self.activity.leaving_for_ms().is_some() {
             return RouterState::Leaving;
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -31,6 +31,7 @@
 mod server_cache;
 mod server_health;
 mod server_list;
+mod server_paths;
 mod server_pauses;
 mod stop;
 mod watch_state;
@@ -76,6 +77,7 @@
 pub use server_list::{
     Incarnation, ListedServer, ServerChange, ServerEntry, ServerList, ServerState,
 };
+pub use server_paths::{PathChange, ServerPathSettings, ServerPaths};
 pub use server_pauses::ServerPauses;
 pub use stop::{StopPhase, StopTimes};
 pub use watch_state::{ListingAdvert, WatchAnswer, WatchState};
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use sapphiretrack_core::{RouterId, rendezvous_score, top_by_rendezvous};
 use serde::{Deserialize, Serialize};
@@ -325,16 +325,49 @@
     /// A router that has fallen behind the others will soon reject keys. Callers are kept away from
     /// it before, unless all routers have fallen behind.
     pub fn ready(&self, own_proof: Option<u64>, now_ms: u64) -> Vec<(&str, SocketAddr)> {
-        let live = self.peers.values().filter(|peer| {
+        let ready = self.ready_peers(own_proof, now_ms);
+        let ready = ready.map(|peer| (peer.heartbeat.zone.as_str(), peer.heartbeat.caller_address));
+        ready.collect()
+    }
+
+    /// Returns the availability zone and address for messages of the routers that this one may pass
+    /// requests to.
+    pub fn ready_for_requests(
+        &self,
+        own_proof: Option<u64>,
+        now_ms: u64,
+    ) -> Vec<(&str, SocketAddr)> {
+        let ready = self.ready_peers(own_proof, now_ms);
+        let ready = ready.map(|peer| (peer.heartbeat.zone.as_str(), peer.heartbeat.peer_address));
+        ready.collect()
+    }
+
+    fn ready_peers(&self, own_proof: Option<u64>, now_ms: u64) -> impl Iterator<Item = &Peer> {
+        let live = self.peers.values().filter(move |peer| {
             peer.heartbeat.state == RouterState::Ready && self.is_live(peer, now_ms)
         });
         let newest = self.newest_proof(now_ms).max(own_proof);
-        let ready = live.filter(|peer| {
+        live.filter(move |peer| {
             let age_ms = now_ms.saturating_sub(peer.last_seen_ms);
             !Self::is_behind(peer.heartbeat.configuration.proven_store_ms, newest, age_ms)
-        });
-        let ready = ready.map(|peer| (peer.heartbeat.zone.as_str(), peer.heartbeat.caller_address));
-        ready.collect()
+        })
+    }
+
+    /// Returns whether a router with this IP address is known.
+    pub fn is_known_ip(&self, ip: IpAddr) -> bool {
+        let peers = self.peers.values();
+        let peers = peers.map(|peer| peer.heartbeat.peer_address);
+        let listed = self.listed.values().map(|(router, _)| router.address);
+        peers.chain(listed).any(|address| address.ip() == ip)
+    }
+
+    /// Returns whether the router at a matching address for messages is live.
+    pub fn is_live_at<Matches>(&self, now_ms: u64, matches: Matches) -> bool
+    where
+        Matches: Fn(SocketAddr) -> bool,
+    {
+        let mut peers = self.peers.values();
+        peers.any(|peer| matches(peer.heartbeat.peer_address) && self.is_live(peer, now_ms))
     }
 
     /// Returns whether this router has fallen behind the others.
