Blame no server for a lost path of the router itself

Others avoid a reported server for three seconds.

Cause: a refused or timed out connection was taken for a fault of the server whatever the router's other connections did. The report and the crash record now wait for the check of the router's own path and are dropped if it is lost.

--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -18,6 +18,7 @@
 use crate::job::Job;
 use crate::peer_messages::{encode, send_to_all};
 use crate::ports::{Listing, StorePort};
+use crate::server_paths::check_path;
 use crate::shared::Shared;
 use crate::watch::CallReason;
 
@@ -120,6 +121,8 @@
             break;
         }
     }
+    // A router that reaches no server at all has learned nothing about this one.
+    let has_crashed = has_crashed && !check_path(&shared, &server).await;
     let requests = shared.suspected_servers().take(server.incarnation);
     if !has_crashed {
         return;
--- a/crates/sapphiretrack-router/src/ended_servers.rs
+++ b/crates/sapphiretrack-router/src/ended_servers.rs
@@ -18,6 +18,7 @@
 use crate::events::{Event, note};
 use crate::lock::lock;
 use crate::peer_messages::{encode, send_to_all};
+use crate::server_paths::check_path;
 use crate::shared::Shared;
 
 /// The longest delay of a report. The delays are random, so that the first router to report a server
@@ -68,6 +69,10 @@
     }
 
     fn record_own(&self, shared: &Shared, server: &ServerEntry, evidence: EndEvidence) {
+        // A router that reaches no server at all has learned nothing about this one.
+        if evidence != EndEvidence::Replaced && shared.server_paths.is_lost() {
+            return;
+        }
         let settings = shared.settings();
         let report = EndReport {
             server: server.incarnation.0,
@@ -112,6 +117,19 @@
     }
 }
 
+/// Whether this router's own path is lost, after a server failed.
+async fn is_path_lost(shared: &Shared, server: Incarnation) -> bool {
+    let failed = {
+        let servers = shared.servers.load();
+        let mut servers = servers.values().flatten();
+        servers.find(|one| one.incarnation == server).cloned()
+    };
+    match failed {
+        Some(failed) => check_path(shared, &failed).await,
+        None => shared.server_paths.is_lost(),
+    }
+}
+
 /// Reports servers that are gone to the other routers, until the process ends. A lost report costs a
 /// router an attempt of its own.
 pub(crate) async fn report_ended_servers(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
@@ -121,7 +139,15 @@
         table.announced.notified().await;
         let delay_ms = rand::rng().random_range(0..=MAX_REPORT_DELAY_MS);
         sleep(Duration::from_millis(delay_ms)).await;
-        let reports = std::mem::take(&mut *lock(&table.announcements));
+        let mut reports = std::mem::take(&mut *lock(&table.announcements));
+        let unsure = reports
+            .iter()
+            .find(|one| one.evidence != EndEvidence::Replaced);
+        if let Some(report) = unsure
+            && is_path_lost(&shared, Incarnation(report.server)).await
+        {
+            reports.retain(|one| one.evidence == EndEvidence::Replaced);
+        }
         for reports in reports.chunks(MAX_REPORTS) {
             turn = turn.wrapping_add(1);
             let message = encode(&RouterMessage::EndedServers(reports.to_vec()));
