Divide the slots of brittle servers among the routers

Servers that say how many refusals in a second they endure, and fall over beyond that, got queued requests like any others: up to three times their slots, by counts of the other routers that are 100 ms old or more.

Cause: the statement was not read, and what one router sees of refusals is a fraction of what a server counts. A limit on each router's own refusals cannot keep their sum low in a fleet with more routers than the server endures refusals, so nothing is sent that may not find a free slot: the slots (and the memory of engines) are divided among the first routers by rendezvous hashing, without a message. A request that finds this router's share in use, or none, is passed to a router that has one. After a refusal all the same, a router pauses for its part of the limit. A statement counts for all servers of the service, is learned from relayed answers, too, and ends with an answer without it or after ten seconds.

--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -362,6 +362,10 @@
             ended_servers.record_replaced(shared, &placement.server);
             placement.record_unreachable();
         }
+        if !facts.wrong_server {
+            let stated = &job.shared.stated_availability;
+            stated.record_refusal(&job.shared, placement.server.incarnation);
+        }
         let read_body = Limited::new(body, MAX_REFUSAL_BODY_BYTES).collect();
         let limit = Duration::from_millis(REFUSAL_BODY_TIMEOUT_MS);
         let is_own_answer = facts.request_id.as_deref() == Some(&*job.facts.id);
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -19,7 +19,7 @@
 use crate::peer_hop::{HopAnswer, HopOutcome, HopRequest};
 use crate::peer_hops::{HopResult, PeerHopTable, send_to_peer};
 use crate::placement::{
-    Placement, PlacementError, PlacementRequest, has_unreachable, place, wait_for_server_ms,
+    Placement, PlacementError, PlacementRequest, is_room_local, place, wait_for_server_ms,
 };
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
@@ -293,7 +293,7 @@
         let is_local = match error {
             PlacementError::NoPath => true,
             PlacementError::AllFull | PlacementError::AllTried => {
-                has_unreachable(&self.shared, request)
+                is_room_local(&self.shared, request)
             }
             _ => false,
         };
@@ -308,7 +308,7 @@
         resume_after: Option<u64>,
     ) -> Option<Result<ServerAnswer, AttemptFailure>> {
         let peer = match attempts.declined_by.len() < MAX_DECLINES {
-            true => PeerHopTable::choose(&self.shared, &attempts.declined_by),
+            true => PeerHopTable::choose(&self.shared, &self.service, &attempts.declined_by),
             false => None,
         };
         let Some(peer) = peer else {
--- a/crates/sapphiretrack-router/src/events.rs
+++ b/crates/sapphiretrack-router/src/events.rs
@@ -89,6 +89,9 @@
     SERVERS_REPORTED_GONE = 633, Info, "backend servers reported gone";
     /// A backend server asked this router for a pause.
     SERVER_PAUSED = 634, Info, "backend server asked for a pause";
+    /// A backend server states that it falls over if it has to refuse too many requests, or no longer
+    /// does.
+    SERVER_BRITTLE = 637, Info, "backend server brittle";
     /// This router opens no connection to any backend server.
     SERVER_PATH_LOST = 635, Warn, "path to backend servers lost";
     /// This router opens connections to backend servers again.
--- a/crates/sapphiretrack-router/src/peer_hops.rs
+++ b/crates/sapphiretrack-router/src/peer_hops.rs
@@ -22,7 +22,7 @@
 use crate::job::Job;
 use crate::lock::lock;
 use crate::peer_hop::{HOP, HopAnswer, HopOutcome, HopRequest, hop_address};
-use crate::ports::ConnectServer;
+use crate::ports::{ConnectServer, StatedAvailability};
 use crate::shared::Shared;
 use crate::stated_availability::record_stated_availability;
 
@@ -93,14 +93,29 @@
         }
     }
 
-    /// Chooses a router for a request that the `tried` ones did not serve.
-    pub(crate) fn choose(shared: &Arc<Shared>, tried: &[SocketAddr]) -> Option<PeerSlot> {
+    /// Chooses a router for a request to a service that the `tried` ones did not serve.
+    pub(crate) fn choose(
+        shared: &Arc<Shared>,
+        service: &str,
+        tried: &[SocketAddr],
+    ) -> Option<PeerSlot> {
+        let owners = {
+            let servers = shared.servers.load();
+            let listed = servers.get(service);
+            listed.and_then(|listed| shared.stated_availability.slot_owners(shared, listed))
+        };
+        let is_owner = |address: SocketAddr| {
+            owners
+                .as_ref()
+                .is_none_or(|owners| owners.contains(&address))
+        };
         let (settings, now_ms) = (shared.settings(), Clock.now_ms());
         let own_proof = shared.configuration_proof();
         let mut hops = lock(&shared.peer_hops.peers);
         let candidates: Vec<(bool, SocketAddr)> = {
             let peers = shared.peers();
             let ready = peers.ready_for_requests(own_proof, now_ms).into_iter();
+            let ready = ready.filter(|(_, address)| is_owner(*address));
             let candidates = ready.map(|(zone, address)| {
                 let is_near = settings.distance(&settings.zone, zone) == Distance::SameZone;
                 (is_near, hop_address(address))
@@ -267,9 +282,7 @@
             let failure = AttemptFailure::MayHaveRun("answer-of-another-request");
             return HopResult::Failed(failure, Some(stated));
         }
-        if facts.availability.is_leaving {
-            record_leaving(job, stated.server);
-        }
+        record_stated(job, stated.server, facts.availability);
         job.shared.metrics.count_relay("answered");
         let answer = ServerAnswer {
             head,
@@ -330,17 +343,18 @@
     }
 }
 
-/// Records that the server which answered through another router stated that it leaves: it concerns
-/// this router, too, since the caller has seen the statement in this router's answer.
-fn record_leaving(job: &Job, server: Option<Incarnation>) {
+/// Records what the server which answered through another router stated. That it leaves concerns this
+/// router, too, since the caller has seen the statement in this router's answer.
+fn record_stated(job: &Job, server: Option<Incarnation>, stated: StatedAvailability) {
     let services = job.shared.servers.load();
     let mut servers = services.values().flatten();
     let Some(server) = servers.find(|one| Some(one.incarnation) == server) else {
         return;
     };
-    let stated = crate::ports::StatedAvailability {
-        is_leaving: true,
+    // A pause concerns only the router that the server asked for it.
+    let stated = StatedAvailability {
         pause_ms: None,
+        ..stated
     };
     record_stated_availability(&job.shared, server, stated, &job.facts.id);
 }
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -7,8 +7,8 @@
 use rand::RngExt;
 use sapphiretrack_routing::{
     Candidate, Exclusion, Incarnation, PeerLoads, RequestFacts, ServerEntry, Service, ServiceTime,
-    choose_server_among, draining_source, fetch_source, home_count, home_server, mean_load,
-    sample_candidates, sample_server,
+    SlotShare, choose_server_among, draining_source, fetch_source, home_count, home_server,
+    mean_load, sample_candidates, sample_server,
 };
 
 use crate::clock::Clock;
@@ -209,11 +209,16 @@
     Err(PlacementError::NoPath)
 }
 
-/// Whether a connection to some of the servers that may get a request is not expected to open.
-pub(crate) fn has_unreachable(shared: &Shared, request: PlacementRequest<'_>) -> bool {
+/// Whether another router may have room for a request that found none here: this one does not reach all
+/// servers, or has no more than a share of them.
+pub(crate) fn is_room_local(shared: &Shared, request: PlacementRequest<'_>) -> bool {
     let servers = shared.servers.load();
     let listed = servers.get(&request.service.name);
-    listed.is_some_and(|listed| shared.server_paths.reachable_count(listed) < listed.len())
+    listed.is_some_and(|listed| {
+        let stated = &shared.stated_availability;
+        shared.server_paths.reachable_count(listed) < listed.len()
+            || stated.is_any_brittle(listed, Clock.now_ms())
+    })
 }
 
 /// The time until some server may get a request, if none may get it now and that time is known.
@@ -247,8 +252,14 @@
         cold,
         now_ms,
     };
-    let candidates = context.candidates(listed);
-    let index = match context.has_outdated_loads() {
+    let mut candidates = context.candidates(listed);
+    let shares = shared
+        .stated_availability
+        .slot_shares(shared, listed, now_ms);
+    if let Some(shares) = &shares {
+        context.limit_to_shares(&mut candidates, shares);
+    }
+    let index = match shares.is_none() && context.has_outdated_loads() {
         true => sample_server(&candidates, || rand::rng().random()),
         false => choose_server_among(
             &settings.costs,
@@ -344,6 +355,23 @@
         candidates
     }
 
+    /// Limits this router's own requests at each server to its share of the server's slots and memory. A
+    /// share always has room for one request.
+    fn limit_to_shares(&self, candidates: &mut [Candidate], shares: &[Option<SlotShare>]) {
+        let facts = self.request.facts;
+        let tokens = u64::from(facts.prompt_tokens) + u64::from(facts.output_tokens);
+        let memory_tokens = self.request.service.memory_tokens;
+        for (candidate, share) in candidates.iter_mut().zip(shares) {
+            let health = self.traffic.health.get(&candidate.server);
+            let (own, own_tokens) = health.map_or((0, 0), |one| (one.in_flight, one.tokens));
+            let has_room = share.is_some_and(|share| {
+                let fits = own_tokens + tokens <= share.memory_tokens(memory_tokens);
+                own == 0 || own < share.slots && fits
+            });
+            candidate.capacity = candidate.in_flight + u32::from(has_room);
+        }
+    }
+
     /// The requests that these servers hold, from all routers.
     fn in_flight(&self, servers: &[Arc<ServerEntry>]) -> u32 {
         let peer_loads = self.shared.peer_loads.load();
--- a/crates/sapphiretrack-router/src/ports.rs
+++ b/crates/sapphiretrack-router/src/ports.rs
@@ -95,6 +95,9 @@
     pub is_leaving: bool,
     /// For how long it wants no requests from this router, in milliseconds, if it states that.
     pub pause_ms: Option<u64>,
+    /// How many refusals in a second it endures for want of room, if it states that; beyond that it falls
+    /// over.
+    pub max_refusals_per_s: Option<u32>,
 }
 
 /// A caller's lookup of the routers to connect to.
--- a/crates/sapphiretrack-router/src/stated_availability.rs
+++ b/crates/sapphiretrack-router/src/stated_availability.rs
@@ -1,9 +1,13 @@
 //! Applies what backend servers state in their answers about their availability to this router.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use sapphiretrack_routing::{Incarnation, LeavingServers, ServerEntry, ServerPauses};
+use rand::seq::IndexedRandom;
+use sapphiretrack_routing::{
+    BrittleServers, Incarnation, LeavingServers, ServerEntry, ServerPauses, SlotShare,
+};
 
 use crate::clock::Clock;
 use crate::events::{Event, note};
@@ -16,6 +20,7 @@
 pub(crate) struct StatedAvailabilityTable {
     leaving: Mutex<LeavingServers>,
     pauses: Mutex<ServerPauses>,
+    brittle: Mutex<BrittleServers>,
 }
 
 impl StatedAvailabilityTable {
@@ -39,11 +44,75 @@
         lock(&self.pauses).count(now_ms)
     }
 
+    /// This router's share of each of a service's servers, in their order, and none where it is no owner.
+    /// Nothing if none of the servers counts as brittle.
+    pub(crate) fn slot_shares(
+        &self,
+        shared: &Shared,
+        servers: &[Arc<ServerEntry>],
+        now_ms: u64,
+    ) -> Option<Vec<Option<SlotShare>>> {
+        let mut brittle = lock(&self.brittle);
+        if !brittle.contains_any(servers.iter().map(|one| one.incarnation), now_ms) {
+            return None;
+        }
+        let (name, peers) = (&shared.settings().name, shared.peers());
+        let routers = peers.fleet_size();
+        let shares = servers.iter().map(|server| {
+            let share = SlotShare::new(server.slots, routers);
+            let is_owner = share.owners == routers
+                || brittle.is_owner(server.incarnation, now_ms, || {
+                    peers.is_owner(server.incarnation.0, name, share.owners, now_ms)
+                });
+            is_owner.then_some(share)
+        });
+        Some(shares.collect())
+    }
+
+    /// The addresses for messages of the routers among which the slots of one of these servers, chosen at
+    /// random, are divided; none if the servers do not count as brittle.
+    pub(crate) fn slot_owners(
+        &self,
+        shared: &Shared,
+        servers: &[Arc<ServerEntry>],
+    ) -> Option<Vec<SocketAddr>> {
+        let now_ms = Clock.now_ms();
+        if !self.is_any_brittle(servers, now_ms) {
+            return None;
+        }
+        let server = servers.choose(&mut rand::rng())?;
+        let (settings, peers) = (shared.settings(), shared.peers());
+        let share = SlotShare::new(server.slots, peers.fleet_size());
+        let own = (settings.name.as_str(), settings.peer_address);
+        Some(peers.key_owners(server.incarnation.0, own, share.owners, now_ms))
+    }
+
+    /// Whether a service with these servers counts as brittle.
+    pub(crate) fn is_any_brittle(&self, servers: &[Arc<ServerEntry>], now_ms: u64) -> bool {
+        let servers = servers.iter().map(|one| one.incarnation);
+        lock(&self.brittle).contains_any(servers, now_ms)
+    }
+
+    /// The number of servers that said they are brittle.
+    pub(crate) fn brittle_count(&self) -> usize {
+        lock(&self.brittle).len()
+    }
+
+    /// Records that a brittle server refused a request for want of room: it gets no others for a time.
+    pub(crate) fn record_refusal(&self, shared: &Shared, server: Incarnation) {
+        let routers = shared.peers().fleet_size();
+        let pause_ms = lock(&self.brittle).pause_ms(server, routers);
+        if let Some(pause_ms) = pause_ms {
+            lock(&self.pauses).record(server, pause_ms, Clock.now_ms());
+        }
+    }
+
     /// Forgets statements that no longer matter. `listed` are the servers that are listed.
     pub(crate) fn retain_listed(&self, listed: &HashSet<Incarnation>) {
         let now_ms = Clock.now_ms();
         lock(&self.leaving).retain_listed(listed, now_ms);
         lock(&self.pauses).drop_ended(now_ms);
+        lock(&self.brittle).retain_listed(|server| listed.contains(&server), now_ms);
     }
 }
 
@@ -67,6 +136,21 @@
         let runs_ms = shared.settings().drain_bound_ms;
         shared.draining_servers.record(server.clone(), runs_ms);
     }
+    let limit = stated.max_refusals_per_s;
+    let is_new = {
+        let mut brittle = lock(&table.brittle);
+        (limit.is_some() || !brittle.is_empty())
+            && brittle.record(server.incarnation, limit, now_ms)
+    };
+    if is_new {
+        note!(
+            Event::SERVER_BRITTLE,
+            id = id,
+            server = server.id,
+            is_brittle = limit.is_some(),
+            max_refusals_per_s = limit.unwrap_or(0),
+        );
+    }
     if let Some(pause_ms) = stated.pause_ms {
         let is_new = lock(&table.pauses).record(server.incarnation, pause_ms, now_ms);
         note!(
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -1,5 +1,6 @@
 //! Routing decisions on opaque requests as pure code: time and random numbers are passed in.
 
+mod brittle_servers;
 mod broadcast;
 mod change_log;
 mod cold_limit;
@@ -37,6 +38,7 @@
 mod watch_state;
 mod write_queue;
 
+pub use brittle_servers::{BrittleServers, SlotShare};
 pub use broadcast::{BroadcastPlan, Recipient};
 pub use change_log::{ChangeLog, ChangesAssembly, ChangesFragment};
 pub use cold_limit::{ColdLimit, ColdPace, ColdShare};
