Let one limit decide when a silent connection is dead

With TCP_USER_TIMEOUT set, the system ignores the number of keep-alive probes: the count of two in the code decided nothing. It is gone; the limit of 2.5 s stays, above a second of silence of a sound peer and one retransmission.

--- a/crates/sapphiretrack-router/src/connect.rs
+++ b/crates/sapphiretrack-router/src/connect.rs
@@ -18,9 +18,9 @@
 /// The idle time before the first keep-alive probe, and between probes: the smallest that the
 /// system supports.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered probes after which a connection counts as dead.
-const KEEPALIVE_PROBES: u32 = 2;
-/// How long sent bytes may stay unacknowledged: three times the delay of a retransmission.
+/// How long sent bytes, or probes, may stay unacknowledged. With this limit the system ignores the
+/// number of probes. A sound peer may be silent for a second, and a lost segment is sent again after
+/// one more.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Why a connection could not be opened; no request was sent.
@@ -94,8 +94,7 @@
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
+        .with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
