Split the dispatch of requests, and own no slots before discovery

The attempts of a request and its answer after a failure have files of their own. A router that has just started does not know how many others share a brittle server, so that it sends nothing there until it has read their list.

--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -1,20 +1,20 @@
 //! Handles a caller's request: runs attempts, decides on retries and builds the final answer.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use rand::RngExt;
 use sapphiretrack_core::DrainRate;
-use sapphiretrack_routing::{Configuration, Exclusion, Incarnation, RequestKind, Service};
+use sapphiretrack_routing::{Configuration, Incarnation, RequestKind, Service};
 
 use crate::admission::{admit, receive_request};
-use crate::answer::{AnswerBody, generated_answer};
+use crate::answer::AnswerBody;
 use crate::attempt::{AttemptFailure, ServerAnswer, send_attempt};
+use crate::attempts::{Attempts, MAX_DECLINES};
 use crate::clock::Clock;
 use crate::crashes::crash_count;
 use crate::events::{Event, note};
+use crate::final_answer::final_answer;
 use crate::job::Job;
 use crate::peer_hop::{HopAnswer, HopOutcome, HopRequest};
 use crate::peer_hops::{HopResult, PeerHopTable, send_to_peer};
@@ -24,72 +24,8 @@
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
 use crate::relay::{self, ReadAnswer};
-use crate::settings::AttemptSettings;
 use crate::shared::Shared;
 
-/// The retry delay if all servers of a service are in evacuated zones: an operator has to act first.
-const EVACUATED_RETRY_MS: u64 = 1_000;
-
-/// The most routers that a request is passed to without being served.
-const MAX_DECLINES: usize = 2;
-
-/// Counts of a request's attempts so far.
-#[derive(Debug, Default)]
-pub(crate) struct Attempts {
-    /// Servers that the request was placed on, including those that could not be reached.
-    pub(crate) tried: Vec<Incarnation>,
-    /// Attempts in which the request may have run.
-    pub(crate) possible_runs: u32,
-    /// Attempts in which the request was sent.
-    pub(crate) offers: u32,
-    /// Attempts whose connection was lost before the answer was complete.
-    pub(crate) connection_losses: usize,
-    /// Whether the request counts towards the retry budget of this router or of the one that passed
-    /// it on.
-    is_counted: bool,
-    /// Whether the next attempt is charged to the retry budget already.
-    is_retry_reserved: bool,
-    /// Routers that did not serve the request.
-    declined_by: Vec<SocketAddr>,
-    /// Whether no other router is asked any more.
-    is_limited_to_servers: bool,
-    /// Another router's refusal.
-    refusal: Option<Response<AnswerBody>>,
-}
-
-impl Attempts {
-    /// The attempts before a request reached this router.
-    fn before(hop: Option<HopRequest>) -> Self {
-        let hop = hop.unwrap_or_default();
-        Self {
-            offers: hop.offers,
-            possible_runs: hop.possible_runs,
-            is_counted: hop.offers > 0,
-            is_retry_reserved: hop.is_retry_reserved,
-            ..Self::default()
-        }
-    }
-
-    /// Counts the attempts that another router made for the request.
-    fn add_stated(&mut self, stated: HopAnswer) {
-        self.offers = self.offers.max(stated.offers);
-        self.possible_runs = self.possible_runs.max(stated.possible_runs);
-    }
-
-    /// Whether another server may be tried. Servers to which nothing was sent count towards the
-    /// limit only beyond an allowance of their own.
-    fn may_try_another(&self, settings: &AttemptSettings) -> bool {
-        let unreachable = (self.tried.len() as u32).saturating_sub(self.offers);
-        let counted = self.offers + unreachable.saturating_sub(settings.max_unreachable);
-        counted < settings.max_offers
-    }
-
-    /// Counts a failure if the connection was lost.
-    pub(crate) fn note_connection_loss(&mut self, failure: AttemptFailure) {
-        self.connection_losses += usize::from(matches!(failure, AttemptFailure::ConnectionLost(_)));
-    }
-}
-
 /// Handles one request of a caller and returns the answer.
 pub(crate) async fn handle_request(
     shared: Arc<Shared>,
@@ -394,7 +330,7 @@
 
     /// The time until some server may get this request, if none may get it now and that time is
     /// known.
-    fn wait_for_server_ms(&self) -> Option<u64> {
+    pub(crate) fn wait_for_server_ms(&self) -> Option<u64> {
         let configuration = self.shared.configuration.load();
         let service = configuration.as_ref()?.service(&self.service)?;
         wait_for_server_ms(&self.shared, self.placement_request(service, &[], true))
@@ -477,103 +413,3 @@
         }
     }
 }
-
-/// Passes on a server's own 5xx answer or another router's refusal if there is one, and fails the
-/// request otherwise.
-fn final_answer(
-    job: &Job,
-    attempts: &mut Attempts,
-    failure: AttemptFailure,
-    server_error: Option<Response<AnswerBody>>,
-) -> Response<AnswerBody> {
-    if let Some(answer) = server_error {
-        relay::record_answered(job, answer.status(), attempts.offers);
-        return answer;
-    }
-    if attempts.possible_runs == 0
-        && let Some(refusal) = attempts.refusal.take()
-    {
-        job.mark_ended();
-        return refusal;
-    }
-    let mut answer = failure_answer(job, attempts, failure);
-    let outcome = answer.extensions().get::<HopAnswer>();
-    let stated = HopAnswer {
-        outcome: outcome.map_or(HopOutcome::Failed, |stated| stated.outcome),
-        offers: attempts.offers,
-        possible_runs: attempts.possible_runs,
-        server: None,
-    };
-    answer.extensions_mut().insert(stated);
-    answer
-}
-
-/// Builds the answer to a request that no server answered.
-fn failure_answer(job: &Job, attempts: &Attempts, failure: AttemptFailure) -> Response<AnswerBody> {
-    job.mark_ended();
-    let reason = failure.as_str();
-    let leaving = job.shared.activity.leaving_for_ms().is_some();
-    if attempts.possible_runs > 0 {
-        let status = match failure {
-            AttemptFailure::TimedOut(_) => StatusCode::GATEWAY_TIMEOUT,
-            _ => StatusCode::BAD_GATEWAY,
-        };
-        job.shared.metrics.count_failure(reason);
-        note!(
-            Event::FAILED,
-            id = job.facts.id,
-            status = status.as_u16(),
-            reason = reason,
-            offers = attempts.offers,
-            age_ms = job.age_ms(),
-        );
-        return generated_answer(status, reason, None);
-    }
-    if failure == AttemptFailure::Blocked {
-        // No `retry-after`: the request stays refused for as long as the evidence is valid.
-        let refusal = Refusal::permanent(StatusCode::SERVICE_UNAVAILABLE, reason);
-        note!(
-            Event::BLOCKED_REFUSED,
-            id = job.facts.id,
-            fingerprint = job.fingerprint(),
-            crashes = crash_count(job),
-        );
-        return refuse(&job.shared, &job.facts.id, refusal, leaving);
-    }
-    // Nothing ran, so the caller may retry as soon as there is capacity.
-    let full = matches!(
-        failure,
-        AttemptFailure::NotPlaced(PlacementError::AllFull) | AttemptFailure::NotRun(_)
-    );
-    let wait_ms = match failure {
-        AttemptFailure::NotPlaced(PlacementError::Excluded(Exclusion::Evacuated)) => {
-            Some(EVACUATED_RETRY_MS)
-        }
-        AttemptFailure::NotPlaced(error) => error.wait_ms(),
-        AttemptFailure::NotRun(_) => job.wait_for_server_ms(),
-        _ => None,
-    };
-    if let Some(wait_ms) = wait_ms {
-        let refusal = Refusal {
-            is_local: failure == AttemptFailure::NotPlaced(PlacementError::NoPath),
-            ..Refusal::retryable_after(reason, wait_ms)
-        };
-        return refuse(&job.shared, &job.facts.id, refusal, leaving);
-    }
-    let refusal = match full {
-        true => {
-            let mut traffic = job.shared.traffic();
-            let drain_rate = traffic.drain_rates.get_mut(&job.service);
-            let draw = rand::rng().random();
-            let wait_ms =
-                drain_rate.map(|drain_rate| drain_rate.retry_after_ms(draw, Clock.now_ms()));
-            Refusal {
-                retry_after_ms: wait_ms,
-                is_local: false,
-                ..Refusal::retryable(reason)
-            }
-        }
-        false => Refusal::retryable(reason),
-    };
-    refuse(&job.shared, &job.facts.id, refusal, leaving)
-}
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -16,9 +16,9 @@
     AnswerBody, TruncatedBody, full_body, streamed_body, strip_connection_headers,
 };
 use crate::attempt::{AttemptFailure, ServerAnswer};
+use crate::attempts::Attempts;
 use crate::clock::Clock;
 use crate::crashes;
-use crate::dispatch::Attempts;
 use crate::events::{Event, note};
 use crate::job::Job;
 
--- a/crates/sapphiretrack-router/src/stated_availability.rs
+++ b/crates/sapphiretrack-router/src/stated_availability.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 
 use rand::seq::IndexedRandom;
@@ -56,6 +57,10 @@
         if !brittle.contains_any(servers.iter().map(|one| one.incarnation), now_ms) {
             return None;
         }
+        // A router that does not know the others yet does not know its share either.
+        if !shared.is_discovered.load(Ordering::Relaxed) {
+            return Some(vec![None; servers.len()]);
+        }
         let (name, peers) = (&shared.settings().name, shared.peers());
         let routers = peers.fleet_size();
         let shares = servers.iter().map(|server| {
