Confirm with a second router that a server is gone

Cause: whether a server is gone or not reached is a property of both ends, and one router's refused connection cannot tell the two apart. A crash record and a report are now made only if another router does not reach the server either, or none answers. The question takes one connection to that router and one from it to the server. A server that does not accept a connection also loses its idle ones, which would break under the next requests.

--- a/crates/sapphiretrack-router/src/connection_pool.rs
+++ b/crates/sapphiretrack-router/src/connection_pool.rs
@@ -166,10 +166,16 @@
     /// Closes all idle connections.
     pub(crate) fn close_idle(&self) {
         let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        for connections in peers.values() {
-            let mut state = connections.lock();
-            state.open_count -= state.idle.len() as u32;
-            state.idle.clear();
+        peers
+            .values()
+            .for_each(|connections| connections.close_idle());
+    }
+
+    /// Closes the idle connections to one peer.
+    pub(crate) fn close_idle_to(&self, key: Key) {
+        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(connections) = peers.get(&key) {
+            connections.close_idle();
         }
     }
 
@@ -184,6 +190,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn close_idle(&self) {
+        let mut state = self.lock();
+        state.open_count -= state.idle.len() as u32;
+        state.idle.clear();
+    }
+
     /// Takes the most recently used idle connection that is still usable. It keeps its slot.
     fn take_idle(&self, now_ms: u64) -> Option<IdleConnection> {
         let mut state = self.lock();
--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -18,7 +18,7 @@
 use crate::job::Job;
 use crate::peer_messages::{encode, send_to_all};
 use crate::ports::{Listing, StorePort};
-use crate::server_paths::check_path;
+use crate::server_paths::{is_gone, probe_server_path};
 use crate::shared::Shared;
 use crate::watch::CallReason;
 
@@ -114,15 +114,14 @@
     let mut has_crashed = false;
     for delay_ms in PROBE_DELAYS_MS {
         sleep(Duration::from_millis(delay_ms)).await;
-        let probed = shared.pool.probe(server.address, PROBE_TIMEOUT_MS).await;
+        let probed = probe_server_path(&shared, &server, PROBE_TIMEOUT_MS).await;
         // Only a refused connection proves a crash: a timeout may be a network failure.
         if probed.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused) {
             has_crashed = true;
             break;
         }
     }
-    // A router that reaches no server at all has learned nothing about this one.
-    let has_crashed = has_crashed && !check_path(&shared, &server).await;
+    let has_crashed = has_crashed && is_gone(&shared, &server).await;
     let requests = shared.suspected_servers().take(server.incarnation);
     if !has_crashed {
         return;
--- a/crates/sapphiretrack-router/src/ended_servers.rs
+++ b/crates/sapphiretrack-router/src/ended_servers.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use futures::future::join_all;
 use rand::RngExt;
 use sapphiretrack_routing::{
     EndEvidence, EndReport, EndedServers, Incarnation, RouterMessage, ServerEntry,
@@ -18,7 +19,7 @@
 use crate::events::{Event, note};
 use crate::lock::lock;
 use crate::peer_messages::{encode, send_to_all};
-use crate::server_paths::check_path;
+use crate::server_paths::is_gone;
 use crate::shared::Shared;
 
 /// The longest delay of a report. The delays are random, so that the first router to report a server
@@ -117,17 +118,26 @@
     }
 }
 
-/// Whether this router's own path is lost, after a server failed.
-async fn is_path_lost(shared: &Shared, server: Incarnation) -> bool {
-    let failed = {
-        let servers = shared.servers.load();
+/// Drops reports of servers that only this router does not reach.
+async fn confirmed(shared: &Arc<Shared>, reports: Vec<EndReport>) -> Vec<EndReport> {
+    let servers = shared.servers.load_full();
+    let find = |report: &EndReport| {
         let mut servers = servers.values().flatten();
-        servers.find(|one| one.incarnation == server).cloned()
+        servers.find(|one| one.incarnation.0 == report.server)
     };
-    match failed {
-        Some(failed) => check_path(shared, &failed).await,
-        None => shared.server_paths.is_lost(),
-    }
+    let checks = reports.into_iter().map(|report| {
+        let server = find(&report).cloned();
+        async move {
+            let is_confirmed = match server {
+                Some(server) if report.evidence != EndEvidence::Replaced => {
+                    is_gone(shared, &server).await
+                }
+                _ => true,
+            };
+            is_confirmed.then_some(report)
+        }
+    });
+    join_all(checks).await.into_iter().flatten().collect()
 }
 
 /// Reports servers that are gone to the other routers, until the process ends. A lost report costs a
@@ -139,15 +149,8 @@
         table.announced.notified().await;
         let delay_ms = rand::rng().random_range(0..=MAX_REPORT_DELAY_MS);
         sleep(Duration::from_millis(delay_ms)).await;
-        let mut reports = std::mem::take(&mut *lock(&table.announcements));
-        let unsure = reports
-            .iter()
-            .find(|one| one.evidence != EndEvidence::Replaced);
-        if let Some(report) = unsure
-            && is_path_lost(&shared, Incarnation(report.server)).await
-        {
-            reports.retain(|one| one.evidence == EndEvidence::Replaced);
-        }
+        let reports = std::mem::take(&mut *lock(&table.announcements));
+        let reports = confirmed(&shared, reports).await;
         for reports in reports.chunks(MAX_REPORTS) {
             turn = turn.wrapping_add(1);
             let message = encode(&RouterMessage::EndedServers(reports.to_vec()));
--- a/crates/sapphiretrack-router/src/peer_hops.rs
+++ b/crates/sapphiretrack-router/src/peer_hops.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use rand::seq::IndexedRandom;
-use sapphiretrack_routing::{Distance, Incarnation};
+use sapphiretrack_routing::{Distance, Incarnation, ServerEntry};
 use tokio::net::TcpSocket;
 use tokio::time::timeout;
 
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::events::{Event, note};
+use crate::http_call::HttpCaller;
 use crate::job::Job;
 use crate::lock::lock;
 use crate::peer_hop::{HOP, HopAnswer, HopOutcome, HopRequest, hop_address};
@@ -32,6 +33,11 @@
 const COMPARED: usize = 2;
 /// By how many requests a router of another zone may have less of this router's than one of its own.
 const OTHER_ZONE_REQUESTS: u32 = 4;
+/// Routers that are asked whether they reach a server until one answers, and for how long each.
+const MAX_ASKED: usize = 2;
+const ASK_LIMIT_MS: u64 = 400;
+/// The path of that question, before the incarnation of the server.
+pub(crate) const REACHED_PATH: &str = "/reached/";
 /// The most connections to one router.
 const MAX_CONNECTIONS: u32 = 256;
 /// The part of a request's time that is kept back for the way between the routers.
@@ -47,6 +53,8 @@
 pub(crate) struct PeerHopTable {
     peers: Mutex<HashMap<SocketAddr, PeerHop>>,
     pool: ConnectionPool<SocketAddr>,
+    /// Opens connections from this router's own address.
+    open: ConnectServer,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -89,7 +97,8 @@
         });
         Self {
             peers: Mutex::default(),
-            pool: ConnectionPool::new(open),
+            pool: ConnectionPool::new(open.clone()),
+            open,
         }
     }
 
@@ -173,6 +182,29 @@
     }
 }
 
+/// Asks another router whether it reaches a server; none if no router answers.
+pub(crate) async fn reached_by_peer(shared: &Arc<Shared>, server: &ServerEntry) -> Option<bool> {
+    let mut asked = Vec::new();
+    while asked.len() < MAX_ASKED {
+        let peer = PeerHopTable::choose(shared, &server.service, &asked)?;
+        let request = Request::builder()
+            .uri(format!("{REACHED_PATH}{}", server.incarnation.0))
+            .header(header::HOST, peer.address.to_string())
+            .body(Full::default())
+            .ok()?;
+        let open = shared.peer_hops.open.clone();
+        let caller = HttpCaller::with_connect(open, peer.address, ASK_LIMIT_MS);
+        let answer = caller.call(request, ASK_LIMIT_MS).await;
+        match answer.map(|(status, _)| status) {
+            Ok(StatusCode::OK) => return Some(true),
+            Ok(StatusCode::NOT_FOUND) => return Some(false),
+            // It does not know, or is gone.
+            Ok(_) | Err(_) => asked.push(peer.address),
+        }
+    }
+    None
+}
+
 /// Passes a request to another router and waits for the head of the answer. `may_repeat` decides whether
 /// the request may be moved away if that router is gone.
 pub(crate) async fn send_to_peer<MayRepeat>(
--- a/crates/sapphiretrack-router/src/relayed_requests.rs
+++ b/crates/sapphiretrack-router/src/relayed_requests.rs
@@ -19,8 +19,10 @@
 use crate::dispatch::answer_request;
 use crate::events::{Event, note};
 use crate::peer_hop::{HOP, HopAnswer, HopOutcome, HopRequest};
+use crate::peer_hops::REACHED_PATH;
 use crate::ports::Interface;
 use crate::refusal::{Refusal, refuse};
+use crate::server_paths::probe_server_path;
 use crate::shared::Shared;
 
 /// The most requests of other routers that are served at a time, so that they leave room for this
@@ -88,6 +90,10 @@
     mut request: Request<Incoming>,
     in_flight: Arc<AtomicU32>,
 ) -> Response<AnswerBody> {
+    if let Some(server) = request.uri().path().strip_prefix(REACHED_PATH) {
+        let status = answer_reached(&shared, server.parse().ok()).await;
+        return generated_answer(status, "", None);
+    }
     let (_counted, others) = Counted::new(&in_flight);
     let stated = request.headers_mut().remove(HOP);
     let Some(hop) = stated.as_ref().and_then(HopRequest::parse) else {
@@ -114,6 +120,22 @@
     answer
 }
 
+/// Answers whether this router reaches a server: yes, no, or that it does not know.
+async fn answer_reached(shared: &Shared, server: Option<u64>) -> StatusCode {
+    let listed = shared.servers.load_full();
+    let mut listed = listed.values().flatten();
+    let server = listed.find(|one| Some(one.incarnation.0) == server);
+    let Some(server) = server.filter(|_| !shared.server_paths.is_lost()) else {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    };
+    let limit_ms = shared.settings().times.connect_ms;
+    match probe_server_path(shared, server, limit_ms).await {
+        Ok(()) => StatusCode::OK,
+        Err(_) if shared.server_paths.is_lost() => StatusCode::SERVICE_UNAVAILABLE,
+        Err(_) => StatusCode::NOT_FOUND,
+    }
+}
+
 /// Why this router does not take another one's request; none if it does.
 fn decline_reason(shared: &Shared, hop: &HopRequest, others: u32) -> Option<&'static str> {
     if shared.server_paths.is_lost() {
--- a/crates/sapphiretrack-router/src/server_paths.rs
+++ b/crates/sapphiretrack-router/src/server_paths.rs
@@ -17,6 +17,7 @@
 use crate::eligible_servers::exclusion_of_probe;
 use crate::events::{Event, note};
 use crate::lock::lock;
+use crate::peer_hops::reached_by_peer;
 use crate::shared::Shared;
 
 /// Servers that a check connects to besides the one that failed: together they suffice to find the path
@@ -92,6 +93,8 @@
             let change = paths.record_failed(&settings, server, listed, now_ms);
             (change, paths.failed_in_row())
         };
+        // Idle connections may be lost as well, which only a request would show.
+        shared.pool.close_idle_to(server);
         self.note_change(shared, change);
         failed_in_row > 1
     }
@@ -101,8 +104,6 @@
             return;
         };
         if change == PathChange::Lost {
-            // Connections that were idle meanwhile may be lost as well, which only a request would
-            // show.
             shared.pool.close_idle();
             let servers = shared.servers.load();
             self.want_probes(servers.values().flatten());
@@ -173,6 +174,35 @@
     tokio::spawn(async move { check_path(&shared, &suspect).await });
 }
 
+/// Opens a connection to a server, closes it, and records the outcome.
+pub(crate) async fn probe_server_path(
+    shared: &Shared,
+    server: &ServerEntry,
+    limit_ms: u64,
+) -> std::io::Result<()> {
+    let outcome = shared.pool.probe(server.address, limit_ms).await;
+    match outcome {
+        Ok(()) => shared
+            .server_paths
+            .record_reached(shared, server.incarnation),
+        Err(_) => drop(
+            shared
+                .server_paths
+                .record_failed(shared, server.incarnation),
+        ),
+    }
+    outcome
+}
+
+/// Whether a server that this router does not reach is gone, and not just this router's path to it: others
+/// are told so only if a second router does not reach it either, or none can be asked.
+pub(crate) async fn is_gone(shared: &Arc<Shared>, server: &Arc<ServerEntry>) -> bool {
+    if check_path(shared, server).await {
+        return false;
+    }
+    !reached_by_peer(shared, server).await.unwrap_or(false)
+}
+
 /// Opens a connection to each server that may be asked and records the outcomes, successes last: one
 /// server that is reached shows that the path is not lost.
 async fn probe_servers(shared: &Shared, servers: &[&Arc<ServerEntry>]) {
