Keep routers apart that decline for one service, and tell servers that crash from a lost path

A router that declined a request, since its service had no server that it reached, was asked for no other service either for a second. It is now left out for that service only. Four of six servers were down at once, so that the router that saw the third crash took its path for lost and dropped the record. Six servers in a row, or all, are needed now, and a second router's answer decides before this router's own view.

--- a/crates/sapphiretrack-router/src/peer_hops.rs
+++ b/crates/sapphiretrack-router/src/peer_hops.rs
@@ -27,7 +27,7 @@
 use crate::shared::Shared;
 use crate::stated_availability::record_stated_availability;
 
-/// How long a router that declined a request, or was not reached, gets no others.
+/// How long a router that declined a request, or was not reached, gets no others to its service.
 const AVOIDED_MS: u64 = 1_000;
 /// Routers of this router's availability zone, and of all zones, that are compared for a request.
 const COMPARED: usize = 2;
@@ -57,16 +57,26 @@
     open: ConnectServer,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct PeerHop {
     in_flight: u32,
-    avoided_until_ms: u64,
+    /// Services whose requests it gets none of for now, and until when.
+    avoided: Vec<(String, u64)>,
+}
+
+impl PeerHop {
+    fn is_avoided(&self, service: &str, now_ms: u64) -> bool {
+        let mut avoided = self.avoided.iter();
+        avoided.any(|(name, until_ms)| name == service && now_ms < *until_ms)
+    }
 }
 
 /// A router that a request is passed to. The request counts as in flight there until this is dropped.
 pub(crate) struct PeerSlot {
     /// The address on which it accepts requests of other routers.
     pub(crate) address: SocketAddr,
+    /// The service of the request.
+    service: String,
     shared: Arc<Shared>,
 }
 
@@ -131,7 +141,7 @@
             });
             let is_usable = |address: &SocketAddr| {
                 let hop = hops.get(address);
-                !tried.contains(address) && hop.is_none_or(|hop| now_ms >= hop.avoided_until_ms)
+                !tried.contains(address) && hop.is_none_or(|hop| !hop.is_avoided(service, now_ms))
             };
             candidates
                 .filter(|(_, address)| is_usable(address))
@@ -147,17 +157,24 @@
         };
         let (_, address) = *compared.into_iter().min_by_key(cost)?;
         hops.entry(address).or_default().in_flight += 1;
-        let shared = shared.clone();
-        Some(PeerSlot { address, shared })
+        Some(PeerSlot {
+            address,
+            service: service.to_owned(),
+            shared: shared.clone(),
+        })
     }
 }
 
 impl PeerSlot {
-    /// Gives this router no requests for a while.
-    pub(crate) fn avoid(&self) {
+    /// Gives this router no requests to the service for a while.
+    fn avoid(&self) {
+        let now_ms = Clock.now_ms();
         let mut hops = lock(&self.shared.peer_hops.peers);
         let hop = hops.entry(self.address).or_default();
-        hop.avoided_until_ms = Clock.now_ms() + AVOIDED_MS;
+        hop.avoided
+            .retain(|(name, until_ms)| *name != self.service && now_ms < *until_ms);
+        hop.avoided
+            .push((self.service.clone(), now_ms + AVOIDED_MS));
     }
 
     /// Whether the other router's heartbeats arrive.
@@ -175,7 +192,8 @@
         let now_ms = Clock.now_ms();
         if let Some(hop) = hops.get_mut(&self.address) {
             hop.in_flight = hop.in_flight.saturating_sub(1);
-            if hop.in_flight == 0 && now_ms >= hop.avoided_until_ms {
+            let mut avoided = hop.avoided.iter();
+            if hop.in_flight == 0 && avoided.all(|(_, until_ms)| now_ms >= *until_ms) {
                 hops.remove(&self.address);
             }
         }
--- a/crates/sapphiretrack-router/src/server_paths.rs
+++ b/crates/sapphiretrack-router/src/server_paths.rs
@@ -22,7 +22,7 @@
 
 /// Servers that a check connects to besides the one that failed: together they suffice to find the path
 /// lost.
-const CHECKED_OTHERS: usize = 3;
+const CHECKED_OTHERS: usize = 5;
 /// How long the result of a check stands, so that many failures at once cost one check.
 const CHECK_VALID_MS: u64 = 50;
 /// The interval between probes of servers that are not reached.
@@ -194,13 +194,13 @@
     outcome
 }
 
-/// Whether a server that this router does not reach is gone, and not just this router's path to it: others
-/// are told so only if a second router does not reach it either, or none can be asked.
+/// Whether a server that this router does not reach is gone, and not just this router's path to it: a
+/// second router does not reach it either. If none can be asked, whether this router reaches others.
 pub(crate) async fn is_gone(shared: &Arc<Shared>, server: &Arc<ServerEntry>) -> bool {
-    if check_path(shared, server).await {
-        return false;
+    match reached_by_peer(shared, server).await {
+        Some(is_reached) => !is_reached,
+        None => !check_path(shared, server).await,
     }
-    !reached_by_peer(shared, server).await.unwrap_or(false)
 }
 
 /// Opens a connection to each server that may be asked and records the outcomes, successes last: one
--- a/crates/sapphiretrack-routing/src/server_paths.rs
+++ b/crates/sapphiretrack-routing/src/server_paths.rs
@@ -7,8 +7,8 @@
 /// When a router considers its path to the backend servers lost.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerPathSettings {
-    /// Number of different servers in a row to which no connection opens. More than crash at once in a
-    /// small fleet.
+    /// Number of different servers in a row to which no connection opens; all if fewer are listed. More
+    /// than a part of the servers that crashed is likely to hold.
     pub min_failed: usize,
     /// Number of different servers in a row to which connections open again, after which the path
     /// counts as restored.
@@ -20,7 +20,7 @@
 impl Default for ServerPathSettings {
     fn default() -> Self {
         Self {
-            min_failed: 4,
+            min_failed: 6,
             min_reached: 2,
             valid_ms: 2_000,
         }
