End a relayed request whose retry the budget does not allow

A request that had been sent once and found no path afterwards asked for a retry again and again, without a pause, until its deadline: the router did nothing else meanwhile.

A router that has just started may not know the sender of a request yet. It closed the connection then, which the sender had to take for a request that may have run. It declines the request now.

--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -138,6 +138,7 @@
                 Err(error) if self.may_use_peer(attempts, error, request) => {
                     match self.attempt_at_peer(attempts, resume_after).await {
                         Some(Ok(answer)) => return Ok(answer),
+                        Some(Err(failure @ AttemptFailure::NotSent(_))) => return Err(failure),
                         Some(Err(failure)) if self.may_retry(attempts, failure) => continue,
                         Some(Err(failure)) => return Err(failure),
                         None => continue,
--- a/crates/sapphiretrack-router/src/relayed_requests.rs
+++ b/crates/sapphiretrack-router/src/relayed_requests.rs
@@ -31,8 +31,8 @@
 /// How long a connection may idle: longer than the other routers keep them.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Serves the requests of other routers until the process ends. Connections from other addresses are
-/// closed.
+/// Serves the requests of other routers until the process ends. Requests from addresses that are not known
+/// as a router's are declined: a router that has just started may not know the sender yet.
 pub(crate) async fn serve_routers(
     shared: Arc<Shared>,
     interface: Interface,
@@ -44,10 +44,8 @@
         let is_router = stream
             .peer_addr()
             .is_ok_and(|from| shared.peers().is_known_ip(from.ip()));
-        let set_up = enable_dead_peer_detection(&stream);
-        if !is_router || set_up.is_err() {
-            let reason = if is_router { "closed" } else { "not a router" };
-            note!(Event::ACCEPT_FAILED, error = reason);
+        if let Err(error) = enable_dead_peer_detection(&stream) {
+            note!(Event::ACCEPT_FAILED, error = error);
             continue;
         }
         let limits = shared.configuration.load();
@@ -55,7 +53,8 @@
         let limits = limits.unwrap_or_default();
         let (shared, in_flight) = (shared.clone(), in_flight.clone());
         let answer = service_fn(move |request| {
-            let answer = serve(shared.clone(), interface, request, in_flight.clone());
+            let in_flight = in_flight.clone();
+            let answer = serve(shared.clone(), interface, request, is_router, in_flight);
             async move { Ok::<_, Infallible>(answer.await) }
         });
         let connection = http1::Builder::new()
@@ -88,9 +87,11 @@
     shared: Arc<Shared>,
     interface: Interface,
     mut request: Request<Incoming>,
+    is_router: bool,
     in_flight: Arc<AtomicU32>,
 ) -> Response<AnswerBody> {
-    if let Some(server) = request.uri().path().strip_prefix(REACHED_PATH) {
+    let path = request.uri().path();
+    if is_router && let Some(server) = path.strip_prefix(REACHED_PATH) {
         let status = answer_reached(&shared, server.parse().ok()).await;
         return generated_answer(status, "", None);
     }
@@ -99,7 +100,11 @@
     let Some(hop) = stated.as_ref().and_then(HopRequest::parse) else {
         return generated_answer(StatusCode::BAD_REQUEST, "not-passed-on", None);
     };
-    let mut answer = match decline_reason(&shared, &hop, others) {
+    let reason = match is_router {
+        true => decline_reason(&shared, &hop, others),
+        false => Some("not-a-router"),
+    };
+    let mut answer = match reason {
         Some(reason) => {
             let leaving = shared.activity.leaving_for_ms().is_some();
             let id = (interface.read_request)(&request.into_parts().0);
