Refuse at once what no server can take, and count refused requests again

A request to a service whose servers had all failed to connect within the last two seconds tried them once more, up to 250 ms each, where no other router took it and the path to others was sound. Probes tell within 250 ms when one is back, so that the request is refused at once with a time to return.

Since requests can be passed on, one that found no server was no longer counted as a request of its service, by which the retry budget grows, nor did it start the measurement of the rate at which the service drains.

--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -144,7 +144,10 @@
                         None => continue,
                     }
                 }
-                Err(error) => return Err(self.note_placement_failure(error)),
+                Err(error) => {
+                    self.count_request(attempts);
+                    return Err(self.note_placement_failure(error));
+                }
             };
             if attempts.offers > 0 && !attempts.is_retry_reserved && !self.try_reserve_retry() {
                 return Err(AttemptFailure::NotSent("retry-budget"));
--- a/crates/sapphiretrack-router/src/server_paths.rs
+++ b/crates/sapphiretrack-router/src/server_paths.rs
@@ -65,13 +65,13 @@
         servers.iter().filter(is_reachable).count()
     }
 
-    /// Whether the path is lost and connections to all these servers have failed since.
+    /// Whether the last connections to all these servers have just failed.
     pub(crate) fn have_all_failed(&self, servers: &[Arc<ServerEntry>]) -> bool {
         let paths = self.paths();
         let (settings, now_ms) = (ServerPathSettings::default(), Clock.now_ms());
         let has_failed =
             |server: &Arc<ServerEntry>| paths.has_failed(&settings, server.incarnation, now_ms);
-        paths.lost_since_ms().is_some() && servers.iter().all(has_failed)
+        servers.iter().all(has_failed)
     }
 
     /// Records that a connection to a server opened.
