Share brittle servers among the routers that send, and learn it by service

A leaving router is asked when no other is left, and takes requests as long as it takes its callers'. A statement stands for its service, and until the first answer of a service a router sends no more than its share. Routers that state that they have no path have no share. - A refusal that concerns the service and not the router is passed on instead of asking another router, and a router that declines is asked again after 250 ms, the interval of its probes.

--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -126,6 +126,26 @@
         }
     }
 
+    /// Whether only this router's own state kept the request from a server, so that another router may
+    /// serve it.
+    pub(crate) fn is_local(self) -> bool {
+        match self {
+            Self::NotPlaced(error) => error == PlacementError::NoPath,
+            Self::NotSent(reason) => matches!(
+                reason,
+                "servers-replaced"
+                    | "evacuations-stale"
+                    | "no-service"
+                    | "no-configuration"
+                    | "configuration-replaced"
+                    | "configuration-stale"
+                    | "keys-stale"
+                    | "route-moved"
+            ),
+            _ => false,
+        }
+    }
+
     /// Whether the request may have run.
     pub(crate) fn may_have_run(self) -> bool {
         matches!(
@@ -364,7 +384,7 @@
         }
         if !facts.wrong_server {
             let stated = &job.shared.stated_availability;
-            stated.record_refusal(&job.shared, placement.server.incarnation);
+            stated.record_refusal(&job.shared, &placement.server);
         }
         let read_body = Limited::new(body, MAX_REFUSAL_BODY_BYTES).collect();
         let limit = Duration::from_millis(REFUSAL_BODY_TIMEOUT_MS);
--- a/crates/sapphiretrack-router/src/endpoints.rs
+++ b/crates/sapphiretrack-router/src/endpoints.rs
@@ -179,7 +179,7 @@
         configuration_age_ms: age_ms.map_or(-1, |age| age as i64),
         cold_servers: shared.cold_servers.count(shared),
         paused_servers: shared.stated_availability.paused_count(Clock.now_ms()),
-        brittle_servers: shared.stated_availability.brittle_count(),
+        brittle_services: shared.stated_availability.brittle_count(Clock.now_ms()),
         evacuated_zones: shared.evacuations.zones().len(),
         servers: shared.servers.load().values().map(Vec::len).sum(),
         ready_peers: shared
--- a/crates/sapphiretrack-router/src/final_answer.rs
+++ b/crates/sapphiretrack-router/src/final_answer.rs
@@ -96,7 +96,7 @@
     };
     if let Some(wait_ms) = wait_ms {
         let refusal = Refusal {
-            is_local: failure == AttemptFailure::NotPlaced(PlacementError::NoPath),
+            is_local: failure.is_local(),
             ..Refusal::retryable_after(reason, wait_ms)
         };
         return refuse(&job.shared, &job.facts.id, refusal, leaving);
@@ -110,11 +110,14 @@
                 drain_rate.map(|drain_rate| drain_rate.retry_after_ms(draw, Clock.now_ms()));
             Refusal {
                 retry_after_ms: wait_ms,
-                is_local: false,
                 ..Refusal::retryable(reason)
             }
         }
         false => Refusal::retryable(reason),
     };
+    let refusal = Refusal {
+        is_local: failure.is_local(),
+        ..refusal
+    };
     refuse(&job.shared, &job.facts.id, refusal, leaving)
 }
--- a/crates/sapphiretrack-router/src/metrics.rs
+++ b/crates/sapphiretrack-router/src/metrics.rs
@@ -56,7 +56,7 @@
     servers: Gauge,
     cold_servers: Gauge,
     paused_servers: Gauge,
-    brittle_servers: Gauge,
+    brittle_services: Gauge,
     evacuated_zones: Gauge,
     server_path_lost: Gauge,
     server_requests: Gauge,
@@ -81,8 +81,8 @@
     pub(crate) cold_servers: usize,
     /// Backend servers that asked this router for a pause that lasts.
     pub(crate) paused_servers: usize,
-    /// Backend servers that state that they are brittle.
-    pub(crate) brittle_servers: usize,
+    /// Services whose servers state that they are brittle.
+    pub(crate) brittle_services: usize,
     /// Availability zones that are evacuated.
     pub(crate) evacuated_zones: usize,
     /// Whether this router opens no connection to any backend server.
@@ -122,7 +122,7 @@
             servers: Gauge::default(),
             cold_servers: Gauge::default(),
             paused_servers: Gauge::default(),
-            brittle_servers: Gauge::default(),
+            brittle_services: Gauge::default(),
             evacuated_zones: Gauge::default(),
             server_path_lost: Gauge::default(),
             server_requests: Gauge::default(),
@@ -214,7 +214,7 @@
         self.servers.set(gauges.servers as i64);
         self.cold_servers.set(gauges.cold_servers as i64);
         self.paused_servers.set(gauges.paused_servers as i64);
-        self.brittle_servers.set(gauges.brittle_servers as i64);
+        self.brittle_services.set(gauges.brittle_services as i64);
         self.evacuated_zones.set(gauges.evacuated_zones as i64);
         self.server_path_lost
             .set(i64::from(gauges.is_server_path_lost));
@@ -316,9 +316,9 @@
                 &self.paused_servers,
             ),
             (
-                "brittle_servers",
-                "Backend servers that state that they are brittle",
-                &self.brittle_servers,
+                "brittle_services",
+                "Services whose servers state that they are brittle",
+                &self.brittle_services,
             ),
             (
                 "evacuated_zones",
--- a/crates/sapphiretrack-router/src/peer_hops.rs
+++ b/crates/sapphiretrack-router/src/peer_hops.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use rand::seq::IndexedRandom;
-use sapphiretrack_routing::{Distance, Incarnation, ServerEntry};
+use sapphiretrack_routing::{Distance, Incarnation, RouterState, ServerEntry};
 use tokio::net::TcpSocket;
 use tokio::time::timeout;
 
@@ -27,8 +27,9 @@
 use crate::shared::Shared;
 use crate::stated_availability::record_stated_availability;
 
-/// How long a router that declined a request, or was not reached, gets no others to its service.
-const AVOIDED_MS: u64 = 1_000;
+/// How long a router that declined a request, or was not reached, gets no others to its service: the
+/// time in which it probes servers again.
+const AVOIDED_MS: u64 = 250;
 /// Routers of this router's availability zone, and of all zones, that are compared for a request.
 const COMPARED: usize = 2;
 /// By how many requests a router of another zone may have less of this router's than one of its own.
@@ -123,30 +124,36 @@
             let listed = servers.get(service);
             listed.and_then(|listed| shared.stated_availability.slot_owners(shared, listed))
         };
-        let is_owner = |address: SocketAddr| {
-            owners
-                .as_ref()
-                .is_none_or(|owners| owners.contains(&address))
-        };
+        // Routers without a share, such as those on a planned stop, may still have room.
+        let owners = owners.unwrap_or_default();
         let (settings, now_ms) = (shared.settings(), Clock.now_ms());
         let own_proof = shared.configuration_proof();
         let mut hops = lock(&shared.peer_hops.peers);
-        let candidates: Vec<(bool, SocketAddr)> = {
+        let candidates = |state: RouterState| -> Vec<(bool, SocketAddr)> {
             let peers = shared.peers();
-            let ready = peers.ready_for_requests(own_proof, now_ms).into_iter();
-            let ready = ready.filter(|(_, address)| is_owner(*address));
-            let candidates = ready.map(|(zone, address)| {
+            let found = peers.peer_addresses(state, own_proof, now_ms).into_iter();
+            let found = found.map(|(zone, address)| {
                 let is_near = settings.distance(&settings.zone, zone) == Distance::SameZone;
-                (is_near, hop_address(address))
+                (is_near, hop_address(address), owners.contains(&address))
             });
             let is_usable = |address: &SocketAddr| {
                 let hop = hops.get(address);
                 !tried.contains(address) && hop.is_none_or(|hop| !hop.is_avoided(service, now_ms))
             };
-            candidates
-                .filter(|(_, address)| is_usable(address))
+            let found: Vec<_> = found.filter(|(_, address, _)| is_usable(address)).collect();
+            let has_owners = found.iter().any(|(_, _, is_owner)| *is_owner);
+            let chosen = found
+                .into_iter()
+                .filter(|(_, _, is_owner)| *is_owner || !has_owners);
+            chosen
+                .map(|(is_near, address, _)| (is_near, address))
                 .collect()
         };
+        // A router on its planned stop still serves for a while.
+        let mut candidates_in = [RouterState::Ready, RouterState::Leaving]
+            .map(candidates)
+            .into_iter();
+        let candidates = candidates_in.find(|found| !found.is_empty())?;
         let near: Vec<_> = candidates.iter().filter(|(is_near, _)| *is_near).collect();
         let random = &mut rand::rng();
         let near = near.sample(random, COMPARED).copied();
--- a/crates/sapphiretrack-router/src/placement.rs
+++ b/crates/sapphiretrack-router/src/placement.rs
@@ -217,7 +217,7 @@
     listed.is_some_and(|listed| {
         let stated = &shared.stated_availability;
         shared.server_paths.reachable_count(listed) < listed.len()
-            || stated.is_any_brittle(listed, Clock.now_ms())
+            || stated.is_brittle(&request.service.name, Clock.now_ms())
     })
 }
 
--- a/crates/sapphiretrack-router/src/relayed_requests.rs
+++ b/crates/sapphiretrack-router/src/relayed_requests.rs
@@ -146,7 +146,8 @@
     if shared.server_paths.is_lost() {
         return Some("no-path");
     }
-    if shared.state() != RouterState::Ready {
+    // A planned stop declines requests itself once it no longer serves callers either.
+    if shared.state() == RouterState::NotReady {
         return Some("router-not-ready");
     }
     if others >= MAX_IN_FLIGHT {
--- a/crates/sapphiretrack-router/src/stated_availability.rs
+++ b/crates/sapphiretrack-router/src/stated_availability.rs
@@ -46,7 +46,7 @@
     }
 
     /// This router's share of each of a service's servers, in their order, and none where it is no owner.
-    /// Nothing if none of the servers counts as brittle.
+    /// Nothing if it is known that none of the servers is brittle.
     pub(crate) fn slot_shares(
         &self,
         shared: &Shared,
@@ -54,7 +54,16 @@
         now_ms: u64,
     ) -> Option<Vec<Option<SlotShare>>> {
         let mut brittle = lock(&self.brittle);
-        if !brittle.contains_any(servers.iter().map(|one| one.incarnation), now_ms) {
+        let service = &servers.first()?.service;
+        let is_brittle = brittle.contains(service, now_ms);
+        if !is_brittle && !brittle.is_heard(service) {
+            let routers = shared.peers().fleet_size();
+            let shares = servers
+                .iter()
+                .map(|server| Some(SlotShare::unheard(server.slots, routers)));
+            return Some(shares.collect());
+        }
+        if !is_brittle {
             return None;
         }
         // A router that does not know the others yet does not know its share either.
@@ -62,7 +71,7 @@
             return Some(vec![None; servers.len()]);
         }
         let (name, peers) = (&shared.settings().name, shared.peers());
-        let routers = peers.fleet_size();
+        let routers = peers.sender_count();
         let shares = servers.iter().map(|server| {
             let share = SlotShare::new(server.slots, routers);
             let is_owner = share.owners == routers
@@ -75,40 +84,39 @@
     }
 
     /// The addresses for messages of the routers among which the slots of one of these servers, chosen at
-    /// random, are divided; none if the servers do not count as brittle.
+    /// random, are divided; none if the servers are not brittle.
     pub(crate) fn slot_owners(
         &self,
         shared: &Shared,
         servers: &[Arc<ServerEntry>],
     ) -> Option<Vec<SocketAddr>> {
         let now_ms = Clock.now_ms();
-        if !self.is_any_brittle(servers, now_ms) {
+        let server = servers.choose(&mut rand::rng())?;
+        if !self.is_brittle(&server.service, now_ms) {
             return None;
         }
-        let server = servers.choose(&mut rand::rng())?;
         let (settings, peers) = (shared.settings(), shared.peers());
-        let share = SlotShare::new(server.slots, peers.fleet_size());
+        let share = SlotShare::new(server.slots, peers.sender_count());
         let own = (settings.name.as_str(), settings.peer_address);
         Some(peers.key_owners(server.incarnation.0, own, share.owners, now_ms))
     }
 
-    /// Whether a service with these servers counts as brittle.
-    pub(crate) fn is_any_brittle(&self, servers: &[Arc<ServerEntry>], now_ms: u64) -> bool {
-        let servers = servers.iter().map(|one| one.incarnation);
-        lock(&self.brittle).contains_any(servers, now_ms)
+    /// Whether the servers of a service are brittle.
+    pub(crate) fn is_brittle(&self, service: &str, now_ms: u64) -> bool {
+        lock(&self.brittle).contains(service, now_ms)
     }
 
-    /// The number of servers that said they are brittle.
-    pub(crate) fn brittle_count(&self) -> usize {
-        lock(&self.brittle).len()
+    /// The number of services whose servers are brittle.
+    pub(crate) fn brittle_count(&self, now_ms: u64) -> usize {
+        lock(&self.brittle).count(now_ms)
     }
 
     /// Records that a brittle server refused a request for want of room: it gets no others for a time.
-    pub(crate) fn record_refusal(&self, shared: &Shared, server: Incarnation) {
+    pub(crate) fn record_refusal(&self, shared: &Shared, server: &ServerEntry) {
         let routers = shared.peers().fleet_size();
-        let pause_ms = lock(&self.brittle).pause_ms(server, routers);
+        let pause_ms = lock(&self.brittle).pause_ms(&server.service, routers);
         if let Some(pause_ms) = pause_ms {
-            lock(&self.pauses).record(server, pause_ms, Clock.now_ms());
+            lock(&self.pauses).record(server.incarnation, pause_ms, Clock.now_ms());
         }
     }
 
@@ -117,7 +125,7 @@
         let now_ms = Clock.now_ms();
         lock(&self.leaving).retain_listed(listed, now_ms);
         lock(&self.pauses).drop_ended(now_ms);
-        lock(&self.brittle).retain_listed(|server| listed.contains(&server), now_ms);
+        lock(&self.brittle).retain_listed(|server| listed.contains(&server));
     }
 }
 
@@ -142,16 +150,13 @@
         shared.draining_servers.record(server.clone(), runs_ms);
     }
     let limit = stated.max_refusals_per_s;
-    let is_new = {
-        let mut brittle = lock(&table.brittle);
-        (limit.is_some() || !brittle.is_empty())
-            && brittle.record(server.incarnation, limit, now_ms)
-    };
+    let is_new = lock(&table.brittle).record(&server.service, limit, now_ms);
     if is_new {
         note!(
             Event::SERVER_BRITTLE,
             id = id,
             server = server.id,
+            service = server.service,
             is_brittle = limit.is_some(),
             max_refusals_per_s = limit.unwrap_or(0),
         );
--- a/crates/sapphiretrack-routing/src/brittle_servers.rs
+++ b/crates/sapphiretrack-routing/src/brittle_servers.rs
@@ -1,6 +1,6 @@
 //! Limits what all routers together send to servers that fall over if they have to refuse too many requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::Incarnation;
 
@@ -11,8 +11,12 @@
 /// server among themselves, without a message, and no request is sent that may not find a free one.
 #[derive(Clone, Debug, Default)]
 pub struct BrittleServers {
-    stated: HashMap<Incarnation, Statement>,
+    /// The last statement of a server of each service. It stands for all of them, also those that start
+    /// later.
+    stated: HashMap<String, Statement>,
     owners: HashMap<Incarnation, Owner>,
+    /// Services of which a server has answered since this router started.
+    heard: HashSet<String>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -47,6 +51,14 @@
         }
     }
 
+    /// Returns the part of a server that a router may use before it knows whether the server is brittle.
+    pub fn unheard(slots: u32, routers: usize) -> Self {
+        Self {
+            owners: routers,
+            slots: (slots / routers.max(1) as u32).max(1),
+        }
+    }
+
     /// Returns an owner's part of a server's memory, in tokens: a request that does not fit waits even if a
     /// slot is free. Unlimited if the memory is unknown.
     pub fn memory_tokens(&self, server_tokens: u64) -> u64 {
@@ -58,53 +70,50 @@
 }
 
 impl BrittleServers {
-    /// Time in milliseconds for which a statement counts without another answer of its server.
+    /// Time in milliseconds for which a statement counts without another answer of its service.
     const VALID_MS: u64 = 10_000;
     /// Time in milliseconds for which the owners of a server are not determined again.
     const OWNER_VALID_MS: u64 = 500;
     /// Range of the pause after a refusal, in milliseconds.
     const PAUSE_MS: std::ops::RangeInclusive<u64> = 100..=5_000;
 
-    /// Records what a server's answer states: how many refusals it endures in a second, or nothing.
-    /// Returns whether that is new.
-    pub fn record(
-        &mut self,
-        server: Incarnation,
-        max_refusals_per_s: Option<u32>,
-        now_ms: u64,
-    ) -> bool {
+    /// Records what an answer of a service's server states: how many refusals it endures in a second, or
+    /// nothing. Returns whether that is new.
+    pub fn record(&mut self, service: &str, max_refusals_per_s: Option<u32>, now_ms: u64) -> bool {
+        if !self.heard.contains(service) {
+            self.heard.insert(service.to_owned());
+        }
         let Some(max_refusals_per_s) = max_refusals_per_s else {
-            return self.stated.remove(&server).is_some();
+            return self.stated.remove(service).is_some();
         };
         let statement = Statement {
             max_refusals_per_s,
             stated_ms: now_ms,
         };
-        let former = self.stated.insert(server, statement);
+        let former = match self.stated.get_mut(service) {
+            Some(known) => Some(std::mem::replace(known, statement)),
+            None => self.stated.insert(service.to_owned(), statement),
+        };
         former.is_none_or(|former| now_ms >= former.stated_ms + Self::VALID_MS)
     }
 
-    /// Returns the number of servers that said they are brittle.
-    pub fn len(&self) -> usize {
-        self.stated.len()
+    /// Returns whether a server of the service has answered, so that it is known whether they are brittle.
+    pub fn is_heard(&self, service: &str) -> bool {
+        self.heard.contains(service)
     }
 
-    /// Returns whether no server counts as brittle.
-    pub fn is_empty(&self) -> bool {
-        self.stated.is_empty()
+    /// Returns the number of services whose servers are brittle.
+    pub fn count(&self, now_ms: u64) -> usize {
+        let services = self.stated.keys();
+        services
+            .filter(|service| self.contains(service, now_ms))
+            .count()
     }
 
-    /// Returns whether a service with these servers counts as brittle: one of them said so, and all of
-    /// them are treated alike.
-    pub fn contains_any<Servers>(&self, servers: Servers, now_ms: u64) -> bool
-    where
-        Servers: IntoIterator<Item = Incarnation>,
-    {
-        let is_stated = |server: Incarnation| {
-            let statement = self.stated.get(&server);
-            statement.is_some_and(|statement| now_ms < statement.stated_ms + Self::VALID_MS)
-        };
-        !self.stated.is_empty() && servers.into_iter().any(is_stated)
+    /// Returns whether the servers of a service are brittle.
+    pub fn contains(&self, service: &str, now_ms: u64) -> bool {
+        let statement = self.stated.get(service);
+        statement.is_some_and(|statement| now_ms < statement.stated_ms + Self::VALID_MS)
     }
 
     /// Returns whether this router is an owner of a server; `find_out` determines it if that was not
@@ -129,20 +138,17 @@
 
     /// Returns for how long this router sends a server nothing after it was refused there, in
     /// milliseconds, so that `routers` like it stay below the server's limit; `None` if it has none.
-    pub fn pause_ms(&self, server: Incarnation, routers: usize) -> Option<u64> {
-        let limit = u64::from(self.stated.get(&server)?.max_refusals_per_s.max(1));
+    pub fn pause_ms(&self, service: &str, routers: usize) -> Option<u64> {
+        let limit = u64::from(self.stated.get(service)?.max_refusals_per_s.max(1));
         let pause_ms = 1_000 * routers as u64 / limit;
         Some(pause_ms.clamp(*Self::PAUSE_MS.start(), *Self::PAUSE_MS.end()))
     }
 
-    /// Forgets servers that are not listed, and statements that no longer count.
-    pub fn retain_listed<IsListed>(&mut self, is_listed: IsListed, now_ms: u64)
+    /// Forgets the owners of servers that are not listed.
+    pub fn retain_listed<IsListed>(&mut self, is_listed: IsListed)
     where
         IsListed: Fn(Incarnation) -> bool,
     {
-        self.stated.retain(|server, statement| {
-            is_listed(*server) && now_ms < statement.stated_ms + Self::VALID_MS
-        });
         self.owners.retain(|server, _| is_listed(*server));
     }
 }
--- a/crates/sapphiretrack-routing/src/peers.rs
+++ b/crates/sapphiretrack-routing/src/peers.rs
@@ -325,27 +325,35 @@
     /// A router that has fallen behind the others will soon reject keys. Callers are kept away from
     /// it before, unless all routers have fallen behind.
     pub fn ready(&self, own_proof: Option<u64>, now_ms: u64) -> Vec<(&str, SocketAddr)> {
-        let ready = self.ready_peers(own_proof, now_ms);
+        let ready = self.peers_in(RouterState::Ready, own_proof, now_ms);
         let ready = ready.map(|peer| (peer.heartbeat.zone.as_str(), peer.heartbeat.caller_address));
         ready.collect()
     }
 
-    /// Returns the availability zone and address for messages of the routers that this one may pass
-    /// requests to.
-    pub fn ready_for_requests(
+    /// Returns the availability zone and address for messages of the routers in a state that this one
+    /// may pass requests to.
+    pub fn peer_addresses(
         &self,
+        state: RouterState,
         own_proof: Option<u64>,
         now_ms: u64,
     ) -> Vec<(&str, SocketAddr)> {
-        let ready = self.ready_peers(own_proof, now_ms);
-        let ready = ready.map(|peer| (peer.heartbeat.zone.as_str(), peer.heartbeat.peer_address));
-        ready.collect()
+        let peers = self.peers_in(state, own_proof, now_ms);
+        let peers = peers.map(|peer| (peer.heartbeat.zone.as_str(), peer.heartbeat.peer_address));
+        peers.collect()
     }
 
-    fn ready_peers(&self, own_proof: Option<u64>, now_ms: u64) -> impl Iterator<Item = &Peer> {
-        let live = self.peers.values().filter(move |peer| {
-            peer.heartbeat.state == RouterState::Ready && self.is_live(peer, now_ms)
-        });
+    /// Returns the live routers in a state whose configuration is not behind.
+    fn peers_in(
+        &self,
+        state: RouterState,
+        own_proof: Option<u64>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &Peer> {
+        let live = self
+            .peers
+            .values()
+            .filter(move |peer| peer.heartbeat.state == state && self.is_live(peer, now_ms));
         let newest = self.newest_proof(now_ms).max(own_proof);
         live.filter(move |peer| {
             let age_ms = now_ms.saturating_sub(peer.last_seen_ms);
@@ -505,6 +513,14 @@
         self.peers.len() + self.listed.len() + 1
     }
 
+    /// Returns the number of routers that may send requests to servers, including this one: all but those
+    /// that state that they do not.
+    pub fn sender_count(&self) -> usize {
+        let peers = self.peers.values();
+        let idle = peers.filter(|peer| peer.heartbeat.state == RouterState::NotReady);
+        self.fleet_size() - idle.count()
+    }
+
     /// Returns the availability zones of the other routers.
     pub fn zones(&self) -> BTreeSet<&str> {
         let peers = self.peers.values();
--- a/crates/sapphiretrack-routing/tests/brittle_servers.rs
+++ b/crates/sapphiretrack-routing/tests/brittle_servers.rs
@@ -4,9 +4,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sapphiretrack_core::{RouterId, rendezvous_score};
-use sapphiretrack_routing::{BrittleServers, Incarnation, SlotShare};
-
-const SERVER: Incarnation = Incarnation(7);
+use sapphiretrack_routing::{BrittleServers, SlotShare};
 
 /// The routers among `routers` that own a server.
 fn owners(server: u64, routers: &[u64], share: SlotShare) -> Vec<u64> {
@@ -58,30 +56,43 @@
     }
 }
 
-/// Guards against treating a server by an old statement, or by none while others of its service made one.
+/// Guards against treating servers by an old statement, or a server that has just started by none.
+#[test]
+fn a_service_counts_as_brittle_while_its_servers_say_so() {
+    let mut brittle = BrittleServers::default();
+    assert!(!brittle.contains("plain", 0));
+    assert!(brittle.record("plain", Some(5), 0));
+    assert!(!brittle.record("plain", Some(5), 10));
+    assert!(brittle.contains("plain", 10));
+    assert!(!brittle.contains("engine", 10));
+    assert_eq!(brittle.count(10), 1);
+    assert!(brittle.record("plain", None, 20));
+    assert!(!brittle.record("plain", None, 20));
+    assert!(!brittle.contains("plain", 20));
+    brittle.record("plain", Some(5), 30);
+    assert!(!brittle.contains("plain", 10_030));
+}
+
+/// Guards against a router that fills a server after its start, before it knows that the server is brittle.
 #[test]
-fn a_service_counts_as_brittle_while_one_of_its_servers_says_so() {
+fn a_service_is_unknown_until_one_of_its_servers_answers() {
     let mut brittle = BrittleServers::default();
-    let service = [Incarnation(8), SERVER];
-    assert!(!brittle.contains_any(service, 0));
-    assert!(brittle.record(SERVER, Some(5), 0));
-    assert!(!brittle.record(SERVER, Some(5), 10));
-    assert!(brittle.contains_any(service, 10));
-    assert!(!brittle.contains_any([Incarnation(9)], 10));
-    assert!(brittle.record(SERVER, None, 20));
-    assert!(!brittle.contains_any(service, 20));
-    brittle.record(SERVER, Some(5), 30);
-    assert!(!brittle.contains_any(service, 10_030));
+    assert!(!brittle.is_heard("plain"));
+    brittle.record("plain", None, 0);
+    assert!(brittle.is_heard("plain"));
+    assert!(!brittle.is_heard("engine"));
+    assert_eq!(SlotShare::unheard(6, 3).slots, 2);
+    assert_eq!(SlotShare::unheard(6, 300).slots, 1);
 }
 
 /// Guards against refusals that add up because each router comes back too soon.
 #[test]
 fn the_pause_after_a_refusal_grows_with_the_fleet() {
     let mut brittle = BrittleServers::default();
-    assert_eq!(brittle.pause_ms(SERVER, 6), None);
-    brittle.record(SERVER, Some(4), 0);
-    assert_eq!(brittle.pause_ms(SERVER, 6), Some(1_500));
-    assert_eq!(brittle.pause_ms(SERVER, 300), Some(5_000));
-    brittle.record(SERVER, Some(0), 0);
-    assert_eq!(brittle.pause_ms(SERVER, 3), Some(3_000));
+    assert_eq!(brittle.pause_ms("plain", 6), None);
+    brittle.record("plain", Some(4), 0);
+    assert_eq!(brittle.pause_ms("plain", 6), Some(1_500));
+    assert_eq!(brittle.pause_ms("plain", 300), Some(5_000));
+    brittle.record("plain", Some(0), 0);
+    assert_eq!(brittle.pause_ms("plain", 3), Some(3_000));
 }
