Add a setting for passing requests to other routers

The policy key declines says how many routers a request is passed to without being served; 0 switches relays off. The default is what the code had.

--- a/crates/sapphiretrack-router/src/attempts.rs
+++ b/crates/sapphiretrack-router/src/attempts.rs
@@ -10,9 +10,6 @@
 use crate::peer_hop::{HopAnswer, HopRequest};
 use crate::settings::AttemptSettings;
 
-/// The most routers that a request is passed to without being served.
-pub(crate) const MAX_DECLINES: usize = 2;
-
 /// Counts of a request's attempts so far.
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::admission::{admit, receive_request};
 use crate::answer::AnswerBody;
 use crate::attempt::{AttemptFailure, ServerAnswer, send_attempt};
-use crate::attempts::{Attempts, MAX_DECLINES};
+use crate::attempts::Attempts;
 use crate::clock::Clock;
 use crate::crashes::crash_count;
 use crate::events::{Event, note};
@@ -247,7 +247,8 @@
         attempts: &mut Attempts,
         resume_after: Option<u64>,
     ) -> Option<Result<ServerAnswer, AttemptFailure>> {
-        let peer = match attempts.declined_by.len() < MAX_DECLINES {
+        let max_declines = self.shared.settings().attempts.max_declines;
+        let peer = match attempts.declined_by.len() < max_declines {
             true => PeerHopTable::choose(&self.shared, &self.service, &attempts.declined_by),
             false => None,
         };
--- a/crates/sapphiretrack-router/src/policy.rs
+++ b/crates/sapphiretrack-router/src/policy.rs
@@ -188,6 +188,8 @@
         "most servers that are tried for one request; 1: no second attempt";
     "unreachable", "servers", 0.0..=64.0, attempts.max_unreachable: u32,
         "servers that may be unreachable without counting as tried; 0: all count";
+    "declines", "routers", 0.0..=16.0, attempts.max_declines: usize,
+        "other routers that a request is passed to without being served, where this one reaches no server for it; 0: none";
     "reported", "ms", 0.0..=60_000.0, attempts.reported_ms: u64,
         "time for which other routers' reports of servers that are gone count; 0: no reports are sent or used";
     "max-crashes", "servers", 1.0..=1_000.0, attempts.max_crashes: usize,
--- a/crates/sapphiretrack-router/src/settings.rs
+++ b/crates/sapphiretrack-router/src/settings.rs
@@ -76,6 +76,9 @@
     /// The number of servers that may be unreachable, or have no connection left for this router,
     /// without counting towards `max_offers`: nothing was sent to them.
     pub max_unreachable: u32,
+    /// The most other routers that a request is passed to without being served; 0 if requests are not
+    /// passed on.
+    pub max_declines: usize,
     /// How long a report of another router that a server refuses connections or is silent counts, in
     /// milliseconds: about the time until the entry of a crashed server lapses.
     pub reported_ms: u64,
@@ -97,6 +100,7 @@
         Self {
             max_offers: 3,
             max_unreachable: 6,
+            max_declines: 2,
             reported_ms: 3_000,
             max_crashes: 3,
             silent_objectives: 2.0,
