--- a/crates/sapphiretrack-router/src/peer_hop.rs
+++ b/crates/sapphiretrack-router/src/peer_hop.rs
@@ -1,4 +1,4 @@
-//! What routers tell each other about a request that one passes to another, in a header of both messages.
+//! The header by which routers describe a request that one passes to another, and its outcome.
 
 use std::net::SocketAddr;
 
--- a/crates/sapphiretrack-router/src/stated_availability.rs
+++ b/crates/sapphiretrack-router/src/stated_availability.rs
@@ -56,11 +56,11 @@
         let mut brittle = lock(&self.brittle);
         let service = &servers.first()?.service;
         let is_brittle = brittle.contains(service, now_ms);
-        if !is_brittle && !brittle.is_heard(service) {
+        if !is_brittle && !brittle.is_known(service) {
             let routers = shared.peers().fleet_size();
             let shares = servers
                 .iter()
-                .map(|server| Some(SlotShare::unheard(server.slots, routers)));
+                .map(|server| Some(SlotShare::before_first_answer(server.slots, routers)));
             return Some(shares.collect());
         }
         if !is_brittle {
--- a/crates/sapphiretrack-routing/src/brittle_servers.rs
+++ b/crates/sapphiretrack-routing/src/brittle_servers.rs
@@ -16,7 +16,7 @@
     stated: HashMap<String, Statement>,
     owners: HashMap<Incarnation, Owner>,
     /// Services of which a server has answered since this router started.
-    heard: HashSet<String>,
+    answered: HashSet<String>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -52,7 +52,7 @@
     }
 
     /// Returns the part of a server that a router may use before it knows whether the server is brittle.
-    pub fn unheard(slots: u32, routers: usize) -> Self {
+    pub fn before_first_answer(slots: u32, routers: usize) -> Self {
         Self {
             owners: routers,
             slots: (slots / routers.max(1) as u32).max(1),
@@ -80,8 +80,8 @@
     /// Records what an answer of a service's server states: how many refusals it endures in a second, or
     /// nothing. Returns whether that is new.
     pub fn record(&mut self, service: &str, max_refusals_per_s: Option<u32>, now_ms: u64) -> bool {
-        if !self.heard.contains(service) {
-            self.heard.insert(service.to_owned());
+        if !self.answered.contains(service) {
+            self.answered.insert(service.to_owned());
         }
         let Some(max_refusals_per_s) = max_refusals_per_s else {
             return self.stated.remove(service).is_some();
@@ -98,8 +98,8 @@
     }
 
     /// Returns whether a server of the service has answered, so that it is known whether they are brittle.
-    pub fn is_heard(&self, service: &str) -> bool {
-        self.heard.contains(service)
+    pub fn is_known(&self, service: &str) -> bool {
+        self.answered.contains(service)
     }
 
     /// Returns the number of services whose servers are brittle.
--- a/crates/sapphiretrack-routing/src/server_paths.rs
+++ b/crates/sapphiretrack-routing/src/server_paths.rs
@@ -1,4 +1,4 @@
-//! Tells a fault of the router's own path to backend servers from faults of the servers, by which connections open.
+//! Distinguishes a fault of the router's own path to backend servers from faults of the servers, by which connections open.
 
 use std::collections::{HashMap, HashSet};
 
--- a/crates/sapphiretrack-routing/tests/brittle_servers.rs
+++ b/crates/sapphiretrack-routing/tests/brittle_servers.rs
@@ -77,12 +77,12 @@
 #[test]
 fn a_service_is_unknown_until_one_of_its_servers_answers() {
     let mut brittle = BrittleServers::default();
-    assert!(!brittle.is_heard("plain"));
+    assert!(!brittle.is_known("plain"));
     brittle.record("plain", None, 0);
-    assert!(brittle.is_heard("plain"));
-    assert!(!brittle.is_heard("engine"));
-    assert_eq!(SlotShare::unheard(6, 3).slots, 2);
-    assert_eq!(SlotShare::unheard(6, 300).slots, 1);
+    assert!(brittle.is_known("plain"));
+    assert!(!brittle.is_known("engine"));
+    assert_eq!(SlotShare::before_first_answer(6, 3).slots, 2);
+    assert_eq!(SlotShare::before_first_answer(6, 300).slots, 1);
 }
 
 /// Guards against refusals that add up because each router comes back too soon.
