Log each server failure that is passed on, and sends on a new connection

A server's own 503 that is passed on was logged as event 643, which is left out for most requests above 100 a second. A request that goes on a new connection because the kept one had ended had no line at all. Event 643 is now always written for a status other than success, and event 638 is new.

--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -432,6 +432,11 @@
             Ok(answer) => answer,
             // The server closed the reused connection before anything was written to it.
             Err(SendFailure::NotSent) if connection.is_reused && !force_new => {
+                note!(
+                    Event::CONNECTION_ENDED,
+                    id = job.facts.id,
+                    server = placement.server.id,
+                );
                 force_new = true;
                 continue;
             }
--- a/crates/sapphiretrack-router/src/events.rs
+++ b/crates/sapphiretrack-router/src/events.rs
@@ -95,6 +95,8 @@
     /// A backend server states that it falls over if it has to refuse too many requests, or no longer
     /// does.
     SERVER_BRITTLE = 637, Info, "backend server brittle";
+    /// A kept connection had ended before anything of a request was written to it.
+    CONNECTION_ENDED = 638, Info, "kept connection had ended";
     /// This router opens no connection to any backend server.
     SERVER_PATH_LOST = 635, Warn, "path to backend servers lost";
     /// This router opens connections to backend servers again.
--- a/crates/sapphiretrack-router/src/peer_hops.rs
+++ b/crates/sapphiretrack-router/src/peer_hops.rs
@@ -305,6 +305,11 @@
         return match answer {
             Ok(answer) => read_head(job, peer, connection, answer).await,
             Err(SendFailure::NotSent) if connection.is_reused && !force_new => {
+                note!(
+                    Event::CONNECTION_ENDED,
+                    id = job.facts.id,
+                    peer = peer.address,
+                );
                 force_new = true;
                 continue;
             }
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -369,9 +369,11 @@
     );
 }
 
-/// Records that the caller gets a server's whole answer.
+/// Records that the caller gets a server's whole answer. A server's failure that is passed on is always
+/// logged, since no other line tells of it.
 pub(crate) fn record_answered(job: &Job, status: StatusCode, offers: u32) {
-    if !record_completion(job) {
+    let is_logged = record_completion(job);
+    if !is_logged && status.is_success() {
         return;
     }
     note!(
