Withhold a server's 503, 429 and 408 from callers of orders that may have run

What callers saw: an order, or a stream that must not be repeated, was answered 503, 429 or 408, which promises that it has not run, although a server had run it (REFUSED). Callers then send it again.

Cause: run_attempts passed on any answer that a server signed. A server states with a header of its own that it has not run a request; its status alone says nothing of the kind, but becomes a promise once a caller reads it.

The decision is can_pass_on in the routing crate. It is part of the check that each answer passes before anything of it is used, whether it comes from a server or from another router, which may run an earlier release. Such a request ends with the router's own 502. Requests that may run again get the server's status unchanged, as before.

--- a/crates/sapphiretrack-logs/src/cause.rs
+++ b/crates/sapphiretrack-logs/src/cause.rs
@@ -185,6 +185,9 @@
         "events-out-of-order" => "an event of the stream was missing or duplicated",
         "answer-of-another-request" => "the answer belonged to another request",
         "answer-not-signed" => "the answer lacked the server's signature",
+        "refusal-not-stated" => {
+            "the server's status promises that the request has not run, and the server did not state that"
+        }
         "server-error" => "the server failed",
         "retry-budget" => "the retry budget allowed no further attempt",
         "leaving" => "the router was shutting down",
--- a/crates/sapphiretrack-router/src/answer_check.rs
+++ b/crates/sapphiretrack-router/src/answer_check.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use sapphiretrack_routing::SlotOutcome;
+use sapphiretrack_routing::{RequestKind, SlotOutcome, can_pass_on};
 use tokio::time::timeout;
 
 use crate::attempt::{AttemptFailure, AttemptTarget, ServerAnswer};
@@ -56,7 +56,7 @@
         }
         return Err((placement, AttemptFailure::NotRun(reason)));
     }
-    if let Some(problem) = unusable_reason(&head, &facts) {
+    if let Some(problem) = unusable_reason(job.route.kind, &head, &facts) {
         return Err((placement, AttemptFailure::MayHaveRun(problem)));
     }
     let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
@@ -113,8 +113,16 @@
     "server-refused"
 }
 
-/// Why an answer to the request cannot be passed on; none if it can.
-fn unusable_reason(head: &Parts, facts: &AnswerFacts) -> Option<&'static str> {
+/// Why an answer to a request of this kind cannot be passed on; none if it can. The server may have run the
+/// request: it has not stated the contrary.
+pub(crate) fn unusable_reason(
+    kind: RequestKind,
+    head: &Parts,
+    facts: &AnswerFacts,
+) -> Option<&'static str> {
+    if !can_pass_on(head.status.as_u16(), kind) {
+        return Some("refusal-not-stated");
+    }
     if head.status.is_success() && !facts.is_signed {
         return Some("answer-not-signed");
     }
--- a/crates/sapphiretrack-router/src/peer_hops.rs
+++ b/crates/sapphiretrack-router/src/peer_hops.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::answer::AnswerBody;
+use crate::answer_check::unusable_reason;
 use crate::attempt::{AttemptFailure, AttemptTarget, ServerAnswer};
 use crate::clock::Clock;
 use crate::connection_pool::{Connection, ConnectionPool, SendFailure};
@@ -364,6 +365,11 @@
             return HopResult::Failed(failure, Some(stated));
         }
         record_stated(job, stated.server, facts.availability);
+        // Earlier releases pass on answers that callers must not get.
+        if let Some(problem) = unusable_reason(job.route.kind, &head, &facts) {
+            note_failed(job, &peer, problem);
+            return HopResult::Failed(AttemptFailure::MayHaveRun(problem), Some(stated));
+        }
         job.shared.metrics.count_relay("answered");
         let answer = ServerAnswer {
             head,
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -1,5 +1,6 @@
 //! Routing decisions on opaque requests as pure code: time and random numbers are passed in.
 
+mod answer_status;
 mod answered_prefixes;
 mod brittle_servers;
 mod broadcast;
@@ -59,6 +60,7 @@
 mod workspace_demand;
 mod write_queue;
 
+pub use answer_status::{can_pass_on, promises_not_run};
 pub use brittle_servers::{BrittleServers, SlotShare};
 pub use broadcast::{BroadcastPlan, Recipient};
 pub use change_log::{ChangeLog, ChangesAssembly, ChangesFragment};
