Keep answers that are withheld from counting as crashes

Cause: treated a 503, 429 or 408 without the server's statement like an answer that makes no sense, which is evidence that the server crashed.

It is a failure of its own now, RefusalNotStated. Its body is read like that of a stated refusal, and the connection is kept. Only a body that breaks off is a lost connection, and evidence, as before.

--- a/crates/sapphiretrack-router/src/answer_check.rs
+++ b/crates/sapphiretrack-router/src/answer_check.rs
@@ -4,9 +4,9 @@
 
 use http::response::Parts;
 use http::{Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use sapphiretrack_routing::{RequestKind, SlotOutcome, can_pass_on};
+use sapphiretrack_routing::{SlotOutcome, can_pass_on};
 use tokio::time::timeout;
 
 use crate::attempt::{AttemptFailure, AttemptTarget, ServerAnswer};
@@ -33,6 +33,7 @@
     let facts = (job.interface.read_answer)(&head);
     // A late copy of another request's answer promises nothing about this request, which the server may
     // run, and tells how things stood when it was first sent.
+    let is_refusal = facts.wrong_server || facts.not_run;
     if !facts.answers(&job.facts.id) {
         note!(
             Event::ANSWER_OF_ANOTHER_REQUEST,
@@ -47,18 +48,21 @@
         return Err((placement, failure));
     }
     record_statements(job, &mut placement, &facts);
-    if facts.wrong_server || facts.not_run {
+    if is_refusal {
         let reason = record_refusal(job, &mut placement, &facts);
-        let read_body = Limited::new(body, MAX_REFUSAL_BODY_BYTES).collect();
-        let limit = Duration::from_millis(REFUSAL_BODY_TIMEOUT_MS);
-        if let Ok(Ok(_)) = timeout(limit, read_body).await {
-            connection.return_to_pool(facts.keep_alive_s);
-        }
+        read_refusal_body(body, connection, &facts).await;
         return Err((placement, AttemptFailure::NotRun(reason)));
     }
-    if let Some(problem) = unusable_reason(job.route.kind, &head, &facts) {
+    if let Some(problem) = unusable_reason(&head, &facts) {
         return Err((placement, AttemptFailure::MayHaveRun(problem)));
     }
+    if !can_pass_on(head.status.as_u16(), job.route.kind) {
+        let failure = match read_refusal_body(body, connection, &facts).await {
+            RefusalBody::BrokeOff => AttemptFailure::ConnectionLost("answer-broke-off"),
+            RefusalBody::Whole | RefusalBody::Unread => AttemptFailure::RefusalNotStated,
+        };
+        return Err((placement, failure));
+    }
     let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
     let ends_with_connection = !is_chunked && body.size_hint().exact().is_none();
     Ok(ServerAnswer {
@@ -113,16 +117,37 @@
     "server-refused"
 }
 
-/// Why an answer to a request of this kind cannot be passed on; none if it can. The server may have run the
-/// request: it has not stated the contrary.
-pub(crate) fn unusable_reason(
-    kind: RequestKind,
-    head: &Parts,
+/// How much of the body of a refusal was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RefusalBody {
+    /// All of it, so that the connection can be used again.
+    Whole,
+    /// Not all, because it is long or slow.
+    Unread,
+    /// The connection was lost before its end.
+    BrokeOff,
+}
+
+/// Reads the body of a refusal, and returns the connection to the pool after it.
+async fn read_refusal_body(
+    body: Incoming,
+    connection: Connection,
     facts: &AnswerFacts,
-) -> Option<&'static str> {
-    if !can_pass_on(head.status.as_u16(), kind) {
-        return Some("refusal-not-stated");
+) -> RefusalBody {
+    let read_body = Limited::new(body, MAX_REFUSAL_BODY_BYTES).collect();
+    let limit = Duration::from_millis(REFUSAL_BODY_TIMEOUT_MS);
+    match timeout(limit, read_body).await {
+        Ok(Ok(_)) => {
+            connection.return_to_pool(facts.keep_alive_s);
+            RefusalBody::Whole
+        }
+        Ok(Err(error)) if !error.is::<LengthLimitError>() => RefusalBody::BrokeOff,
+        Ok(Err(_)) | Err(_) => RefusalBody::Unread,
     }
+}
+
+/// Why an answer to the request cannot be passed on; none if it can.
+fn unusable_reason(head: &Parts, facts: &AnswerFacts) -> Option<&'static str> {
     if head.status.is_success() && !facts.is_signed {
         return Some("answer-not-signed");
     }
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -154,6 +154,9 @@
     Blocked,
     /// The server failed or its answer is unusable; the request may have run.
     MayHaveRun(&'static str),
+    /// The server answered with a status that promises that the request has not run, and did not state
+    /// that; it may have run.
+    RefusalNotStated,
     /// The connection was lost before the answer was complete; the request may have run.
     ConnectionLost(&'static str),
     /// The answer was not complete in time; the request may have run.
@@ -169,6 +172,7 @@
             Self::LineFull(_) => "line-full",
             Self::Blocked => "crashes-servers",
             Self::RefusedByRouter => "refused-by-router",
+            Self::RefusalNotStated => "refusal-not-stated",
             Self::NotSent(reason)
             | Self::NotRun(reason)
             | Self::MayHaveRun(reason)
@@ -207,7 +211,10 @@
     pub(crate) fn may_have_run(self) -> bool {
         matches!(
             self,
-            Self::MayHaveRun(_) | Self::ConnectionLost(_) | Self::TimedOut(_)
+            Self::MayHaveRun(_)
+                | Self::RefusalNotStated
+                | Self::ConnectionLost(_)
+                | Self::TimedOut(_)
         )
     }
 
--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -247,6 +247,7 @@
                 | AttemptFailure::NotSent(_) => {}
                 AttemptFailure::NotRun(_) => attempts.offers += 1,
                 AttemptFailure::MayHaveRun(_)
+                | AttemptFailure::RefusalNotStated
                 | AttemptFailure::ConnectionLost(_)
                 | AttemptFailure::TimedOut(_) => {
                     attempts.offers += 1;
--- a/crates/sapphiretrack-router/src/peer_hops.rs
+++ b/crates/sapphiretrack-router/src/peer_hops.rs
@@ -10,12 +10,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use rand::seq::IndexedRandom;
-use sapphiretrack_routing::{Distance, HeldAnswer, Incarnation, RouterState, ServerEntry};
+use sapphiretrack_routing::{
+    Distance, HeldAnswer, Incarnation, RouterState, ServerEntry, can_pass_on,
+};
 use tokio::net::TcpSocket;
 use tokio::time::timeout;
 
 use crate::answer::AnswerBody;
-use crate::answer_check::unusable_reason;
 use crate::attempt::{AttemptFailure, AttemptTarget, ServerAnswer};
 use crate::clock::Clock;
 use crate::connection_pool::{Connection, ConnectionPool, SendFailure};
@@ -366,9 +367,10 @@
         }
         record_stated(job, stated.server, facts.availability);
         // Earlier releases pass on answers that callers must not get.
-        if let Some(problem) = unusable_reason(job.route.kind, &head, &facts) {
-            note_failed(job, &peer, problem);
-            return HopResult::Failed(AttemptFailure::MayHaveRun(problem), Some(stated));
+        if !can_pass_on(head.status.as_u16(), job.route.kind) {
+            let failure = AttemptFailure::RefusalNotStated;
+            note_failed(job, &peer, failure.as_str());
+            return HopResult::Failed(failure, Some(stated));
         }
         job.shared.metrics.count_relay("answered");
         let answer = ServerAnswer {
