Count what may have run through another router at least once

By reading: a failure after which a request may have run counted only as often as the other router stated, and an answer of a router without a statement reads as none. The request would then have been refused as not run. No answer of the current routers lacks its statement, so that no test shows it.

--- a/crates/sapphiretrack-router/src/dispatch.rs
+++ b/crates/sapphiretrack-router/src/dispatch.rs
@@ -356,13 +356,13 @@
                 None
             }
             HopResult::Failed(failure, stated) => {
-                match stated {
-                    Some(stated) => attempts.add_stated(stated),
-                    None if failure.may_have_run() => {
-                        attempts.offers += 1;
-                        attempts.possible_runs += 1;
-                    }
-                    None => {}
+                if let Some(stated) = stated {
+                    attempts.add_stated(stated);
+                }
+                // Whatever the other router states, what may have run counts as one more attempt.
+                if failure.may_have_run() {
+                    attempts.offers = attempts.offers.max(hop.offers + 1);
+                    attempts.possible_runs = attempts.possible_runs.max(hop.possible_runs + 1);
                 }
                 attempts.is_retry_reserved = is_repeat_reserved;
                 attempts.declined_by.push(address);
