Believe a refusal only from a head that is that of one answer

What callers may have seen: an order ran at two servers, or was answered 503 and ran (TWICE, REFUSED), where the bytes before its own answer were a refusal that had been cut off inside its head.

Cause: two answers that run into each other parse as one head, with the status and the statement of the first and the id of the second.

How often servers send such bytes was not measured.

--- a/crates/sapphiretrack-router/src/answer_check.rs
+++ b/crates/sapphiretrack-router/src/answer_check.rs
@@ -34,7 +34,7 @@
     // A late copy of another request's answer promises nothing about this request, which the server may
     // run, and tells how things stood when it was first sent.
     let is_refusal = facts.wrong_server || facts.not_run;
-    if !facts.answers(&job.facts.id) {
+    if !facts.answers(&job.facts.id) || is_refusal && is_joined(&head) {
         note!(
             Event::ANSWER_OF_ANOTHER_REQUEST,
             id = job.facts.id,
@@ -117,6 +117,17 @@
     "server-refused"
 }
 
+/// Whether a head runs on into that of another answer: a refusal that was cut off before its end states
+/// nothing about the request whose answer follows it.
+fn is_joined(head: &Parts) -> bool {
+    const STATUS_LINE: &[u8] = b"HTTP/1.";
+    let mut values = head.headers.values();
+    values.any(|value| {
+        let mut parts = value.as_bytes().windows(STATUS_LINE.len());
+        parts.any(|part| part == STATUS_LINE)
+    })
+}
+
 /// How much of the body of a refusal was read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum RefusalBody {
