Explain requests whose logs hold a kept connection that had ended

Only the events that end a request are read as its end, and an error that a server answered is an event 642 (`server-error`).

--- a/crates/sapphiretrack-logs/src/cause.rs
+++ b/crates/sapphiretrack-logs/src/cause.rs
@@ -16,15 +16,14 @@
 /// Describes why a request ended as it did, from the lines about the request itself and the lines
 /// about the state of its routers and servers, both in order of time.
 pub(crate) fn describe_cause(request_lines: &[&LogLine], context: &[&LogLine]) -> String {
-    let end = request_lines
-        .iter()
-        .rev()
-        .find(|line| line.event != SENT && line.event != ATTEMPT_FAILED);
-    let Some(end) = end else {
+    let ends = [REFUSED, ANSWERED, FAILED, CALLER_LEFT];
+    let mut latest_first = request_lines.iter().rev();
+    let Some(end) = latest_first.find(|line| ends.contains(&line.event)) else {
         let sent = request_lines.iter().rev().find(|line| line.event == SENT);
-        let server = sent
-            .and_then(|line| line.field("server"))
-            .unwrap_or("a server");
+        let Some(sent) = sent else {
+            return "Its end was not logged: it was answered, and the router logged only a part of the requests, or the router was killed or lost power.".to_owned();
+        };
+        let server = sent.field("server").unwrap_or("a server");
         return format!(
             "The logs end while it was at {server}: the router was killed or lost power, or the request is still running."
         );
@@ -34,7 +33,17 @@
         ANSWERED => {
             let age_ms = end.field("age_ms").unwrap_or("?");
             let status = end.field("status").unwrap_or("?");
-            let failure = describe_forwarded_error(request_lines, status);
+            let forwarded = forwarded_error(request_lines, status);
+            let others: Vec<&LogLine> = request_lines
+                .iter()
+                .copied()
+                .filter(|line| forwarded.is_none_or(|error| !std::ptr::eq(*line, error)))
+                .collect();
+            let failed_attempts = describe_failed_attempts(&others, context);
+            let failure = forwarded.map_or_else(String::new, |error| {
+                let server = error.field("server").unwrap_or("?");
+                format!(" At {server}: the server failed, and its answer was passed on.")
+            });
             format!("Answered with {status} after {age_ms} ms.{failed_attempts}{failure}")
         }
         REFUSED => describe_refusal(end, context),
@@ -43,13 +52,13 @@
             let unbuffered = describe_unbuffered(end);
             format!("It failed and may have run: {reason}.{failed_attempts}{unbuffered}")
         }
-        CALLER_LEFT => {
+        // The caller disconnected.
+        _ => {
             let age_ms = end.field("age_ms").unwrap_or("?");
             format!(
                 "The caller disconnected after {age_ms} ms, before its answer was complete.{failed_attempts}"
             )
         }
-        _ => "Its last line does not say how it ended.".to_owned(),
     }
 }
 
@@ -78,17 +87,13 @@
     text
 }
 
-/// Describes a server error that was passed on as the answer, which logs no failed attempt.
-fn describe_forwarded_error(request_lines: &[&LogLine], status: &str) -> String {
+/// Returns the line about the server error that was passed on as the answer, if one was.
+fn forwarded_error<'a>(request_lines: &[&'a LogLine], status: &str) -> Option<&'a LogLine> {
     let is_failure = status.parse().is_ok_and(|status: u16| status >= 500);
-    let sent = request_lines.iter().rev().find(|line| line.event == SENT);
-    let server = sent.and_then(|line| line.field("server"));
-    match server {
-        Some(server) if is_failure => {
-            format!(" At {server}: the server failed, and its answer was passed on.")
-        }
-        _ => String::new(),
-    }
+    let mut latest_first = request_lines.iter().rev().copied();
+    let found = latest_first
+        .find(|line| line.event == ATTEMPT_FAILED && line.field("reason") == Some("server-error"));
+    found.filter(|_| is_failure)
 }
 
 /// Describes an answer that broke off at its caller because it was passed on before it was complete.
--- a/crates/sapphiretrack-logs/tests/story.rs
+++ b/crates/sapphiretrack-logs/tests/story.rs
@@ -21,6 +21,12 @@
 7300 INFO text="request refused as not run" event=640 id=h status=503 reason=workspace-share retry_after_ms=200
 7400 WARN text="attempt failed" event=642 id=i server=s2 reason=answer-broke-off may_have_run=true
 7401 WARN text="request failed" event=644 id=i status=0 reason=answer-broke-off unbuffered=true age_ms=90
+7500 INFO text="request sent" event=641 id=j server=s2 left_ms=900
+7501 INFO text="kept connection had ended" event=638 id=j server=s2
+7600 WARN text="attempt failed" event=642 id=k server=s3 reason=server-error may_have_run=true
+7601 WARN text="attempt failed" event=642 id=k server=s2 reason=server-error may_have_run=true
+7602 INFO text="request answered" event=643 id=k status=500 offers=2 age_ms=9
+7700 INFO text="kept connection had ended" event=638 id=l server=s2
 "#;
 
 fn lines() -> Vec<LogLine> {
@@ -38,7 +44,7 @@
 #[test]
 fn lines_are_parsed_into_fields() {
     let lines = lines();
-    assert_eq!(lines.len(), 17);
+    assert_eq!(lines.len(), 23);
     assert_eq!(
         lines[2].field("error"),
         Some("no answer: a \"bad\" thing = x")
@@ -96,6 +102,13 @@
          At s2: the server's answer broke off. \
          A part had been passed on, as the router held too many answers for slow callers (event 664)."
     );
+    assert!(cause("j").starts_with("The logs end while it was at s2"));
+    assert_eq!(
+        cause("k"),
+        "Answered with 500 after 9 ms. At s3: the server failed. \
+         At s2: the server failed, and its answer was passed on."
+    );
+    assert!(cause("l").starts_with("Its end was not logged"));
     assert!(trace_request("z", &lines()).is_none());
 }
 
--- a/crates/sapphiretrack-router/src/answer_relay.rs
+++ b/crates/sapphiretrack-router/src/answer_relay.rs
@@ -72,6 +72,15 @@
     crashes::record_answered(job, &answer);
     answer.connection.return_to_pool(answer.facts.keep_alive_s);
     let failed = answer.head.status.is_server_error();
+    if failed && let Some(server) = answer.target.server_id() {
+        note!(
+            Event::ATTEMPT_FAILED,
+            id = job.facts.id,
+            server = server,
+            reason = "server-error",
+            may_have_run = true,
+        );
+    }
     answer.target.record_outcome(failed);
     let answer = Response::from_parts(caller_head(job, answer.head), held_body(held));
     if failed {
--- a/crates/sapphiretrack-router/src/relay.rs
+++ b/crates/sapphiretrack-router/src/relay.rs
@@ -369,8 +369,7 @@
     );
 }
 
-/// Records that the caller gets a server's whole answer. A server's failure that is passed on is always
-/// logged, since no other line tells of it.
+/// Records that the caller gets a server's whole answer. A failure that is passed on is always logged.
 pub(crate) fn record_answered(job: &Job, status: StatusCode, offers: u32) {
     let is_logged = record_completion(job);
     if !is_logged && status.is_success() {
