Count no crash against a request that was answered since

What callers saw: harmless requests that many callers send were refused as ones that crash servers, for an hour, after three servers had ended that others crashed.

Cause: an answer voided the crash records that a router had at that moment and was forgotten. Records of earlier crashes that became known after it counted.

The time of the last answer is kept for suspected requests, too, and a crash counts only if it is later. A request that crashes each server that runs it is never answered, so that it is blocked as before.

--- a/crates/sapphiretrack-router/src/crash_probes.rs
+++ b/crates/sapphiretrack-router/src/crash_probes.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sapphiretrack_routing::{Fingerprint, Incarnation, ServerEntry};
+use sapphiretrack_routing::{Fingerprint, Incarnation, Outline, ServerEntry};
 use tokio::time::sleep;
 
 use crate::clock::Clock;
@@ -38,6 +38,19 @@
     unconfirmed: EndedRequests,
 }
 
+impl ProbedServers {
+    /// Whether no server is being probed.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.failed.is_empty() && self.unconfirmed.is_empty()
+    }
+
+    /// Whether there may be requests with an outline that ended at servers that are being probed.
+    pub(crate) fn has_outline(&self, outline: Outline) -> bool {
+        let mut ended = self.failed.iter().chain(&self.unconfirmed);
+        ended.any(|(_, suspects)| suspects.iter().any(|one| one.outline == outline))
+    }
+}
+
 /// Adds a request and its prefixes to those that ended at a server. Returns true if there were none.
 fn add(
     ended: &mut EndedRequests,
--- a/crates/sapphiretrack-router/src/crashes.rs
+++ b/crates/sapphiretrack-router/src/crashes.rs
@@ -105,7 +105,7 @@
         confirm_answer(job, &placement.server);
         return;
     }
-    let request = suspected_fingerprint(job);
+    let request = answered_fingerprint(job);
     let prefixes = match status.is_success() {
         true => job.prefixes(),
         false => &[],
@@ -187,6 +187,19 @@
     evidence.suspicion(request, job.prefixes(), limits)
 }
 
+/// The fingerprint of a request for which there may be evidence, or may soon be: its copies ended at servers
+/// that are being probed.
+fn answered_fingerprint(job: &Job) -> Option<Fingerprint> {
+    let is_probed = {
+        let probed = job.shared.probed_servers();
+        !probed.is_empty() && probed.has_outline(job.outline())
+    };
+    match is_probed {
+        true => Some(job.fingerprint()),
+        false => suspected_fingerprint(job),
+    }
+}
+
 /// The fingerprint of a request for which there may be evidence. The cheap outline is checked first
 /// to avoid computing fingerprints of all other requests.
 fn suspected_fingerprint(job: &Job) -> Option<Fingerprint> {
--- a/crates/sapphiretrack-routing/src/crash_evidence.rs
+++ b/crates/sapphiretrack-routing/src/crash_evidence.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::answered_prefixes::AnsweredPrefixes;
+use crate::answer_times::AnswerTimes;
 use crate::{Fingerprint, Outline};
 
 /// A request, or one with a prompt prefix, was running on a backend server that ended in the middle
@@ -45,15 +45,16 @@
 /// The crash records at one router. The set only grows until records expire, and routers can merge
 /// each other's records in any order and any number of times.
 ///
-/// A crash counts against every request that was running on the server, and against the prompt
-/// prefixes of these requests unless a request with the prefix was answered lately. The first crash
+/// A crash counts against every request that was running on the server unless the request was answered
+/// since, and against the prompt prefixes of these requests unless one with the prefix was answered lately. The first crash
 /// of either is recorded only at a few routers, which are chosen by rendezvous hashing. From the
 /// second one on a request's records are shared with all routers, and a prefix's from the fourth.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
     requests: Entries,
     prefixes: Entries,
-    answered: AnsweredPrefixes,
+    answered_requests: AnswerTimes,
+    answered_prefixes: AnswerTimes,
     outlines: HashSet<Outline>,
     /// When each recorded server crashed.
     servers: HashMap<u64, u64>,
@@ -121,8 +122,9 @@
     /// Records that a request, or one with this prefix, got a complete answer, which voids all records
     /// against it. Returns the records that this voided.
     pub fn record_answered(&mut self, fingerprint: Fingerprint, now_ms: u64) -> Vec<CrashRecord> {
-        if fingerprint.is_prefix() {
-            self.answered.record(fingerprint, now_ms);
+        match fingerprint.is_prefix() {
+            true => self.answered_prefixes.record(fingerprint, now_ms),
+            false => self.answered_requests.record(fingerprint, now_ms),
         }
         self.void(fingerprint, now_ms)
     }
@@ -157,13 +159,15 @@
         merged
     }
 
-    /// Whether a request with this prefix was answered shortly before a crash, or later.
+    /// Whether a request was answered after a crash, or one with this prefix shortly before it or later. The
+    /// crash may become known only after the answer.
     fn was_answered(&self, fingerprint: Fingerprint, crashed_ms: u64) -> bool {
-        let answered_ms = match fingerprint.is_prefix() {
-            true => self.answered.last_ms(fingerprint),
-            false => None,
+        let (answered, allowance_ms) = match fingerprint.is_prefix() {
+            true => (&self.answered_prefixes, Self::ANSWERED_MS),
+            false => (&self.answered_requests, 0),
         };
-        answered_ms.is_some_and(|at_ms| crashed_ms < at_ms.saturating_add(Self::ANSWERED_MS))
+        let answered_ms = answered.last_ms(fingerprint);
+        answered_ms.is_some_and(|at_ms| crashed_ms < at_ms.saturating_add(allowance_ms))
     }
 
     fn merge_record(&mut self, record: &CrashRecord, now_ms: u64) -> bool {
@@ -361,13 +365,12 @@
         }
     }
 
-    /// Returns those of another router's records of prefixes that are void here, as they are kept here.
+    /// Returns those of another router's records that are void here, as they are kept here.
     pub fn corrections(&self, records: &[CrashRecord], now_ms: u64) -> Vec<CrashRecord> {
-        let valid = records
-            .iter()
-            .filter(|one| one.fingerprint.is_prefix() && !one.is_void);
+        let valid = records.iter().filter(|one| !one.is_void);
         let kept = valid.filter_map(|one| {
-            let crash = self.prefixes.get(&one.fingerprint)?.get(&one.server)?;
+            let crashes = self.entries(one.fingerprint).get(&one.fingerprint)?;
+            let crash = crashes.get(&one.server)?;
             Some(crash.to_record(one.fingerprint, one.server, now_ms))
         });
         kept.filter(|kept| kept.is_void).collect()
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -1,7 +1,7 @@
 //! Routing decisions on opaque requests as pure code: time and random numbers are passed in.
 
 mod answer_status;
-mod answered_prefixes;
+mod answer_times;
 mod brittle_servers;
 mod broadcast;
 mod change_log;
