Report an error in a complete answer as the server's, not as the router's

What callers saw: the client library filled ReceivedAnswer::error from the body of every answer from status 400 on. A server that returns the error of another router as its own answer (code overloaded, outcome not-run) ran the request, and its answer was complete; the library's caller still found an error with the outcome not-run and the retry delay in it.

Cause: read_buffered looked at the status alone. The body of a complete answer is the server's, and only a refusal has a body of the router.

Evidence: an_error_in_a_complete_answer_is_not_reported_as_the_routers failed before, with that error for none.

Why this works: the router marks each answer in a header of its own, which no server's header reaches. An error is now read only from answers that it does not mark as complete; refusals still have theirs.

--- a/crates/sapphiretrack-caller/src/client.rs
+++ b/crates/sapphiretrack-caller/src/client.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use sapphiretrack_core::{Chunk, STREAM_END};
+use sapphiretrack_core::{Chunk, Outcome, STREAM_END};
 use sapphiretrack_tls::{Connector, Trust};
 use snafu::Snafu;
 
@@ -68,7 +68,7 @@
     pub retry_after_s: Option<u64>,
     /// The body, or the concatenated text of a stream.
     pub body: String,
-    /// The error, if there is one.
+    /// The router's error, if the answer is not complete.
     pub error: Option<ErrorBody>,
     /// The number of prompt tokens as counted by the engine, cached ones included.
     pub prompt_tokens: u32,
@@ -270,7 +270,8 @@
 ) -> Result<ReceivedAnswer, ClientError> {
     let body = read_body(url, response).await?;
     answer.body = String::from_utf8_lossy(&body).into_owned();
-    if answer.status >= 400 {
+    // The body of a complete answer is the server's own: an error in it says nothing of the router's.
+    if answer.status >= 400 && answer.outcome != Outcome::Complete.as_str() {
         answer.error = serde_json::from_slice(&body).ok();
     }
     Ok(answer)
--- /dev/null
+++ b/crates/sapphiretrack-caller/tests/client.rs
@@ -0,0 +1,76 @@
+//! What the client reports about the answers of a router.
+
+mod common;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use common::CONTRACT;
+use sapphiretrack_caller::{
+    Answer, BufferedAnswer, CallerClient, CallerHandlers, CallerServer, EntryReply, ReceivedAnswer,
+    RequestGuard, RequestOptions, Settings,
+};
+use sapphiretrack_core::{Contract, Refusal, RefusalCode, parse_contract};
+
+/// An error of another router, which a server behind this one returns as its own answer.
+const FORWARDED_ERROR: &str = r#"{"error":{"code":"overloaded","message":"full","hint":"","outcome":"not-run","retry_after_ms":5}}"#;
+
+/// Starts a router whose server answers every call with this status and [`FORWARDED_ERROR`], or that refuses
+/// every call if there is no status.
+fn start(server_status: Option<u16>) -> CallerServer {
+    let contract: Arc<Contract> = Arc::new(parse_contract(CONTRACT).expect("a contract"));
+    let handlers = CallerHandlers {
+        authenticate: Arc::new(move |_| Ok(contract.clone())),
+        entry: Arc::new(|_| EntryReply {
+            addresses: Vec::new(),
+            ttl_ms: 1,
+        }),
+        is_stopping: Arc::new(|| false),
+        track_request: Arc::new(|| RequestGuard::new(())),
+        run: Arc::new(move |_| {
+            let answer = match server_status {
+                Some(status) => Answer::Buffered(BufferedAnswer {
+                    status,
+                    content_type: String::from("application/json"),
+                    body: Bytes::from_static(FORWARDED_ERROR.as_bytes()),
+                    warm: None,
+                }),
+                None => Answer::Refused(Refusal::not_run(RefusalCode::Overloaded, "full")),
+            };
+            Box::pin(async { answer })
+        }),
+        on_refusal: Arc::new(|_| {}),
+    };
+    CallerServer::start(&Settings::default(), handlers).expect("the endpoint starts")
+}
+
+async fn call(server: &CallerServer) -> ReceivedAnswer {
+    let url = format!("http://{}", server.local_address());
+    let options = RequestOptions {
+        key: String::from("key"),
+        ..RequestOptions::default()
+    };
+    let body = Bytes::from_static(b"lot 1");
+    let answer = CallerClient::new()
+        .service(&url, http::Method::POST, "plant/print", body, &options)
+        .await;
+    answer.expect("the router answers")
+}
+
+/// Guards against REFUSED: the error in the body of a server's own answer is not the router's statement that the
+/// request has not run.
+#[tokio::test]
+async fn an_error_in_a_complete_answer_is_not_reported_as_the_routers() {
+    for status in [408, 421, 429, 500, 503] {
+        let answer = call(&start(Some(status))).await;
+        assert_eq!(
+            (answer.status, answer.outcome.as_str()),
+            (status, "complete")
+        );
+        assert_eq!((&*answer.body, answer.error), (FORWARDED_ERROR, None));
+    }
+    let refused = call(&start(None)).await;
+    assert_eq!((refused.status, refused.outcome.as_str()), (503, "not-run"));
+    let error = refused.error.expect("the router's error").error;
+    assert_eq!((&*error.code, &*error.outcome), ("overloaded", "not-run"));
+}
