Withdraw a claim whose reply was lost also if it cannot be read back

What callers saw: an order was refused with platform_unavailable, not-run and "repeat with the same key"; each repeat then got already_claimed until the claim's retention ended, although nothing had been sent.

Cause: after a lost reply to the write, ClaimStore::write reads the row back and returned the error of that read. A read that is refused, or finds no connection, counts as without effect, and the router took this for the write and withdrew nothing.

Evidence: a_refused_read_after_a_lost_reply_does_not_promise_that_the_claim_ has_no_effect failed before: the row was written, and the error said that the call had no effect.

Why this works: whatever the read gives, the error now says that the write may have taken effect. The router then looks for the row and withdraws it, as it does if the row is not there yet.

--- a/crates/sapphiretrack-platform/src/claims.rs
+++ b/crates/sapphiretrack-platform/src/claims.rs
@@ -79,8 +79,19 @@
             Ok(TransactReply::Committed { row_version }) => {
                 Ok(ClaimWriteResult::Acquired { row_version })
             }
-            Ok(TransactReply::Conflict { .. }) | Err(PlatformError::ReplyLost { .. }) => {
-                self.read_back(&row_key, claim).await
+            Ok(TransactReply::Conflict { .. }) => match self.read_back(&row_key, claim).await {
+                Ok(Some(result)) => Ok(result),
+                Ok(None) => reply_lost("the row is not there"),
+                Err(error) => Err(error),
+            },
+            Err(lost @ PlatformError::ReplyLost { .. }) => {
+                match self.read_back(&row_key, claim).await {
+                    Ok(Some(result)) => Ok(result),
+                    Ok(None) => reply_lost("the row is not there yet"),
+                    // A read without effect says nothing about the effect of the write.
+                    Err(error) if error.is_without_effect() => Err(lost),
+                    Err(error) => Err(error),
+                }
             }
             Err(error) => Err(error),
         }
@@ -205,25 +216,22 @@
         self.platform.get_object(name).await
     }
 
-    /// Determines whose claim the row contains after a conflict or a lost reply. If the row is
-    /// missing, the write may still take effect later, so this counts as a lost reply.
+    /// Determines whose claim the row contains after a conflict or a lost reply. Returns `None` if
+    /// the row is missing; after a lost reply, the write may still take effect later.
     async fn read_back(
         &self,
         row_key: &str,
         own: &Claim,
-    ) -> Result<ClaimWriteResult, PlatformError> {
+    ) -> Result<Option<ClaimWriteResult>, PlatformError> {
         let Some((row, found)) = self.read(row_key).await? else {
-            return Err(PlatformError::ReplyLost {
-                call: String::from("a claim"),
-                reason: String::from("the row is not there yet"),
-            });
+            return Ok(None);
         };
         if found.claim_id == own.claim_id && found.state == ClaimState::Claimed {
-            return Ok(ClaimWriteResult::Acquired {
+            return Ok(Some(ClaimWriteResult::Acquired {
                 row_version: row.row_version,
-            });
+            }));
         }
-        Ok(ClaimWriteResult::Existing(found))
+        Ok(Some(ClaimWriteResult::Existing(found)))
     }
 
     async fn read(&self, row_key: &str) -> Result<Option<(Row, Claim)>, PlatformError> {
@@ -235,6 +243,13 @@
     }
 }
 
+fn reply_lost<Value>(reason: &str) -> Result<Value, PlatformError> {
+    Err(PlatformError::ReplyLost {
+        call: String::from("a claim"),
+        reason: reason.to_owned(),
+    })
+}
+
 fn row_key(customer: &str, key: &str) -> String {
     // The whole key in hexadecimal: with a hash, two keys could share a claim.
     let hex: String = key.bytes().map(|byte| format!("{byte:02x}")).collect();
--- a/crates/sapphiretrack-platform/tests/claims.rs
+++ b/crates/sapphiretrack-platform/tests/claims.rs
@@ -239,7 +239,11 @@
 }
 
 async fn start() -> (FakePlatform, ClaimStore) {
-    let platform = FakePlatform::start(PlatformSettings::default())
+    start_with(PlatformSettings::default()).await
+}
+
+async fn start_with(settings: PlatformSettings) -> (FakePlatform, ClaimStore) {
+    let platform = FakePlatform::start(settings)
         .await
         .expect("the fake platform starts");
     let client = PlatformClient::new(Settings {
@@ -321,3 +325,27 @@
         );
     }
 }
+
+/// Guards against a key whose request was never sent and that stays claimed: the refusal of the read says nothing
+/// about the effect of the write before it.
+#[tokio::test]
+async fn a_refused_read_after_a_lost_reply_does_not_promise_that_the_claim_has_no_effect() {
+    let (platform, store) = start_without_reads().await;
+    platform.set_faults(PlatformFaults {
+        lose_replies: 1,
+        ..PlatformFaults::default()
+    });
+    let written = store.write(CUSTOMER, "key", &claim(1, 1)).await;
+    assert_eq!(platform.rows().len(), 2, "the write took effect");
+    let error = written.expect_err("the reply was lost");
+    assert!(!error.is_without_effect(), "{error}");
+}
+
+/// Starts a platform that refuses every read for its rate.
+async fn start_without_reads() -> (FakePlatform, ClaimStore) {
+    start_with(PlatformSettings {
+        reads_per_s: 0,
+        ..PlatformSettings::default()
+    })
+    .await
+}
