Answer a repeat whose claim cannot be read with already_claimed

What callers saw: the repeat of an order that had run was answered 503, platform_unavailable, not-run, while the platform could be written but not read.

Cause: the write of the claim met a conflict, by which the platform states that the key is claimed. The read of the claim then failed, and its error became a refusal like that of a platform which says nothing about the key.

Why this works: the conflict is kept as a result of its own. It is answered already_claimed, unknown, like any claim without a known answer; nothing was sent before either. A row that is gone after the conflict is still not-run: a claim is deleted only if its request certainly did not run, or after its retention.

--- a/crates/sapphiretrack-platform/src/claims.rs
+++ b/crates/sapphiretrack-platform/src/claims.rs
@@ -26,6 +26,8 @@
     },
     /// A claim with this key already exists.
     Existing(Claim),
+    /// A claim with this key already exists and cannot be read now.
+    Unreadable,
 }
 
 /// Result of a sweep.
@@ -82,7 +84,7 @@
             Ok(TransactReply::Conflict { .. }) => match self.read_back(&row_key, claim).await {
                 Ok(Some(result)) => Ok(result),
                 Ok(None) => reply_lost("the row is not there"),
-                Err(error) => Err(error),
+                Err(_) => Ok(ClaimWriteResult::Unreadable),
             },
             Err(lost @ PlatformError::ReplyLost { .. }) => {
                 match self.read_back(&row_key, claim).await {
--- a/crates/sapphiretrack-platform/tests/claims.rs
+++ b/crates/sapphiretrack-platform/tests/claims.rs
@@ -124,6 +124,7 @@
                     assert_eq!(ran, 1, "an answer is recorded only for a request that ran");
                 }
             }
+            Ok(ClaimWriteResult::Unreadable) => {}
             // The write has an unknown result. The router reports that the request did not run,
             // does not send it and withdraws the claim later.
             Err(_) => self.unsettled.entry(key).or_default().push(claim),
@@ -341,6 +342,19 @@
     assert!(!error.is_without_effect(), "{error}");
 }
 
+/// Guards against REFUSED: a request whose key is claimed may have run, also if the claim cannot be read.
+#[tokio::test]
+async fn a_claim_that_cannot_be_read_exists_all_the_same() {
+    let (_platform, store) = start_without_reads().await;
+    let first = store.write(CUSTOMER, "key", &claim(1, 1)).await;
+    assert!(
+        matches!(first, Ok(ClaimWriteResult::Acquired { .. })),
+        "{first:?}"
+    );
+    let repeat = store.write(CUSTOMER, "key", &claim(2, 1)).await;
+    assert_eq!(repeat.expect("a result"), ClaimWriteResult::Unreadable);
+}
+
 /// Starts a platform that refuses every read for its rate.
 async fn start_without_reads() -> (FakePlatform, ClaimStore) {
     start_with(PlatformSettings {
--- a/crates/sapphiretrack-tests/tests/outcomes.rs
+++ b/crates/sapphiretrack-tests/tests/outcomes.rs
@@ -235,6 +235,25 @@
     );
 }
 
+/// Guards against REFUSED: an order whose key is claimed may have run, also if its claim cannot be read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_repeat_whose_claim_cannot_be_read_is_not_reported_as_not_run() {
+    let fleet = fleet(FleetSettings::default(), &contract_toml(1_000)).await;
+    let first = order(&fleet.caller_url(0), PRINT, "lot 10", "k").await;
+    assert_eq!(outcome_and_code(&first), ("complete", ""), "{first:?}");
+    let faults = PlatformFaults {
+        wrong_reads: true,
+        ..PlatformFaults::default()
+    };
+    fleet.set_faults(fleet.platform_address, &faults).await;
+    let repeat = order(&fleet.caller_url(1), PRINT, "lot 10", "k").await;
+    assert_eq!(
+        outcome_and_code(&repeat),
+        ("unknown", "already_claimed"),
+        "{repeat:?}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn other_spellings_of_a_non_idempotent_path_do_not_bypass_its_rule() {
     let fleet = fleet(FleetSettings::default(), &contract_toml(1_000)).await;
--- a/crates/sapphiretrackd/src/dispatch/non_idempotent.rs
+++ b/crates/sapphiretrackd/src/dispatch/non_idempotent.rs
@@ -200,6 +200,9 @@
             Ok(ClaimWriteResult::Existing(found)) => {
                 self.resolve_existing_claim(&found, &claim).await
             }
+            Ok(ClaimWriteResult::Unreadable) => Err(already_claimed(
+                "the key was used before and its claim cannot be read now",
+            )),
             Err(error) => {
                 if !error.is_without_effect() {
                     // The write may still take effect, but nothing is sent under this claim.
