--- a/crates/sapphiretrack-fakes/src/service.rs
+++ b/crates/sapphiretrack-fakes/src/service.rs
@@ -58,6 +58,8 @@
     pub late_replies: u32,
     /// Delay of late answers in milliseconds.
     pub late_ms: u64,
+    /// HTTP status of the answers to calls that are executed; 0 for 200.
+    pub answer_status: u16,
 }
 
 /// Handle of a fake plain service; clones share its state.
@@ -179,6 +181,9 @@
             "run": runs,
         });
         let mut response = json_response(&answer);
+        if let Ok(status) = StatusCode::from_u16(self.lock().faults.answer_status) {
+            *response.status_mut() = status;
+        }
         if let Some(attempt) = self.reply_attempt(attempt) {
             response.headers_mut().insert(ATTEMPT_HEADER, attempt);
         }
--- a/crates/sapphiretrack-tests/tests/outcomes.rs
+++ b/crates/sapphiretrack-tests/tests/outcomes.rs
@@ -254,6 +254,30 @@
     );
 }
 
+/// Guards against REFUSED and TWICE: a server's own status, without its statement that the request has not run, is
+/// a whole answer. It promises nothing, leads to no second send and is recorded for the repeat.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_status_of_a_server_that_ran_an_order_is_no_refusal() {
+    let fleet = fleet(FleetSettings::default(), &contract_toml(1_000)).await;
+    let service = server(&fleet, "service-0");
+    for status in [408, 421, 429, 503] {
+        let faults = ServiceFaults {
+            answer_status: status,
+            ..ServiceFaults::default()
+        };
+        fleet.set_faults(service, &faults).await;
+        let key = format!("k-{status}");
+        for router in [0, 1] {
+            let answer = order(&fleet.caller_url(router), PRINT, "lot 9", &key).await;
+            assert_eq!(answer.status, status, "{answer:?}");
+            assert_eq!(outcome_and_code(&answer), ("complete", ""), "{answer:?}");
+        }
+    }
+    let runs = get_text(&format!("http://{service}/fake/runs")).await;
+    // One run for each key.
+    assert!(runs.contains("\"runs\":4"), "{runs}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn other_spellings_of_a_non_idempotent_path_do_not_bypass_its_rule() {
     let fleet = fleet(FleetSettings::default(), &contract_toml(1_000)).await;
