Check entries of the store where they are read, and name those that cannot be used

What callers saw: two entries with very many slots, or a configuration with numbers that are too large, ended routers of a build that checks arithmetic, again and again; the release build went on with sums that had wrapped. A router went on with an entry that another writer had overwritten, which routers that started again did not use. Requests were sent without X-Expect-Instance to a server whose id no header can hold, so that any server at its address would have run them.

Cause: what an entry states was taken as it stood. An entry that becomes unreadable is dropped like one that is gone.

Control characters in values of the log are escaped.

Already held: deeply nested values, numbers that no type can hold, ports out of range, bytes that are no text, and odd rows of routers, crashes, versions and orders, once the listings were read to their end.

--- a/crates/sapphiretrack-router/src/activity.rs
+++ b/crates/sapphiretrack-router/src/activity.rs
@@ -8,8 +8,9 @@
 
 use crate::client_limits::ClientResources;
 use crate::clock::Clock;
+use crate::unusable_records::UnusableRecords;
 
-/// What the process does, for its planned stop and for the limit on memory.
+/// What the process does, for its planned stop, the limit on memory, and its reports.
 pub(crate) struct Activity {
     started_ms: u64,
     /// When the planned stop began; 0 before.
@@ -21,6 +22,8 @@
     /// What clients make this process hold.
     pub(crate) clients: ClientResources,
     held_answers: Arc<HeldAnswers>,
+    /// The records of the store that were reported as unusable.
+    pub(crate) unusable_records: UnusableRecords,
 }
 
 /// Counts a request as in flight until this is dropped.
@@ -38,6 +41,7 @@
             last_request_ms: AtomicU64::new(0),
             clients: ClientResources::new(machine, &held_answers),
             held_answers,
+            unusable_records: UnusableRecords::default(),
         }
     }
 
--- a/crates/sapphiretrack-router/src/discovery.rs
+++ b/crates/sapphiretrack-router/src/discovery.rs
@@ -11,7 +11,6 @@
 use crate::clock::Clock;
 use crate::crashes::merge_crashes;
 use crate::events::{Event, note};
-use crate::listing_updates::log_unusable;
 use crate::ports::{Listing, Record, StoreAnswer, StoreError, StorePort};
 use crate::shared::Shared;
 use crate::watch::CallReason;
@@ -128,6 +127,9 @@
             .filter_map(|record| match record {
                 Record::Router(router) => Some(router),
                 Record::SoleVersions(versions) => {
+                    if versions.is_unreadable {
+                        self.report_unusable("versions", "cannot be read");
+                    }
                     stored = versions;
                     None
                 }
@@ -136,7 +138,9 @@
                     None
                 }
                 other => {
-                    log_unusable(&other);
+                    let unusable_records = &self.shared.activity.unusable_records;
+                    let metrics = &self.shared.metrics;
+                    unusable_records.report_record(metrics, Listing::Routers, &other);
                     None
                 }
             });
@@ -151,6 +155,11 @@
         is_listed
     }
 
+    fn report_unusable(&self, key: &str, reason: &str) {
+        let unusable_records = &self.shared.activity.unusable_records;
+        unusable_records.report(&self.shared.metrics, Listing::Routers, key, reason);
+    }
+
     /// Marks the discovery as complete: from now on this router may be a watcher, by its rank among
     /// the routers, and it sends a heartbeat at once.
     fn mark_discovered(&self) {
--- a/crates/sapphiretrack-router/src/lib.rs
+++ b/crates/sapphiretrack-router/src/lib.rs
@@ -65,6 +65,7 @@
 mod stream_origins;
 mod stream_versions;
 mod traffic;
+mod unusable_records;
 mod version_proofs;
 mod watch;
 
--- a/crates/sapphiretrack-router/src/listing_updates.rs
+++ b/crates/sapphiretrack-router/src/listing_updates.rs
@@ -37,7 +37,10 @@
         let is_used =
             |record: &Record| matches!(record, Record::Configuration(_) | Record::Evacuation(_));
         let unusable = unusable.filter(|record| !is_used(record));
-        unusable.for_each(log_unusable);
+        let unusable_records = &shared.activity.unusable_records;
+        unusable.for_each(|record| {
+            unusable_records.report_record(&shared.metrics, Listing::Configuration, record);
+        });
         let state = shared.state();
         if last_state != Some(state) {
             last_state = Some(state);
@@ -127,7 +130,7 @@
     let changed = update.is_from_store && !update.records.is_empty();
     record_cold_servers(shared, &update);
     if update.is_whole_listing {
-        apply_whole_listing(list, update.records, now_ms);
+        apply_whole_listing(shared, list, update.records, now_ms);
         return changed;
     }
     for record in update.records {
@@ -152,14 +155,16 @@
     cold_servers.record_reports(&reports);
 }
 
-fn apply_whole_listing(list: &mut ServerList, records: Vec<Record>, now_ms: u64) {
+fn apply_whole_listing(shared: &Shared, list: &mut ServerList, records: Vec<Record>, now_ms: u64) {
     let mut entries = Vec::new();
     for record in records {
         match record {
             Record::Server(ServerChange::Entry(entry)) => entries.push(entry),
-            Record::Server(ServerChange::Unreadable { id, reason }) => log_unreadable(&id, &reason),
+            Record::Server(ServerChange::Unreadable { id, reason }) => {
+                report_unreadable(shared, &id, &reason);
+            }
             Record::Cold(_) => {}
-            other => log_unusable(&other),
+            other => report_unusable(shared, &other),
         }
     }
     for id in list.replace(entries, now_ms) {
@@ -188,11 +193,31 @@
                 note!(Event::SERVER_LEAVING, server = id, reason = "entry-gone");
             }
         }
-        Record::Server(ServerChange::Unreadable { id, reason }) => log_unreadable(&id, &reason),
-        other => log_unusable(&other),
+        Record::Server(ServerChange::Unreadable { id, reason }) => {
+            report_unreadable(shared, &id, &reason);
+            // A whole listing does not name the server either.
+            if list.remove(&id, now_ms) {
+                note!(
+                    Event::SERVER_LEAVING,
+                    server = id,
+                    reason = "entry-unreadable"
+                );
+            }
+        }
+        other => report_unusable(shared, &other),
     }
 }
 
+fn report_unreadable(shared: &Shared, key: &str, reason: &str) {
+    let unusable_records = &shared.activity.unusable_records;
+    unusable_records.report(&shared.metrics, Listing::Servers, key, reason);
+}
+
+fn report_unusable(shared: &Shared, record: &Record) {
+    let unusable_records = &shared.activity.unusable_records;
+    unusable_records.report_record(&shared.metrics, Listing::Servers, record);
+}
+
 /// Sets in the prefix index how many tokens fit into each listed server's memory.
 fn update_memory_capacities(shared: &Shared) {
     let configuration = shared.configuration.load();
@@ -241,23 +266,3 @@
     shared.stated_availability.retain_listed(&listed);
     shared.server_paths.apply_listed(shared, &listed);
 }
-
-/// Logs a record that its listing cannot use.
-pub(crate) fn log_unusable(record: &Record) {
-    match record {
-        Record::Unusable { key, reason } => log_unreadable(key, reason),
-        Record::Configuration(_)
-        | Record::Evacuation(_)
-        | Record::Server(_)
-        | Record::Cold(_)
-        | Record::Router(_)
-        | Record::Crashes(_)
-        | Record::SoleVersions(_) => {
-            log_unreadable("?", "of another listing");
-        }
-    }
-}
-
-fn log_unreadable(key: &str, reason: &str) {
-    note!(Event::RECORD_UNREADABLE, key = key, reason = reason);
-}
--- a/crates/sapphiretrack-router/src/logging.rs
+++ b/crates/sapphiretrack-router/src/logging.rs
@@ -100,7 +100,8 @@
 impl<'kvs> VisitSource<'kvs> for Line {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
         let value = value.to_string();
-        let is_plain = !value.is_empty() && !value.contains([' ', '"', '=', '\n']);
+        let is_special = |one: char| one.is_control() || matches!(one, ' ' | '"' | '=');
+        let is_plain = !value.is_empty() && !value.contains(is_special);
         match is_plain {
             true => write!(self.0, " {key}={value}"),
             false => write!(self.0, " {key}={value:?}"),
--- a/crates/sapphiretrack-router/src/metrics.rs
+++ b/crates/sapphiretrack-router/src/metrics.rs
@@ -38,6 +38,12 @@
     reason: &'static str,
 }
 
+/// The label of a listing of the store.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ListingLabels {
+    listing: &'static str,
+}
+
 /// The label of a service.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ServiceLabels {
@@ -63,6 +69,7 @@
     repeats: Family<ReasonLabels, Counter>,
     relays: Family<ReasonLabels, Counter>,
     store_calls: Family<StoreCallLabels, Counter>,
+    unusable_records: Family<ListingLabels, Counter>,
     placements: Family<ReasonLabels, Counter>,
     stream_origins: Family<ReasonLabels, Counter>,
     slot_queue_length: Family<ServiceLabels, Gauge>,
@@ -151,6 +158,7 @@
             repeats: Family::default(),
             relays: Family::default(),
             store_calls: Family::default(),
+            unusable_records: Family::default(),
             placements: Family::default(),
             stream_origins: Family::default(),
             slot_queue_length: Family::default(),
@@ -247,6 +255,12 @@
         self.unbuffered_answers.inc();
     }
 
+    /// Counts a record of the store that its listing cannot use.
+    pub(crate) fn count_unusable_record(&self, listing: &'static str) {
+        let labels = ListingLabels { listing };
+        self.unusable_records.get_or_create(&labels).inc();
+    }
+
     /// Counts a call to the store.
     pub(crate) fn count_store_call(&self, listing: &'static str, reason: &'static str) {
         let labels = StoreCallLabels { listing, reason };
@@ -417,6 +431,11 @@
             "Log lines dropped",
             self.dropped_lines.clone(),
         );
+        registry.register(
+            "unusable_records",
+            "Records of the store that cannot be used, each time they are read",
+            self.unusable_records.clone(),
+        );
         registry.register(
             "unbuffered_answers",
             "Answers forwarded before they were complete, for lack of memory",
--- a/crates/sapphiretrack-routing/src/lib.rs
+++ b/crates/sapphiretrack-routing/src/lib.rs
@@ -37,6 +37,7 @@
 mod plain_share;
 mod prefix_index;
 mod prefix_recovery;
+mod recent_reports;
 mod request;
 mod retry_share;
 mod scheduled_services;
@@ -108,6 +109,7 @@
 pub use plain_share::{PlainShare, PlainShareSettings};
 pub use prefix_index::{PrefixIndex, SentPrefix, SentPrompts, SentTokens, WarmSettings};
 pub use prefix_recovery::{PrefixRecovery, PrefixReplyLimiter, PrefixStep};
+pub use recent_reports::RecentReports;
 pub use request::{PromptPrefix, RequestFacts, RequestKind};
 pub use retry_share::{RetrySettings, RetryShare};
 pub use scheduled_services::ScheduledServices;
