Refuse answers whose heads are none in the protocol

What callers saw: an answer with a status from 600 to 999 was passed on as it stood. A line feed where a field's name should begin ended the head, so that callers got a 200 with the rest of the head as its body. A head that was cut off behind its status, before another answer on the connection, was passed on as one answer with the reason or fields of both.

Cause: the parser takes a line feed alone for the end of a line and any three digits for a status, and nothing looked at the bytes before it did.

HeadCheck, without I/O, checks the bytes of each awaited head as they are read: line ends, status, and another status line within a line. It stands where all connections to servers, routers and the store are read (connect.rs). Such attempts end with reason head-invalid.

--- a/crates/sapphiretrack-logs/src/cause.rs
+++ b/crates/sapphiretrack-logs/src/cause.rs
@@ -180,6 +180,7 @@
         "unreachable" => "no connection to the server could be made",
         "connections-used" => "this router's share of the server's connections was used up",
         "connection-broke" => "the connection broke before an answer came",
+        "head-invalid" => "the server sent what is no answer in the protocol",
         "connection-closed" => "the server had closed the connection",
         "no-answer" => "the server gave no answer in time",
         "answer-broke-off" => "the server's answer broke off",
--- a/crates/sapphiretrack-router/src/attempt.rs
+++ b/crates/sapphiretrack-router/src/attempt.rs
@@ -504,6 +504,7 @@
                 let failure = match failure {
                     SendFailure::NotSent => AttemptFailure::NotSent("connection-closed"),
                     SendFailure::HeadTooLong => AttemptFailure::MayHaveRun("head-too-long"),
+                    SendFailure::InvalidHead => AttemptFailure::ConnectionLost("head-invalid"),
                     SendFailure::ConnectionLost => {
                         AttemptFailure::ConnectionLost("connection-broke")
                     }
--- a/crates/sapphiretrack-router/src/connect.rs
+++ b/crates/sapphiretrack-router/src/connect.rs
@@ -1,9 +1,11 @@
-//! Opens HTTP/1.1 connections that detect a peer that stops responding, or sends without end.
+//! Opens HTTP/1.1 connections that detect a peer that stops responding, sends without end, or sends what is no answer.
 
+use std::error::Error as _;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
+use sapphiretrack_routing::HeadCheck;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -20,6 +23,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::lock::lock;
 use crate::ports::ConnectServer;
 
 /// The idle time before the first keep-alive probe, and between probes: the smallest that the
@@ -75,25 +79,27 @@
 #[derive(Debug)]
 pub struct ConnectionDriver {
     task: JoinHandle<()>,
-    read_limit: Arc<ReadLimit>,
+    reads: Arc<ReadGuard>,
 }
 
 impl ConnectionDriver {
     /// Limits the bytes and the interim answers that are read until the head of the answer to `request` has
-    /// arrived.
+    /// arrived, and checks these bytes.
     pub(crate) fn expect_head<Body>(&self, request: &mut Request<Body>) {
-        self.read_limit.set(MAX_HEAD_BYTES);
-        let (limit, count) = (self.read_limit.clone(), AtomicUsize::new(0));
+        *lock(&self.reads.head) = Some(HeadCheck::default());
+        self.reads.limit.set(MAX_HEAD_BYTES);
+        let (reads, count) = (self.reads.clone(), AtomicUsize::new(0));
         on_informational(request, move |_| {
             if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
-                limit.set(0);
+                reads.limit.set(0);
             }
         });
     }
 
-    /// Ends the limit: the answer's head has arrived.
+    /// Ends the limit and the check: the answer's head has arrived.
     pub(crate) fn record_head(&self) {
-        self.read_limit.set(usize::MAX);
+        self.reads.limit.set(usize::MAX);
+        *lock(&self.reads.head) = None;
     }
 }
 
@@ -103,6 +109,32 @@
     }
 }
 
+/// What may be read from a connection.
+#[derive(Debug)]
+struct ReadGuard {
+    limit: ReadLimit,
+    /// Checks the head of the answer that is awaited.
+    head: Mutex<Option<HeadCheck>>,
+}
+
+impl ReadGuard {
+    /// Counts and checks bytes that were read.
+    fn take(&self, bytes: &[u8]) -> std::io::Result<()> {
+        if !self.limit.take(bytes.len()) {
+            return Err(std::io::Error::other("no head within the limit"));
+        }
+        let mut head = lock(&self.head);
+        let checked = head.as_mut().map_or(Ok(()), |head| head.push(bytes));
+        checked.map_err(|fault| std::io::Error::new(ErrorKind::InvalidData, fault.as_str()))
+    }
+}
+
+/// Whether a request failed because the bytes of the answer's head are no answer.
+pub(crate) fn is_invalid_head(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref());
+    source.is_some_and(|source: &std::io::Error| source.kind() == ErrorKind::InvalidData)
+}
+
 /// The bytes that may still be read from a connection.
 #[derive(Debug)]
 struct ReadLimit(AtomicUsize);
@@ -126,13 +158,13 @@
     }
 }
 
-/// A connection on which reads fail beyond a limit.
-struct LimitedStream {
+/// A connection on which reads fail beyond a limit, or if what they bring is no answer.
+struct GuardedStream {
     stream: TcpStream,
-    limit: Arc<ReadLimit>,
+    reads: Arc<ReadGuard>,
 }
 
-impl AsyncRead for LimitedStream {
+impl AsyncRead for GuardedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -140,14 +172,11 @@
     ) -> Poll<std::io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        match self.limit.take(buffer.filled().len() - before) {
-            true => Poll::Ready(Ok(())),
-            false => Poll::Ready(Err(std::io::Error::other("no head within the limit"))),
-        }
+        Poll::Ready(self.reads.take(&buffer.filled()[before..]))
     }
 }
 
-impl AsyncWrite for LimitedStream {
+impl AsyncWrite for GuardedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -198,15 +227,21 @@
     let mut builder = http1::Builder::new();
     builder.preserve_header_case(true);
     builder.max_buf_size(MAX_READ_BYTES);
-    let read_limit = Arc::new(ReadLimit(AtomicUsize::new(usize::MAX)));
-    let limit = read_limit.clone();
-    let handshake = builder.handshake(TokioIo::new(LimitedStream { stream, limit }));
+    let reads = Arc::new(ReadGuard {
+        limit: ReadLimit(AtomicUsize::new(usize::MAX)),
+        head: Mutex::default(),
+    });
+    let guarded = GuardedStream {
+        stream,
+        reads: reads.clone(),
+    };
+    let handshake = builder.handshake(TokioIo::new(guarded));
     let (sender, connection) = handshake.await.context(HandshakeSnafu { address })?;
     let task = tokio::spawn(async move {
         // The pending request returns the same error.
         drop(connection.await);
     });
-    Ok((sender, ConnectionDriver { task, read_limit }))
+    Ok((sender, ConnectionDriver { task, reads }))
 }
 
 /// Enables keep-alive probes and a limit on unacknowledged bytes, so that a dead connection is
--- a/crates/sapphiretrack-router/src/connection_pool.rs
+++ b/crates/sapphiretrack-router/src/connection_pool.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
-use crate::connect::{ConnectError, ConnectionDriver, connect};
+use crate::connect::{ConnectError, ConnectionDriver, connect, is_invalid_head};
 use crate::ports::ConnectServer;
 
 /// How long an idle connection is kept if the server states no keep-alive limit.
@@ -73,6 +73,8 @@
     NotSent,
     /// The head of the answer exceeds the limit. The request may have run.
     HeadTooLong,
+    /// What came is no answer in the protocol. The request may have run.
+    InvalidHead,
     /// The connection was lost. The request may have run.
     ConnectionLost,
 }
@@ -85,8 +87,12 @@
         if error.take_message().is_some() {
             return Self::NotSent;
         }
-        match error.error().is_parse_too_large() {
-            true => Self::HeadTooLong,
+        let error = error.error();
+        if error.is_parse_too_large() {
+            return Self::HeadTooLong;
+        }
+        match error.is_parse() || is_invalid_head(error) {
+            true => Self::InvalidHead,
             false => Self::ConnectionLost,
         }
     }
--- a/crates/sapphiretrack-router/src/unusable_records.rs
+++ b/crates/sapphiretrack-router/src/unusable_records.rs
@@ -1,10 +1,11 @@
 //! Reports records of the store that its listings cannot use.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 
 use sapphiretrack_routing::RecentReports;
 
 use crate::events::{Event, note};
+use crate::lock::lock;
 use crate::metrics::Metrics;
 use crate::ports::{Listing, Record};
 
@@ -19,8 +20,7 @@
     pub(crate) fn report(&self, metrics: &Metrics, listing: Listing, key: &str, reason: &str) {
         let listing = listing.as_str();
         metrics.count_unusable_record(listing);
-        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
-        if reported.record(&[listing, key, reason]) {
+        if lock(&self.reported).record(&[listing, key, reason]) {
             note!(
                 Event::RECORD_UNREADABLE,
                 key = key,
