Skip rows of the platform that the daemon cannot read, and report them

What operators would see: after one odd row among the desired states of engines, the contracts, the history or the ages of claims, or one odd record in the list of VMs, a daemon got no goals, no configuration, no list at all, or kept claims without end.

Cause: each of these readers failed as a whole at the first row that it could not parse. They now skip it; a gap in the history ends the replay, so that all rows are read. Each such row is reported once in event 214 and counted in unusable_rows_total. A lease that cannot be read still stops orders to engines: its fencing number is not known.

--- a/crates/sapphiretrack-platform/src/claims.rs
+++ b/crates/sapphiretrack-platform/src/claims.rs
@@ -168,8 +168,8 @@
             .await?;
         let full_page = rows.len() == MAX_SWEPT_CLAIMS as usize;
         let mut request = TransactRequest::default();
-        for row in rows {
-            let expiry: Expiry = read_value(&row, "a claim's age")?;
+        let unusable = self.platform.unusable();
+        for (row, expiry) in unusable.read_rows::<Expiry>(&rows) {
             if !claim_expired(expiry.claimed_at_ms, now_ms) {
                 continue;
             }
@@ -179,7 +179,9 @@
                 key: row.key.clone(),
                 row_version: row.row_version,
             });
-            request.writes.push(Write::Delete { key: row.key });
+            request.writes.push(Write::Delete {
+                key: row.key.clone(),
+            });
             request.writes.push(Write::Delete {
                 key: expiry.claim_row,
             });
--- a/crates/sapphiretrack-platform/src/client.rs
+++ b/crates/sapphiretrack-platform/src/client.rs
@@ -16,8 +16,10 @@
 use crate::error::{
     PlatformError, RefusedSnafu, ReplyLostSnafu, UnreachableSnafu, UnreadableSnafu,
 };
+use crate::unusable::UnusableRowReporter;
 use crate::wire::{
     GetReply, GetRequest, Row, ScanReply, ScanRequest, TransactReply, TransactRequest, VmList,
+    VmName, VmRecords,
 };
 
 /// Maximum size of a reply, in bytes.
@@ -47,6 +49,7 @@
     settings: Arc<Settings>,
     http: Client<HttpConnector, Full<Bytes>>,
     counts: Arc<Counts>,
+    unusable: UnusableRowReporter,
 }
 
 /// Number of calls, to check the load on the platform against its budget.
@@ -68,9 +71,20 @@
             settings: Arc::new(settings),
             http,
             counts: Arc::default(),
+            unusable: UnusableRowReporter::default(),
         }
     }
 
+    /// Sets what receives rows that cannot be used.
+    pub fn with_reporter(self, unusable: UnusableRowReporter) -> Self {
+        Self { unusable, ..self }
+    }
+
+    /// Returns what receives rows that cannot be used.
+    pub(crate) fn unusable(&self) -> &UnusableRowReporter {
+        &self.unusable
+    }
+
     /// Returns the number of read and write calls so far.
     pub fn calls(&self) -> (u64, u64) {
         (
@@ -169,9 +183,21 @@
     pub async fn vms(&self) -> Result<VmList, PlatformError> {
         self.counts.reads.fetch_add(1, Ordering::Relaxed);
         let body = self.call("GET", "/vms", Bytes::new()).await?;
-        serde_json::from_slice(&body).context(UnreadableSnafu {
+        let records: VmRecords<'_> = serde_json::from_slice(&body).context(UnreadableSnafu {
             what: "the list of VMs",
-        })
+        })?;
+        let vms = records.vms.into_iter();
+        let vms = vms.filter_map(|record| match serde_json::from_str(record.get()) {
+            Ok(vm) => Some(vm),
+            Err(error) => {
+                let named: Option<VmName> = serde_json::from_str(record.get()).ok();
+                let name = named.map_or_else(|| "?".to_owned(), |named| named.name);
+                self.unusable
+                    .report(&format!("vms/{name}"), &error.to_string());
+                None
+            }
+        });
+        Ok(VmList { vms: vms.collect() })
     }
 
     async fn post<Request, Reply>(
--- a/crates/sapphiretrack-platform/src/configuration.rs
+++ b/crates/sapphiretrack-platform/src/configuration.rs
@@ -211,6 +211,8 @@
         }
         let contracts = self.platform.scan(CONTRACT_PREFIX).await?;
         let drains = self.platform.scan(DRAIN_PREFIX).await?;
+        let unusable = self.platform.unusable();
+        let contracts: Vec<_> = unusable.read_rows(&contracts).collect();
         let (next, request) =
             republish_transaction(head_row.as_ref(), &contracts, &drains, held, router, now_ms)?;
         match self.platform.transact(&request).await? {
@@ -259,14 +261,11 @@
         Ok(found)
     }
 
-    /// Reads all changes, the oldest first.
+    /// Reads all changes, the oldest first. Rows that cannot be read are reported and skipped.
     pub async fn history(&self) -> Result<Vec<HistoryEntry>, PlatformError> {
-        self.platform
-            .scan(HISTORY_PREFIX)
-            .await?
-            .iter()
-            .map(read_row)
-            .collect()
+        let rows = self.platform.scan(HISTORY_PREFIX).await?;
+        let entries = self.platform.unusable().read_rows(&rows);
+        Ok(entries.map(|(_, entry)| entry).collect())
     }
 
     async fn head(&self) -> Result<(Option<Row>, Head), PlatformError> {
@@ -292,10 +291,9 @@
         };
         let before = history_key(from.version.saturating_sub(1));
         let rows = self.platform.scan_after(HISTORY_PREFIX, &before).await?;
-        let mut entries = Vec::with_capacity(rows.len());
-        for row in &rows {
-            entries.push(Arc::new(read_row::<HistoryEntry>(row)?));
-        }
+        let entries = self.platform.unusable().read_rows::<HistoryEntry>(&rows);
+        // Without an entry that cannot be read the changes do not follow one another.
+        let entries: Vec<_> = entries.map(|(_, entry)| Arc::new(entry)).collect();
         // A restored platform may have assigned this version to another change.
         let Some((first, newer)) = entries.split_first() else {
             return Ok(None);
@@ -321,16 +319,15 @@
                 version: after.version,
                 ..FleetConfig::default()
             };
-            for row in &contracts {
-                let parsed: ContractRow = read_row(row)?;
+            let unusable = self.platform.unusable();
+            for (_, parsed) in unusable.read_rows::<ContractRow>(&contracts) {
                 let customer = parsed.contract.customer.clone();
                 config.contracts.insert(customer, parsed.contract);
             }
             config.share_tables();
             let last = self.platform.get(&history_key(after.version)).await?;
-            if let Some(row) = &last {
-                config.recent.push_back(Arc::new(read_row(row)?));
-            }
+            let last = unusable.read_rows(last.as_slice());
+            config.recent.extend(last.map(|(_, entry)| Arc::new(entry)));
             let rows = draining.iter();
             config.draining = rows
                 .map(|row| row.key[DRAIN_PREFIX.len()..].to_owned())
--- a/crates/sapphiretrack-platform/src/goals.rs
+++ b/crates/sapphiretrack-platform/src/goals.rs
@@ -36,20 +36,20 @@
         Self { platform }
     }
 
-    /// Reads all desired states and fencing checks. Makes two scans.
+    /// Reads all desired states and fencing checks. Makes two scans. Rows that cannot be read are reported and
+    /// skipped.
     pub async fn load(&self) -> Result<EngineGoals, PlatformError> {
         let mut all = EngineGoals::default();
-        for row in self.platform.scan(GOAL_PREFIX).await? {
-            let goal =
-                serde_json::from_str(&row.value).context(UnreadableSnafu { what: "a goal" })?;
-            all.goals
-                .insert(row.key[GOAL_PREFIX.len()..].to_owned(), goal);
+        let unusable = self.platform.unusable();
+        let rows = self.platform.scan(GOAL_PREFIX).await?;
+        for (row, goal) in unusable.read_rows(&rows) {
+            let server = row.key[GOAL_PREFIX.len()..].to_owned();
+            all.goals.insert(server, goal);
         }
-        for row in self.platform.scan(CHECK_PREFIX).await? {
-            let check =
-                serde_json::from_str(&row.value).context(UnreadableSnafu { what: "a check" })?;
-            all.checks
-                .insert(row.key[CHECK_PREFIX.len()..].to_owned(), check);
+        let rows = self.platform.scan(CHECK_PREFIX).await?;
+        for (row, check) in unusable.read_rows(&rows) {
+            let pool = row.key[CHECK_PREFIX.len()..].to_owned();
+            all.checks.insert(pool, check);
         }
         Ok(all)
     }
--- a/crates/sapphiretrack-platform/src/lib.rs
+++ b/crates/sapphiretrack-platform/src/lib.rs
@@ -11,6 +11,7 @@
 mod rows;
 mod snapshot;
 mod transaction;
+mod unusable;
 mod warm;
 pub mod wire;
 
@@ -21,4 +22,5 @@
 pub use goals::{EngineGoals, GoalStore};
 pub use leases::{LeaseStore, LeaseWriteResult, StoredLease};
 pub use rows::AcceptedChange;
+pub use unusable::UnusableRowReporter;
 pub use warm::{WarmPart, WarmSnapshot, WarmStore};
--- a/crates/sapphiretrack-platform/src/transaction.rs
+++ b/crates/sapphiretrack-platform/src/transaction.rs
@@ -53,7 +53,7 @@
 /// version.
 pub(crate) fn republish_transaction(
     head_row: Option<&Row>,
-    contracts: &[Row],
+    contracts: &[(&Row, ContractRow)],
     drains: &[Row],
     held: &FleetConfig,
     router: &str,
@@ -96,11 +96,13 @@
 
 /// Returns the writes that set contracts which differ from their rows and delete rows of customers
 /// without a contract in `held`.
-fn contract_writes(rows: &[Row], held: &FleetConfig) -> Result<Vec<Write>, PlatformError> {
+fn contract_writes(
+    rows: &[(&Row, ContractRow)],
+    held: &FleetConfig,
+) -> Result<Vec<Write>, PlatformError> {
     let mut writes = Vec::new();
     let mut unchanged: Vec<String> = Vec::new();
-    for row in rows {
-        let parsed: ContractRow = read_row(row)?;
+    for (row, parsed) in rows {
         let customer = parsed.contract.customer.clone();
         match held.contracts.get(&customer) {
             Some(contract) if *contract == parsed.contract => unchanged.push(customer),
--- a/crates/sapphiretrack-platform/src/wire.rs
+++ b/crates/sapphiretrack-platform/src/wire.rs
@@ -2,6 +2,7 @@
 
 use sapphiretrack_core::VmRecord;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 /// A row of the table.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -115,3 +116,16 @@
     /// Live and leaving VMs.
     pub vms: Vec<VmRecord>,
 }
+
+/// The same with its records as text, so that one that cannot be read does not hide the others.
+#[derive(Deserialize)]
+pub(crate) struct VmRecords<'a> {
+    #[serde(borrow)]
+    pub(crate) vms: Vec<&'a RawValue>,
+}
+
+/// The name of a VM whose other fields may be unreadable.
+#[derive(Deserialize)]
+pub(crate) struct VmName {
+    pub(crate) name: String,
+}
--- a/crates/sapphiretrackd/src/components.rs
+++ b/crates/sapphiretrackd/src/components.rs
@@ -36,6 +36,7 @@
 use crate::operations::Operations;
 use crate::settings::Settings;
 use crate::stopping::Stopping;
+use crate::unusable_rows::row_reporter;
 use crate::warm_memory::WarmMemory;
 use crate::warm_snapshots::WarmSnapshots;
 
@@ -70,18 +71,20 @@
         let (control, commands) = control_channel(RouterId::from_name(&settings.router_name));
         let key = SigningKey::new(&settings.cell_key);
         let clock = Clock::start();
+        let metrics = Arc::new(Metrics::new());
+        let platform = PlatformClient::new(sapphiretrack_platform::Settings {
+            url: settings.platform_url.clone(),
+            timeout_ms: settings.platform_timeout_ms,
+        });
         Self {
             clock,
             memory: Arc::new(WarmMemory::new(clock, settings.placement_memory_chats)),
             control,
             commands,
-            platform: PlatformClient::new(sapphiretrack_platform::Settings {
-                url: settings.platform_url.clone(),
-                timeout_ms: settings.platform_timeout_ms,
-            }),
+            platform: platform.with_reporter(row_reporter(&metrics)),
             peers: PeerClient::new(sapphiretrack_peer::Settings::default(), key),
             backend: BackendClient::new(sapphiretrack_backend::Settings::default()),
-            metrics: Arc::new(Metrics::new()),
+            metrics,
             clients: ClientResources::new(settings),
             stop: Arc::new(Notify::new()),
             stopping: Arc::new(Stopping::new(clock, settings)),
--- a/crates/sapphiretrackd/src/events.rs
+++ b/crates/sapphiretrackd/src/events.rs
@@ -46,6 +46,8 @@
     pub const ISOLATED: Self = Self::new(212, Level::Error, "isolated, new work is refused");
     /// The isolation ended.
     pub const ISOLATION_ENDED: Self = Self::new(213, Level::Info, "isolation ended");
+    /// A row of the platform cannot be used.
+    pub const ROW_UNUSABLE: Self = Self::new(214, Level::Warn, "platform row unusable");
     /// A peer was seen for the first time.
     pub const PEER_JOINED: Self = Self::new(300, Level::Info, "peer joined");
     /// A peer is leaving.
@@ -123,6 +125,7 @@
         Self::PLATFORM_RESTORED,
         Self::ISOLATED,
         Self::ISOLATION_ENDED,
+        Self::ROW_UNUSABLE,
         Self::PEER_JOINED,
         Self::PEER_LEAVING,
         Self::PEER_LOST,
--- a/crates/sapphiretrackd/src/lib.rs
+++ b/crates/sapphiretrackd/src/lib.rs
@@ -19,6 +19,7 @@
 mod signals;
 mod stopping;
 mod sweep;
+mod unusable_rows;
 mod warm_memory;
 mod warm_snapshots;
 
--- a/crates/sapphiretrackd/src/metrics.rs
+++ b/crates/sapphiretrackd/src/metrics.rs
@@ -56,6 +56,8 @@
     pub(crate) crossed_replies: Counter,
     /// Peer messages with a wrong signature or malformed content.
     pub(crate) rejected_peer_messages: Counter,
+    /// Rows of the platform that could not be used, each time they were read.
+    pub(crate) unusable_rows: Counter,
     client_bytes: Gauge,
     closed_connections: Counter,
     reclaimed_bodies: Counter,
@@ -138,6 +140,7 @@
             retries: Counter::default(),
             crossed_replies: Counter::default(),
             rejected_peer_messages: Counter::default(),
+            unusable_rows: Counter::default(),
             client_bytes: Gauge::default(),
             closed_connections: Counter::default(),
             reclaimed_bodies: Counter::default(),
@@ -237,6 +240,11 @@
                 "Foreign or malformed peer messages",
                 &self.rejected_peer_messages,
             ),
+            (
+                "unusable_rows",
+                "Rows of the platform that could not be used",
+                &self.unusable_rows,
+            ),
             (
                 "closed_client_connections",
                 "Idle connections closed, as others needed their places",
