Refuse answers to the daemon whose heads are none in the protocol

What callers saw: the daemon passed on a plain service's answer with a status from 600 to 999, and took a line feed alone for the end of a head.

Cause and fix are those of the router: HeadCheck runs on the daemon's connections to backend servers. Its HTTP client opens them itself, so that the check starts again with each request line that is written.

--- a/crates/sapphiretrack-backend/src/client.rs
+++ b/crates/sapphiretrack-backend/src/client.rs
@@ -12,6 +12,7 @@
 use sapphiretrack_core::{AttemptId, ChatKey, LoadReport};
 
 use crate::answer::AnswerStream;
+use crate::checked_connector::CheckedConnector;
 use crate::error::{
     AnswerFailedSnafu, BackendError, LeavingSnafu, NotStartedSnafu, UnreachableSnafu,
     WrongAttemptSnafu,
@@ -95,7 +96,7 @@
 #[derive(Clone, Debug)]
 pub struct BackendClient {
     settings: Settings,
-    http: Client<HttpConnector, Full<Bytes>>,
+    http: Client<CheckedConnector, Full<Bytes>>,
 }
 
 impl BackendClient {
@@ -109,7 +110,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(20))
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(CheckedConnector(connector));
         Self { settings, http }
     }
 
--- a/crates/sapphiretrack-backend/src/lib.rs
+++ b/crates/sapphiretrack-backend/src/lib.rs
@@ -1,6 +1,7 @@
 //! Client of the backend servers: model engines and plain services.
 
 mod answer;
+mod checked_connector;
 mod client;
 mod error;
 mod orders;
--- a/crates/sapphiretrack-backend/src/orders.rs
+++ b/crates/sapphiretrack-backend/src/orders.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use sapphiretrack_core::{EngineOrder, EngineState, MAX_ORDER_DELAY_MS};
 
+use crate::checked_connector::CheckedConnector;
 use crate::error::{AnswerFailedSnafu, BackendError, UnreachableSnafu};
 
 /// Maximum size of a reply, in bytes.
@@ -28,7 +29,7 @@
 /// Client for orders to engines. Clones share connections.
 #[derive(Clone, Debug)]
 pub struct OrderClient {
-    http: Client<HttpConnector, Full<Bytes>>,
+    http: Client<CheckedConnector, Full<Bytes>>,
 }
 
 impl Default for OrderClient {
@@ -38,7 +39,7 @@
         let http = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
-            .build_http();
+            .build(CheckedConnector(HttpConnector::new()));
         Self { http }
     }
 }
--- a/crates/sapphiretrack-routing/src/head_check.rs
+++ b/crates/sapphiretrack-routing/src/head_check.rs
@@ -55,6 +55,11 @@
         Ok(())
     }
 
+    /// Returns whether the head of the final answer has ended.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
     fn push_byte(&mut self, byte: u8) -> Result<(), HeadFault> {
         if self.is_after_return != (byte == b'\n') {
             return Err(HeadFault::LineEnd);
