--- a/crates/sapphiretrack-platform/src/unusable.rs
+++ b/crates/sapphiretrack-platform/src/unusable.rs
@@ -7,12 +7,12 @@
 
 use crate::wire::Row;
 
-/// Receives the key of each row that cannot be used, and the reason.
-type Report = dyn Fn(&str, &str) + Send + Sync;
+/// Receives the key of a row that cannot be used, and the reason.
+type OnUnusable = dyn Fn(&str, &str) + Send + Sync;
 
 /// Receives the rows that cannot be used, each time they are read. The default ignores them.
 #[derive(Clone)]
-pub struct UnusableRowReporter(Arc<Report>);
+pub struct UnusableRowReporter(Arc<OnUnusable>);
 
 impl UnusableRowReporter {
     /// Creates a reporter that calls `report` with the key of a row and the reason why it cannot be used. The call must not
--- a/crates/sapphiretrack-router/src/connect.rs
+++ b/crates/sapphiretrack-router/src/connect.rs
@@ -79,7 +79,7 @@
 #[derive(Debug)]
 pub struct ConnectionDriver {
     task: JoinHandle<()>,
-    reads: Arc<ReadGuard>,
+    reads: Arc<ReadChecks>,
 }
 
 impl ConnectionDriver {
@@ -111,13 +111,13 @@
 
 /// What may be read from a connection.
 #[derive(Debug)]
-struct ReadGuard {
+struct ReadChecks {
     limit: ReadLimit,
     /// Checks the head of the answer that is awaited.
     head: Mutex<Option<HeadCheck>>,
 }
 
-impl ReadGuard {
+impl ReadChecks {
     /// Counts and checks bytes that were read.
     fn take(&self, bytes: &[u8]) -> std::io::Result<()> {
         if !self.limit.take(bytes.len()) {
@@ -159,12 +159,12 @@
 }
 
 /// A connection on which reads fail beyond a limit, or if what they bring is no answer.
-struct GuardedStream {
+struct CheckedStream {
     stream: TcpStream,
-    reads: Arc<ReadGuard>,
+    reads: Arc<ReadChecks>,
 }
 
-impl AsyncRead for GuardedStream {
+impl AsyncRead for CheckedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -176,7 +176,7 @@
     }
 }
 
-impl AsyncWrite for GuardedStream {
+impl AsyncWrite for CheckedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -227,15 +227,15 @@
     let mut builder = http1::Builder::new();
     builder.preserve_header_case(true);
     builder.max_buf_size(MAX_READ_BYTES);
-    let reads = Arc::new(ReadGuard {
+    let reads = Arc::new(ReadChecks {
         limit: ReadLimit(AtomicUsize::new(usize::MAX)),
         head: Mutex::default(),
     });
-    let guarded = GuardedStream {
+    let checked = CheckedStream {
         stream,
         reads: reads.clone(),
     };
-    let handshake = builder.handshake(TokioIo::new(guarded));
+    let handshake = builder.handshake(TokioIo::new(checked));
     let (sender, connection) = handshake.await.context(HandshakeSnafu { address })?;
     let task = tokio::spawn(async move {
         // The pending request returns the same error.
