--- a/crates/sapphiretrack-router/src/unusable_records.rs
+++ b/crates/sapphiretrack-router/src/unusable_records.rs
@@ -4,6 +4,7 @@
 
 use sapphiretrack_routing::RecentReports;
 
+use crate::clock::Clock;
 use crate::events::{Event, note};
 use crate::lock::lock;
 use crate::metrics::Metrics;
@@ -20,7 +21,7 @@
     pub(crate) fn report(&self, metrics: &Metrics, listing: Listing, key: &str, reason: &str) {
         let listing = listing.as_str();
         metrics.count_unusable_record(listing);
-        if lock(&self.reported).record(&[listing, key, reason]) {
+        if lock(&self.reported).record(&[listing, key, reason], Clock.now_ms()) {
             note!(
                 Event::RECORD_UNREADABLE,
                 key = key,
--- a/crates/sapphiretrackd/src/components.rs
+++ b/crates/sapphiretrackd/src/components.rs
@@ -81,7 +81,7 @@
             memory: Arc::new(WarmMemory::new(clock, settings.placement_memory_chats)),
             control,
             commands,
-            platform: platform.with_reporter(row_reporter(&metrics)),
+            platform: platform.with_reporter(row_reporter(&metrics, clock)),
             peers: PeerClient::new(sapphiretrack_peer::Settings::default(), key),
             backend: BackendClient::new(sapphiretrack_backend::Settings::default()),
             metrics,
