Let stalled bodies give way to requests that have been read

What callers saw: while unfinished bodies filled the memory for clients, every request got 503 no-memory, until those bodies ended at the time limit of their route or class.

A short body, or none, needs no room, so that nobody gave way for such a request.

Fix: ClientBudget::hold_request reclaims stalled bodies as grow_upload does; both wait in ClientMemory::reserve. The request waits within its time limit.

A property test covers what stalled uploads and connections may hold.

--- a/crates/sapphiretrack-caller/src/server.rs
+++ b/crates/sapphiretrack-caller/src/server.rs
@@ -7,7 +7,9 @@
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Version, header};
 use hyper::body::Incoming;
-use sapphiretrack_clients::{BodyError, ClientMemory, HeldMemory, RequestInProgress, discard_body};
+use sapphiretrack_clients::{
+    BodyError, ClientMemory, HeldMemory, RequestInProgress, discard_body, read_body,
+};
 use sapphiretrack_core::{Contract, Refusal, RefusalCode};
 use tokio::time::timeout;
 
@@ -162,16 +164,19 @@
         body: &mut Incoming,
         deadline_ms: u64,
     ) -> Result<(Bytes, [Option<HeldMemory>; 2]), Refusal> {
-        let read = sapphiretrack_clients::read_body(&self.memory, body, self.max_body_bytes);
+        let read = async {
+            let read = read_body(&self.memory, body, self.max_body_bytes).await;
+            let (body, body_memory) = read?;
+            let request_memory = self.memory.hold_request(REQUEST_BYTES).await;
+            let request_memory = request_memory.ok_or(BodyError::NoMemory)?;
+            Ok((body, [Some(request_memory), body_memory]))
+        };
         let read = timeout(Duration::from_millis(deadline_ms), read).await;
         let read = read.map_err(|_| {
             let message = "the body did not arrive within the deadline";
             Refusal::not_run(RefusalCode::DeadlinePassed, message)
         })?;
-        let (body, body_memory) = read.map_err(|error| body_refusal(&error))?;
-        let request_memory = self.memory.try_hold(REQUEST_BYTES);
-        let request_memory = request_memory.ok_or_else(|| body_refusal(&BodyError::NoMemory))?;
-        Ok((body, [Some(request_memory), body_memory]))
+        read.map_err(|error: BodyError| body_refusal(&error))
     }
 }
 
--- a/crates/sapphiretrack-clients/src/memory.rs
+++ b/crates/sapphiretrack-clients/src/memory.rs
@@ -100,16 +100,50 @@
         self.lock().budget.max_upload_bytes()
     }
 
-    /// Reserves memory for a request that runs; none if there is no room.
-    pub fn try_hold(self: &Arc<Self>, bytes: usize) -> Option<HeldMemory> {
-        let other_bytes = (self.other_bytes)();
-        let has_room = self.lock().budget.try_hold(bytes, other_bytes);
+    /// Reserves memory for a request whose body was read, after stalled uploads gave way if need be; none if there is
+    /// no room.
+    pub async fn hold_request(self: &Arc<Self>, bytes: usize) -> Option<HeldMemory> {
+        let has_room = self
+            .reserve(|budget, other_bytes, now_ms| budget.hold_request(bytes, other_bytes, now_ms))
+            .await;
         has_room.then(|| HeldMemory {
             memory: self.clone(),
             bytes,
         })
     }
 
+    /// Asks the budget until it grants or refuses, while others give way. Returns whether it granted.
+    async fn reserve<Ask>(&self, ask: Ask) -> bool
+    where
+        Ask: Fn(&mut ClientBudget, usize, u64) -> UploadGrant,
+    {
+        loop {
+            let released = self.released.notified();
+            match self.ask(&ask) {
+                UploadGrant::Granted => return true,
+                UploadGrant::Refused => return false,
+                UploadGrant::Awaited(_) => drop(timeout(RELEASE_WAIT, released).await),
+            }
+        }
+    }
+
+    /// Asks the budget once, and wakes the uploads that have to give way.
+    fn ask<Ask>(&self, ask: Ask) -> UploadGrant
+    where
+        Ask: Fn(&mut ClientBudget, usize, u64) -> UploadGrant,
+    {
+        let other_bytes = (self.other_bytes)();
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let grant = ask(&mut state.budget, other_bytes, now_ms);
+        if let UploadGrant::Awaited(chosen) = &grant {
+            for reclaim in chosen.iter().filter_map(|id| state.reclaims.get(id)) {
+                reclaim.notify_one();
+            }
+        }
+        grant
+    }
+
     /// Accounts for memory whose amount is limited by other means.
     pub(crate) fn hold(self: &Arc<Self>, bytes: usize) -> HeldMemory {
         self.lock().budget.hold(bytes);
@@ -195,34 +229,18 @@
 
     /// Reserves more memory, after others gave way if need be. Returns false if there is none.
     pub(crate) async fn grow(&self, bytes: usize) -> bool {
-        loop {
-            let released = self.memory.released.notified();
-            match self.try_grow(bytes) {
-                UploadGrant::Granted => return true,
-                UploadGrant::Refused => return false,
-                UploadGrant::Awaited(_) => drop(timeout(RELEASE_WAIT, released).await),
-            }
-        }
+        self.memory.reserve(self.growth(bytes)).await
     }
 
     /// Reserves more memory if there is room now. Returns false if there is not; others then begin to give way.
     pub(crate) fn grow_at_once(&self, bytes: usize) -> bool {
-        self.try_grow(bytes) == UploadGrant::Granted
+        self.memory.ask(self.growth(bytes)) == UploadGrant::Granted
     }
 
-    fn try_grow(&self, bytes: usize) -> UploadGrant {
-        let other_bytes = (self.memory.other_bytes)();
-        let now_ms = self.memory.now_ms();
-        let mut state = self.memory.lock();
-        let grant = state
-            .budget
-            .grow_upload(self.id, bytes, other_bytes, now_ms);
-        if let UploadGrant::Awaited(chosen) = &grant {
-            for reclaim in chosen.iter().filter_map(|id| state.reclaims.get(id)) {
-                reclaim.notify_one();
-            }
-        }
-        grant
+    /// How to ask the budget for more memory.
+    fn growth(&self, bytes: usize) -> impl Fn(&mut ClientBudget, usize, u64) -> UploadGrant {
+        let id = self.id;
+        move |budget, other_bytes, now_ms| budget.grow_upload(id, bytes, other_bytes, now_ms)
     }
 
     /// Keeps the memory for the request that runs with this body.
--- a/crates/sapphiretrack-clients/tests/body.rs
+++ b/crates/sapphiretrack-clients/tests/body.rs
@@ -87,6 +87,37 @@
     assert!(events.len() == ended && events.iter().all(reclaimed));
 }
 
+#[tokio::test(start_paused = true)]
+async fn stalled_bodies_give_way_to_a_request() {
+    let (memory, events) = memory();
+    let stalled_bytes = LIMIT_BYTES / 8;
+    let stalled = (0..7).map(|_| {
+        let memory = memory.clone();
+        tokio::spawn(async move {
+            let sent = stream::iter(frames(stalled_bytes, 4_096));
+            let mut body = StreamBody::new(sent.chain(stream::pending()));
+            read_body(&memory, &mut body, BODY_BYTES).await.err()
+        })
+    });
+    let stalled: Vec<_> = stalled.collect();
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(memory.used_bytes(), 7 * stalled_bytes);
+    let rest = memory.hold_request(stalled_bytes).await;
+    assert!(rest.is_some(), "there is room without the stalled bodies");
+    assert!(
+        memory.hold_request(1).await.is_none(),
+        "the bodies still move"
+    );
+    sleep(Duration::from_secs(5)).await;
+    let held = memory.hold_request(2 * stalled_bytes).await;
+    assert!(held.is_some(), "stalled bodies give way");
+    assert_eq!(memory.used_bytes(), LIMIT_BYTES);
+    let ended = stalled.iter().filter(|one| one.is_finished()).count();
+    assert_eq!((ended, events.lock().expect("not poisoned").len()), (2, 2));
+    drop((held, rest));
+    assert_eq!(memory.used_bytes(), 5 * stalled_bytes);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_idle_connection_gives_way_and_a_running_one_does_not() {
     let (memory, _) = memory();
--- a/crates/sapphiretrack-router/src/admission.rs
+++ b/crates/sapphiretrack-router/src/admission.rs
@@ -62,7 +62,11 @@
     let timeout_ms = facts.deadline_ms.unwrap_or(route.timeout_ms);
     let timeout_ms = timeout_ms.min(route.timeout_ms);
     let clients = &shared.activity.clients;
-    let read = read_body(clients.memory(), body, limit);
+    let read = async {
+        let (body, body_memory) = read_body(clients.memory(), body, limit).await?;
+        let request_memory = clients.hold_request().await.ok_or(BodyError::NoMemory)?;
+        Ok((body, (request_memory, body_memory)))
+    };
     let read = timeout(Duration::from_millis(timeout_ms), read);
     let read = tokio::select! {
         biased;
@@ -71,15 +75,13 @@
             return Err(Refusal::retryable(LEAVING));
         }
     };
-    let (body, body_memory) = match read {
+    let (body, memory) = match read {
         Ok(read) => read.map_err(body_refusal)?,
         Err(_) => {
             let status = StatusCode::REQUEST_TIMEOUT;
             return Err(Refusal::permanent(status, "body-too-slow"));
         }
     };
-    let request_memory = clients.hold_request();
-    let request_memory = request_memory.ok_or_else(|| Refusal::retryable("no-memory"))?;
     let workspace = tenant.as_ref().map(|tenant| tenant.name.as_str());
     let path = head.uri.path();
     let required_origin = required_origin(shared, &route, workspace, &facts, path, hop).await?;
@@ -123,7 +125,7 @@
         may_have_run: AtomicBool::new(hop.is_some_and(|hop| hop.possible_runs > 0)),
         hop,
         _in_flight: in_flight,
-        _memory: (request_memory, body_memory),
+        _memory: memory,
     })
 }
 
--- a/crates/sapphiretrack-router/src/client_limits.rs
+++ b/crates/sapphiretrack-router/src/client_limits.rs
@@ -189,9 +189,9 @@
         &self.memory
     }
 
-    /// Reserves memory for a request that runs; none if there is no room.
-    pub(crate) fn hold_request(&self) -> Option<HeldMemory> {
-        self.memory.try_hold(REQUEST_BYTES)
+    /// Reserves memory for a request whose body was read; none if there is no room.
+    pub(crate) async fn hold_request(&self) -> Option<HeldMemory> {
+        self.memory.hold_request(REQUEST_BYTES).await
     }
 
     /// What clients hold now.
--- a/crates/sapphiretrack-routing/src/client_budget.rs
+++ b/crates/sapphiretrack-routing/src/client_budget.rs
@@ -51,13 +51,13 @@
     }
 }
 
-/// The answer to an upload that asks for more memory.
+/// The answer to an upload or a request that asks for memory.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum UploadGrant {
     /// The memory is reserved.
     Granted,
-    /// Other uploads have to give way first: these from now on, or those of an earlier answer. The upload asks
-    /// again when memory was released.
+    /// Other uploads have to give way first: these from now on, or those of an earlier answer. The client's request
+    /// asks again when memory was released.
     Awaited(Vec<u64>),
     /// There is no memory for it.
     Refused,
@@ -150,12 +150,21 @@
         fits
     }
 
+    /// Reserves memory for a request whose body was read. Others give way to it as to an upload.
+    pub fn hold_request(&mut self, bytes: usize, other_bytes: usize, now_ms: u64) -> UploadGrant {
+        if self.try_hold(bytes, other_bytes) {
+            return UploadGrant::Granted;
+        }
+        let missing = (self.used_bytes() + other_bytes + bytes).saturating_sub(self.limit_bytes);
+        self.reclaim(missing, None, now_ms)
+    }
+
     /// Accounts for memory whose amount is limited by other means.
     pub fn hold(&mut self, bytes: usize) {
         self.fixed_bytes += bytes;
     }
 
-    /// Ends what `try_hold`, `hold` or `finish_upload` accounted for.
+    /// Ends what `try_hold`, `hold_request`, `hold` or `finish_upload` accounted for.
     pub fn release(&mut self, bytes: usize) {
         self.fixed_bytes = self.fixed_bytes.saturating_sub(bytes);
     }
--- a/crates/sapphiretrack-routing/tests/client_budget.rs
+++ b/crates/sapphiretrack-routing/tests/client_budget.rs
@@ -102,6 +102,27 @@
     assert!(!budget.is_reclaimed(small));
 }
 
+#[test]
+fn stalled_uploads_give_way_to_a_request() {
+    let (mut budget, ids) = stalled(16 * MIB, 7, 2 * MIB);
+    let granted = budget.hold_request(2 * MIB, 0, 0);
+    assert_eq!(granted, UploadGrant::Granted);
+    assert_eq!(budget.used_bytes(), 16 * MIB);
+    // Nobody has stalled yet, and other bytes are never given back.
+    assert_eq!(budget.hold_request(1, 0, 500), UploadGrant::Refused);
+    assert_eq!(
+        budget.hold_request(1, 14 * MIB, 5_000),
+        UploadGrant::Refused
+    );
+    let UploadGrant::Awaited(chosen) = budget.hold_request(MIB, 0, 5_000) else {
+        panic!("stalled uploads give way");
+    };
+    assert!(chosen.len() == 1 && ids.contains(&chosen[0]));
+    budget.drop_upload(chosen[0]);
+    assert_eq!(budget.hold_request(MIB, 0, 5_000), UploadGrant::Granted);
+    assert_eq!(budget.used_bytes(), 15 * MIB);
+}
+
 #[test]
 fn answers_that_are_not_taken_leave_less_room() {
     let mut budget = ClientBudget::new(16 * MIB);
@@ -164,4 +185,29 @@
         }
         prop_assert_eq!(budget.used_bytes(), 0);
     }
+
+    /// Whatever stalled uploads hold, they give way to a request that fits without them.
+    #[test]
+    fn a_request_gets_room_from_stalled_uploads(
+        sizes in prop::collection::vec(1..MIB, 0..40),
+        connections in 0..2 * MIB,
+        bytes in 1..2 * MIB,
+    ) {
+        let limit = 4 * MIB;
+        let mut budget = ClientBudget::new(limit);
+        budget.hold(connections);
+        for size in sizes {
+            let id = budget.begin_upload(0);
+            if budget.grow_upload(id, size, 0, 0) != UploadGrant::Granted {
+                budget.drop_upload(id);
+            }
+        }
+        if let UploadGrant::Awaited(chosen) = budget.hold_request(bytes, 0, 5_000) {
+            for id in chosen {
+                budget.drop_upload(id);
+            }
+            prop_assert_eq!(budget.hold_request(bytes, 0, 5_000), UploadGrant::Granted);
+        }
+        prop_assert!((connections + bytes..=limit).contains(&budget.used_bytes()));
+    }
 }
--- a/crates/sapphiretrack-tests/src/crowd.rs
+++ b/crates/sapphiretrack-tests/src/crowd.rs
@@ -1,5 +1,6 @@
 //! Callers that send without end, or stop before the end and keep their connections open.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,13 @@
 /// How long the process is watched after the last caller of a crowd has sent everything.
 const WATCHED_AFTER: Duration = Duration::from_millis(500);
 
+/// How many callers of `Crowd::fill` send the longest body at once.
+const FIRST_CALLERS: usize = 40;
+/// The shortest body of `Crowd::fill`.
+const SHORTEST_BYTES: usize = 16 * 1024;
+/// How long a caller of `Crowd::fill` waits for a refusal.
+const REFUSAL_WAIT: Duration = Duration::from_millis(40);
+
 /// The limits of a process that its settings state.
 #[derive(Clone, Copy, Debug)]
 pub struct StatedLimits {
@@ -124,6 +132,44 @@
         crowd
     }
 
+    /// Fills the memory of a process with bodies that stop one byte short of their end: the longest first, then ever
+    /// shorter ones in what those leave. Callers that are refused leave. `head` returns the head of a request with a
+    /// body of so many bytes.
+    pub async fn fill<Head>(
+        process_id: u32,
+        address: SocketAddr,
+        longest_bytes: usize,
+        head: Head,
+    ) -> Self
+    where
+        Head: Fn(usize) -> Vec<u8>,
+    {
+        let mut crowd = Self {
+            callers: Vec::new(),
+            peaks: Peaks::default(),
+        };
+        let mut bytes = longest_bytes;
+        let mut count = FIRST_CALLERS;
+        while bytes >= SHORTEST_BYTES {
+            let body = [head(bytes), vec![b'x'; bytes - 1]].concat();
+            let mut sending = JoinSet::new();
+            for _ in 0..count {
+                sending.spawn(begin_upload(address, body.clone()));
+            }
+            let accepted = sending.join_all().await.into_iter().flatten();
+            let before = crowd.callers.len();
+            crowd.callers.extend(accepted);
+            let is_full = crowd.callers.len() == before;
+            crowd.callers.retain(is_unanswered);
+            crowd.peaks.sample(process_id);
+            if is_full {
+                bytes /= 2;
+            }
+            count = 1;
+        }
+        crowd
+    }
+
     /// Watches the process further, for work that goes on after everything was sent.
     pub async fn watch(&mut self, process_id: u32, time: Duration) {
         let until = Instant::now() + time;
@@ -133,3 +179,17 @@
         }
     }
 }
+
+/// Sends an unfinished body. Returns the connection unless the body was refused.
+async fn begin_upload(address: SocketAddr, body: Vec<u8>) -> Option<TcpStream> {
+    let mut caller = TcpStream::connect(address).await.ok()?;
+    caller.write_all(&body).await.ok()?;
+    let refused = timeout(REFUSAL_WAIT, caller.readable()).await.is_ok();
+    (!refused).then_some(caller)
+}
+
+/// Whether nothing arrived on this connection, and it is open.
+fn is_unanswered(caller: &TcpStream) -> bool {
+    let read = caller.try_read(&mut [0]);
+    read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
--- a/crates/sapphiretrack-tests/tests/client_crowds.rs
+++ b/crates/sapphiretrack-tests/tests/client_crowds.rs
@@ -53,6 +53,8 @@
 const ONE_BYTE_CHUNKS: usize = 128 * 1024;
 /// The time in which the small chunks are read, also by a build without optimization.
 const DECODING_TIME: Duration = Duration::from_secs(8);
+/// The time after which a body that no longer moves gives way.
+const STALL_TIME: Duration = Duration::from_millis(2_500);
 const NO_PAUSE: Duration = Duration::ZERO;
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 /// How long a planned stop may take: the deadline of a class, and what a stop takes without requests.
@@ -224,6 +226,17 @@
     fleet.assert_sound(&crowd.peaks).await;
 }
 
+/// Bodies that stall give way to any request, also to one that has no body itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemon_requests_are_served_while_stalled_bodies_fill_the_memory() {
+    let fleet = SmallFleet::start().await;
+    let (process, address) = (fleet.process_id(), fleet.caller_address());
+    let mut crowd = Crowd::fill(process, address, BODY_BYTES, announced).await;
+    crowd.watch(process, STALL_TIME).await;
+    fleet.assert_serves(&announced(0), &crowd.peaks).await;
+    fleet.assert_sound(&crowd.peaks).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn daemon_connections_without_requests_stay_within_the_descriptors() {
     let fleet = SmallFleet::start().await;
