--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: `review-standin-2 CASE PROGRAM FOLDER TEMPORARY_FOLDER`. `TROUBLE=0` leaves the disruption out. Exits
 //! with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod blamed;
 mod hang;
 mod http;
 mod names;
@@ -8,6 +9,7 @@
 mod ordinary;
 mod prompts;
 mod record;
+mod rejoin;
 mod server;
 mod slow;
 mod store;
@@ -131,9 +133,11 @@
 /// Returns whether the rule was broken.
 fn run(case: &str, place: &Place) -> std::io::Result<bool> {
     match case {
+        "blamed" => blamed::run(place),
         "hang" => hang::run(place),
         "slow" => slow::run(place),
         "prompts" => prompts::run(place),
+        "rejoin" => rejoin::run(place),
         "unfinished" => unfinished::run(place),
         _ => Err(std::io::Error::other("no such case")),
     }
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -17,6 +17,9 @@
 /// A running router; killed when dropped.
 pub struct Node {
     process: Child,
+    program: PathBuf,
+    folder: PathBuf,
+    settings: String,
     /// Holds its id while it runs.
     id_file: PathBuf,
     /// Its address for callers.
@@ -44,57 +47,84 @@
 }
 
 impl Node {
-    /// Starts the program of the deploy file with the settings of a small deployment.
+    /// Starts the program of the deploy file with the settings of a small deployment, and waits until it is ready.
     pub fn start(
         program: &Path,
         folder: &Path,
         ip: &str,
         store: SocketAddr,
+    ) -> std::io::Result<Self> {
+        let node = Self::launch(program, folder, ip, store, 1)?;
+        node.wait_until_ready()?;
+        Ok(node)
+    }
+
+    /// Starts the program with the settings of a small deployment, as one of its routers.
+    pub fn launch(
+        program: &Path,
+        folder: &Path,
+        ip: &str,
+        store: SocketAddr,
+        number: usize,
     ) -> std::io::Result<Self> {
         let first = free_ports(ip, 16)?;
-        let text = include_str!("../settings.txt");
         let ports = [
             ("@FRONT@", first),
             ("@READY@", first + 1),
             ("@LOOKUP@", first + 2),
+            ("@PEERLAST@", first + 15),
             ("@PEER@", first + 3),
         ];
+        let text = include_str!("../settings.txt");
         let mut text = text
-            .replace("@NAME@", "front-rufisque-1")
+            .replace("@NAME@", &format!("front-rufisque-{number}"))
             .replace("@IP@", ip);
         for (place, port) in ports {
             text = text.replace(place, &port.to_string());
         }
-        text = text
-            .replace("@PEERLAST@", &(first + 15).to_string())
-            .replace("@STORE@", &store.to_string());
-        let path = folder.join("boot.toml");
-        std::fs::write(&path, text)?;
-        let log = std::fs::File::create(folder.join("node.log"))?;
-        let process = Command::new(program)
-            .arg("--settings")
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        std::fs::write(folder.join("node.pid"), process.id().to_string())?;
+        let settings = text.replace("@STORE@", &store.to_string());
+        let process = spawn_program(program, folder, &settings, true)?;
         let address = |port: u16| SocketAddr::new(ip.parse().expect("an address"), port);
-        let node = Self {
+        Ok(Self {
             process,
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            settings,
             id_file: folder.join("node.pid"),
             callers: address(first),
             ready: address(first + 1),
             quota: None,
-        };
+        })
+    }
+
+    /// Waits until it is ready.
+    pub fn wait_until_ready(&self) -> std::io::Result<()> {
         let since = Instant::now();
-        while !node.is_ready() {
+        while !self.is_ready() {
             if since.elapsed() > Duration::from_secs(15) {
                 return Err(std::io::Error::other("the router is not ready in time"));
             }
-            sleep(Duration::from_millis(50));
+            sleep(Duration::from_millis(20));
         }
-        Ok(node)
+        Ok(())
+    }
+
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) -> std::io::Result<()> {
+        self.process.kill()?;
+        self.process.wait()?;
+        Ok(())
+    }
+
+    /// Starts the program again, at the same addresses.
+    pub fn restart(&mut self) -> std::io::Result<()> {
+        self.process = spawn_program(&self.program, &self.folder, &self.settings, false)?;
+        Ok(())
     }
 
     /// Whether it answers the platform's question with 200.
@@ -189,3 +219,30 @@
     let times = times.filter_map(|text| text.split_whitespace().next()?.parse::<u64>().ok());
     times.sum::<u64>() / 1_000
 }
+
+/// Starts the program. `is_first` tells whether the whole system starts for the first time.
+fn spawn_program(
+    program: &Path,
+    folder: &Path,
+    settings: &str,
+    is_first: bool,
+) -> std::io::Result<Child> {
+    let path = folder.join("boot.toml");
+    std::fs::write(
+        &path,
+        settings.replace("@BOOTSTRAP@", &is_first.to_string()),
+    )?;
+    let log = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(folder.join("node.log"))?;
+    let process = Command::new(program)
+        .arg("--settings")
+        .arg(&path)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()?;
+    std::fs::write(folder.join("node.pid"), process.id().to_string())?;
+    Ok(process)
+}
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -59,6 +59,16 @@
         self.changed.notify_all();
     }
 
+    /// Removes a row as its writer, or the platform, would.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.rows.lock().expect("no panic before");
+        rows.version += 1;
+        let version = rows.version;
+        rows.rows
+            .insert((table.to_owned(), key.to_owned()), (None, version));
+        self.changed.notify_all();
+    }
+
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(head)) = connection.read_head() {
             let Ok(body) = connection.read_bytes(head.length()) else {
