--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -114,7 +114,10 @@
         folder: PathBuf::from(folder),
         temporary: PathBuf::from(temporary),
     };
-    match run(case, &place) {
+    let result = run(case, &place);
+    // All routers have ended by now: their ids may belong to others.
+    let _ = std::fs::remove_file(place.temporary.join("node.pid"));
+    match result {
         Ok(true) => {
             println!("{case}: the rule was broken");
             ExitCode::from(1)
